--- /dev/null
+++ b/event.go
@@ -0,0 +1,171 @@
+package shed
+
+import "time"
+
+// Event is something that happened, told to a decision package by its driver.
+type Event interface{ event() }
+
+// Tick comes every TickEvery. Wall and Mono are read together: the monotonic
+// clock may stand still while a VM is suspended, so a leap of either one tells
+// that the process slept.
+type Tick struct {
+	Wall time.Time
+	Mono time.Duration
+}
+
+// TickEvery is the period of Tick.
+const TickEvery = 100 * time.Millisecond
+
+// Arrived means that a request came in, from a caller, or handed over by peer From.
+type Arrived struct {
+	Request   RequestID
+	Ticketed  bool
+	Workspace WorkspaceID
+	Pipeline  PipelineID
+	// Deadline is when the answer must be whole.
+	Deadline time.Time
+	// Prefix hashes the start of the prompt, for cache affinity.
+	Prefix uint64
+	// Input estimates the size of the input.
+	Input Tokens
+	// From is the peer that handed the request over; zero for a caller.
+	From Peer
+}
+
+// CallerGone means that nobody waits for the request's answer any more.
+type CallerGone struct{ Request RequestID }
+
+// StageAsked means that peer From hands one stage call over to this daemon, which applies
+// its own rules, limits and knowledge and makes one attempt at the most.
+type StageAsked struct {
+	Ask  StageAsk
+	From Peer
+}
+
+// StageAsk describes a stage call well enough for any daemon to place it.
+type StageAsk struct {
+	Call      Call        `cbor:"1,keyasint"`
+	Pipeline  PipelineID  `cbor:"2,keyasint"`
+	Workspace WorkspaceID `cbor:"3,keyasint"`
+	Prefix    uint64      `cbor:"4,keyasint"`
+	Input     Tokens      `cbor:"5,keyasint"`
+	// Budget is the time left; a duration, since clocks of VMs differ.
+	Budget time.Duration `cbor:"6,keyasint"`
+	// Hops counts the hand-overs so far.
+	Hops uint8 `cbor:"7,keyasint"`
+	// Revision is what the sender had in force.
+	Revision Revision `cbor:"8,keyasint"`
+	// Avoid are servers that failed this request before.
+	Avoid []ServerID `cbor:"9,keyasint,omitempty"`
+}
+
+// CallProgress means that the live call has produced Tokens in all. It comes with the
+// first token and then at most every ProgressEvery.
+type CallProgress struct {
+	Call   Call
+	Tokens Tokens
+	// Server is the one that runs the call, which a far daemon may have chosen.
+	Server ServerID
+	Zone   ZoneID
+}
+
+// ProgressEvery is the shortest time between two CallProgress of one call.
+const ProgressEvery = 100 * time.Millisecond
+
+// CallEnded means that the call is over and will produce nothing more.
+type CallEnded struct {
+	Call   Call
+	End    CallEnd
+	Reason Reason
+	Tokens Tokens
+	Server ServerID
+	Zone   ZoneID
+	// RetryAfter is when the far side said to come back; 0 if it did not.
+	RetryAfter time.Duration
+}
+
+// PeerMessage means that a control message came in from a peer.
+type PeerMessage struct {
+	From    Peer
+	Message Message
+}
+
+// PeerLost means that the link to a peer gave no answer to a heartbeat in time.
+type PeerLost struct{ Peer VM }
+
+// ConfigRead means that the platform answered a ReadConfig.
+type ConfigRead struct {
+	Err   bool
+	Index ConfigIndex
+	// Parts are those asked for, by hash.
+	Parts map[PartHash][]byte
+}
+
+// VMsRead means that the platform answered a ReadVMs.
+type VMsRead struct {
+	Err bool
+	VMs []VMEntry
+}
+
+// VMEntry is one line of the platform's lagging list.
+type VMEntry struct {
+	VM      VM
+	Zone    ZoneID
+	Leaving bool
+}
+
+// LoadReported means that a backend server reported its load. Reports lag by Age.
+type LoadReported struct {
+	Server ServerID
+	Report LoadReport
+}
+
+// LoadReport is what a backend server says of itself.
+type LoadReport struct {
+	// Boot tells two starts of the server apart.
+	Boot string `cbor:"1,keyasint"`
+	// Sequence grows with each report of one boot; an older one is dropped.
+	Sequence uint64 `cbor:"2,keyasint"`
+	Running  int    `cbor:"3,keyasint"`
+	Waiting  int    `cbor:"4,keyasint"`
+	// Warm: the server says it can bear its full load.
+	Warm bool `cbor:"5,keyasint"`
+	// Done counts calls completed since boot.
+	Done uint64 `cbor:"6,keyasint"`
+	// Fence is the highest fencing number it accepted.
+	Fence uint64 `cbor:"7,keyasint"`
+	// Model is what it has loaded, as "model@version".
+	Model string        `cbor:"8,keyasint"`
+	Role  string        `cbor:"9,keyasint"`
+	Age   time.Duration `cbor:"10,keyasint"`
+}
+
+// ServerSilent means that a backend server gave no load report in time.
+type ServerSilent struct{ Server ServerID }
+
+// OrderEnded means that a backend server answered an order.
+type OrderEnded struct {
+	Server ServerID
+	Fence  uint64
+	Done   bool
+	// StaleFence: refused, since it has seen a higher fencing number.
+	StaleFence bool
+}
+
+// StopAsked means that the process was told to stop; a second one asks to hurry.
+type StopAsked struct{ Hurry bool }
+
+func (Tick) event()         {}
+func (Arrived) event()      {}
+func (CallerGone) event()   {}
+func (StageAsked) event()   {}
+func (CallProgress) event() {}
+func (CallEnded) event()    {}
+func (PeerMessage) event()  {}
+func (PeerLost) event()     {}
+func (ConfigRead) event()   {}
+func (VMsRead) event()      {}
+func (LoadReported) event() {}
+func (ServerSilent) event() {}
+func (OrderEnded) event()   {}
+func (StopAsked) event()    {}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,118 @@
+package shed
+
+import "time"
+
+// Message is a control message between daemons. It may be lost, late, doubled
+// or reordered; every receiver bears that.
+type Message interface{ message() }
+
+// PartHash is the SHA-256 of one part of the configuration.
+type PartHash [32]byte
+
+// ConfigIndex is one configuration: the parts, in order, that make its text.
+type ConfigIndex struct {
+	Revision Revision   `cbor:"1,keyasint"`
+	Parts    []PartHash `cbor:"2,keyasint"`
+}
+
+// ConfigDigest says which revision the sender has in force and how long ago
+// that was known to be the newest, by the platform itself or by a chain of
+// peers back to it.
+type ConfigDigest struct {
+	Revision  Revision      `cbor:"1,keyasint"`
+	Confirmed time.Duration `cbor:"2,keyasint"`
+	// Never is true if the sender was never confirmed; Confirmed is then void.
+	Never bool `cbor:"3,keyasint,omitempty"`
+	// Ask wants a ConfigDigest back.
+	Ask bool `cbor:"4,keyasint,omitempty"`
+}
+
+// ConfigPull asks a peer for its configuration, but for the parts held.
+type ConfigPull struct {
+	Have []PartHash `cbor:"1,keyasint,omitempty"`
+}
+
+// ConfigPush carries a whole configuration, but for the parts that the puller
+// said it holds.
+type ConfigPush struct {
+	Index ConfigIndex         `cbor:"1,keyasint"`
+	Parts map[PartHash][]byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Status of a member.
+type Status uint8
+
+// The states of a member. A higher one overrules a lower one of the same
+// incarnation; a higher incarnation overrules all.
+const (
+	StatusAlive Status = iota + 1
+	StatusSuspect
+	StatusLeaving
+	StatusDead
+)
+
+// Member is what one daemon tells others of a process.
+type Member struct {
+	Peer   Peer   `cbor:"1,keyasint"`
+	Zone   ZoneID `cbor:"2,keyasint"`
+	Status Status `cbor:"3,keyasint"`
+	// Heir holds the unused tickets of a process that left; zero if none.
+	Heir Peer `cbor:"4,keyasint,omitempty"`
+	// Refute counts how often the process denied being dead; a higher one wins
+	// within an incarnation.
+	Refute uint32 `cbor:"5,keyasint,omitempty"`
+}
+
+// Probe asks whether the receiver lives. Sequence comes back in the ProbeAck.
+type Probe struct {
+	Sequence uint64   `cbor:"1,keyasint"`
+	Self     Member   `cbor:"2,keyasint"`
+	Gossip   []Member `cbor:"3,keyasint,omitempty"`
+	// For, if set, asks the receiver to probe that VM on the sender's behalf.
+	For VM `cbor:"4,keyasint,omitempty"`
+}
+
+// ProbeAck answers a Probe.
+type ProbeAck struct {
+	Sequence uint64   `cbor:"1,keyasint"`
+	Self     Member   `cbor:"2,keyasint"`
+	Gossip   []Member `cbor:"3,keyasint,omitempty"`
+	// For is set if the ack is passed on for another VM.
+	For VM `cbor:"4,keyasint,omitempty"`
+}
+
+// SlotRelease says that the sender uses no slot of these servers any more.
+type SlotRelease struct {
+	Servers []ServerID `cbor:"1,keyasint"`
+	// View is the sender's view, as a hash, for which it let go.
+	View uint64 `cbor:"2,keyasint"`
+}
+
+// LoadDigest spreads load reports within a zone.
+type LoadDigest struct {
+	Reports map[ServerID]LoadReport `cbor:"1,keyasint"`
+}
+
+// TicketMove hands unused tickets to an heir. The sender has forgotten them
+// before it sends: a lost move loses tickets, it never doubles one.
+type TicketMove struct {
+	From    Peer          `cbor:"1,keyasint"`
+	Tickets []MovedTicket `cbor:"2,keyasint"`
+}
+
+// MovedTicket is one unused ticket on its way to an heir.
+type MovedTicket struct {
+	ID        RequestID     `cbor:"1,keyasint"`
+	Workspace WorkspaceID   `cbor:"2,keyasint"`
+	Pipeline  PipelineID    `cbor:"3,keyasint"`
+	Left      time.Duration `cbor:"4,keyasint"`
+}
+
+func (ConfigDigest) message() {}
+func (ConfigPull) message()   {}
+func (ConfigPush) message()   {}
+func (Probe) message()        {}
+func (ProbeAck) message()     {}
+func (SlotRelease) message()  {}
+func (LoadDigest) message()   {}
+func (TicketMove) message()   {}
--- /dev/null
+++ b/rules.go
@@ -0,0 +1,178 @@
+package shed
+
+import "time"
+
+// StageKind tells what a stage does, and so which protocol its servers speak.
+type StageKind uint8
+
+// The kinds of stage.
+const (
+	KindEncode StageKind = iota + 1
+	KindRetrieve
+	KindRerank
+	KindGenerate
+	// KindService is a plain service, some of whose calls may not be repeated.
+	KindService
+)
+
+// Origin tells where a rule came from, so that each decision can name it.
+type Origin struct {
+	// Line in the rules file, from 1.
+	Line int
+	// Asked is the comment that names who asked for the rule.
+	Asked string
+}
+
+// Rules is one accepted configuration, compiled. It is never changed after it
+// was built, so it may be shared between goroutines.
+type Rules struct {
+	// Revision is the platform's store revision of this configuration.
+	Revision   Revision
+	Pipelines  map[PipelineID]*Pipeline
+	Pools      map[PoolID]*Pool
+	Servers    map[ServerID]*Server
+	Workspaces map[WorkspaceID]*Workspace
+	Zones      map[ZoneID]*Zone
+	Suppliers  map[SupplierID]*Supplier
+	Models     map[ModelID]*Model
+	// WeightLoads is how many model loads may run at once against the weight
+	// store, in all zones together.
+	WeightLoads int
+}
+
+// Pipeline is a chain of stages under one deadline.
+type Pipeline struct {
+	Origin
+	ID PipelineID
+	// Deadline is the longest that a request may take from its arrival.
+	Deadline time.Duration
+	// Stages run in this order; each takes the result of the one before.
+	Stages []Stage
+}
+
+// Idempotent tells whether the whole pipeline may safely run twice.
+func (p *Pipeline) Idempotent() bool {
+	for _, s := range p.Stages {
+		if !s.Idempotent {
+			return false
+		}
+	}
+	return true
+}
+
+// Stage is one step of a pipeline.
+type Stage struct {
+	Origin
+	ID   StageID
+	Kind StageKind
+	Pool PoolID
+	// Zones are where the stage may run, sorted; empty means every zone.
+	Zones []ZoneID
+	// Minimum is the least time the stage can take; the deadline of its
+	// pipeline is never below the sum of these.
+	Minimum time.Duration
+	// Idempotent is false for a stage that must run at most once.
+	Idempotent bool
+}
+
+// Pool is a set of backend servers that do the same work.
+type Pool struct {
+	Origin
+	ID   PoolID
+	Kind StageKind
+	// Model is what the pool's engines should have loaded; empty for services.
+	Model ModelID
+	// Servers are the pool's servers, sorted by id.
+	Servers []*Server
+	// Unit prices one thousandth of a server-second, for cost by stage.
+	Unit float64
+}
+
+// Server is one backend server.
+type Server struct {
+	Origin
+	ID       ServerID
+	Pool     PoolID
+	Zone     ZoneID
+	Supplier SupplierID
+	// URL is the base of the server's HTTP interface.
+	URL string
+	// Capacity is how many calls a warm server carries at once; 1 or more.
+	Capacity int
+	// ColdBears is how many calls it bears at once while cold; 1 or more and
+	// never above Capacity.
+	ColdBears int
+	// ChecksCaller: the server refuses orders from those who may not give them.
+	ChecksCaller bool
+	// Fenced: the server refuses an order with an old fencing number.
+	Fenced bool
+	// Leaving: no new work.
+	Leaving bool
+	// Role is the engine's desired role: "", "prefill" or "decode".
+	Role string
+}
+
+// Workspace is one customer's share of the system.
+type Workspace struct {
+	Origin
+	ID WorkspaceID
+	// Share weighs the workspace in fair queueing; 1 or more.
+	Share int
+	// TokenHash is the hex SHA-256 of the workspace's token.
+	TokenHash string
+	// Pipelines it may run, sorted; empty means every pipeline.
+	Pipelines []PipelineID
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Origin
+	ID     ZoneID
+	Region string
+	// Out: operators took the zone out; no new work.
+	Out bool
+}
+
+// Supplier supplies backend servers.
+type Supplier struct {
+	Origin
+	ID SupplierID
+	// Leaving: none of its servers gets new work.
+	Leaving bool
+}
+
+// Model is what an engine can load.
+type Model struct {
+	Origin
+	ID       ModelID
+	Version  string
+	Adapters []string
+}
+
+// ServerOpen tells whether the rules let the server have new work, and if not,
+// the rule that forbids it.
+func (r *Rules) ServerOpen(s *Server) (bool, Origin) {
+	if s.Leaving {
+		return false, s.Origin
+	}
+	if sup := r.Suppliers[s.Supplier]; sup != nil && sup.Leaving {
+		return false, sup.Origin
+	}
+	if z := r.Zones[s.Zone]; z != nil && z.Out {
+		return false, z.Origin
+	}
+	return true, Origin{}
+}
+
+// MayRun tells whether the stage may run in zone z.
+func (s *Stage) MayRun(z ZoneID) bool {
+	if len(s.Zones) == 0 {
+		return true
+	}
+	for _, id := range s.Zones {
+		if id == z {
+			return true
+		}
+	}
+	return false
+}
