--- a/message.go
+++ b/message.go
@@ -70,6 +70,9 @@
 	Gossip   []Member `cbor:"3,keyasint,omitempty"`
 	// For, if set, asks the receiver to probe that VM on the sender's behalf.
 	For VM `cbor:"4,keyasint,omitempty"`
+	// View is the sender's view of its zone, as a hash. If the receiver is of
+	// the same zone and has another, it adds more gossip to its ack.
+	View uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ProbeAck answers a Probe.
@@ -79,13 +82,21 @@
 	Gossip   []Member `cbor:"3,keyasint,omitempty"`
 	// For is set if the ack is passed on for another VM.
 	For VM `cbor:"4,keyasint,omitempty"`
+	// View as in Probe.
+	View uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// SlotRelease says that the sender uses no slot of these servers any more.
+// SlotRelease says that the sender uses no slot of these servers any more but
+// for those that its view gives it; no servers means all of the zone.
 type SlotRelease struct {
 	Servers []ServerID `cbor:"1,keyasint"`
 	// View is the sender's view, as a hash, for which it let go.
 	View uint64 `cbor:"2,keyasint"`
+	// Turn is new after each change of the sender's view; Seen is the last Turn
+	// that the sender heard from the receiver, so a late release is known as
+	// such.
+	Turn uint64 `cbor:"3,keyasint,omitempty"`
+	Seen uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // LoadDigest spreads load reports within a zone.
