--- /dev/null
+++ b/internal/load/book.go
@@ -0,0 +1,368 @@
+// Package load keeps what one daemon knows of the backend servers of its zone:
+// how busy each is, and whether it is cold.
+//
+// Each server is polled by a few daemons only, its readers, which tell the zone
+// what changed enough to alter a choice. Between two reports the estimate is
+// corrected by the work that this daemon itself sent and saw end.
+package load
+
+import (
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/rank"
+)
+
+// Config sets up a Book. Fields left at 0 get the Default of their name.
+type Config struct {
+	Self shed.VM
+	// Readers is how many daemons poll a server.
+	Readers int
+	// PollEvery is how often a reader polls a server.
+	PollEvery time.Duration
+	// DigestEvery is the shortest time between two digests.
+	DigestEvery time.Duration
+	// RefreshEvery is how often an unchanged report is told again.
+	RefreshEvery time.Duration
+	// Threshold is the share of a server's Capacity by which its load must
+	// have changed to be told.
+	Threshold float64
+	// SilentAfter is the age of the last report, from any reader, after which
+	// a server that doesn't answer this one counts as silent.
+	SilentAfter time.Duration
+	// LeapFactor and LeapLeast: a first token that takes LeapFactor times the
+	// server's own median, and LeapLeast at the least, is a symptom of a cold
+	// server.
+	LeapFactor int
+	LeapLeast  time.Duration
+	// WarmCalls is how many calls per ColdBears a server has to complete before
+	// it is held warm.
+	WarmCalls int
+}
+
+// Defaults for what a Config leaves at 0.
+const (
+	DefaultReaders      = 2
+	DefaultPollEvery    = 2 * time.Second
+	DefaultDigestEvery  = time.Second
+	DefaultRefreshEvery = 30 * time.Second
+	DefaultThreshold    = 0.25
+	DefaultSilentAfter  = 5 * time.Second
+	DefaultLeapFactor   = 4
+	DefaultLeapLeast    = 300 * time.Millisecond
+	DefaultWarmCalls    = 2
+)
+
+// The reasons of the notes that this package takes.
+const (
+	ReasonStaleReport shed.Reason = "stale_load_report"
+	ReasonTurnedCold  shed.Reason = "server_turned_cold"
+	ReasonTurnedWarm  shed.Reason = "server_turned_warm"
+)
+
+// Book is what is known of the servers.
+type Book struct {
+	cfg     Config
+	servers map[shed.ServerID]*entry
+	order   []shed.ServerID // sorted keys of servers
+	calls   map[shed.Call]*call
+	vms     []shed.VM
+
+	nextDigest time.Time
+}
+
+// entry is what is known of one server.
+type entry struct {
+	server *shed.Server
+	// readers of the server, the first one first; rank is the place of this
+	// daemon among them, or -1.
+	rank     int
+	nextPoll time.Time
+
+	// report is the last one that was taken, made at about at; Boot is "" if
+	// there is none.
+	report shed.LoadReport
+	at     time.Time
+	// former are boots that ended; a late report of one is dropped.
+	former []string
+
+	cold cold
+	// told is what the zone was last told of the server, by any reader, and
+	// when; unlike is since when the present report differs enough from it.
+	told   shed.LoadReport
+	toldAt time.Time
+	unlike time.Time
+
+	own int
+	// ended are calls that ended after the last report.
+	ended []span
+	first ring // times to the first token
+	whole ring // times of whole calls
+}
+
+// call is one of this daemon's calls in flight.
+type call struct {
+	server shed.ServerID
+	sent   time.Time
+	first  bool // the first token has come
+	leapt  bool // already counted as a symptom
+}
+
+// span is a call that has ended.
+type span struct{ sent, ended time.Time }
+
+// New returns a book that knows nothing; every server counts as cold.
+func New(cfg Config) *Book {
+	orDefault(&cfg.Readers, DefaultReaders)
+	orDefault(&cfg.PollEvery, DefaultPollEvery)
+	orDefault(&cfg.DigestEvery, DefaultDigestEvery)
+	orDefault(&cfg.RefreshEvery, DefaultRefreshEvery)
+	orDefault(&cfg.Threshold, DefaultThreshold)
+	orDefault(&cfg.SilentAfter, DefaultSilentAfter)
+	orDefault(&cfg.LeapFactor, DefaultLeapFactor)
+	orDefault(&cfg.LeapLeast, DefaultLeapLeast)
+	orDefault(&cfg.WarmCalls, DefaultWarmCalls)
+	return &Book{
+		cfg:     cfg,
+		servers: map[shed.ServerID]*entry{},
+		calls:   map[shed.Call]*call{},
+	}
+}
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// SetServers tells which servers of this zone the rules name. What is known of
+// a server outlives a change of its rules.
+func (b *Book) SetServers(now time.Time, servers []*shed.Server) {
+	keep := make(map[shed.ServerID]bool, len(servers))
+	for _, s := range servers {
+		keep[s.ID] = true
+		e := b.servers[s.ID]
+		if e == nil {
+			e = &entry{cold: cold{on: true, since: now}}
+			b.servers[s.ID] = e
+		}
+		e.server = s
+	}
+	b.order = b.order[:0]
+	for id := range b.servers {
+		if !keep[id] {
+			delete(b.servers, id)
+			continue
+		}
+		b.order = append(b.order, id)
+	}
+	slices.Sort(b.order)
+	b.assign(now)
+}
+
+// SetView tells which VMs of the zone are alive, this one among them.
+func (b *Book) SetView(now time.Time, vms []shed.VM) {
+	if slices.Equal(vms, b.vms) {
+		return
+	}
+	b.vms = slices.Clone(vms)
+	b.assign(now)
+}
+
+// assign works out which servers this daemon reads. The first polls are spread
+// over the period by the place in the list.
+func (b *Book) assign(now time.Time) {
+	for i, id := range b.order {
+		e := b.servers[id]
+		was := e.rank
+		readers := rank.Owners("load/"+string(id), b.vms, b.cfg.Readers)
+		e.rank = slices.Index(readers, b.cfg.Self)
+		if e.rank >= 0 && (was < 0 || e.nextPoll.IsZero()) {
+			phase := b.cfg.PollEvery * time.Duration(i%8) / 8
+			e.nextPoll = now.Add(phase)
+		}
+	}
+}
+
+// Handle takes Tick, LoadReported, ServerSilent and PeerMessage with a
+// LoadDigest.
+func (b *Book) Handle(now time.Time, ev shed.Event) []shed.Action {
+	switch ev := ev.(type) {
+	case shed.Tick:
+		return b.tick(now)
+	case shed.LoadReported:
+		if e := b.servers[ev.Server]; e != nil {
+			return b.take(now, nil, e, ev.Report)
+		}
+	case shed.ServerSilent:
+		if e := b.servers[ev.Server]; e != nil {
+			return b.silent(now, e)
+		}
+	case shed.PeerMessage:
+		if digest, ok := ev.Message.(shed.LoadDigest); ok {
+			return b.digest(now, digest)
+		}
+	}
+	return nil
+}
+
+func (b *Book) tick(now time.Time) []shed.Action {
+	var out []shed.Action
+	for _, id := range b.order {
+		e := b.servers[id]
+		if e.rank >= 0 && !now.Before(e.nextPoll) {
+			e.nextPoll = now.Add(b.cfg.PollEvery)
+			out = append(out, shed.PollServer{Server: id, URL: e.server.URL})
+		}
+	}
+	out = b.overdue(now, out)
+	if !now.Before(b.nextDigest) {
+		b.nextDigest = now.Add(b.cfg.DigestEvery)
+		out = b.tell(now, out)
+	}
+	return out
+}
+
+// take takes in a report, unless it is older than what is known.
+func (b *Book) take(now time.Time, out []shed.Action, e *entry, r shed.LoadReport) []shed.Action {
+	at := now.Add(-r.Age)
+	if stale(e, r, at) {
+		return append(out, shed.Note{Reason: ReasonStaleReport, Server: e.server.ID})
+	}
+	if r.Boot == e.report.Boot && r.Sequence == e.report.Sequence && r.Warm == e.report.Warm {
+		return out // the same report by way of another reader
+	}
+	if r.Boot != e.report.Boot && e.report.Boot != "" {
+		e.former = append(e.former, e.report.Boot)
+		e.former = e.former[max(0, len(e.former)-formerMax):]
+	}
+	out = b.judge(now, out, e, r)
+	e.report, e.at = r, at
+	e.ended = slices.DeleteFunc(e.ended, func(s span) bool { return !s.ended.After(at) })
+	return out
+}
+
+// formerMax is how many former boots of a server are remembered.
+const formerMax = 4
+
+func stale(e *entry, r shed.LoadReport, at time.Time) bool {
+	if r.Boot != e.report.Boot {
+		return slices.Contains(e.former, r.Boot) || at.Before(e.at)
+	}
+	if r.Sequence == e.report.Sequence {
+		// Word that the server is cold after all overrules the report.
+		return r.Warm && !e.report.Warm
+	}
+	return r.Sequence < e.report.Sequence
+}
+
+// Sent tells that this daemon sent the call to the server.
+func (b *Book) Sent(now time.Time, server shed.ServerID, id shed.Call) {
+	e := b.servers[server]
+	if e == nil || b.calls[id] != nil {
+		return
+	}
+	e.own++
+	b.calls[id] = &call{server: server, sent: now}
+}
+
+// FirstToken tells that the call's first token has come.
+func (b *Book) FirstToken(now time.Time, id shed.Call) []shed.Action {
+	c := b.calls[id]
+	if c == nil || c.first {
+		return nil
+	}
+	c.first = true
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	return b.firstToken(now, e, c)
+}
+
+// Ended tells how the call ended.
+func (b *Book) Ended(now time.Time, id shed.Call, end shed.CallEnd) []shed.Action {
+	c := b.calls[id]
+	if c == nil {
+		return nil
+	}
+	delete(b.calls, id)
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	e.own--
+	e.ended = append(e.ended, span{sent: c.sent, ended: now})
+	if len(e.ended) > endedMax {
+		e.ended = e.ended[1:]
+	}
+	switch end {
+	case shed.EndComplete:
+		e.whole.add(now.Sub(c.sent))
+		e.cold.completed++
+	case shed.EndOverloaded:
+		return b.symptom(now, nil, e)
+	}
+	return nil
+}
+
+// endedMax bounds what is remembered between two reports.
+const endedMax = 512
+
+// Candidate returns what is known of the server, for a Policy; false if it is
+// none of this zone.
+func (b *Book) Candidate(now time.Time, server shed.ServerID) (shed.Candidate, bool) {
+	e := b.servers[server]
+	if e == nil {
+		return shed.Candidate{}, false
+	}
+	return shed.Candidate{
+		Server:  e.server,
+		Running: b.running(e),
+		Own:     e.own,
+		Cold:    e.cold.on,
+		Age:     now.Sub(e.at),
+		Slow:    e.whole.median(),
+	}, true
+}
+
+// running corrects the last report by this daemon's own calls: those that it
+// sent since, and those that the report counts and that have ended since.
+func (b *Book) running(e *entry) int {
+	n := e.report.Running + e.report.Waiting
+	for _, c := range b.calls {
+		if c.server == e.server.ID && c.sent.After(e.at) {
+			n++
+		}
+	}
+	for _, s := range e.ended {
+		if !s.sent.After(e.at) && s.ended.After(e.at) {
+			n--
+		}
+	}
+	return max(n, e.own)
+}
+
+// Report returns the last report of the server and its age; false if there is
+// none.
+func (b *Book) Report(now time.Time, server shed.ServerID) (shed.LoadReport, time.Duration, bool) {
+	e := b.servers[server]
+	if e == nil || e.report.Boot == "" {
+		return shed.LoadReport{}, 0, false
+	}
+	return e.report, now.Sub(e.at), true
+}
+
+// Room returns how many more calls the server can take: while it is cold up to
+// ColdBears in all, then one more for each call that it completed since, up to
+// its Capacity. So a server or zone that returns gets its full load only as it
+// shows that it can carry it.
+func (b *Book) Room(server shed.ServerID) int {
+	e := b.servers[server]
+	if e == nil {
+		return 0
+	}
+	return max(0, e.level()-b.running(e))
+}
--- /dev/null
+++ b/internal/load/cold.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// cold says whether a server is held cold, and what it has shown since.
+type cold struct {
+	on    bool
+	since time.Time
+	// done is the server's count of completed calls when it turned cold; 0 for
+	// a new boot.
+	done uint64
+	// completed counts this daemon's own calls that the server completed since.
+	completed uint64
+	// leaps counts the latest symptoms in a row; two make it cold.
+	leaps int
+}
+
+// leapsMax is how many slow first tokens in a row turn a server cold. One may
+// be a long prompt.
+const leapsMax = 2
+
+// judge works out from a new report whether the server is cold.
+//
+// A new boot, and any server that this daemon knows nothing of, is cold until a
+// report says warm and the server has completed some calls: a server may call
+// itself warm too soon. Completions are counted by the server since its boot,
+// so a daemon that has just started takes a server that was long warm as warm
+// with the first report, and a restart of the whole fleet leaves none cold.
+func (b *Book) judge(now time.Time, out []shed.Action, e *entry, r shed.LoadReport) []shed.Action {
+	switch {
+	case r.Boot != e.report.Boot && e.report.Boot != "":
+		out = b.turnCold(now, out, e, 0)
+	case !r.Warm && !e.cold.on:
+		out = b.turnCold(now, out, e, r.Done)
+	}
+	if !e.cold.on || !r.Warm || now.Add(-r.Age).Before(e.cold.since.Add(-b.cfg.PollEvery)) {
+		return out
+	}
+	if r.Done < e.cold.done+b.need(e) {
+		return out
+	}
+	e.cold.on = false
+	e.cold.leaps = 0
+	return append(out, shed.Note{Reason: ReasonTurnedWarm, Server: e.server.ID})
+}
+
+// need is how many calls a cold server has to complete.
+func (b *Book) need(e *entry) uint64 {
+	return uint64(b.cfg.WarmCalls * e.server.ColdBears)
+}
+
+func (b *Book) turnCold(now time.Time, out []shed.Action, e *entry, done uint64) []shed.Action {
+	was := e.cold.on
+	e.cold = cold{on: true, since: now, done: done}
+	if was {
+		return out
+	}
+	return append(out, shed.Note{Reason: ReasonTurnedCold, Server: e.server.ID})
+}
+
+// level is how many calls the server can carry by now.
+func (e *entry) level() int {
+	if e.cold.on {
+		return e.server.ColdBears
+	}
+	shown := e.cold.completed
+	if e.report.Done > e.cold.done {
+		shown = max(shown, e.report.Done-e.cold.done)
+	}
+	return e.server.ColdBears + int(min(shown, uint64(e.server.Capacity-e.server.ColdBears)))
+}
+
+// symptom turns the server cold by what this daemon itself saw of it, and lets
+// the zone know: the server may not have noticed.
+func (b *Book) symptom(now time.Time, out []shed.Action, e *entry) []shed.Action {
+	if e.cold.on {
+		return out
+	}
+	out = b.turnCold(now, out, e, e.report.Done)
+	if e.report.Boot == "" {
+		return out
+	}
+	e.report.Warm = false
+	word := e.report
+	word.Age = now.Sub(e.at)
+	e.told, e.toldAt = word, now
+	return b.send(out, map[shed.ServerID]shed.LoadReport{e.server.ID: word})
+}
+
+// silent: the server gave this reader no report. If no other reader had one
+// lately either, the server may have restarted, so it counts as cold.
+func (b *Book) silent(now time.Time, e *entry) []shed.Action {
+	if e.cold.on || now.Sub(e.at) < b.cfg.SilentAfter {
+		return nil
+	}
+	return b.symptom(now, nil, e)
+}
+
+// firstToken looks for a leap of the time to the first token against the
+// server's own median: a server that turned cold is slow before it fails.
+func (b *Book) firstToken(now time.Time, e *entry, c *call) []shed.Action {
+	took := now.Sub(c.sent)
+	if c.leapt {
+		return nil
+	}
+	if !b.leap(e, took) {
+		e.first.add(took)
+		e.cold.leaps = 0
+		return nil
+	}
+	c.leapt = true
+	return b.countLeap(now, nil, e)
+}
+
+func (b *Book) leap(e *entry, took time.Duration) bool {
+	usual := e.first.median()
+	return usual > 0 && took >= b.cfg.LeapLeast && took >= time.Duration(b.cfg.LeapFactor)*usual
+}
+
+func (b *Book) countLeap(now time.Time, out []shed.Action, e *entry) []shed.Action {
+	e.cold.leaps++
+	if e.cold.leaps < leapsMax {
+		return out
+	}
+	return b.symptom(now, out, e)
+}
+
+// overdue counts calls that already wait longer than a leap: a server that
+// hangs would show no slow first token, since it gives none.
+func (b *Book) overdue(now time.Time, out []shed.Action) []shed.Action {
+	var late []shed.Call
+	for id, c := range b.calls {
+		e := b.servers[c.server]
+		if e == nil || c.first || c.leapt || !b.leap(e, now.Sub(c.sent)) {
+			continue
+		}
+		late = append(late, id)
+	}
+	slices.SortFunc(late, compareCalls)
+	for _, id := range late {
+		c := b.calls[id]
+		c.leapt = true
+		out = b.countLeap(now, out, b.servers[c.server])
+	}
+	return out
+}
