--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -70,6 +70,8 @@
 	vms     []shed.VM
 
 	nextDigest time.Time
+	// newcomers have not been told anything yet.
+	newcomers []shed.VM
 }
 
 // entry is what is known of one server.
@@ -145,7 +147,7 @@
 		keep[s.ID] = true
 		e := b.servers[s.ID]
 		if e == nil {
-			e = &entry{cold: cold{on: true, since: now}}
+			e = &entry{rank: -1, cold: cold{on: true}}
 			b.servers[s.ID] = e
 		}
 		e.server = s
@@ -167,6 +169,11 @@
 	if slices.Equal(vms, b.vms) {
 		return
 	}
+	for _, vm := range vms {
+		if vm != b.cfg.Self && !slices.Contains(b.vms, vm) {
+			b.newcomers = append(b.newcomers, vm)
+		}
+	}
 	b.vms = slices.Clone(vms)
 	b.assign(now)
 }
--- a/internal/load/cold.go
+++ b/internal/load/cold.go
@@ -24,6 +24,9 @@
 // be a long prompt.
 const leapsMax = 2
 
+// warmAge is the greatest age of a report that can show a server warm.
+const warmAge = 10 * time.Second
+
 // judge works out from a new report whether the server is cold.
 //
 // A new boot, and any server that this daemon knows nothing of, is cold until a
@@ -38,7 +41,7 @@
 	case !r.Warm && !e.cold.on:
 		out = b.turnCold(now, out, e, r.Done)
 	}
-	if !e.cold.on || !r.Warm || now.Add(-r.Age).Before(e.cold.since.Add(-b.cfg.PollEvery)) {
+	if !e.cold.on || !r.Warm || r.Age > warmAge || now.Add(-r.Age).Before(e.cold.since) {
 		return out
 	}
 	if r.Done < e.cold.done+b.need(e) {
--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -35,7 +35,36 @@
 		reports[id] = r
 		e.told, e.toldAt, e.unlike = r, now, time.Time{}
 	}
-	return b.send(out, reports)
+	out = b.send(out, reports)
+	return b.welcome(now, out)
+}
+
+// welcome tells newcomers all that this daemon is the first to read; else they
+// would hold every server cold until it changes or is told again.
+func (b *Book) welcome(now time.Time, out []shed.Action) []shed.Action {
+	if len(b.newcomers) == 0 {
+		return out
+	}
+	reports := map[shed.ServerID]shed.LoadReport{}
+	for _, id := range b.order {
+		e := b.servers[id]
+		if e.rank != 0 || e.report.Boot == "" {
+			continue
+		}
+		r := e.report
+		r.Age = now.Sub(e.at)
+		reports[id] = r
+	}
+	if len(reports) == 0 {
+		return out
+	}
+	for _, vm := range b.newcomers {
+		if slices.Contains(b.vms, vm) {
+			out = append(out, shed.SendPeer{To: vm, Message: shed.LoadDigest{Reports: reports}})
+		}
+	}
+	b.newcomers = nil
+	return out
 }
 
 // alters tells whether the present report would alter a choice elsewhere.
--- a/internal/member/clock.go
+++ b/internal/member/clock.go
@@ -33,6 +33,15 @@
 // doubt opens a new confirmation of the view.
 func (g *Group) doubt(now time.Time) { g.unsure = now }
 
+// toldDead opens a new confirmation that can't end before the next such word
+// would have come: a process that hears its peers, but that they don't hear, is
+// told again and again, and must not pass as confirmed in between by the word
+// of the few that share its fate.
+func (g *Group) toldDead(now time.Time) {
+	g.doubt(now)
+	g.doubtUntil = now.Add(g.cfg.DeadEvery + g.cfg.ProbeEvery)
+}
+
 // Confirmed tells whether what this process believes can be relied on now. It
 // is false from the start, after a pause, and after word that others hold this
 // process dead, until peers have answered probes that were sent since. It is
@@ -43,6 +52,9 @@
 	if g.clock.wall.IsZero() || now.Sub(g.clock.now) > g.cfg.FreezeAfter {
 		return false
 	}
+	if now.Before(g.doubtUntil) {
+		return false
+	}
 	peers, answered, lease := 0, 0, false
 	for _, vm := range g.order {
 		r := g.members[vm]
--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -130,7 +130,9 @@
 
 	clock  clock
 	unsure time.Time // since when the view is to be confirmed; zero: it is
-	woke   bool
+	// doubtUntil is the soonest end of the confirmation.
+	doubtUntil time.Time
+	woke       bool
 	// overruled: another process with a later incarnation runs on this VM.
 	overruled bool
 
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -218,11 +218,9 @@
 		return out
 	case m.Status != shed.StatusSuspect && m.Status != shed.StatusDead:
 		return out
-	case m.Refute < g.self.Refute:
-		return out
 	}
-	g.self.Refute = m.Refute + 1
-	g.doubt(now)
+	g.self.Refute = max(g.self.Refute, m.Refute+1)
+	g.toldDead(now)
 	return out
 }
 
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -220,7 +220,9 @@
 		r := g.members[vm]
 		switch {
 		case r.Status == shed.StatusDead:
-			if now.Sub(r.deadAt) > g.cfg.KeepDead {
+			// One that the platform still lists may live behind a one-way cut:
+			// as long as it is told that it is dead, it keeps still.
+			if _, listed := g.listed[vm]; !listed && now.Sub(r.deadAt) > g.cfg.KeepDead {
 				forget = append(forget, vm)
 			}
 		case !r.suspectAt.IsZero() && now.Sub(r.suspectAt) >= g.cfg.SuspectFor:
