--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -96,7 +96,8 @@
 	toldAt time.Time
 	unlike time.Time
 
-	own int
+	// flight are this daemon's calls in flight on the server.
+	flight []*call
 	// ended are calls that ended after the last report.
 	ended []span
 	first ring // times to the first token
@@ -271,8 +272,9 @@
 	if e == nil || b.calls[id] != nil {
 		return
 	}
-	e.own++
-	b.calls[id] = &call{server: server, sent: now}
+	c := &call{server: server, sent: now}
+	b.calls[id] = c
+	e.flight = append(e.flight, c)
 }
 
 // FirstToken tells that the call's first token has come.
@@ -300,7 +302,7 @@
 	if e == nil {
 		return nil
 	}
-	e.own--
+	e.flight = slices.DeleteFunc(e.flight, func(o *call) bool { return o == c })
 	e.ended = append(e.ended, span{sent: c.sent, ended: now})
 	if len(e.ended) > endedMax {
 		e.ended = e.ended[1:]
@@ -327,8 +329,8 @@
 	}
 	return shed.Candidate{
 		Server:  e.server,
-		Running: b.running(e),
-		Own:     e.own,
+		Running: e.running(),
+		Own:     len(e.flight),
 		Cold:    e.cold.on,
 		Age:     now.Sub(e.at),
 		Slow:    e.whole.median(),
@@ -337,10 +339,10 @@
 
 // running corrects the last report by this daemon's own calls: those that it
 // sent since, and those that the report counts and that have ended since.
-func (b *Book) running(e *entry) int {
+func (e *entry) running() int {
 	n := e.report.Running + e.report.Waiting
-	for _, c := range b.calls {
-		if c.server == e.server.ID && c.sent.After(e.at) {
+	for _, c := range e.flight {
+		if c.sent.After(e.at) {
 			n++
 		}
 	}
@@ -349,7 +351,7 @@
 			n--
 		}
 	}
-	return max(n, e.own)
+	return max(n, len(e.flight))
 }
 
 // Report returns the last report of the server and its age; false if there is
@@ -371,5 +373,5 @@
 	if e == nil {
 		return 0
 	}
-	return max(0, e.level()-b.running(e))
+	return max(0, e.level()-e.running())
 }
--- a/internal/order/decide.go
+++ b/internal/order/decide.go
@@ -26,11 +26,20 @@
 func fencedHash(f uint64) uint64 { return f >> attemptBits & (1<<hashBits - 1) }
 
 // met tells whether the server is as the rules want it, as far as it reports.
+// Adapters show only in the hash of the last fencing number. An engine that
+// ignores the number can't show them; there this daemon goes by its own last
+// order, and a new holder of the slot orders once more.
 func (e *entry) met() bool {
 	if e.report.Model != e.want.name() || e.report.Role != e.want.role {
 		return false
 	}
-	return len(e.want.adapters) == 0 || fencedHash(e.report.Fence) == e.want.hash
+	if len(e.want.adapters) == 0 {
+		return true
+	}
+	if e.server.Fenced {
+		return fencedHash(e.report.Fence) == e.want.hash
+	}
+	return e.done == e.want.hash && e.doneBoot == e.report.Boot
 }
 
 // loads tells whether the server has to load weights to be as wanted.
--- a/internal/order/giver.go
+++ b/internal/order/giver.go
@@ -95,6 +95,10 @@
 	// sent is the order that is out; Fence is 0 if there is none.
 	sent   shed.SendOrder
 	sentAt time.Time
+	// done is the hash of the last order that ended well, and doneBoot the
+	// server's boot then.
+	done     uint64
+	doneBoot string
 }
 
 // desired is what the rules want of a server.
@@ -145,6 +149,7 @@
 
 // SetRules takes the rules in force.
 func (g *Giver) SetRules(now time.Time, rules *shed.Rules) []shed.Action {
+	newer := g.rules == nil || g.rules.Revision != rules.Revision
 	g.rules = rules
 	g.order = g.order[:0]
 	for id, s := range rules.Servers {
@@ -161,7 +166,9 @@
 		if e.want.hash != want.hash {
 			e.retryAt = time.Time{}
 		}
-		e.attempt = 0
+		if newer {
+			e.attempt = 0
+		}
 		e.server, e.want = s, want
 	}
 	slices.Sort(g.order)
@@ -259,6 +266,9 @@
 	}
 	e.sent = shed.SendOrder{}
 	e.retryAt = now.Add(g.cfg.RetryAfter)
+	if ev.Done {
+		e.done, e.doneBoot = fencedHash(ev.Fence), e.report.Boot
+	}
 	if ev.StaleFence {
 		return []shed.Action{shed.Note{Reason: ReasonStaleFence, Server: ev.Server}}
 	}
