--- /dev/null
+++ b/internal/plat/plat.go
@@ -0,0 +1,250 @@
+// Package plat implements shed.Platform over HTTP: it reads the configuration
+// and the VM list, and can write nothing.
+package plat
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/wire"
+)
+
+// Limits on what the platform may answer.
+const (
+	// maxValue is the largest value in bytes, as the platform promises.
+	maxValue = 1 << 20
+	// maxParts bounds the parts of one configuration.
+	maxParts = 64
+	// maxVMs bounds the VM list, in bytes.
+	maxVMs = 1 << 20
+	// defaultTimeout bounds a call beyond the time that it waits on purpose.
+	defaultTimeout = 3 * time.Second
+)
+
+// Errors of the platform's reader.
+var (
+	// ErrUnreachable: no answer came, or it was cut off.
+	ErrUnreachable = errors.New("platform unreachable")
+	// ErrBudget: the call budget of all readers is spent.
+	ErrBudget = errors.New("platform call budget spent")
+	// ErrAbsent: the platform has no such value.
+	ErrAbsent = errors.New("value absent on the platform")
+	// ErrBadReply: the answer makes no sense, or a part is not what its hash says.
+	ErrBadReply = errors.New("bad reply of the platform")
+)
+
+// Config configures a Platform.
+type Config struct {
+	// URL is the base of the platform's HTTP interface.
+	URL string
+	// Timeout bounds a call beyond the time that it waits on purpose; 0 means
+	// three seconds.
+	Timeout time.Duration
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Platform reads the platform. It is safe for use by many goroutines.
+type Platform struct {
+	cfg    Config
+	client *http.Client
+}
+
+// New returns a reader of the platform at cfg.URL.
+func New(cfg Config) *Platform {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout}).DialContext
+	}
+	cfg.URL = strings.TrimSuffix(cfg.URL, "/")
+	return &Platform{
+		cfg: cfg,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:            cfg.Dial,
+				MaxIdleConnsPerHost:    4,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: 16 << 10,
+				DisableCompression:     true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+	}
+}
+
+// Close closes idle connections.
+func (p *Platform) Close() { p.client.CloseIdleConnections() }
+
+// Config reads the index and those parts that read.Have lacks. If there is
+// nothing newer than read.After, the result has no parts, and its revision is
+// what the platform holds: equal to read.After confirms it, a lower one shows
+// that the platform is stale.
+func (p *Platform) Config(ctx context.Context, read shed.ReadConfig) (shed.ConfigRead, error) {
+	got, err := p.value(ctx, wire.KeyRules, read.After, read.Wait)
+	if err != nil {
+		return shed.ConfigRead{Err: true}, err
+	}
+	out := shed.ConfigRead{Index: shed.ConfigIndex{Revision: got.revision}}
+	if !got.newer {
+		return out, nil
+	}
+	out.Index.Parts, err = readIndex(got.data)
+	if err != nil {
+		return shed.ConfigRead{Err: true}, err
+	}
+	out.Parts, err = p.parts(ctx, out.Index.Parts, read.Have)
+	if err != nil {
+		return shed.ConfigRead{Err: true}, err
+	}
+	return out, nil
+}
+
+func readIndex(data []byte) ([]shed.PartHash, error) {
+	var index wire.Index
+	if err := json.Unmarshal(data, &index); err != nil {
+		return nil, fmt.Errorf("%w: index: %w", ErrBadReply, err)
+	}
+	if len(index.Parts) > maxParts {
+		return nil, fmt.Errorf("%w: index of %d parts, more than %d", ErrBadReply, len(index.Parts), maxParts)
+	}
+	parts := make([]shed.PartHash, len(index.Parts))
+	for i, text := range index.Parts {
+		n, err := hex.Decode(parts[i][:], []byte(text)[:min(len(text), 2*sha256.Size)])
+		if err != nil || n != sha256.Size || len(text) != 2*sha256.Size {
+			return nil, fmt.Errorf("%w: part %d of the index is no SHA-256", ErrBadReply, i)
+		}
+	}
+	return parts, nil
+}
+
+// parts reads those that are not held. All of them arrive or none: a revision
+// is never taken in halves.
+func (p *Platform) parts(ctx context.Context, want, have []shed.PartHash) (map[shed.PartHash][]byte, error) {
+	parts := map[shed.PartHash][]byte{}
+	for _, hash := range want {
+		if _, got := parts[hash]; got || slices.Contains(have, hash) {
+			continue
+		}
+		got, err := p.value(ctx, wire.KeyPart+hex.EncodeToString(hash[:]), 0, 0)
+		if err != nil {
+			return nil, err
+		}
+		if sha256.Sum256(got.data) != hash {
+			return nil, fmt.Errorf("%w: part %x has other contents", ErrBadReply, hash[:4])
+		}
+		parts[hash] = got.data
+	}
+	return parts, nil
+}
+
+// VMs reads the lagging list of VMs.
+func (p *Platform) VMs(ctx context.Context) ([]shed.VMEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
+	defer cancel()
+	resp, err := p.get(ctx, wire.PathVMs)
+	if err != nil {
+		return nil, err
+	}
+	data, err := readBody(resp, maxVMs)
+	if err != nil {
+		return nil, err
+	}
+	if err := status(resp); err != nil {
+		return nil, err
+	}
+	var lines []wire.VM
+	if err := json.Unmarshal(data, &lines); err != nil {
+		return nil, fmt.Errorf("%w: VM list: %w", ErrBadReply, err)
+	}
+	vms := make([]shed.VMEntry, len(lines))
+	for i, line := range lines {
+		vms[i] = shed.VMEntry{VM: line.VM, Zone: line.Zone, Leaving: line.Leaving}
+	}
+	return vms, nil
+}
+
+type value struct {
+	revision shed.Revision
+	data     []byte
+	newer    bool
+}
+
+func (p *Platform) value(ctx context.Context, key string, after shed.Revision, wait time.Duration) (value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+p.cfg.Timeout)
+	defer cancel()
+	path := wire.PathValues + key + "?after=" + strconv.FormatUint(uint64(after), 10)
+	if wait > 0 {
+		seconds := (wait + time.Second - 1) / time.Second
+		path += "&wait=" + strconv.FormatInt(int64(seconds), 10)
+	}
+	resp, err := p.get(ctx, path)
+	if err != nil {
+		return value{}, err
+	}
+	data, err := readBody(resp, maxValue)
+	if err != nil {
+		return value{}, err
+	}
+	if err := status(resp); err != nil {
+		return value{}, err
+	}
+	n, err := strconv.ParseUint(resp.Header.Get(wire.HeaderRevision), 10, 64)
+	if err != nil {
+		return value{}, fmt.Errorf("%w: no %s", ErrBadReply, wire.HeaderRevision)
+	}
+	return value{revision: shed.Revision(n), data: data, newer: resp.StatusCode == http.StatusOK}, nil
+}
+
+func (p *Platform) get(ctx context.Context, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.cfg.URL+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("platform address: %w", err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return resp, nil
+}
+
+// readBody reads the whole body and closes it.
+func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	if int64(len(data)) > limit {
+		return nil, fmt.Errorf("%w: over %d bytes", ErrBadReply, limit)
+	}
+	return data, nil
+}
+
+func status(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNotModified:
+		return nil
+	case http.StatusNotFound:
+		return ErrAbsent
+	case http.StatusTooManyRequests:
+		return ErrBudget
+	default:
+		return fmt.Errorf("%w: status %d", ErrBadReply, resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/stand/calls.go
@@ -0,0 +1,67 @@
+package stand
+
+import (
+	"net/http"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/wire"
+)
+
+// serveOnce runs a call that answers with one body.
+func (e *Engine) serveOnce(w http.ResponseWriter, r *http.Request, answer func() any) {
+	run := e.begin(w, r)
+	if run == nil {
+		return
+	}
+	whole := false
+	defer func() { e.finish(run, whole, false, 0) }()
+	if !pause(r.Context(), e.aged(e.cfg.CallTime)) {
+		return
+	}
+	reply(w, http.StatusOK, answer())
+	whole = true
+}
+
+func (e *Engine) serveEmbed(w http.ResponseWriter, r *http.Request) {
+	var ask wire.Embed
+	if !read(w, r, &ask) {
+		return
+	}
+	e.serveOnce(w, r, func() any {
+		return wire.Embedded{Data: []wire.Embedding{{Embedding: Vector(ask.Input)}}}
+	})
+}
+
+func (e *Engine) serveRetrieve(w http.ResponseWriter, r *http.Request) {
+	var ask wire.Retrieve
+	if !read(w, r, &ask) {
+		return
+	}
+	e.serveOnce(w, r, func() any {
+		return wire.Retrieved{Passages: Passages(ask.Query, ask.Limit)}
+	})
+}
+
+func (e *Engine) serveRerank(w http.ResponseWriter, r *http.Request) {
+	var ask wire.Rerank
+	if !read(w, r, &ask) {
+		return
+	}
+	e.serveOnce(w, r, func() any {
+		return rerank(ask)
+	})
+}
+
+func rerank(ask wire.Rerank) wire.Reranked {
+	passages := make([]shed.Passage, len(ask.Documents))
+	place := make(map[string]int, len(ask.Documents))
+	for i, text := range ask.Documents {
+		passages[i].Text = text
+		place[text] = i
+	}
+	var out wire.Reranked
+	for _, p := range Reranked(ask.Query, passages) {
+		out.Results = append(out.Results, wire.Ranked{Index: place[p.Text], Score: p.Score})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/chat.go
@@ -0,0 +1,206 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/wire"
+)
+
+// maxStreams bounds the streams that can be resumed or cancelled.
+const maxStreams = 1024
+
+// stream is one generation, which outlives its connection.
+type stream struct {
+	id     string
+	prompt string
+	seed   uint64
+	total  int
+	cancel context.CancelFunc
+}
+
+// streams are the newest generations by id.
+type streams struct {
+	mu    sync.Mutex
+	byID  map[string]*stream
+	order []string
+}
+
+func (s *streams) put(st *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = map[string]*stream{}
+	}
+	if _, known := s.byID[st.id]; !known {
+		s.order = append(s.order, st.id)
+	}
+	s.byID[st.id] = st
+	if len(s.order) > maxStreams {
+		delete(s.byID, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func (s *streams) get(id string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
+
+// drop forgets the stream and stops it if it runs.
+func (s *streams) drop(id string) bool {
+	s.mu.Lock()
+	st := s.byID[id]
+	delete(s.byID, id)
+	s.mu.Unlock()
+	if st == nil {
+		return false
+	}
+	st.cancel()
+	return true
+}
+
+func (s *streams) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byID = nil
+	s.order = nil
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if !e.streams.drop(r.PathValue("id")) {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var ask wire.Chat
+	if !read(w, r, &ask) {
+		return
+	}
+	if !ask.Stream {
+		notRun(w, http.StatusBadRequest, "only streams are generated")
+		return
+	}
+	st, from, ok := e.open(w, r, ask)
+	if !ok {
+		return
+	}
+	run := e.begin(w, r)
+	if run == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	st.cancel = cancel
+	e.streams.put(st)
+	sent, whole := 0, false
+	defer func() {
+		cancelled := ctx.Err() != nil && r.Context().Err() == nil
+		e.finish(run, whole, cancelled, sent)
+	}()
+	if !pause(ctx, e.aged(e.prefill(st.prompt))) {
+		return
+	}
+	sent, whole = e.generate(ctx, w, st, from)
+}
+
+// open finds the stream to resume, or makes a new one.
+func (e *Engine) open(w http.ResponseWriter, r *http.Request, ask wire.Chat) (*stream, int, bool) {
+	id := r.Header.Get(wire.HeaderCall)
+	resume := r.Header.Get(wire.HeaderResume)
+	if resume == "" {
+		return newStream(id, ask), 0, true
+	}
+	old, from, err := wire.ParseResume(resume)
+	if err != nil {
+		notRun(w, http.StatusBadRequest, "bad "+wire.HeaderResume)
+		return nil, 0, false
+	}
+	st := e.streams.get(old)
+	if st == nil || from > st.total {
+		notRun(w, http.StatusNotFound, "no such stream")
+		return nil, 0, false
+	}
+	// The old connection may hang without either end knowing; the place it
+	// takes is freed here.
+	e.streams.drop(old)
+	next := *st
+	next.id = id
+	return &next, from, true
+}
+
+func newStream(id string, ask wire.Chat) *stream {
+	st := &stream{id: id, total: int(ask.MaxTokens)}
+	if st.total == 0 {
+		st.total = DefaultTokens
+	}
+	for _, m := range ask.Messages {
+		st.prompt += m.Content + "\n"
+		if m.Role == wire.RoleUser {
+			st.seed = xxhash.Sum64String(m.Content)
+		}
+	}
+	return st
+}
+
+// prefill is the time before the first token, shorter if the prefix is cached.
+func (e *Engine) prefill(prompt string) time.Duration {
+	d := time.Duration(wordTokens(prompt)) * e.cfg.PrefillTime
+	if e.cache.touch(prompt, time.Now()) {
+		return d / cacheSpeedup
+	}
+	return d
+}
+
+// generate writes the tokens from from on, and tells how many, and whether the
+// stream came to its end.
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, st *stream, from int) (int, bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	head := `data: {"id":` + strconv.Quote(st.id) + `,"choices":[{"index":0,"delta":{"content":"`
+	buf := make([]byte, 0, len(head)+64)
+	for i := from; i < st.total; i++ {
+		if !pause(ctx, e.aged(e.cfg.TokenTime)) {
+			return i - from, false
+		}
+		buf = append(buf[:0], head...)
+		buf = appendToken(buf, st.seed, i)
+		buf = append(buf, `"},"finish_reason":null}]}`+"\n\n"...)
+		if _, err := w.Write(buf); err != nil {
+			return i - from, false
+		}
+		if err := flush.Flush(); err != nil {
+			return i - from, false
+		}
+	}
+	return st.total - from, writeEnd(w, st) == nil
+}
+
+func writeEnd(w http.ResponseWriter, st *stream) error {
+	stop := "stop"
+	last, err := json.Marshal(wire.Chunk{
+		ID:      st.id,
+		Choices: []wire.Choice{{FinishReason: &stop}},
+		Usage: &wire.Usage{
+			PromptTokens:     shed.Tokens(wordTokens(st.prompt)),
+			CompletionTokens: shed.Tokens(st.total),
+		},
+	})
+	if err != nil {
+		return err
+	}
+	_, err = w.Write([]byte("data: " + string(last) + "\n\ndata: " + wire.StreamDone + "\n\n"))
+	return err
+}
--- /dev/null
+++ b/internal/stand/orders.go
@@ -0,0 +1,153 @@
+package stand
+
+import (
+	"container/list"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasmineshed/internal/wire"
+)
+
+const (
+	// cachedPrefix is how many bytes of a prompt a cache entry stands for.
+	cachedPrefix = 256
+	// cacheSpeedup is how many times shorter a cached prefill is.
+	cacheSpeedup = 10
+	// maxCacheEvents bounds the events kept, and so the longest answer.
+	maxCacheEvents = 1024
+)
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	if e.cfg.OrderToken != "" && r.Header.Get("Authorization") != "Bearer "+e.cfg.OrderToken {
+		notRun(w, http.StatusForbidden, "may not order")
+		return
+	}
+	var order wire.Order
+	if !read(w, r, &order) {
+		return
+	}
+	if !e.accept(order) {
+		notRun(w, http.StatusConflict, "old fencing number")
+		return
+	}
+	if !pause(r.Context(), e.cfg.OrderTime) {
+		return
+	}
+	e.carryOut(order)
+	reply(w, http.StatusOK, order)
+}
+
+func (e *Engine) accept(order wire.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFence && order.Fence < e.fence {
+		return false
+	}
+	e.fence = order.Fence
+	e.orders = append(e.orders, order)
+	return true
+}
+
+// carryOut loads the model; a load leaves the engine cold.
+func (e *Engine) carryOut(order wire.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	model := order.Model + "@" + order.Version
+	if model != e.model && e.cfg.WarmAfter > 0 {
+		e.cold = true
+		e.doneCold = 0
+	}
+	e.model = model
+	e.role = order.Role
+}
+
+// Orders are the orders that the engine accepted, in turn.
+func (e *Engine) Orders() []wire.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wire.Order(nil), e.orders...)
+}
+
+// prefixCache is a bounded cache of prompt prefixes, the oldest use going first.
+type prefixCache struct {
+	cfg EngineConfig
+
+	mu       sync.Mutex
+	entries  map[uint64]*list.Element
+	uses     list.List
+	sequence uint64
+	events   []cacheEvent
+}
+
+type cacheEvent struct {
+	at time.Time
+	wire.CacheEvent
+}
+
+// touch uses the prompt's prefix and tells whether it was there.
+func (c *prefixCache) touch(prompt string, now time.Time) bool {
+	if c.cfg.CacheEntries == 0 {
+		return false
+	}
+	prefix := xxhash.Sum64String(prompt[:min(len(prompt), cachedPrefix)])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, hit := c.entries[prefix]; hit {
+		c.uses.MoveToBack(held)
+		return true
+	}
+	if c.entries == nil {
+		c.entries = map[uint64]*list.Element{}
+	}
+	c.entries[prefix] = c.uses.PushBack(prefix)
+	c.publish(now, wire.CacheEvent{Stored: true, Prefix: prefix})
+	if c.uses.Len() > c.cfg.CacheEntries {
+		oldest := c.uses.Remove(c.uses.Front()).(uint64)
+		delete(c.entries, oldest)
+		c.publish(now, wire.CacheEvent{Prefix: oldest})
+	}
+	return false
+}
+
+func (c *prefixCache) publish(now time.Time, ev wire.CacheEvent) {
+	c.sequence++
+	if c.cfg.CacheGap > 0 && c.sequence%uint64(c.cfg.CacheGap) == 0 {
+		return
+	}
+	ev.Sequence = c.sequence
+	if len(c.events) >= maxCacheEvents {
+		c.events = append(c.events[:0], c.events[maxCacheEvents/2:]...)
+	}
+	c.events = append(c.events, cacheEvent{at: now.Add(c.cfg.CacheLag), CacheEvent: ev})
+}
+
+func (c *prefixCache) since(after uint64, now time.Time) []wire.CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shown := []wire.CacheEvent{}
+	for _, ev := range c.events {
+		if ev.Sequence > after && !ev.at.After(now) {
+			shown = append(shown, ev.CacheEvent)
+		}
+	}
+	return shown
+}
+
+func (c *prefixCache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = nil
+	c.uses.Init()
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	reply(w, http.StatusOK, wire.CacheEvents{Events: e.cache.since(after, time.Now())})
+}
--- /dev/null
+++ b/internal/stand/platform.go
@@ -0,0 +1,290 @@
+package stand
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/wire"
+)
+
+const (
+	// maxValue is the largest value in bytes.
+	maxValue = 1 << 20
+	// readsPerSecond is the platform's call budget over all readers.
+	readsPerSecond = 2000
+	// maxWait bounds a watch.
+	maxWait = time.Minute
+)
+
+// PlatformConfig configures a Platform.
+type PlatformConfig struct {
+	// ReadsPerSecond is the call budget; 0 means 2,000.
+	ReadsPerSecond int
+	// VMLag is how late the VM list shows a change.
+	VMLag time.Duration
+}
+
+// PlatformCalls counts the calls that the platform got.
+type PlatformCalls struct {
+	Reads, Watches, VMs int
+	// Refused counts those above the budget.
+	Refused int
+	// Peak is the most calls within one second of the clock.
+	Peak int
+}
+
+type value struct {
+	revision shed.Revision
+	data     []byte
+}
+
+type vmList struct {
+	from time.Time
+	vms  []wire.VM
+}
+
+// Platform stands in for the platform's configuration service and VM list.
+type Platform struct {
+	Faults
+	cfg PlatformConfig
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	revision shed.Revision
+	values   map[string]value
+	// stale is what is shown instead of values while the platform is stale.
+	stale   map[string]value
+	changed chan struct{}
+	lists   []vmList
+	calls   PlatformCalls
+	second  int64
+	spent   int
+}
+
+// NewPlatform returns a platform without values.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	if cfg.ReadsPerSecond == 0 {
+		cfg.ReadsPerSecond = readsPerSecond
+	}
+	p := &Platform{
+		cfg:     cfg,
+		mux:     http.NewServeMux(),
+		values:  map[string]value{},
+		changed: make(chan struct{}),
+	}
+	p.mux.HandleFunc("GET "+wire.PathValues+"{key}", p.serveValue)
+	p.mux.HandleFunc("GET "+wire.PathVMs, p.serveVMs)
+	return p
+}
+
+// ServeHTTP serves the daemons, which can only read.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.pass(r.Context())
+	p.mux.ServeHTTP(w, r)
+}
+
+// Publish sets values at one new revision, as an operator does.
+func (p *Platform) Publish(values map[string][]byte) shed.Revision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	for key, data := range values {
+		p.values[key] = value{revision: p.revision, data: data}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.revision
+}
+
+// SetStale makes the platform go on answering what it holds now, whatever is
+// published, until it is set to false.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = nil
+	if stale {
+		p.stale = make(map[string]value, len(p.values))
+		for key, v := range p.values {
+			p.stale[key] = v
+		}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetVMs changes the VM list; it shows after the lag.
+func (p *Platform) SetVMs(vms []wire.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := vmList{
+		from: time.Now().Add(p.cfg.VMLag),
+		vms:  append([]wire.VM{}, vms...),
+	}
+	if len(p.lists) == 0 {
+		list.from = time.Time{}
+	}
+	p.lists = append(p.lists, list)
+}
+
+// Calls returns the counts so far.
+func (p *Platform) Calls() PlatformCalls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// spend draws one call from the budget of this second.
+func (p *Platform) spend(now time.Time) bool {
+	if s := now.Unix(); s != p.second {
+		p.second = s
+		p.spent = 0
+	}
+	p.spent++
+	p.calls.Peak = max(p.calls.Peak, p.spent)
+	if p.spent <= p.cfg.ReadsPerSecond {
+		return true
+	}
+	p.calls.Refused++
+	return false
+}
+
+func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
+	after, wait, err := watchQuery(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !p.count(wait > 0) {
+		tooMany(w)
+		return
+	}
+	v, found := p.await(r.Context(), r.PathValue("key"), after, wait)
+	if !found {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(uint64(v.revision), 10))
+	if v.revision <= after {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(v.data)
+}
+
+func (p *Platform) count(watch bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if watch {
+		p.calls.Watches++
+	} else {
+		p.calls.Reads++
+	}
+	return p.spend(time.Now())
+}
+
+// await returns the key's value once it is newer than after, or as it stands
+// when the wait is over.
+func (p *Platform) await(ctx context.Context, key string, after shed.Revision, wait time.Duration) (value, bool) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	over := wait <= 0
+	for {
+		v, found, changed := p.get(key)
+		if over || (found && v.revision > after) {
+			return v, found
+		}
+		_, _, _, fault := p.state()
+		select {
+		case <-ctx.Done():
+			over = true
+		case <-end.C:
+			over = true
+		case <-changed:
+		case <-fault:
+			p.pass(ctx)
+		}
+	}
+}
+
+func (p *Platform) get(key string) (value, bool, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	values := p.values
+	if p.stale != nil {
+		values = p.stale
+	}
+	v, found := values[key]
+	return v, found, p.changed
+}
+
+func watchQuery(r *http.Request) (shed.Revision, time.Duration, error) {
+	after, err := queryNumber(r, "after")
+	if err != nil {
+		return 0, 0, err
+	}
+	wait, err := queryNumber(r, "wait")
+	if err != nil {
+		return 0, 0, err
+	}
+	return shed.Revision(after), min(time.Duration(wait)*time.Second, maxWait), nil
+}
+
+func queryNumber(r *http.Request, name string) (uint64, error) {
+	s := r.URL.Query().Get(name)
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(s, 10, 32)
+}
+
+func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	p.calls.VMs++
+	within := p.spend(time.Now())
+	vms := p.shownVMs(time.Now())
+	p.mu.Unlock()
+	if !within {
+		tooMany(w)
+		return
+	}
+	reply(w, http.StatusOK, vms)
+}
+
+func (p *Platform) shownVMs(now time.Time) []wire.VM {
+	shown := []wire.VM{}
+	for _, list := range p.lists {
+		if !list.from.After(now) {
+			shown = list.vms
+		}
+	}
+	return shown
+}
+
+func tooMany(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "call budget spent", http.StatusTooManyRequests)
+}
+
+// Admin serves the operators, who publish with PUT /admin/values/{key}. It
+// never stands on the daemons' listener.
+func (p *Platform) Admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /admin/values/{key}", p.publishOne)
+	return mux
+}
+
+func (p *Platform) publishOne(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	if err != nil {
+		http.Error(w, "value over a megabyte or cut short", http.StatusRequestEntityTooLarge)
+		return
+	}
+	revision := p.Publish(map[string][]byte{r.PathValue("key"): data})
+	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+}
