--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,174 @@
+// Package engine implements shed.Backend over HTTP: calls of every stage kind,
+// load reports and orders.
+//
+// It never repeats a call. net/http repeats some requests by itself; conn.go
+// and send.go say how that is made impossible here.
+package engine
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	shed "jasmineshed"
+)
+
+const (
+	defaultConnect = time.Second
+	defaultControl = 2 * time.Second
+	defaultOrder   = 30 * time.Second
+	// idleTime is kept below the idle timeouts usual for servers, so that a
+	// call seldom meets a connection that the server is just closing.
+	idleTime = 15 * time.Second
+	// maxIdle bounds the idle connections to one server.
+	maxIdle = 64
+	// maxCancels bounds the cancellations under way; more are dropped, and the
+	// engine then runs into its budget.
+	maxCancels = 64
+	// maxHeader bounds a reply's header in bytes.
+	maxHeader = 16 << 10
+)
+
+// Config configures an Engine.
+type Config struct {
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// ConnectTimeout bounds the opening of a connection; 0 means one second.
+	ConnectTimeout time.Duration
+	// ControlTimeout bounds a load report or a cancellation; 0 means two seconds.
+	ControlTimeout time.Duration
+	// OrderTimeout bounds an order; 0 means half a minute.
+	OrderTimeout time.Duration
+	// OrderToken goes with each order, for servers that check who gives it.
+	OrderToken string
+}
+
+// Engine talks to backend servers. It is safe for use by many goroutines.
+type Engine struct {
+	cfg Config
+	// reuse keeps connections; fresh opens one for each call, for stages that
+	// may run only once; control is apart, so that a stuck call holds up no
+	// load report.
+	reuse   *http.Transport
+	fresh   *http.Transport
+	control *http.Transport
+	cancels errgroup.Group
+}
+
+var _ shed.Backend = (*Engine)(nil)
+
+// New returns an Engine without connections.
+func New(cfg Config) *Engine {
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = defaultConnect
+	}
+	if cfg.ControlTimeout == 0 {
+		cfg.ControlTimeout = defaultControl
+	}
+	if cfg.OrderTimeout == 0 {
+		cfg.OrderTimeout = defaultOrder
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
+	}
+	e := &Engine{
+		cfg:     cfg,
+		reuse:   transport(cfg),
+		fresh:   transport(cfg),
+		control: transport(cfg),
+	}
+	e.fresh.DisableKeepAlives = true
+	e.cancels.SetLimit(maxCancels)
+	return e
+}
+
+func transport(cfg Config) *http.Transport {
+	var http1 http.Protocols
+	http1.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            dialer(cfg),
+		TLSHandshakeTimeout:    cfg.ConnectTimeout,
+		Protocols:              &http1,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTime,
+		MaxResponseHeaderBytes: maxHeader,
+		DisableCompression:     true,
+	}
+}
+
+// Close waits for the cancellations under way and closes idle connections.
+func (e *Engine) Close() error {
+	err := e.cancels.Wait()
+	e.reuse.CloseIdleConnections()
+	e.fresh.CloseIdleConnections()
+	e.control.CloseIdleConnections()
+	return err
+}
+
+// Call runs one call to its end. On a resumed call, the text of the frames and
+// of the result is what follows start.ResumeFrom. The zone of frames and end
+// is left for the caller to fill in.
+func (e *Engine) Call(
+	ctx context.Context, start shed.StartCall, in shed.Payload, sink func(shed.Frame) error,
+) shed.CallEnded {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if !start.Deadline.IsZero() {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadlineCause(ctx, start.Deadline, errDeadline)
+		defer stop()
+	}
+	c := &call{
+		engine: e,
+		start:  start,
+		in:     in,
+		sink:   sink,
+		watch:  watchSilence(start.Silence, func() { cancel(errSilent) }),
+	}
+	defer c.watch.stop()
+	end := c.run(ctx)
+	if end.End.MayHaveRun() && unwanted(end) {
+		e.cancelLater(start)
+	}
+	return end
+}
+
+// unwanted tells whether nobody will come back for the call's stream. A broken
+// one may still be resumed, and a complete one is over.
+func unwanted(end shed.CallEnded) bool {
+	return end.End == shed.EndCancelled || end.End == shed.EndBadReply
+}
+
+var (
+	errSilent   = errors.New("no progress in time")
+	errDeadline = errors.New("deadline passed")
+)
+
+// silence fires unless it is fed in time.
+type silence struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+func watchSilence(limit time.Duration, fire func()) *silence {
+	if limit <= 0 {
+		return &silence{}
+	}
+	return &silence{timer: time.AfterFunc(limit, fire), limit: limit}
+}
+
+func (s *silence) feed() {
+	if s.timer != nil {
+		s.timer.Reset(s.limit)
+	}
+}
+
+func (s *silence) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
--- a/internal/stand/calls.go
+++ b/internal/stand/calls.go
@@ -15,7 +15,9 @@
 	}
 	whole := false
 	defer func() { e.finish(run, whole, false, 0) }()
-	if !pause(r.Context(), e.aged(e.cfg.CallTime)) {
+	ctx, cancel := budget(r)
+	defer cancel()
+	if !pause(ctx, e.aged(e.cfg.CallTime)) {
 		return
 	}
 	reply(w, http.StatusOK, answer())
--- a/internal/stand/chat.go
+++ b/internal/stand/chat.go
@@ -100,7 +100,7 @@
 	if run == nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(r.Context())
+	ctx, cancel := budget(r)
 	defer cancel()
 	st.cancel = cancel
 	e.streams.put(st)
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -285,6 +286,15 @@
 	reply(w, http.StatusOK, e.lagging(time.Now()))
 }
 
+// budget bounds ctx by the time that the call was sent with.
+func budget(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(wire.HeaderBudget), 10, 32)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
 func newRun(r *http.Request, now time.Time) *Run {
 	run := &Run{Call: r.Header.Get(wire.HeaderCall), Path: r.URL.Path, Start: now}
 	run.Request = run.Call
