--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -157,19 +157,12 @@
 func (p *Platform) VMs(ctx context.Context) ([]shed.VMEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
 	defer cancel()
-	resp, err := p.get(ctx, wire.PathVMs)
+	got, err := p.get(ctx, wire.PathVMs, maxVMs)
 	if err != nil {
 		return nil, err
 	}
-	data, err := readBody(resp, maxVMs)
-	if err != nil {
-		return nil, err
-	}
-	if err := status(resp); err != nil {
-		return nil, err
-	}
 	var lines []wire.VM
-	if err := json.Unmarshal(data, &lines); err != nil {
+	if err := json.Unmarshal(got.data, &lines); err != nil {
 		return nil, fmt.Errorf("%w: VM list: %w", ErrBadReply, err)
 	}
 	vms := make([]shed.VMEntry, len(lines))
@@ -193,51 +186,46 @@
 		seconds := (wait + time.Second - 1) / time.Second
 		path += "&wait=" + strconv.FormatInt(int64(seconds), 10)
 	}
-	resp, err := p.get(ctx, path)
-	if err != nil {
-		return value{}, err
-	}
-	data, err := readBody(resp, maxValue)
+	got, err := p.get(ctx, path, maxValue)
 	if err != nil {
 		return value{}, err
 	}
-	if err := status(resp); err != nil {
-		return value{}, err
-	}
-	n, err := strconv.ParseUint(resp.Header.Get(wire.HeaderRevision), 10, 64)
+	n, err := strconv.ParseUint(got.header.Get(wire.HeaderRevision), 10, 64)
 	if err != nil {
 		return value{}, fmt.Errorf("%w: no %s", ErrBadReply, wire.HeaderRevision)
 	}
-	return value{revision: shed.Revision(n), data: data, newer: resp.StatusCode == http.StatusOK}, nil
+	return value{revision: shed.Revision(n), data: got.data, newer: got.status == http.StatusOK}, nil
 }
 
-func (p *Platform) get(ctx context.Context, path string) (*http.Response, error) {
+type answer struct {
+	status int
+	header http.Header
+	data   []byte
+}
+
+// get makes one call and reads its whole answer, up to limit bytes.
+func (p *Platform) get(ctx context.Context, path string, limit int64) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.cfg.URL+path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("platform address: %w", err)
+		return answer{}, fmt.Errorf("platform address: %w", err)
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return answer{}, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return resp, nil
-}
-
-// readBody reads the whole body and closes it.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return answer{}, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	if int64(len(data)) > limit {
-		return nil, fmt.Errorf("%w: over %d bytes", ErrBadReply, limit)
+		return answer{}, fmt.Errorf("%w: over %d bytes", ErrBadReply, limit)
 	}
-	return data, nil
+	return answer{status: resp.StatusCode, header: resp.Header, data: data}, status(resp.StatusCode)
 }
 
-func status(resp *http.Response) error {
-	switch resp.StatusCode {
+func status(code int) error {
+	switch code {
 	case http.StatusOK, http.StatusNotModified:
 		return nil
 	case http.StatusNotFound:
@@ -245,6 +233,6 @@
 	case http.StatusTooManyRequests:
 		return ErrBudget
 	default:
-		return fmt.Errorf("%w: status %d", ErrBadReply, resp.StatusCode)
+		return fmt.Errorf("%w: status %d", ErrBadReply, code)
 	}
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -220,7 +220,7 @@
 	if e.cold && e.cfg.WarmAfter > 0 && e.doneCold >= e.cfg.WarmAfter {
 		e.cold = false
 	}
-	e.Record.end(run, now, whole, cancelled, tokens)
+	e.end(run, now, whole, cancelled, tokens)
 	e.remember(now)
 }
 
