--- /dev/null
+++ b/internal/peers/codec.go
@@ -0,0 +1,139 @@
+package peers
+
+import (
+	"errors"
+	"fmt"
+
+	shed "jasmineshed"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+)
+
+// Bounds on what a peer may send. A configuration is pushed in one message; at
+// the design size its text is below 8 MB.
+const (
+	maxMessage  = 16 << 20
+	maxElements = 1 << 17
+	maxDepth    = 12
+)
+
+// ErrBadMessage is returned for a message that is not one of ours.
+var ErrBadMessage = errors.New("bad peer message")
+
+// codec encodes drpc messages as CBOR.
+type codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+var _ drpc.Encoding = codec{}
+
+// wire is the one codec of this package; its modes are constant and valid.
+var wire = newCodec()
+
+func newCodec() codec {
+	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxDepth,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return codec{enc: enc, dec: dec}
+}
+
+// Marshal implements drpc.Encoding.
+func (c codec) Marshal(msg drpc.Message) ([]byte, error) {
+	b, err := c.enc.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode: %w", ErrBadMessage, err)
+	}
+	return b, nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (c codec) Unmarshal(buf []byte, msg drpc.Message) error {
+	if err := c.dec.Unmarshal(buf, msg); err != nil {
+		return fmt.Errorf("%w: decode: %w", ErrBadMessage, err)
+	}
+	return nil
+}
+
+// envelope carries one control message. Exactly one of the pointers is set.
+type envelope struct {
+	From         shed.Peer          `cbor:"1,keyasint"`
+	Probe        *shed.Probe        `cbor:"2,keyasint,omitempty"`
+	ProbeAck     *shed.ProbeAck     `cbor:"3,keyasint,omitempty"`
+	ConfigDigest *shed.ConfigDigest `cbor:"4,keyasint,omitempty"`
+	ConfigPull   *shed.ConfigPull   `cbor:"5,keyasint,omitempty"`
+	ConfigPush   *shed.ConfigPush   `cbor:"6,keyasint,omitempty"`
+	SlotRelease  *shed.SlotRelease  `cbor:"7,keyasint,omitempty"`
+	LoadDigest   *shed.LoadDigest   `cbor:"8,keyasint,omitempty"`
+	TicketMove   *shed.TicketMove   `cbor:"9,keyasint,omitempty"`
+}
+
+// seal puts a control message into an envelope.
+func seal(from shed.Peer, msg shed.Message) (envelope, error) {
+	e := envelope{From: from}
+	switch m := msg.(type) {
+	case shed.Probe:
+		e.Probe = &m
+	case shed.ProbeAck:
+		e.ProbeAck = &m
+	case shed.ConfigDigest:
+		e.ConfigDigest = &m
+	case shed.ConfigPull:
+		e.ConfigPull = &m
+	case shed.ConfigPush:
+		e.ConfigPush = &m
+	case shed.SlotRelease:
+		e.SlotRelease = &m
+	case shed.LoadDigest:
+		e.LoadDigest = &m
+	case shed.TicketMove:
+		e.TicketMove = &m
+	default:
+		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
+	}
+	return e, nil
+}
+
+// open takes the control message out of an envelope.
+func (e envelope) open() (shed.Message, error) {
+	switch {
+	case e.Probe != nil:
+		return *e.Probe, nil
+	case e.ProbeAck != nil:
+		return *e.ProbeAck, nil
+	case e.ConfigDigest != nil:
+		return *e.ConfigDigest, nil
+	case e.ConfigPull != nil:
+		return *e.ConfigPull, nil
+	case e.ConfigPush != nil:
+		return *e.ConfigPush, nil
+	case e.SlotRelease != nil:
+		return *e.SlotRelease, nil
+	case e.LoadDigest != nil:
+		return *e.LoadDigest, nil
+	case e.TicketMove != nil:
+		return *e.TicketMove, nil
+	}
+	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
+}
+
+// Size is how many bytes a control message takes on the wire, before TCP.
+func Size(from shed.Peer, msg shed.Message) (int, error) {
+	e, err := seal(from, msg)
+	if err != nil {
+		return 0, err
+	}
+	b, err := wire.Marshal(&e)
+	return len(b), err
+}
--- /dev/null
+++ b/internal/peers/server.go
@@ -0,0 +1,164 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	shed "jasmineshed"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// ServerConfig is what a Server needs.
+type ServerConfig struct {
+	// Listener for peers only; callers and operators never come in here.
+	Listener net.Listener
+	Handler  Handler
+	// TLS is the mutual TLS of peers; nil for plain TCP.
+	TLS *tls.Config
+	// Log takes errors of single connections; may be nil.
+	Log func(error)
+}
+
+// Server answers the calls of peers. It is a suture service.
+type Server struct {
+	cfg ServerConfig
+}
+
+// NewServer makes a Server.
+func NewServer(cfg ServerConfig) *Server { return &Server{cfg: cfg} }
+
+// String names the service in the supervisor's log.
+func (s *Server) String() string { return "peers" }
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := mux.Register(s.cfg.Handler, description{}); err != nil {
+		return fmt.Errorf("register peer calls: %w", err)
+	}
+	lis := s.cfg.Listener
+	if s.cfg.TLS != nil {
+		lis = tls.NewListener(lis, s.cfg.TLS)
+	}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     s.cfg.Log,
+	})
+	return srv.Serve(ctx, lis)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+	}
+}
+
+// description lists the calls for drpc's mux; it stands in for generated code.
+type description struct{}
+
+// NumMethods implements drpc.Description.
+func (description) NumMethods() int { return 3 }
+
+// Method implements drpc.Description. The function values only tell the mux
+// the shape of each call.
+func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	switch n {
+	case 0:
+		return rpcControl, wire, receiveControl, (func(Handler, context.Context, *envelope) (*received, error))(nil), true
+	case 1:
+		return rpcStage, wire, receiveStage, (func(Handler, *StageCall, drpc.Stream) error)(nil), true
+	case 2:
+		return rpcRequest, wire, receiveRequest, (func(Handler, *RequestCall, drpc.Stream) error)(nil), true
+	}
+	return "", nil, nil, nil, false
+}
+
+func receiveControl(srv any, _ context.Context, in1, _ any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	e := in1.(*envelope)
+	msg, err := e.open()
+	if err != nil {
+		return nil, err
+	}
+	srv.(Handler).Control(e.From, msg)
+	return &received{}, nil
+}
+
+func receiveStage(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	call, stream := in1.(*StageCall), in2.(drpc.Stream)
+	out := &sender{stream: stream}
+	stop := out.beat(&stageReply{})
+	defer stop()
+	end := srv.(Handler).Stage(stream.Context(), *call, func(f shed.Frame) error {
+		return out.send(&stageReply{Frame: &f})
+	})
+	return nil, out.send(&stageReply{End: &end})
+}
+
+func receiveRequest(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	call, stream := in1.(*RequestCall), in2.(drpc.Stream)
+	out := &sender{stream: stream}
+	stop := out.beat(&requestReply{})
+	defer stop()
+	answer, home := srv.(Handler).Request(stream.Context(), *call, func(u shed.Update) {
+		// A failed send shows up as the stream's context ending.
+		_ = out.send(&requestReply{Update: &u})
+	})
+	if !home {
+		return nil, out.send(&requestReply{NotHome: true})
+	}
+	return nil, out.send(&requestReply{Answer: &answer})
+}
+
+// sender serialises the messages of one stream with its heartbeats.
+type sender struct {
+	mu     sync.Mutex
+	stream drpc.Stream
+	// last is when something was last sent.
+	last time.Time
+	done bool
+}
+
+func (s *sender) send(msg drpc.Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = time.Now()
+	return s.stream.MsgSend(msg, wire)
+}
+
+// beat sends msg at once, so that the caller knows the link works, and then
+// whenever nothing else went out for beatEvery. Without it a connection that
+// something in between has forgotten looks the same as a slow stage. It stops
+// by stop.
+func (s *sender) beat(msg drpc.Message) (stop func()) {
+	_ = s.send(msg)
+	var timer *time.Timer
+	s.mu.Lock()
+	timer = time.AfterFunc(beatEvery, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.done {
+			return
+		}
+		if time.Since(s.last) >= beatEvery {
+			s.last = time.Now()
+			_ = s.stream.MsgSend(msg, wire)
+		}
+		timer.Reset(beatEvery)
+	})
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		s.done = true
+		s.mu.Unlock()
+		timer.Stop()
+	}
+}
