--- a/internal/gen/http/cli/jasmineshed/cli.go
+++ b/internal/gen/http/cli/jasmineshed/cli.go
@@ -10,6 +10,7 @@
 import (
 	"flag"
 	"fmt"
+	healthc "jasmineshed/internal/gen/http/health/client"
 	pipelinesc "jasmineshed/internal/gen/http/pipelines/client"
 	"net/http"
 	"os"
@@ -23,13 +24,15 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"pipelines (stream|run)",
+		"pipelines (run|stream|issue|once|result)",
+		"health (live|ready)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "pipelines stream --body '{\n      \"input\": \"Excepturi sequi saepe sed.\"\n   }' --pipeline \"Repellendus ab voluptas id perspiciatis quod veniam.\"" + "\n" +
+	return os.Args[0] + " " + "pipelines run --body '{\n      \"budget_ms\": 2148018,\n      \"input\": \"Delectus dolore quidem dolores ad dolores nobis.\",\n      \"max_tokens\": 2513511030\n   }' --pipeline \"S\" --workspace \"iQ\" --token \"Sunt voluptatem.\"" + "\n" +
+		os.Args[0] + " " + "health live" + "\n" +
 		""
 }
 
@@ -45,17 +48,50 @@
 	var (
 		pipelinesFlags = flag.NewFlagSet("pipelines", flag.ContinueOnError)
 
-		pipelinesStreamFlags        = flag.NewFlagSet("stream", flag.ExitOnError)
-		pipelinesStreamBodyFlag     = pipelinesStreamFlags.String("body", "REQUIRED", "")
-		pipelinesStreamPipelineFlag = pipelinesStreamFlags.String("pipeline", "REQUIRED", "")
+		pipelinesRunFlags         = flag.NewFlagSet("run", flag.ExitOnError)
+		pipelinesRunBodyFlag      = pipelinesRunFlags.String("body", "REQUIRED", "")
+		pipelinesRunPipelineFlag  = pipelinesRunFlags.String("pipeline", "REQUIRED", "")
+		pipelinesRunWorkspaceFlag = pipelinesRunFlags.String("workspace", "REQUIRED", "")
+		pipelinesRunTokenFlag     = pipelinesRunFlags.String("token", "", "")
 
-		pipelinesRunFlags        = flag.NewFlagSet("run", flag.ExitOnError)
-		pipelinesRunBodyFlag     = pipelinesRunFlags.String("body", "REQUIRED", "")
-		pipelinesRunPipelineFlag = pipelinesRunFlags.String("pipeline", "REQUIRED", "")
+		pipelinesStreamFlags         = flag.NewFlagSet("stream", flag.ExitOnError)
+		pipelinesStreamBodyFlag      = pipelinesStreamFlags.String("body", "REQUIRED", "")
+		pipelinesStreamPipelineFlag  = pipelinesStreamFlags.String("pipeline", "REQUIRED", "")
+		pipelinesStreamWorkspaceFlag = pipelinesStreamFlags.String("workspace", "REQUIRED", "")
+		pipelinesStreamTokenFlag     = pipelinesStreamFlags.String("token", "", "")
+
+		pipelinesIssueFlags         = flag.NewFlagSet("issue", flag.ExitOnError)
+		pipelinesIssueBodyFlag      = pipelinesIssueFlags.String("body", "REQUIRED", "")
+		pipelinesIssueWorkspaceFlag = pipelinesIssueFlags.String("workspace", "REQUIRED", "")
+		pipelinesIssueTokenFlag     = pipelinesIssueFlags.String("token", "", "")
+
+		pipelinesOnceFlags         = flag.NewFlagSet("once", flag.ExitOnError)
+		pipelinesOnceBodyFlag      = pipelinesOnceFlags.String("body", "REQUIRED", "")
+		pipelinesOnceRequestIDFlag = pipelinesOnceFlags.String("request-id", "REQUIRED", "The ticket's id.")
+		pipelinesOnceWorkspaceFlag = pipelinesOnceFlags.String("workspace", "REQUIRED", "")
+		pipelinesOnceTokenFlag     = pipelinesOnceFlags.String("token", "", "")
+
+		pipelinesResultFlags         = flag.NewFlagSet("result", flag.ExitOnError)
+		pipelinesResultRequestIDFlag = pipelinesResultFlags.String("request-id", "REQUIRED", "The ticket's id.")
+		pipelinesResultWorkspaceFlag = pipelinesResultFlags.String("workspace", "REQUIRED", "")
+		pipelinesResultTokenFlag     = pipelinesResultFlags.String("token", "", "")
+
+		healthFlags = flag.NewFlagSet("health", flag.ContinueOnError)
+
+		healthLiveFlags = flag.NewFlagSet("live", flag.ExitOnError)
+
+		healthReadyFlags = flag.NewFlagSet("ready", flag.ExitOnError)
 	)
 	pipelinesFlags.Usage = pipelinesUsage
-	pipelinesStreamFlags.Usage = pipelinesStreamUsage
 	pipelinesRunFlags.Usage = pipelinesRunUsage
+	pipelinesStreamFlags.Usage = pipelinesStreamUsage
+	pipelinesIssueFlags.Usage = pipelinesIssueUsage
+	pipelinesOnceFlags.Usage = pipelinesOnceUsage
+	pipelinesResultFlags.Usage = pipelinesResultUsage
+
+	healthFlags.Usage = healthUsage
+	healthLiveFlags.Usage = healthLiveUsage
+	healthReadyFlags.Usage = healthReadyUsage
 
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
@@ -74,6 +110,8 @@
 		switch svcn {
 		case "pipelines":
 			svcf = pipelinesFlags
+		case "health":
+			svcf = healthFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -91,11 +129,30 @@
 		switch svcn {
 		case "pipelines":
 			switch epn {
+			case "run":
+				epf = pipelinesRunFlags
+
 			case "stream":
 				epf = pipelinesStreamFlags
 
-			case "run":
-				epf = pipelinesRunFlags
+			case "issue":
+				epf = pipelinesIssueFlags
+
+			case "once":
+				epf = pipelinesOnceFlags
+
+			case "result":
+				epf = pipelinesResultFlags
+
+			}
+
+		case "health":
+			switch epn {
+			case "live":
+				epf = healthLiveFlags
+
+			case "ready":
+				epf = healthReadyFlags
 
 			}
 
@@ -122,12 +179,29 @@
 		case "pipelines":
 			c := pipelinesc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
-			case "stream":
-				endpoint = c.Stream()
-				data, err = pipelinesc.BuildStreamPayload(*pipelinesStreamBodyFlag, *pipelinesStreamPipelineFlag)
 			case "run":
 				endpoint = c.Run()
-				data, err = pipelinesc.BuildRunPayload(*pipelinesRunBodyFlag, *pipelinesRunPipelineFlag)
+				data, err = pipelinesc.BuildRunPayload(*pipelinesRunBodyFlag, *pipelinesRunPipelineFlag, *pipelinesRunWorkspaceFlag, *pipelinesRunTokenFlag)
+			case "stream":
+				endpoint = c.Stream()
+				data, err = pipelinesc.BuildStreamPayload(*pipelinesStreamBodyFlag, *pipelinesStreamPipelineFlag, *pipelinesStreamWorkspaceFlag, *pipelinesStreamTokenFlag)
+			case "issue":
+				endpoint = c.Issue()
+				data, err = pipelinesc.BuildIssuePayload(*pipelinesIssueBodyFlag, *pipelinesIssueWorkspaceFlag, *pipelinesIssueTokenFlag)
+			case "once":
+				endpoint = c.Once()
+				data, err = pipelinesc.BuildOncePayload(*pipelinesOnceBodyFlag, *pipelinesOnceRequestIDFlag, *pipelinesOnceWorkspaceFlag, *pipelinesOnceTokenFlag)
+			case "result":
+				endpoint = c.Result()
+				data, err = pipelinesc.BuildResultPayload(*pipelinesResultRequestIDFlag, *pipelinesResultWorkspaceFlag, *pipelinesResultTokenFlag)
+			}
+		case "health":
+			c := healthc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "live":
+				endpoint = c.Live()
+			case "ready":
+				endpoint = c.Ready()
 			}
 		}
 	}
@@ -144,48 +218,170 @@
 	fmt.Fprintln(os.Stderr, `Service is the pipelines service interface.`)
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] pipelines COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
-	fmt.Fprintln(os.Stderr, `    stream: Stream implements stream.`)
-	fmt.Fprintln(os.Stderr, `    run: Run implements run.`)
+	fmt.Fprintln(os.Stderr, `    run: Runs an idempotent pipeline and answers with the whole result.`)
+	fmt.Fprintln(os.Stderr, `    stream: Runs an idempotent pipeline and streams what goes on: stage, text, reset, beat, answer.`)
+	fmt.Fprintln(os.Stderr, `    issue: Gives out a ticket for one run of a non-idempotent pipeline.`)
+	fmt.Fprintln(os.Stderr, `    once: Runs a pipeline at most once for its ticket; a repeat gets the same answer.`)
+	fmt.Fprintln(os.Stderr, `    result: The answer to a ticketed request; waits for it if it runs.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s pipelines COMMAND --help\n", os.Args[0])
 }
-func pipelinesStreamUsage() {
+func pipelinesRunUsage() {
 	// Header with flags
-	fmt.Fprintf(os.Stderr, "%s [flags] pipelines stream", os.Args[0])
+	fmt.Fprintf(os.Stderr, "%s [flags] pipelines run", os.Args[0])
 	fmt.Fprint(os.Stderr, " -body JSON")
 	fmt.Fprint(os.Stderr, " -pipeline STRING")
+	fmt.Fprint(os.Stderr, " -workspace STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Stream implements stream.`)
+	fmt.Fprintln(os.Stderr, `Runs an idempotent pipeline and answers with the whole result.`)
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -body JSON: `)
 	fmt.Fprintln(os.Stderr, `    -pipeline STRING: `)
+	fmt.Fprintln(os.Stderr, `    -workspace STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines stream --body '{\n      \"input\": \"Excepturi sequi saepe sed.\"\n   }' --pipeline \"Repellendus ab voluptas id perspiciatis quod veniam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines run --body '{\n      \"budget_ms\": 2148018,\n      \"input\": \"Delectus dolore quidem dolores ad dolores nobis.\",\n      \"max_tokens\": 2513511030\n   }' --pipeline \"S\" --workspace \"iQ\" --token \"Sunt voluptatem.\"")
 }
 
-func pipelinesRunUsage() {
+func pipelinesStreamUsage() {
 	// Header with flags
-	fmt.Fprintf(os.Stderr, "%s [flags] pipelines run", os.Args[0])
+	fmt.Fprintf(os.Stderr, "%s [flags] pipelines stream", os.Args[0])
 	fmt.Fprint(os.Stderr, " -body JSON")
 	fmt.Fprint(os.Stderr, " -pipeline STRING")
+	fmt.Fprint(os.Stderr, " -workspace STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Run implements run.`)
+	fmt.Fprintln(os.Stderr, `Runs an idempotent pipeline and streams what goes on: stage, text, reset, beat, answer.`)
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -body JSON: `)
 	fmt.Fprintln(os.Stderr, `    -pipeline STRING: `)
+	fmt.Fprintln(os.Stderr, `    -workspace STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines stream --body '{\n      \"budget_ms\": 2438329,\n      \"input\": \"Aut magni quas ullam qui odit.\",\n      \"max_tokens\": 298193578\n   }' --pipeline \"7\" --workspace \"S7\" --token \"Aut commodi eveniet qui officia et.\"")
+}
+
+func pipelinesIssueUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] pipelines issue", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -workspace STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Gives out a ticket for one run of a non-idempotent pipeline.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -workspace STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines issue --body '{\n      \"pipeline\": \"Ic\"\n   }' --workspace \"T\" --token \"Iste voluptate et quia vitae.\"")
+}
+
+func pipelinesOnceUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] pipelines once", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -request-id STRING")
+	fmt.Fprint(os.Stderr, " -workspace STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Runs a pipeline at most once for its ticket; a repeat gets the same answer.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -request-id STRING: The ticket's id.`)
+	fmt.Fprintln(os.Stderr, `    -workspace STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines once --body '{\n      \"budget_ms\": 1643714,\n      \"input\": \"Aut dolorem voluptatem sunt reiciendis in illo.\",\n      \"max_tokens\": 1433829842,\n      \"pipeline\": \"P\"\n   }' --request-id \"G\" --workspace \"lH\" --token \"Libero quia.\"")
+}
+
+func pipelinesResultUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] pipelines result", os.Args[0])
+	fmt.Fprint(os.Stderr, " -request-id STRING")
+	fmt.Fprint(os.Stderr, " -workspace STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The answer to a ticketed request; waits for it if it runs.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -request-id STRING: The ticket's id.`)
+	fmt.Fprintln(os.Stderr, `    -workspace STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines result --request-id \"SJ\" --workspace \"xR0G\" --token \"Quia quas autem atque.\"")
+}
+
+// healthUsage displays the usage of the health command and its subcommands.
+func healthUsage() {
+	fmt.Fprintln(os.Stderr, `Service is the health service interface.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] health COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    live: Live implements live.`)
+	fmt.Fprintln(os.Stderr, `    ready: Tells the balancer whether this VM takes requests.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s health COMMAND --help\n", os.Args[0])
+}
+func healthLiveUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] health live", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Live implements live.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "health live")
+}
+
+func healthReadyUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] health ready", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Tells the balancer whether this VM takes requests.`)
+
+	// Flags list
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "pipelines run --body '{\n      \"input\": \"Quae ducimus pariatur.\"\n   }' --pipeline \"Ducimus quo nesciunt rerum voluptatibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "health ready")
 }
--- a/internal/gen/http/pipelines/client/cli.go
+++ b/internal/gen/http/pipelines/client/cli.go
@@ -11,50 +11,254 @@
 	"encoding/json"
 	"fmt"
 	pipelines "jasmineshed/internal/gen/pipelines"
+
+	goa "goa.design/goa/v3/pkg"
 )
 
+// BuildRunPayload builds the payload for the pipelines run endpoint from CLI
+// flags.
+func BuildRunPayload(pipelinesRunBody string, pipelinesRunPipeline string, pipelinesRunWorkspace string, pipelinesRunToken string) (*pipelines.RunPayload, error) {
+	var err error
+	var body RunRequestBody
+	{
+		err = json.Unmarshal([]byte(pipelinesRunBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"budget_ms\": 2148018,\n      \"input\": \"Delectus dolore quidem dolores ad dolores nobis.\",\n      \"max_tokens\": 2513511030\n   }'")
+		}
+		if body.BudgetMs != nil {
+			if *body.BudgetMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+			}
+		}
+		if body.BudgetMs != nil {
+			if *body.BudgetMs > 3.6e+06 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var pipeline string
+	{
+		pipeline = pipelinesRunPipeline
+		err = goa.MergeErrors(err, goa.ValidatePattern("pipeline", pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var workspace string
+	{
+		workspace = pipelinesRunWorkspace
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if pipelinesRunToken != "" {
+			token = &pipelinesRunToken
+		}
+	}
+	v := &pipelines.RunPayload{
+		Input:     body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
+	}
+	v.Pipeline = pipeline
+	v.Workspace = workspace
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildStreamPayload builds the payload for the pipelines stream endpoint from
 // CLI flags.
-func BuildStreamPayload(pipelinesStreamBody string, pipelinesStreamPipeline string) (*pipelines.StreamPayload, error) {
+func BuildStreamPayload(pipelinesStreamBody string, pipelinesStreamPipeline string, pipelinesStreamWorkspace string, pipelinesStreamToken string) (*pipelines.StreamPayload, error) {
 	var err error
 	var body StreamRequestBody
 	{
 		err = json.Unmarshal([]byte(pipelinesStreamBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"input\": \"Excepturi sequi saepe sed.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"budget_ms\": 2438329,\n      \"input\": \"Aut magni quas ullam qui odit.\",\n      \"max_tokens\": 298193578\n   }'")
+		}
+		if body.BudgetMs != nil {
+			if *body.BudgetMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+			}
+		}
+		if body.BudgetMs != nil {
+			if *body.BudgetMs > 3.6e+06 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+			}
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 	var pipeline string
 	{
 		pipeline = pipelinesStreamPipeline
+		err = goa.MergeErrors(err, goa.ValidatePattern("pipeline", pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var workspace string
+	{
+		workspace = pipelinesStreamWorkspace
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if pipelinesStreamToken != "" {
+			token = &pipelinesStreamToken
+		}
 	}
 	v := &pipelines.StreamPayload{
-		Input: body.Input,
+		Input:     body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
 	}
 	v.Pipeline = pipeline
+	v.Workspace = workspace
+	v.Token = token
 
 	return v, nil
 }
 
-// BuildRunPayload builds the payload for the pipelines run endpoint from CLI
+// BuildIssuePayload builds the payload for the pipelines issue endpoint from
+// CLI flags.
+func BuildIssuePayload(pipelinesIssueBody string, pipelinesIssueWorkspace string, pipelinesIssueToken string) (*pipelines.IssuePayload, error) {
+	var err error
+	var body IssueRequestBody
+	{
+		err = json.Unmarshal([]byte(pipelinesIssueBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"pipeline\": \"Ic\"\n   }'")
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("body.pipeline", body.Pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var workspace string
+	{
+		workspace = pipelinesIssueWorkspace
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if pipelinesIssueToken != "" {
+			token = &pipelinesIssueToken
+		}
+	}
+	v := &pipelines.IssuePayload{
+		Pipeline: body.Pipeline,
+	}
+	v.Workspace = workspace
+	v.Token = token
+
+	return v, nil
+}
+
+// BuildOncePayload builds the payload for the pipelines once endpoint from CLI
 // flags.
-func BuildRunPayload(pipelinesRunBody string, pipelinesRunPipeline string) (*pipelines.RunPayload, error) {
+func BuildOncePayload(pipelinesOnceBody string, pipelinesOnceRequestID string, pipelinesOnceWorkspace string, pipelinesOnceToken string) (*pipelines.OncePayload, error) {
 	var err error
-	var body RunRequestBody
+	var body OnceRequestBody
 	{
-		err = json.Unmarshal([]byte(pipelinesRunBody), &body)
+		err = json.Unmarshal([]byte(pipelinesOnceBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"input\": \"Quae ducimus pariatur.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"budget_ms\": 1643714,\n      \"input\": \"Aut dolorem voluptatem sunt reiciendis in illo.\",\n      \"max_tokens\": 1433829842,\n      \"pipeline\": \"P\"\n   }'")
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("body.pipeline", body.Pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		if body.BudgetMs != nil {
+			if *body.BudgetMs < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+			}
+		}
+		if body.BudgetMs != nil {
+			if *body.BudgetMs > 3.6e+06 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+			}
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
-	var pipeline string
+	var requestID string
 	{
-		pipeline = pipelinesRunPipeline
+		requestID = pipelinesOnceRequestID
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
 	}
-	v := &pipelines.RunPayload{
-		Input: body.Input,
+	var workspace string
+	{
+		workspace = pipelinesOnceWorkspace
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
 	}
-	v.Pipeline = pipeline
+	var token *string
+	{
+		if pipelinesOnceToken != "" {
+			token = &pipelinesOnceToken
+		}
+	}
+	v := &pipelines.OncePayload{
+		Pipeline:  body.Pipeline,
+		Input:     body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
+	}
+	v.RequestID = requestID
+	v.Workspace = workspace
+	v.Token = token
+
+	return v, nil
+}
+
+// BuildResultPayload builds the payload for the pipelines result endpoint from
+// CLI flags.
+func BuildResultPayload(pipelinesResultRequestID string, pipelinesResultWorkspace string, pipelinesResultToken string) (*pipelines.ResultPayload, error) {
+	var err error
+	var requestID string
+	{
+		requestID = pipelinesResultRequestID
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var workspace string
+	{
+		workspace = pipelinesResultWorkspace
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if pipelinesResultToken != "" {
+			token = &pipelinesResultToken
+		}
+	}
+	v := &pipelines.ResultPayload{}
+	v.RequestID = requestID
+	v.Workspace = workspace
+	v.Token = token
 
 	return v, nil
 }
--- a/internal/gen/http/pipelines/client/client.go
+++ b/internal/gen/http/pipelines/client/client.go
@@ -19,11 +19,20 @@
 
 // Client lists the pipelines service endpoint HTTP clients.
 type Client struct {
+	// Run Doer is the HTTP client used to make requests to the run endpoint.
+	RunDoer goahttp.Doer
+
 	// Stream Doer is the HTTP client used to make requests to the stream endpoint.
 	StreamDoer goahttp.Doer
 
-	// Run Doer is the HTTP client used to make requests to the run endpoint.
-	RunDoer goahttp.Doer
+	// Issue Doer is the HTTP client used to make requests to the issue endpoint.
+	IssueDoer goahttp.Doer
+
+	// Once Doer is the HTTP client used to make requests to the once endpoint.
+	OnceDoer goahttp.Doer
+
+	// Result Doer is the HTTP client used to make requests to the result endpoint.
+	ResultDoer goahttp.Doer
 
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
@@ -45,8 +54,11 @@
 	restoreBody bool,
 ) *Client {
 	return &Client{
-		StreamDoer:          doer,
 		RunDoer:             doer,
+		StreamDoer:          doer,
+		IssueDoer:           doer,
+		OnceDoer:            doer,
+		ResultDoer:          doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -55,6 +67,30 @@
 	}
 }
 
+// Run returns an endpoint that makes HTTP requests to the pipelines service
+// run server.
+func (c *Client) Run() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRunRequest(c.encoder)
+		decodeResponse = DecodeRunResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRunRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RunDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("pipelines", "run", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Stream returns an endpoint that makes HTTP requests to the pipelines service
 // stream server.
 func (c *Client) Stream() goa.Endpoint {
@@ -91,15 +127,15 @@
 	}
 }
 
-// Run returns an endpoint that makes HTTP requests to the pipelines service
-// run server.
-func (c *Client) Run() goa.Endpoint {
+// Issue returns an endpoint that makes HTTP requests to the pipelines service
+// issue server.
+func (c *Client) Issue() goa.Endpoint {
 	var (
-		encodeRequest  = EncodeRunRequest(c.encoder)
-		decodeResponse = DecodeRunResponse(c.decoder, c.RestoreResponseBody)
+		encodeRequest  = EncodeIssueRequest(c.encoder)
+		decodeResponse = DecodeIssueResponse(c.decoder, c.RestoreResponseBody)
 	)
 	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildRunRequest(ctx, v)
+		req, err := c.BuildIssueRequest(ctx, v)
 		if err != nil {
 			return nil, err
 		}
@@ -107,9 +143,57 @@
 		if err != nil {
 			return nil, err
 		}
-		resp, err := c.RunDoer.Do(req)
+		resp, err := c.IssueDoer.Do(req)
 		if err != nil {
-			return nil, goahttp.ErrRequestError("pipelines", "run", err)
+			return nil, goahttp.ErrRequestError("pipelines", "issue", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Once returns an endpoint that makes HTTP requests to the pipelines service
+// once server.
+func (c *Client) Once() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeOnceRequest(c.encoder)
+		decodeResponse = DecodeOnceResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildOnceRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.OnceDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("pipelines", "once", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Result returns an endpoint that makes HTTP requests to the pipelines service
+// result server.
+func (c *Client) Result() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeResultRequest(c.encoder)
+		decodeResponse = DecodeResultResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildResultRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ResultDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("pipelines", "result", err)
 		}
 		return decodeResponse(resp)
 	}
--- a/internal/gen/http/pipelines/client/encode_decode.go
+++ b/internal/gen/http/pipelines/client/encode_decode.go
@@ -14,27 +14,29 @@
 	pipelines "jasmineshed/internal/gen/pipelines"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 )
 
-// BuildStreamRequest instantiates a HTTP request object with method and path
-// set to call the "pipelines" service "stream" endpoint
-func (c *Client) BuildStreamRequest(ctx context.Context, v any) (*http.Request, error) {
+// BuildRunRequest instantiates a HTTP request object with method and path set
+// to call the "pipelines" service "run" endpoint
+func (c *Client) BuildRunRequest(ctx context.Context, v any) (*http.Request, error) {
 	var (
 		pipeline string
 	)
 	{
-		p, ok := v.(*pipelines.StreamPayload)
+		p, ok := v.(*pipelines.RunPayload)
 		if !ok {
-			return nil, goahttp.ErrInvalidType("pipelines", "stream", "*pipelines.StreamPayload", v)
+			return nil, goahttp.ErrInvalidType("pipelines", "run", "*pipelines.RunPayload", v)
 		}
 		pipeline = p.Pipeline
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StreamPipelinesPath(pipeline)}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RunPipelinesPath(pipeline)}
 	req, err := http.NewRequest("POST", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("pipelines", "stream", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("pipelines", "run", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -43,26 +45,47 @@
 	return req, nil
 }
 
-// EncodeStreamRequest returns an encoder for requests sent to the pipelines
-// stream server.
-func EncodeStreamRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeRunRequest returns an encoder for requests sent to the pipelines run
+// server.
+func EncodeRunRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*pipelines.StreamPayload)
+		p, ok := v.(*pipelines.RunPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("pipelines", "stream", "*pipelines.StreamPayload", v)
+			return goahttp.ErrInvalidType("pipelines", "run", "*pipelines.RunPayload", v)
 		}
-		body := NewStreamRequestBody(p)
+		{
+			head := p.Workspace
+			req.Header.Set("X-Workspace", head)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		body := NewRunRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("pipelines", "stream", err)
+			return goahttp.ErrEncodingError("pipelines", "run", err)
 		}
 		return nil
 	}
 }
 
-// DecodeStreamResponse returns a decoder for responses returned by the
-// pipelines stream endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-func DecodeStreamResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeRunResponse returns a decoder for responses returned by the pipelines
+// run endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeRunResponse may return the following errors:
+//   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
+//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
+//   - "not_found" (type *pipelines.Answer): http.StatusNotFound
+//   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
+//   - "gone" (type *pipelines.Answer): http.StatusGone
+//   - "too_large" (type *pipelines.Answer): http.StatusRequestEntityTooLarge
+//   - "needs_ticket" (type *pipelines.Answer): http.StatusPreconditionRequired
+//   - "failed" (type *pipelines.Answer): http.StatusBadGateway
+//   - "unavailable" (type *pipelines.Answer): http.StatusServiceUnavailable
+//   - "deadline_exceeded" (type *pipelines.Answer): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeRunResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -79,43 +102,214 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body StreamResponseBody
+				body RunResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
 			}
-			err = ValidateStreamResponseBody(&body)
+			err = ValidateRunResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
 			}
-			res := NewStreamResultOK(&body)
+			res := NewRunAnswerOK(&body)
 			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RunBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body RunUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body RunForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body RunNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body RunOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunOutcomeUnknown(&body)
+		case http.StatusGone:
+			var (
+				body RunGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunGone(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RunTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunTooLarge(&body)
+		case http.StatusPreconditionRequired:
+			var (
+				body RunNeedsTicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunNeedsTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunNeedsTicket(&body)
+		case http.StatusBadGateway:
+			var (
+				body RunFailedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunFailedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunFailed(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body RunUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body RunDeadlineExceededResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+			}
+			err = ValidateRunDeadlineExceededResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "run", err)
+			}
+			return nil, NewRunDeadlineExceeded(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("pipelines", "stream", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("pipelines", "run", resp.StatusCode, string(body))
 		}
 	}
 }
 
-// BuildRunRequest instantiates a HTTP request object with method and path set
-// to call the "pipelines" service "run" endpoint
-func (c *Client) BuildRunRequest(ctx context.Context, v any) (*http.Request, error) {
+// BuildStreamRequest instantiates a HTTP request object with method and path
+// set to call the "pipelines" service "stream" endpoint
+func (c *Client) BuildStreamRequest(ctx context.Context, v any) (*http.Request, error) {
 	var (
 		pipeline string
 	)
 	{
-		p, ok := v.(*pipelines.RunPayload)
+		p, ok := v.(*pipelines.StreamPayload)
 		if !ok {
-			return nil, goahttp.ErrInvalidType("pipelines", "run", "*pipelines.RunPayload", v)
+			return nil, goahttp.ErrInvalidType("pipelines", "stream", "*pipelines.StreamPayload", v)
 		}
 		pipeline = p.Pipeline
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RunPipelinesPath(pipeline)}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StreamPipelinesPath(pipeline)}
 	req, err := http.NewRequest("POST", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("pipelines", "run", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("pipelines", "stream", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -124,26 +318,47 @@
 	return req, nil
 }
 
-// EncodeRunRequest returns an encoder for requests sent to the pipelines run
-// server.
-func EncodeRunRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeStreamRequest returns an encoder for requests sent to the pipelines
+// stream server.
+func EncodeStreamRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*pipelines.RunPayload)
+		p, ok := v.(*pipelines.StreamPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("pipelines", "run", "*pipelines.RunPayload", v)
+			return goahttp.ErrInvalidType("pipelines", "stream", "*pipelines.StreamPayload", v)
 		}
-		body := NewRunRequestBody(p)
+		{
+			head := p.Workspace
+			req.Header.Set("X-Workspace", head)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		body := NewStreamRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("pipelines", "run", err)
+			return goahttp.ErrEncodingError("pipelines", "stream", err)
 		}
 		return nil
 	}
 }
 
-// DecodeRunResponse returns a decoder for responses returned by the pipelines
-// run endpoint. restoreBody controls whether the response body should be
-// restored after having been read.
-func DecodeRunResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeStreamResponse returns a decoder for responses returned by the
+// pipelines stream endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeStreamResponse may return the following errors:
+//   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
+//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
+//   - "not_found" (type *pipelines.Answer): http.StatusNotFound
+//   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
+//   - "gone" (type *pipelines.Answer): http.StatusGone
+//   - "too_large" (type *pipelines.Answer): http.StatusRequestEntityTooLarge
+//   - "needs_ticket" (type *pipelines.Answer): http.StatusPreconditionRequired
+//   - "failed" (type *pipelines.Answer): http.StatusBadGateway
+//   - "unavailable" (type *pipelines.Answer): http.StatusServiceUnavailable
+//   - "deadline_exceeded" (type *pipelines.Answer): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeStreamResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -160,17 +375,1088 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body string
+				body StreamResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
 			}
-			return body, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("pipelines", "run", resp.StatusCode, string(body))
-		}
-	}
+			err = ValidateStreamResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			res := NewStreamResultOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body StreamBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body StreamUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body StreamForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body StreamNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body StreamOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamOutcomeUnknown(&body)
+		case http.StatusGone:
+			var (
+				body StreamGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamGone(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body StreamTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamTooLarge(&body)
+		case http.StatusPreconditionRequired:
+			var (
+				body StreamNeedsTicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamNeedsTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamNeedsTicket(&body)
+		case http.StatusBadGateway:
+			var (
+				body StreamFailedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamFailedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamFailed(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body StreamUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body StreamDeadlineExceededResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
+			}
+			err = ValidateStreamDeadlineExceededResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
+			}
+			return nil, NewStreamDeadlineExceeded(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("pipelines", "stream", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildIssueRequest instantiates a HTTP request object with method and path
+// set to call the "pipelines" service "issue" endpoint
+func (c *Client) BuildIssueRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: IssuePipelinesPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("pipelines", "issue", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeIssueRequest returns an encoder for requests sent to the pipelines
+// issue server.
+func EncodeIssueRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*pipelines.IssuePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("pipelines", "issue", "*pipelines.IssuePayload", v)
+		}
+		{
+			head := p.Workspace
+			req.Header.Set("X-Workspace", head)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		body := NewIssueRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("pipelines", "issue", err)
+		}
+		return nil
+	}
+}
+
+// DecodeIssueResponse returns a decoder for responses returned by the
+// pipelines issue endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeIssueResponse may return the following errors:
+//   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
+//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
+//   - "not_found" (type *pipelines.Answer): http.StatusNotFound
+//   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
+//   - "gone" (type *pipelines.Answer): http.StatusGone
+//   - "too_large" (type *pipelines.Answer): http.StatusRequestEntityTooLarge
+//   - "needs_ticket" (type *pipelines.Answer): http.StatusPreconditionRequired
+//   - "failed" (type *pipelines.Answer): http.StatusBadGateway
+//   - "unavailable" (type *pipelines.Answer): http.StatusServiceUnavailable
+//   - "deadline_exceeded" (type *pipelines.Answer): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeIssueResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusCreated:
+			var (
+				body IssueResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			res := NewIssueTicketCreated(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body IssueBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body IssueUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body IssueForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body IssueNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body IssueOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueOutcomeUnknown(&body)
+		case http.StatusGone:
+			var (
+				body IssueGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueGone(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body IssueTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueTooLarge(&body)
+		case http.StatusPreconditionRequired:
+			var (
+				body IssueNeedsTicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueNeedsTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueNeedsTicket(&body)
+		case http.StatusBadGateway:
+			var (
+				body IssueFailedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueFailedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueFailed(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body IssueUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body IssueDeadlineExceededResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
+			}
+			err = ValidateIssueDeadlineExceededResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
+			}
+			return nil, NewIssueDeadlineExceeded(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("pipelines", "issue", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildOnceRequest instantiates a HTTP request object with method and path set
+// to call the "pipelines" service "once" endpoint
+func (c *Client) BuildOnceRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		requestID string
+	)
+	{
+		p, ok := v.(*pipelines.OncePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("pipelines", "once", "*pipelines.OncePayload", v)
+		}
+		requestID = p.RequestID
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: OncePipelinesPath(requestID)}
+	req, err := http.NewRequest("PUT", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("pipelines", "once", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeOnceRequest returns an encoder for requests sent to the pipelines once
+// server.
+func EncodeOnceRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*pipelines.OncePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("pipelines", "once", "*pipelines.OncePayload", v)
+		}
+		{
+			head := p.Workspace
+			req.Header.Set("X-Workspace", head)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		body := NewOnceRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("pipelines", "once", err)
+		}
+		return nil
+	}
+}
+
+// DecodeOnceResponse returns a decoder for responses returned by the pipelines
+// once endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeOnceResponse may return the following errors:
+//   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
+//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
+//   - "not_found" (type *pipelines.Answer): http.StatusNotFound
+//   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
+//   - "gone" (type *pipelines.Answer): http.StatusGone
+//   - "too_large" (type *pipelines.Answer): http.StatusRequestEntityTooLarge
+//   - "needs_ticket" (type *pipelines.Answer): http.StatusPreconditionRequired
+//   - "failed" (type *pipelines.Answer): http.StatusBadGateway
+//   - "unavailable" (type *pipelines.Answer): http.StatusServiceUnavailable
+//   - "deadline_exceeded" (type *pipelines.Answer): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeOnceResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body OnceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			res := NewOnceAnswerOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body OnceBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body OnceUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body OnceForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body OnceNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body OnceOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceOutcomeUnknown(&body)
+		case http.StatusGone:
+			var (
+				body OnceGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceGone(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body OnceTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceTooLarge(&body)
+		case http.StatusPreconditionRequired:
+			var (
+				body OnceNeedsTicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceNeedsTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceNeedsTicket(&body)
+		case http.StatusBadGateway:
+			var (
+				body OnceFailedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceFailedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceFailed(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body OnceUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body OnceDeadlineExceededResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
+			}
+			err = ValidateOnceDeadlineExceededResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "once", err)
+			}
+			return nil, NewOnceDeadlineExceeded(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("pipelines", "once", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildResultRequest instantiates a HTTP request object with method and path
+// set to call the "pipelines" service "result" endpoint
+func (c *Client) BuildResultRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		requestID string
+	)
+	{
+		p, ok := v.(*pipelines.ResultPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("pipelines", "result", "*pipelines.ResultPayload", v)
+		}
+		requestID = p.RequestID
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ResultPipelinesPath(requestID)}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("pipelines", "result", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeResultRequest returns an encoder for requests sent to the pipelines
+// result server.
+func EncodeResultRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*pipelines.ResultPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("pipelines", "result", "*pipelines.ResultPayload", v)
+		}
+		{
+			head := p.Workspace
+			req.Header.Set("X-Workspace", head)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeResultResponse returns a decoder for responses returned by the
+// pipelines result endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeResultResponse may return the following errors:
+//   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
+//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
+//   - "not_found" (type *pipelines.Answer): http.StatusNotFound
+//   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
+//   - "gone" (type *pipelines.Answer): http.StatusGone
+//   - "too_large" (type *pipelines.Answer): http.StatusRequestEntityTooLarge
+//   - "needs_ticket" (type *pipelines.Answer): http.StatusPreconditionRequired
+//   - "failed" (type *pipelines.Answer): http.StatusBadGateway
+//   - "unavailable" (type *pipelines.Answer): http.StatusServiceUnavailable
+//   - "deadline_exceeded" (type *pipelines.Answer): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeResultResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ResultResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			res := NewResultAnswerOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ResultBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultBadRequest(&body)
+		case http.StatusUnauthorized:
+			var (
+				body ResultUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body ResultForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultForbidden(&body)
+		case http.StatusNotFound:
+			var (
+				body ResultNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ResultOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultOutcomeUnknown(&body)
+		case http.StatusGone:
+			var (
+				body ResultGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultGone(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ResultTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultTooLarge(&body)
+		case http.StatusPreconditionRequired:
+			var (
+				body ResultNeedsTicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultNeedsTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultNeedsTicket(&body)
+		case http.StatusBadGateway:
+			var (
+				body ResultFailedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultFailedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultFailed(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ResultUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ResultDeadlineExceededResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
+			}
+			err = ValidateResultDeadlineExceededResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("pipelines", "result", err)
+			}
+			return nil, NewResultDeadlineExceeded(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("pipelines", "result", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// unmarshalRuleResponseBodyToPipelinesRule builds a value of type
+// *pipelines.Rule from a value of type *RuleResponseBody.
+func unmarshalRuleResponseBodyToPipelinesRule(v *RuleResponseBody) *pipelines.Rule {
+	if v == nil {
+		return nil
+	}
+	res := &pipelines.Rule{
+		Line:  *v.Line,
+		Asked: *v.Asked,
+	}
+
+	return res
+}
+
+// unmarshalStageResponseBodyToPipelinesStage builds a value of type
+// *pipelines.Stage from a value of type *StageResponseBody.
+func unmarshalStageResponseBodyToPipelinesStage(v *StageResponseBody) *pipelines.Stage {
+	if v == nil {
+		return nil
+	}
+	res := &pipelines.Stage{
+		Stage:    *v.Stage,
+		Server:   v.Server,
+		Zone:     v.Zone,
+		Attempts: *v.Attempts,
+		Ran:      *v.Ran,
+		TookMs:   *v.TookMs,
+		Tokens:   *v.Tokens,
+	}
+	res.Cost = unmarshalStageCostResponseBodyToPipelinesStageCost(v.Cost)
+
+	return res
+}
+
+// unmarshalStageCostResponseBodyToPipelinesStageCost builds a value of type
+// *pipelines.StageCost from a value of type *StageCostResponseBody.
+func unmarshalStageCostResponseBodyToPipelinesStageCost(v *StageCostResponseBody) *pipelines.StageCost {
+	res := &pipelines.StageCost{
+		Useful: *v.Useful,
+		Wasted: *v.Wasted,
+	}
+
+	return res
+}
+
+// unmarshalOutputResponseBodyToPipelinesOutput builds a value of type
+// *pipelines.Output from a value of type *OutputResponseBody.
+func unmarshalOutputResponseBodyToPipelinesOutput(v *OutputResponseBody) *pipelines.Output {
+	if v == nil {
+		return nil
+	}
+	res := &pipelines.Output{
+		Text:    v.Text,
+		Receipt: v.Receipt,
+	}
+	if v.Passages != nil {
+		res.Passages = make([]*pipelines.Passage, len(v.Passages))
+		for i, val := range v.Passages {
+			if val == nil {
+				res.Passages[i] = nil
+				continue
+			}
+			res.Passages[i] = unmarshalPassageResponseBodyToPipelinesPassage(val)
+		}
+	}
+	if v.Vector != nil {
+		res.Vector = make([]float32, len(v.Vector))
+		for i, val := range v.Vector {
+			res.Vector[i] = val
+		}
+	}
+
+	return res
+}
+
+// unmarshalPassageResponseBodyToPipelinesPassage builds a value of type
+// *pipelines.Passage from a value of type *PassageResponseBody.
+func unmarshalPassageResponseBodyToPipelinesPassage(v *PassageResponseBody) *pipelines.Passage {
+	if v == nil {
+		return nil
+	}
+	res := &pipelines.Passage{
+		ID:    *v.ID,
+		Text:  *v.Text,
+		Score: *v.Score,
+	}
+
+	return res
 }
--- a/internal/gen/http/pipelines/client/paths.go
+++ b/internal/gen/http/pipelines/client/paths.go
@@ -11,12 +11,27 @@
 	"fmt"
 )
 
+// RunPipelinesPath returns the URL path to the pipelines service run HTTP endpoint.
+func RunPipelinesPath(pipeline string) string {
+	return fmt.Sprintf("/v1/pipelines/%v/requests", pipeline)
+}
+
 // StreamPipelinesPath returns the URL path to the pipelines service stream HTTP endpoint.
 func StreamPipelinesPath(pipeline string) string {
 	return fmt.Sprintf("/v1/pipelines/%v/stream", pipeline)
 }
 
-// RunPipelinesPath returns the URL path to the pipelines service run HTTP endpoint.
-func RunPipelinesPath(pipeline string) string {
-	return fmt.Sprintf("/v1/pipelines/%v/requests", pipeline)
+// IssuePipelinesPath returns the URL path to the pipelines service issue HTTP endpoint.
+func IssuePipelinesPath() string {
+	return "/v1/tickets"
+}
+
+// OncePipelinesPath returns the URL path to the pipelines service once HTTP endpoint.
+func OncePipelinesPath(requestID string) string {
+	return fmt.Sprintf("/v1/requests/%v", requestID)
+}
+
+// ResultPipelinesPath returns the URL path to the pipelines service result HTTP endpoint.
+func ResultPipelinesPath(requestID string) string {
+	return fmt.Sprintf("/v1/requests/%v", requestID)
 }
--- a/internal/gen/http/pipelines/client/types.go
+++ b/internal/gen/http/pipelines/client/types.go
@@ -13,43 +13,1740 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// RunRequestBody is the type of the "pipelines" service "run" endpoint HTTP
+// request body.
+type RunRequestBody struct {
+	Input string `form:"input" json:"input" xml:"input"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
+}
+
 // StreamRequestBody is the type of the "pipelines" service "stream" endpoint
 // HTTP request body.
 type StreamRequestBody struct {
 	Input string `form:"input" json:"input" xml:"input"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
 }
 
-// RunRequestBody is the type of the "pipelines" service "run" endpoint HTTP
+// IssueRequestBody is the type of the "pipelines" service "issue" endpoint
+// HTTP request body.
+type IssueRequestBody struct {
+	Pipeline string `form:"pipeline" json:"pipeline" xml:"pipeline"`
+}
+
+// OnceRequestBody is the type of the "pipelines" service "once" endpoint HTTP
 // request body.
-type RunRequestBody struct {
-	Input string `form:"input" json:"input" xml:"input"`
+type OnceRequestBody struct {
+	Pipeline string `form:"pipeline" json:"pipeline" xml:"pipeline"`
+	Input    string `form:"input" json:"input" xml:"input"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
+}
+
+// RunResponseBody is the type of the "pipelines" service "run" endpoint HTTP
+// response body.
+type RunResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
 // StreamResponseBody is the type of the "pipelines" service "stream" endpoint
 // HTTP response body.
 type StreamResponseBody struct {
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// JSON in one line.
 	Data *string `form:"data,omitempty" json:"data,omitempty" xml:"data,omitempty"`
 }
 
+// IssueResponseBody is the type of the "pipelines" service "issue" endpoint
+// HTTP response body.
+type IssueResponseBody struct {
+	RequestID   *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	ExpiresInMs *int64  `form:"expires_in_ms,omitempty" json:"expires_in_ms,omitempty" xml:"expires_in_ms,omitempty"`
+}
+
+// OnceResponseBody is the type of the "pipelines" service "once" endpoint HTTP
+// response body.
+type OnceResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultResponseBody is the type of the "pipelines" service "result" endpoint
+// HTTP response body.
+type ResultResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunBadRequestResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "bad_request" error.
+type RunBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunUnauthorizedResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unauthorized" error.
+type RunUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunForbiddenResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "forbidden" error.
+type RunForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunNotFoundResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "not_found" error.
+type RunNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunOutcomeUnknownResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type RunOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunGoneResponseBody is the type of the "pipelines" service "run" endpoint
+// HTTP response body for the "gone" error.
+type RunGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunTooLargeResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "too_large" error.
+type RunTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunNeedsTicketResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "needs_ticket" error.
+type RunNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunFailedResponseBody is the type of the "pipelines" service "run" endpoint
+// HTTP response body for the "failed" error.
+type RunFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunUnavailableResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unavailable" error.
+type RunUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunDeadlineExceededResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "deadline_exceeded" error.
+type RunDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamBadRequestResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "bad_request" error.
+type StreamBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamUnauthorizedResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unauthorized" error.
+type StreamUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamForbiddenResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "forbidden" error.
+type StreamForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamNotFoundResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "not_found" error.
+type StreamNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "outcome_unknown" error.
+type StreamOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamGoneResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "gone" error.
+type StreamGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamTooLargeResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "too_large" error.
+type StreamTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamNeedsTicketResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "needs_ticket" error.
+type StreamNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamFailedResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "failed" error.
+type StreamFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamUnavailableResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unavailable" error.
+type StreamUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamDeadlineExceededResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "deadline_exceeded" error.
+type StreamDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueBadRequestResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "bad_request" error.
+type IssueBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueUnauthorizedResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "unauthorized" error.
+type IssueUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueForbiddenResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "forbidden" error.
+type IssueForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueNotFoundResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "not_found" error.
+type IssueNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "outcome_unknown" error.
+type IssueOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueGoneResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "gone" error.
+type IssueGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueTooLargeResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "too_large" error.
+type IssueTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueNeedsTicketResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "needs_ticket" error.
+type IssueNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueFailedResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "failed" error.
+type IssueFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueUnavailableResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "unavailable" error.
+type IssueUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueDeadlineExceededResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "deadline_exceeded" error.
+type IssueDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceBadRequestResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "bad_request" error.
+type OnceBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceUnauthorizedResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "unauthorized" error.
+type OnceUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceForbiddenResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "forbidden" error.
+type OnceForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceNotFoundResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "not_found" error.
+type OnceNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceOutcomeUnknownResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type OnceOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceGoneResponseBody is the type of the "pipelines" service "once" endpoint
+// HTTP response body for the "gone" error.
+type OnceGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceTooLargeResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "too_large" error.
+type OnceTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceNeedsTicketResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "needs_ticket" error.
+type OnceNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceFailedResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "failed" error.
+type OnceFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceUnavailableResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "unavailable" error.
+type OnceUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceDeadlineExceededResponseBody is the type of the "pipelines" service
+// "once" endpoint HTTP response body for the "deadline_exceeded" error.
+type OnceDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultBadRequestResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "bad_request" error.
+type ResultBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultUnauthorizedResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unauthorized" error.
+type ResultUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultForbiddenResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "forbidden" error.
+type ResultForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultNotFoundResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "not_found" error.
+type ResultNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "outcome_unknown" error.
+type ResultOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultGoneResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "gone" error.
+type ResultGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultTooLargeResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "too_large" error.
+type ResultTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultNeedsTicketResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "needs_ticket" error.
+type ResultNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultFailedResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "failed" error.
+type ResultFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultUnavailableResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unavailable" error.
+type ResultUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultDeadlineExceededResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "deadline_exceeded" error.
+type ResultDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RuleResponseBody is used to define fields on response body types.
+type RuleResponseBody struct {
+	// Line in the rules, from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Who asked for it.
+	Asked *string `form:"asked,omitempty" json:"asked,omitempty" xml:"asked,omitempty"`
+}
+
+// StageResponseBody is used to define fields on response body types.
+type StageResponseBody struct {
+	Stage    *string `form:"stage,omitempty" json:"stage,omitempty" xml:"stage,omitempty"`
+	Server   *string `form:"server,omitempty" json:"server,omitempty" xml:"server,omitempty"`
+	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Attempts *uint   `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+	// False only if no attempt can have reached a backend server.
+	Ran    *bool                  `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	TookMs *float64               `form:"took_ms,omitempty" json:"took_ms,omitempty" xml:"took_ms,omitempty"`
+	Tokens *uint32                `form:"tokens,omitempty" json:"tokens,omitempty" xml:"tokens,omitempty"`
+	Cost   *StageCostResponseBody `form:"cost,omitempty" json:"cost,omitempty" xml:"cost,omitempty"`
+}
+
+// StageCostResponseBody is used to define fields on response body types.
+type StageCostResponseBody struct {
+	Useful *uint64 `form:"useful,omitempty" json:"useful,omitempty" xml:"useful,omitempty"`
+	// Cancelled, superseded, late and failed attempts.
+	Wasted *uint64 `form:"wasted,omitempty" json:"wasted,omitempty" xml:"wasted,omitempty"`
+}
+
+// OutputResponseBody is used to define fields on response body types.
+type OutputResponseBody struct {
+	Text     *string                `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+	Receipt  *string                `form:"receipt,omitempty" json:"receipt,omitempty" xml:"receipt,omitempty"`
+	Passages []*PassageResponseBody `form:"passages,omitempty" json:"passages,omitempty" xml:"passages,omitempty"`
+	Vector   []float32              `form:"vector,omitempty" json:"vector,omitempty" xml:"vector,omitempty"`
+}
+
+// PassageResponseBody is used to define fields on response body types.
+type PassageResponseBody struct {
+	ID    *string  `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Text  *string  `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+	Score *float64 `form:"score,omitempty" json:"score,omitempty" xml:"score,omitempty"`
+}
+
+// NewRunRequestBody builds the HTTP request body from the payload of the "run"
+// endpoint of the "pipelines" service.
+func NewRunRequestBody(p *pipelines.RunPayload) *RunRequestBody {
+	body := &RunRequestBody{
+		Input:     p.Input,
+		MaxTokens: p.MaxTokens,
+		BudgetMs:  p.BudgetMs,
+	}
+	return body
+}
+
 // NewStreamRequestBody builds the HTTP request body from the payload of the
 // "stream" endpoint of the "pipelines" service.
 func NewStreamRequestBody(p *pipelines.StreamPayload) *StreamRequestBody {
 	body := &StreamRequestBody{
-		Input: p.Input,
+		Input:     p.Input,
+		MaxTokens: p.MaxTokens,
+		BudgetMs:  p.BudgetMs,
 	}
 	return body
 }
 
-// NewRunRequestBody builds the HTTP request body from the payload of the "run"
-// endpoint of the "pipelines" service.
-func NewRunRequestBody(p *pipelines.RunPayload) *RunRequestBody {
-	body := &RunRequestBody{
-		Input: p.Input,
+// NewIssueRequestBody builds the HTTP request body from the payload of the
+// "issue" endpoint of the "pipelines" service.
+func NewIssueRequestBody(p *pipelines.IssuePayload) *IssueRequestBody {
+	body := &IssueRequestBody{
+		Pipeline: p.Pipeline,
+	}
+	return body
+}
+
+// NewOnceRequestBody builds the HTTP request body from the payload of the
+// "once" endpoint of the "pipelines" service.
+func NewOnceRequestBody(p *pipelines.OncePayload) *OnceRequestBody {
+	body := &OnceRequestBody{
+		Pipeline:  p.Pipeline,
+		Input:     p.Input,
+		MaxTokens: p.MaxTokens,
+		BudgetMs:  p.BudgetMs,
 	}
 	return body
 }
 
+// NewRunAnswerOK builds a "pipelines" service "run" endpoint result from a
+// HTTP "OK" response.
+func NewRunAnswerOK(body *RunResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunBadRequest builds a pipelines service run endpoint bad_request error.
+func NewRunBadRequest(body *RunBadRequestResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunUnauthorized builds a pipelines service run endpoint unauthorized
+// error.
+func NewRunUnauthorized(body *RunUnauthorizedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunForbidden builds a pipelines service run endpoint forbidden error.
+func NewRunForbidden(body *RunForbiddenResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunNotFound builds a pipelines service run endpoint not_found error.
+func NewRunNotFound(body *RunNotFoundResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunOutcomeUnknown builds a pipelines service run endpoint outcome_unknown
+// error.
+func NewRunOutcomeUnknown(body *RunOutcomeUnknownResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunGone builds a pipelines service run endpoint gone error.
+func NewRunGone(body *RunGoneResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunTooLarge builds a pipelines service run endpoint too_large error.
+func NewRunTooLarge(body *RunTooLargeResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunNeedsTicket builds a pipelines service run endpoint needs_ticket error.
+func NewRunNeedsTicket(body *RunNeedsTicketResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunFailed builds a pipelines service run endpoint failed error.
+func NewRunFailed(body *RunFailedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewRunUnavailable builds a pipelines service run endpoint unavailable error.
+func NewRunUnavailable(body *RunUnavailableResponseBody, retryAfter *int) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRunDeadlineExceeded builds a pipelines service run endpoint
+// deadline_exceeded error.
+func NewRunDeadlineExceeded(body *RunDeadlineExceededResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
 // NewStreamResultOK builds a "pipelines" service "stream" endpoint result from
 // a HTTP "OK" response.
 func NewStreamResultOK(body *StreamResponseBody) *pipelines.StreamResult {
