@@ -61,13 +1758,3581 @@
 	return v
 }
 
-// ValidateStreamResponseBody runs the validations defined on StreamResponseBody
-func ValidateStreamResponseBody(body *StreamResponseBody) (err error) {
+// NewStreamBadRequest builds a pipelines service stream endpoint bad_request
+// error.
+func NewStreamBadRequest(body *StreamBadRequestResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamUnauthorized builds a pipelines service stream endpoint
+// unauthorized error.
+func NewStreamUnauthorized(body *StreamUnauthorizedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamForbidden builds a pipelines service stream endpoint forbidden
+// error.
+func NewStreamForbidden(body *StreamForbiddenResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamNotFound builds a pipelines service stream endpoint not_found error.
+func NewStreamNotFound(body *StreamNotFoundResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamOutcomeUnknown builds a pipelines service stream endpoint
+// outcome_unknown error.
+func NewStreamOutcomeUnknown(body *StreamOutcomeUnknownResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamGone builds a pipelines service stream endpoint gone error.
+func NewStreamGone(body *StreamGoneResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamTooLarge builds a pipelines service stream endpoint too_large error.
+func NewStreamTooLarge(body *StreamTooLargeResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamNeedsTicket builds a pipelines service stream endpoint needs_ticket
+// error.
+func NewStreamNeedsTicket(body *StreamNeedsTicketResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamFailed builds a pipelines service stream endpoint failed error.
+func NewStreamFailed(body *StreamFailedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewStreamUnavailable builds a pipelines service stream endpoint unavailable
+// error.
+func NewStreamUnavailable(body *StreamUnavailableResponseBody, retryAfter *int) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStreamDeadlineExceeded builds a pipelines service stream endpoint
+// deadline_exceeded error.
+func NewStreamDeadlineExceeded(body *StreamDeadlineExceededResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueTicketCreated builds a "pipelines" service "issue" endpoint result
+// from a HTTP "Created" response.
+func NewIssueTicketCreated(body *IssueResponseBody) *pipelines.Ticket {
+	v := &pipelines.Ticket{
+		RequestID:   *body.RequestID,
+		ExpiresInMs: *body.ExpiresInMs,
+	}
+
+	return v
+}
+
+// NewIssueBadRequest builds a pipelines service issue endpoint bad_request
+// error.
+func NewIssueBadRequest(body *IssueBadRequestResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueUnauthorized builds a pipelines service issue endpoint unauthorized
+// error.
+func NewIssueUnauthorized(body *IssueUnauthorizedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueForbidden builds a pipelines service issue endpoint forbidden error.
+func NewIssueForbidden(body *IssueForbiddenResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueNotFound builds a pipelines service issue endpoint not_found error.
+func NewIssueNotFound(body *IssueNotFoundResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueOutcomeUnknown builds a pipelines service issue endpoint
+// outcome_unknown error.
+func NewIssueOutcomeUnknown(body *IssueOutcomeUnknownResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueGone builds a pipelines service issue endpoint gone error.
+func NewIssueGone(body *IssueGoneResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueTooLarge builds a pipelines service issue endpoint too_large error.
+func NewIssueTooLarge(body *IssueTooLargeResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueNeedsTicket builds a pipelines service issue endpoint needs_ticket
+// error.
+func NewIssueNeedsTicket(body *IssueNeedsTicketResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueFailed builds a pipelines service issue endpoint failed error.
+func NewIssueFailed(body *IssueFailedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewIssueUnavailable builds a pipelines service issue endpoint unavailable
+// error.
+func NewIssueUnavailable(body *IssueUnavailableResponseBody, retryAfter *int) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueDeadlineExceeded builds a pipelines service issue endpoint
+// deadline_exceeded error.
+func NewIssueDeadlineExceeded(body *IssueDeadlineExceededResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceAnswerOK builds a "pipelines" service "once" endpoint result from a
+// HTTP "OK" response.
+func NewOnceAnswerOK(body *OnceResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceBadRequest builds a pipelines service once endpoint bad_request error.
+func NewOnceBadRequest(body *OnceBadRequestResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceUnauthorized builds a pipelines service once endpoint unauthorized
+// error.
+func NewOnceUnauthorized(body *OnceUnauthorizedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceForbidden builds a pipelines service once endpoint forbidden error.
+func NewOnceForbidden(body *OnceForbiddenResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceNotFound builds a pipelines service once endpoint not_found error.
+func NewOnceNotFound(body *OnceNotFoundResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceOutcomeUnknown builds a pipelines service once endpoint
+// outcome_unknown error.
+func NewOnceOutcomeUnknown(body *OnceOutcomeUnknownResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceGone builds a pipelines service once endpoint gone error.
+func NewOnceGone(body *OnceGoneResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceTooLarge builds a pipelines service once endpoint too_large error.
+func NewOnceTooLarge(body *OnceTooLargeResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceNeedsTicket builds a pipelines service once endpoint needs_ticket
+// error.
+func NewOnceNeedsTicket(body *OnceNeedsTicketResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceFailed builds a pipelines service once endpoint failed error.
+func NewOnceFailed(body *OnceFailedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewOnceUnavailable builds a pipelines service once endpoint unavailable
+// error.
+func NewOnceUnavailable(body *OnceUnavailableResponseBody, retryAfter *int) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOnceDeadlineExceeded builds a pipelines service once endpoint
+// deadline_exceeded error.
+func NewOnceDeadlineExceeded(body *OnceDeadlineExceededResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultAnswerOK builds a "pipelines" service "result" endpoint result from
+// a HTTP "OK" response.
+func NewResultAnswerOK(body *ResultResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultBadRequest builds a pipelines service result endpoint bad_request
+// error.
+func NewResultBadRequest(body *ResultBadRequestResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultUnauthorized builds a pipelines service result endpoint
+// unauthorized error.
+func NewResultUnauthorized(body *ResultUnauthorizedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultForbidden builds a pipelines service result endpoint forbidden
+// error.
+func NewResultForbidden(body *ResultForbiddenResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultNotFound builds a pipelines service result endpoint not_found error.
+func NewResultNotFound(body *ResultNotFoundResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultOutcomeUnknown builds a pipelines service result endpoint
+// outcome_unknown error.
+func NewResultOutcomeUnknown(body *ResultOutcomeUnknownResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultGone builds a pipelines service result endpoint gone error.
+func NewResultGone(body *ResultGoneResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultTooLarge builds a pipelines service result endpoint too_large error.
+func NewResultTooLarge(body *ResultTooLargeResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultNeedsTicket builds a pipelines service result endpoint needs_ticket
+// error.
+func NewResultNeedsTicket(body *ResultNeedsTicketResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultFailed builds a pipelines service result endpoint failed error.
+func NewResultFailed(body *ResultFailedResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// NewResultUnavailable builds a pipelines service result endpoint unavailable
+// error.
+func NewResultUnavailable(body *ResultUnavailableResponseBody, retryAfter *int) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewResultDeadlineExceeded builds a pipelines service result endpoint
+// deadline_exceeded error.
+func NewResultDeadlineExceeded(body *ResultDeadlineExceededResponseBody) *pipelines.Answer {
+	v := &pipelines.Answer{
+		Status:       *body.Status,
+		Outcome:      *body.Outcome,
+		Reason:       body.Reason,
+		Message:      body.Message,
+		RequestID:    body.RequestID,
+		TraceID:      body.TraceID,
+		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
+	}
+	if body.Rule != nil {
+		v.Rule = unmarshalRuleResponseBodyToPipelinesRule(body.Rule)
+	}
+	if body.Stages != nil {
+		v.Stages = make([]*pipelines.Stage, len(body.Stages))
+		for i, val := range body.Stages {
+			if val == nil {
+				v.Stages[i] = nil
+				continue
+			}
+			v.Stages[i] = unmarshalStageResponseBodyToPipelinesStage(val)
+		}
+	}
+	if body.Payload != nil {
+		v.Payload = unmarshalOutputResponseBodyToPipelinesOutput(body.Payload)
+	}
+
+	return v
+}
+
+// ValidateRunResponseBody runs the validations defined on RunResponseBody
+func ValidateRunResponseBody(body *RunResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamResponseBody runs the validations defined on StreamResponseBody
+func ValidateStreamResponseBody(body *StreamResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Data == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("data", "body"))
+	if body.Data == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("data", "body"))
+	}
+	return
+}
+
+// ValidateIssueResponseBody runs the validations defined on IssueResponseBody
+func ValidateIssueResponseBody(body *IssueResponseBody) (err error) {
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.ExpiresInMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("expires_in_ms", "body"))
+	}
+	return
+}
+
+// ValidateOnceResponseBody runs the validations defined on OnceResponseBody
+func ValidateOnceResponseBody(body *OnceResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultResponseBody runs the validations defined on ResultResponseBody
+func ValidateResultResponseBody(body *ResultResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunBadRequestResponseBody runs the validations defined on
+// run_bad_request_response_body
+func ValidateRunBadRequestResponseBody(body *RunBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunUnauthorizedResponseBody runs the validations defined on
+// run_unauthorized_response_body
+func ValidateRunUnauthorizedResponseBody(body *RunUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunForbiddenResponseBody runs the validations defined on
+// run_forbidden_response_body
+func ValidateRunForbiddenResponseBody(body *RunForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunNotFoundResponseBody runs the validations defined on
+// run_not_found_response_body
+func ValidateRunNotFoundResponseBody(body *RunNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunOutcomeUnknownResponseBody runs the validations defined on
+// run_outcome_unknown_response_body
+func ValidateRunOutcomeUnknownResponseBody(body *RunOutcomeUnknownResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunGoneResponseBody runs the validations defined on
+// run_gone_response_body
+func ValidateRunGoneResponseBody(body *RunGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunTooLargeResponseBody runs the validations defined on
+// run_too_large_response_body
+func ValidateRunTooLargeResponseBody(body *RunTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunNeedsTicketResponseBody runs the validations defined on
+// run_needs_ticket_response_body
+func ValidateRunNeedsTicketResponseBody(body *RunNeedsTicketResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunFailedResponseBody runs the validations defined on
+// run_failed_response_body
+func ValidateRunFailedResponseBody(body *RunFailedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunUnavailableResponseBody runs the validations defined on
+// run_unavailable_response_body
+func ValidateRunUnavailableResponseBody(body *RunUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRunDeadlineExceededResponseBody runs the validations defined on
+// run_deadline_exceeded_response_body
+func ValidateRunDeadlineExceededResponseBody(body *RunDeadlineExceededResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamBadRequestResponseBody runs the validations defined on
+// stream_bad_request_response_body
+func ValidateStreamBadRequestResponseBody(body *StreamBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamUnauthorizedResponseBody runs the validations defined on
+// stream_unauthorized_response_body
+func ValidateStreamUnauthorizedResponseBody(body *StreamUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamForbiddenResponseBody runs the validations defined on
+// stream_forbidden_response_body
+func ValidateStreamForbiddenResponseBody(body *StreamForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamNotFoundResponseBody runs the validations defined on
+// stream_not_found_response_body
+func ValidateStreamNotFoundResponseBody(body *StreamNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamOutcomeUnknownResponseBody runs the validations defined on
+// stream_outcome_unknown_response_body
+func ValidateStreamOutcomeUnknownResponseBody(body *StreamOutcomeUnknownResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamGoneResponseBody runs the validations defined on
+// stream_gone_response_body
+func ValidateStreamGoneResponseBody(body *StreamGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamTooLargeResponseBody runs the validations defined on
+// stream_too_large_response_body
+func ValidateStreamTooLargeResponseBody(body *StreamTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamNeedsTicketResponseBody runs the validations defined on
+// stream_needs_ticket_response_body
+func ValidateStreamNeedsTicketResponseBody(body *StreamNeedsTicketResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamFailedResponseBody runs the validations defined on
+// stream_failed_response_body
+func ValidateStreamFailedResponseBody(body *StreamFailedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamUnavailableResponseBody runs the validations defined on
+// stream_unavailable_response_body
+func ValidateStreamUnavailableResponseBody(body *StreamUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStreamDeadlineExceededResponseBody runs the validations defined on
+// stream_deadline_exceeded_response_body
+func ValidateStreamDeadlineExceededResponseBody(body *StreamDeadlineExceededResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueBadRequestResponseBody runs the validations defined on
+// issue_bad_request_response_body
+func ValidateIssueBadRequestResponseBody(body *IssueBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueUnauthorizedResponseBody runs the validations defined on
+// issue_unauthorized_response_body
+func ValidateIssueUnauthorizedResponseBody(body *IssueUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueForbiddenResponseBody runs the validations defined on
+// issue_forbidden_response_body
+func ValidateIssueForbiddenResponseBody(body *IssueForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueNotFoundResponseBody runs the validations defined on
+// issue_not_found_response_body
+func ValidateIssueNotFoundResponseBody(body *IssueNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueOutcomeUnknownResponseBody runs the validations defined on
+// issue_outcome_unknown_response_body
+func ValidateIssueOutcomeUnknownResponseBody(body *IssueOutcomeUnknownResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueGoneResponseBody runs the validations defined on
+// issue_gone_response_body
+func ValidateIssueGoneResponseBody(body *IssueGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueTooLargeResponseBody runs the validations defined on
+// issue_too_large_response_body
+func ValidateIssueTooLargeResponseBody(body *IssueTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueNeedsTicketResponseBody runs the validations defined on
+// issue_needs_ticket_response_body
+func ValidateIssueNeedsTicketResponseBody(body *IssueNeedsTicketResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueFailedResponseBody runs the validations defined on
+// issue_failed_response_body
+func ValidateIssueFailedResponseBody(body *IssueFailedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueUnavailableResponseBody runs the validations defined on
+// issue_unavailable_response_body
+func ValidateIssueUnavailableResponseBody(body *IssueUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateIssueDeadlineExceededResponseBody runs the validations defined on
+// issue_deadline_exceeded_response_body
+func ValidateIssueDeadlineExceededResponseBody(body *IssueDeadlineExceededResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceBadRequestResponseBody runs the validations defined on
+// once_bad_request_response_body
+func ValidateOnceBadRequestResponseBody(body *OnceBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceUnauthorizedResponseBody runs the validations defined on
+// once_unauthorized_response_body
+func ValidateOnceUnauthorizedResponseBody(body *OnceUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceForbiddenResponseBody runs the validations defined on
+// once_forbidden_response_body
+func ValidateOnceForbiddenResponseBody(body *OnceForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceNotFoundResponseBody runs the validations defined on
+// once_not_found_response_body
+func ValidateOnceNotFoundResponseBody(body *OnceNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceOutcomeUnknownResponseBody runs the validations defined on
+// once_outcome_unknown_response_body
+func ValidateOnceOutcomeUnknownResponseBody(body *OnceOutcomeUnknownResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceGoneResponseBody runs the validations defined on
+// once_gone_response_body
+func ValidateOnceGoneResponseBody(body *OnceGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceTooLargeResponseBody runs the validations defined on
+// once_too_large_response_body
+func ValidateOnceTooLargeResponseBody(body *OnceTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceNeedsTicketResponseBody runs the validations defined on
+// once_needs_ticket_response_body
+func ValidateOnceNeedsTicketResponseBody(body *OnceNeedsTicketResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceFailedResponseBody runs the validations defined on
+// once_failed_response_body
+func ValidateOnceFailedResponseBody(body *OnceFailedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceUnavailableResponseBody runs the validations defined on
+// once_unavailable_response_body
+func ValidateOnceUnavailableResponseBody(body *OnceUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOnceDeadlineExceededResponseBody runs the validations defined on
+// once_deadline_exceeded_response_body
+func ValidateOnceDeadlineExceededResponseBody(body *OnceDeadlineExceededResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultBadRequestResponseBody runs the validations defined on
+// result_bad_request_response_body
+func ValidateResultBadRequestResponseBody(body *ResultBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultUnauthorizedResponseBody runs the validations defined on
+// result_unauthorized_response_body
+func ValidateResultUnauthorizedResponseBody(body *ResultUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultForbiddenResponseBody runs the validations defined on
+// result_forbidden_response_body
+func ValidateResultForbiddenResponseBody(body *ResultForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultNotFoundResponseBody runs the validations defined on
+// result_not_found_response_body
+func ValidateResultNotFoundResponseBody(body *ResultNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultOutcomeUnknownResponseBody runs the validations defined on
+// result_outcome_unknown_response_body
+func ValidateResultOutcomeUnknownResponseBody(body *ResultOutcomeUnknownResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultGoneResponseBody runs the validations defined on
+// result_gone_response_body
+func ValidateResultGoneResponseBody(body *ResultGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultTooLargeResponseBody runs the validations defined on
+// result_too_large_response_body
+func ValidateResultTooLargeResponseBody(body *ResultTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultNeedsTicketResponseBody runs the validations defined on
+// result_needs_ticket_response_body
+func ValidateResultNeedsTicketResponseBody(body *ResultNeedsTicketResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultFailedResponseBody runs the validations defined on
+// result_failed_response_body
+func ValidateResultFailedResponseBody(body *ResultFailedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultUnavailableResponseBody runs the validations defined on
+// result_unavailable_response_body
+func ValidateResultUnavailableResponseBody(body *ResultUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateResultDeadlineExceededResponseBody runs the validations defined on
+// result_deadline_exceeded_response_body
+func ValidateResultDeadlineExceededResponseBody(body *ResultDeadlineExceededResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "complete" || *body.Outcome == "not_run" || *body.Outcome == "refused" || *body.Outcome == "outcome_unknown" || *body.Outcome == "failed" || *body.Outcome == "deadline_exceeded" || *body.Outcome == "cancelled") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"complete", "not_run", "refused", "outcome_unknown", "failed", "deadline_exceeded", "cancelled"}))
+		}
+	}
+	if body.Rule != nil {
+		if err2 := ValidateRuleResponseBody(body.Rule); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Stages {
+		if e != nil {
+			if err2 := ValidateStageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Payload != nil {
+		if err2 := ValidateOutputResponseBody(body.Payload); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRuleResponseBody runs the validations defined on RuleResponseBody
+func ValidateRuleResponseBody(body *RuleResponseBody) (err error) {
+	if body.Line == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("line", "body"))
+	}
+	if body.Asked == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("asked", "body"))
+	}
+	return
+}
+
+// ValidateStageResponseBody runs the validations defined on StageResponseBody
+func ValidateStageResponseBody(body *StageResponseBody) (err error) {
+	if body.Stage == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stage", "body"))
+	}
+	if body.Attempts == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("attempts", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.TookMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("took_ms", "body"))
+	}
+	if body.Tokens == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("tokens", "body"))
+	}
+	if body.Cost == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("cost", "body"))
+	}
+	if body.Cost != nil {
+		if err2 := ValidateStageCostResponseBody(body.Cost); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStageCostResponseBody runs the validations defined on
+// StageCostResponseBody
+func ValidateStageCostResponseBody(body *StageCostResponseBody) (err error) {
+	if body.Useful == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("useful", "body"))
+	}
+	if body.Wasted == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("wasted", "body"))
+	}
+	return
+}
+
+// ValidateOutputResponseBody runs the validations defined on OutputResponseBody
+func ValidateOutputResponseBody(body *OutputResponseBody) (err error) {
+	for _, e := range body.Passages {
+		if e != nil {
+			if err2 := ValidatePassageResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidatePassageResponseBody runs the validations defined on
+// PassageResponseBody
+func ValidatePassageResponseBody(body *PassageResponseBody) (err error) {
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Text == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("text", "body"))
+	}
+	if body.Score == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("score", "body"))
 	}
 	return
 }
--- a/internal/gen/http/pipelines/server/encode_decode.go
+++ b/internal/gen/http/pipelines/server/encode_decode.go
@@ -13,11 +13,240 @@
 	"io"
 	pipelines "jasmineshed/internal/gen/pipelines"
 	"net/http"
+	"strconv"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
 
+// EncodeRunResponse returns an encoder for responses returned by the pipelines
+// run endpoint.
+func EncodeRunResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*pipelines.Answer)
+		enc := encoder(ctx, w)
+		body := NewRunResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRunRequest returns a decoder for requests sent to the pipelines run
+// endpoint.
+func DecodeRunRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*pipelines.RunPayload, error) {
+	return func(r *http.Request) (*pipelines.RunPayload, error) {
+		var payload *pipelines.RunPayload
+		var (
+			body RunRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateRunRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			pipeline  string
+			workspace string
+			token     *string
+
+			params = mux.Vars(r)
+		)
+		pipeline = params["pipeline"]
+		err = goa.MergeErrors(err, goa.ValidatePattern("pipeline", pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		workspace = r.Header.Get("X-Workspace")
+		if workspace == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewRunPayload(&body, pipeline, workspace, token)
+
+		return payload, nil
+	}
+}
+
+// EncodeRunError returns an encoder for errors returned by the run pipelines
+// endpoint.
+func EncodeRunError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunTooLargeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "needs_ticket":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunNeedsTicketResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionRequired)
+			return enc.Encode(body)
+		case "failed":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunFailedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "deadline_exceeded":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRunDeadlineExceededResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeStreamResponse returns an encoder for responses returned by the
 // pipelines stream endpoint.
 func EncodeStreamResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -56,36 +285,438 @@
 		}
 
 		var (
-			pipeline string
+			pipeline  string
+			workspace string
+			token     *string
 
 			params = mux.Vars(r)
 		)
 		pipeline = params["pipeline"]
-		payload = NewStreamPayload(&body, pipeline)
+		err = goa.MergeErrors(err, goa.ValidatePattern("pipeline", pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+		workspace = r.Header.Get("X-Workspace")
+		if workspace == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewStreamPayload(&body, pipeline, workspace, token)
 
 		return payload, nil
 	}
 }
 
-// EncodeRunResponse returns an encoder for responses returned by the pipelines
-// run endpoint.
-func EncodeRunResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+// EncodeStreamError returns an encoder for errors returned by the stream
+// pipelines endpoint.
+func EncodeStreamError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamTooLargeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "needs_ticket":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamNeedsTicketResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionRequired)
+			return enc.Encode(body)
+		case "failed":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamFailedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "deadline_exceeded":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamDeadlineExceededResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeIssueResponse returns an encoder for responses returned by the
+// pipelines issue endpoint.
+func EncodeIssueResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*pipelines.Ticket)
+		enc := encoder(ctx, w)
+		body := NewIssueResponseBody(res)
+		w.WriteHeader(http.StatusCreated)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeIssueRequest returns a decoder for requests sent to the pipelines
+// issue endpoint.
+func DecodeIssueRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*pipelines.IssuePayload, error) {
+	return func(r *http.Request) (*pipelines.IssuePayload, error) {
+		var payload *pipelines.IssuePayload
+		var (
+			body IssueRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateIssueRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			workspace string
+			token     *string
+		)
+		workspace = r.Header.Get("X-Workspace")
+		if workspace == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewIssuePayload(&body, workspace, token)
+
+		return payload, nil
+	}
+}
+
+// EncodeIssueError returns an encoder for errors returned by the issue
+// pipelines endpoint.
+func EncodeIssueError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueTooLargeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "needs_ticket":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueNeedsTicketResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionRequired)
+			return enc.Encode(body)
+		case "failed":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueFailedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "deadline_exceeded":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewIssueDeadlineExceededResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeOnceResponse returns an encoder for responses returned by the
+// pipelines once endpoint.
+func EncodeOnceResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(string)
+		res, _ := v.(*pipelines.Answer)
 		enc := encoder(ctx, w)
-		body := res
+		body := NewOnceResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
 }
 
-// DecodeRunRequest returns a decoder for requests sent to the pipelines run
+// DecodeOnceRequest returns a decoder for requests sent to the pipelines once
 // endpoint.
-func DecodeRunRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*pipelines.RunPayload, error) {
-	return func(r *http.Request) (*pipelines.RunPayload, error) {
-		var payload *pipelines.RunPayload
+func DecodeOnceRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*pipelines.OncePayload, error) {
+	return func(r *http.Request) (*pipelines.OncePayload, error) {
+		var payload *pipelines.OncePayload
 		var (
-			body RunRequestBody
+			body OnceRequestBody
 			err  error
 		)
 		err = decoder(r).Decode(&body)
@@ -99,19 +730,499 @@
 			}
 			return payload, goa.DecodePayloadError(err.Error())
 		}
-		err = ValidateRunRequestBody(&body)
+		err = ValidateOnceRequestBody(&body)
 		if err != nil {
 			return payload, err
 		}
 
 		var (
-			pipeline string
+			requestID string
+			workspace string
+			token     *string
 
 			params = mux.Vars(r)
 		)
-		pipeline = params["pipeline"]
-		payload = NewRunPayload(&body, pipeline)
+		requestID = params["request_id"]
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		workspace = r.Header.Get("X-Workspace")
+		if workspace == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewOncePayload(&body, requestID, workspace, token)
+
+		return payload, nil
+	}
+}
+
+// EncodeOnceError returns an encoder for errors returned by the once pipelines
+// endpoint.
+func EncodeOnceError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceTooLargeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "needs_ticket":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceNeedsTicketResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionRequired)
+			return enc.Encode(body)
+		case "failed":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceFailedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "deadline_exceeded":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOnceDeadlineExceededResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeResultResponse returns an encoder for responses returned by the
+// pipelines result endpoint.
+func EncodeResultResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*pipelines.Answer)
+		enc := encoder(ctx, w)
+		body := NewResultResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeResultRequest returns a decoder for requests sent to the pipelines
+// result endpoint.
+func DecodeResultRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*pipelines.ResultPayload, error) {
+	return func(r *http.Request) (*pipelines.ResultPayload, error) {
+		var payload *pipelines.ResultPayload
+		var (
+			requestID string
+			workspace string
+			token     *string
+			err       error
+
+			params = mux.Vars(r)
+		)
+		requestID = params["request_id"]
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		workspace = r.Header.Get("X-Workspace")
+		if workspace == "" {
+			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
+		}
+		err = goa.MergeErrors(err, goa.ValidatePattern("workspace", workspace, "^[A-Za-z0-9._-]{1,64}$"))
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewResultPayload(requestID, workspace, token)
 
 		return payload, nil
 	}
 }
+
+// EncodeResultError returns an encoder for errors returned by the result
+// pipelines endpoint.
+func EncodeResultError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultTooLargeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "needs_ticket":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultNeedsTicketResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionRequired)
+			return enc.Encode(body)
+		case "failed":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultFailedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "deadline_exceeded":
+			var res *pipelines.Answer
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResultDeadlineExceededResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// marshalPipelinesRuleToRuleResponseBody builds a value of type
+// *RuleResponseBody from a value of type *pipelines.Rule.
+func marshalPipelinesRuleToRuleResponseBody(v *pipelines.Rule) *RuleResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &RuleResponseBody{
+		Line:  v.Line,
+		Asked: v.Asked,
+	}
+
+	return res
+}
+
+// marshalPipelinesStageToStageResponseBody builds a value of type
+// *StageResponseBody from a value of type *pipelines.Stage.
+func marshalPipelinesStageToStageResponseBody(v *pipelines.Stage) *StageResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &StageResponseBody{
+		Stage:    v.Stage,
+		Server:   v.Server,
+		Zone:     v.Zone,
+		Attempts: v.Attempts,
+		Ran:      v.Ran,
+		TookMs:   v.TookMs,
+		Tokens:   v.Tokens,
+	}
+	if v.Cost != nil {
+		res.Cost = marshalPipelinesStageCostToStageCostResponseBody(v.Cost)
+	}
+
+	return res
+}
+
+// marshalPipelinesStageCostToStageCostResponseBody builds a value of type
+// *StageCostResponseBody from a value of type *pipelines.StageCost.
+func marshalPipelinesStageCostToStageCostResponseBody(v *pipelines.StageCost) *StageCostResponseBody {
+	res := &StageCostResponseBody{
+		Useful: v.Useful,
+		Wasted: v.Wasted,
+	}
+
+	return res
+}
+
+// marshalPipelinesOutputToOutputResponseBody builds a value of type
+// *OutputResponseBody from a value of type *pipelines.Output.
+func marshalPipelinesOutputToOutputResponseBody(v *pipelines.Output) *OutputResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &OutputResponseBody{
+		Text:    v.Text,
+		Receipt: v.Receipt,
+	}
+	if v.Passages != nil {
+		res.Passages = make([]*PassageResponseBody, len(v.Passages))
+		for i, val := range v.Passages {
+			if val == nil {
+				res.Passages[i] = nil
+				continue
+			}
+			res.Passages[i] = marshalPipelinesPassageToPassageResponseBody(val)
+		}
+	}
+	if v.Vector != nil {
+		res.Vector = make([]float32, len(v.Vector))
+		for i, val := range v.Vector {
+			res.Vector[i] = val
+		}
+	}
+
+	return res
+}
+
+// marshalPipelinesPassageToPassageResponseBody builds a value of type
+// *PassageResponseBody from a value of type *pipelines.Passage.
+func marshalPipelinesPassageToPassageResponseBody(v *pipelines.Passage) *PassageResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &PassageResponseBody{
+		ID:    v.ID,
+		Text:  v.Text,
+		Score: v.Score,
+	}
+
+	return res
+}
--- a/internal/gen/http/pipelines/server/server.go
+++ b/internal/gen/http/pipelines/server/server.go
@@ -19,8 +19,11 @@
 // Server lists the pipelines service endpoint HTTP handlers.
 type Server struct {
 	Mounts []*MountPoint
-	Stream http.Handler
 	Run    http.Handler
+	Stream http.Handler
+	Issue  http.Handler
+	Once   http.Handler
+	Result http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -50,11 +53,17 @@
 ) *Server {
 	return &Server{
 		Mounts: []*MountPoint{
-			{"Stream", "POST", "/v1/pipelines/{pipeline}/stream"},
 			{"Run", "POST", "/v1/pipelines/{pipeline}/requests"},
+			{"Stream", "POST", "/v1/pipelines/{pipeline}/stream"},
+			{"Issue", "POST", "/v1/tickets"},
+			{"Once", "PUT", "/v1/requests/{request_id}"},
+			{"Result", "GET", "/v1/requests/{request_id}"},
 		},
-		Stream: NewStreamHandler(e.Stream, mux, decoder, encoder, errhandler, formatter),
 		Run:    NewRunHandler(e.Run, mux, decoder, encoder, errhandler, formatter),
+		Stream: NewStreamHandler(e.Stream, mux, decoder, encoder, errhandler, formatter),
+		Issue:  NewIssueHandler(e.Issue, mux, decoder, encoder, errhandler, formatter),
+		Once:   NewOnceHandler(e.Once, mux, decoder, encoder, errhandler, formatter),
+		Result: NewResultHandler(e.Result, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -63,8 +72,11 @@
 
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
-	s.Stream = m(s.Stream)
 	s.Run = m(s.Run)
+	s.Stream = m(s.Stream)
+	s.Issue = m(s.Issue)
+	s.Once = m(s.Once)
+	s.Result = m(s.Result)
 }
 
 // MethodNames returns the methods served.
@@ -72,8 +84,11 @@
 
 // Mount configures the mux to serve the pipelines endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
-	MountStreamHandler(mux, h.Stream)
 	MountRunHandler(mux, h.Run)
+	MountStreamHandler(mux, h.Stream)
+	MountIssueHandler(mux, h.Issue)
+	MountOnceHandler(mux, h.Once)
+	MountResultHandler(mux, h.Result)
 }
 
 // Mount configures the mux to serve the pipelines endpoints.
@@ -81,6 +96,59 @@
 	Mount(mux, s)
 }
 
+// MountRunHandler configures the mux to serve the "pipelines" service "run"
+// endpoint.
+func MountRunHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/pipelines/{pipeline}/requests", f)
+}
+
+// NewRunHandler creates a HTTP handler which loads the HTTP request and calls
+// the "pipelines" service "run" endpoint.
+func NewRunHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRunRequest(mux, decoder)
+		encodeResponse = EncodeRunResponse(encoder)
+		encodeError    = EncodeRunError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "run")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "pipelines")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountStreamHandler configures the mux to serve the "pipelines" service
 // "stream" endpoint.
 func MountStreamHandler(mux goahttp.Muxer, h http.Handler) {
@@ -105,7 +173,7 @@
 ) http.Handler {
 	var (
 		decodeRequest = DecodeStreamRequest(mux, decoder)
-		encodeError   = goahttp.ErrorEncoder(encoder, formatter)
+		encodeError   = EncodeStreamError(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
@@ -135,21 +203,74 @@
 	})
 }
 
-// MountRunHandler configures the mux to serve the "pipelines" service "run"
+// MountIssueHandler configures the mux to serve the "pipelines" service
+// "issue" endpoint.
+func MountIssueHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/tickets", f)
+}
+
+// NewIssueHandler creates a HTTP handler which loads the HTTP request and
+// calls the "pipelines" service "issue" endpoint.
+func NewIssueHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeIssueRequest(mux, decoder)
+		encodeResponse = EncodeIssueResponse(encoder)
+		encodeError    = EncodeIssueError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "issue")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "pipelines")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountOnceHandler configures the mux to serve the "pipelines" service "once"
 // endpoint.
-func MountRunHandler(mux goahttp.Muxer, h http.Handler) {
+func MountOnceHandler(mux goahttp.Muxer, h http.Handler) {
 	f, ok := h.(http.HandlerFunc)
 	if !ok {
 		f = func(w http.ResponseWriter, r *http.Request) {
 			h.ServeHTTP(w, r)
 		}
 	}
-	mux.Handle("POST", "/v1/pipelines/{pipeline}/requests", f)
+	mux.Handle("PUT", "/v1/requests/{request_id}", f)
 }
 
-// NewRunHandler creates a HTTP handler which loads the HTTP request and calls
-// the "pipelines" service "run" endpoint.
-func NewRunHandler(
+// NewOnceHandler creates a HTTP handler which loads the HTTP request and calls
+// the "pipelines" service "once" endpoint.
+func NewOnceHandler(
 	endpoint goa.Endpoint,
 	mux goahttp.Muxer,
 	decoder func(*http.Request) goahttp.Decoder,
@@ -158,13 +279,66 @@
 	formatter func(ctx context.Context, err error) goahttp.Statuser,
 ) http.Handler {
 	var (
-		decodeRequest  = DecodeRunRequest(mux, decoder)
-		encodeResponse = EncodeRunResponse(encoder)
-		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+		decodeRequest  = DecodeOnceRequest(mux, decoder)
+		encodeResponse = EncodeOnceResponse(encoder)
+		encodeError    = EncodeOnceError(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "run")
+		ctx = context.WithValue(ctx, goa.MethodKey, "once")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "pipelines")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountResultHandler configures the mux to serve the "pipelines" service
+// "result" endpoint.
+func MountResultHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/requests/{request_id}", f)
+}
+
+// NewResultHandler creates a HTTP handler which loads the HTTP request and
+// calls the "pipelines" service "result" endpoint.
+func NewResultHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeResultRequest(mux, decoder)
+		encodeResponse = EncodeResultResponse(encoder)
+		encodeError    = EncodeResultError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "result")
 		ctx = context.WithValue(ctx, goa.ServiceKey, "pipelines")
 		payload, err := decodeRequest(r)
 		if err != nil {
