--- a/internal/gen/http/pipelines/server/types.go
+++ b/internal/gen/http/pipelines/server/types.go
@@ -13,25 +13,1341 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// RunRequestBody is the type of the "pipelines" service "run" endpoint HTTP
+// request body.
+type RunRequestBody struct {
+	Input *string `form:"input,omitempty" json:"input,omitempty" xml:"input,omitempty"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
+}
+
 // StreamRequestBody is the type of the "pipelines" service "stream" endpoint
 // HTTP request body.
 type StreamRequestBody struct {
 	Input *string `form:"input,omitempty" json:"input,omitempty" xml:"input,omitempty"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
 }
 
-// RunRequestBody is the type of the "pipelines" service "run" endpoint HTTP
+// IssueRequestBody is the type of the "pipelines" service "issue" endpoint
+// HTTP request body.
+type IssueRequestBody struct {
+	Pipeline *string `form:"pipeline,omitempty" json:"pipeline,omitempty" xml:"pipeline,omitempty"`
+}
+
+// OnceRequestBody is the type of the "pipelines" service "once" endpoint HTTP
 // request body.
-type RunRequestBody struct {
-	Input *string `form:"input,omitempty" json:"input,omitempty" xml:"input,omitempty"`
+type OnceRequestBody struct {
+	Pipeline *string `form:"pipeline,omitempty" json:"pipeline,omitempty" xml:"pipeline,omitempty"`
+	Input    *string `form:"input,omitempty" json:"input,omitempty" xml:"input,omitempty"`
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64 `form:"budget_ms,omitempty" json:"budget_ms,omitempty" xml:"budget_ms,omitempty"`
+}
+
+// RunResponseBody is the type of the "pipelines" service "run" endpoint HTTP
+// response body.
+type RunResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
 // StreamResponseBody is the type of the "pipelines" service "stream" endpoint
 // HTTP response body.
 type StreamResponseBody struct {
 	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// JSON in one line.
 	Data string `form:"data" json:"data" xml:"data"`
 }
 
+// IssueResponseBody is the type of the "pipelines" service "issue" endpoint
+// HTTP response body.
+type IssueResponseBody struct {
+	RequestID   string `form:"request_id" json:"request_id" xml:"request_id"`
+	ExpiresInMs int64  `form:"expires_in_ms" json:"expires_in_ms" xml:"expires_in_ms"`
+}
+
+// OnceResponseBody is the type of the "pipelines" service "once" endpoint HTTP
+// response body.
+type OnceResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultResponseBody is the type of the "pipelines" service "result" endpoint
+// HTTP response body.
+type ResultResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunBadRequestResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "bad_request" error.
+type RunBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunUnauthorizedResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unauthorized" error.
+type RunUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunForbiddenResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "forbidden" error.
+type RunForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunNotFoundResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "not_found" error.
+type RunNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunOutcomeUnknownResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type RunOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunGoneResponseBody is the type of the "pipelines" service "run" endpoint
+// HTTP response body for the "gone" error.
+type RunGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunTooLargeResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "too_large" error.
+type RunTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunNeedsTicketResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "needs_ticket" error.
+type RunNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunFailedResponseBody is the type of the "pipelines" service "run" endpoint
+// HTTP response body for the "failed" error.
+type RunFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunUnavailableResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unavailable" error.
+type RunUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RunDeadlineExceededResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "deadline_exceeded" error.
+type RunDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamBadRequestResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "bad_request" error.
+type StreamBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamUnauthorizedResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unauthorized" error.
+type StreamUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamForbiddenResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "forbidden" error.
+type StreamForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamNotFoundResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "not_found" error.
+type StreamNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "outcome_unknown" error.
+type StreamOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamGoneResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "gone" error.
+type StreamGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamTooLargeResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "too_large" error.
+type StreamTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamNeedsTicketResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "needs_ticket" error.
+type StreamNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamFailedResponseBody is the type of the "pipelines" service "stream"
+// endpoint HTTP response body for the "failed" error.
+type StreamFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamUnavailableResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unavailable" error.
+type StreamUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// StreamDeadlineExceededResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "deadline_exceeded" error.
+type StreamDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueBadRequestResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "bad_request" error.
+type IssueBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueUnauthorizedResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "unauthorized" error.
+type IssueUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueForbiddenResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "forbidden" error.
+type IssueForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueNotFoundResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "not_found" error.
+type IssueNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "outcome_unknown" error.
+type IssueOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueGoneResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "gone" error.
+type IssueGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueTooLargeResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "too_large" error.
+type IssueTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueNeedsTicketResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "needs_ticket" error.
+type IssueNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueFailedResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "failed" error.
+type IssueFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueUnavailableResponseBody is the type of the "pipelines" service "issue"
+// endpoint HTTP response body for the "unavailable" error.
+type IssueUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// IssueDeadlineExceededResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "deadline_exceeded" error.
+type IssueDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceBadRequestResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "bad_request" error.
+type OnceBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceUnauthorizedResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "unauthorized" error.
+type OnceUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceForbiddenResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "forbidden" error.
+type OnceForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceNotFoundResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "not_found" error.
+type OnceNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceOutcomeUnknownResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type OnceOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceGoneResponseBody is the type of the "pipelines" service "once" endpoint
+// HTTP response body for the "gone" error.
+type OnceGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceTooLargeResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "too_large" error.
+type OnceTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceNeedsTicketResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "needs_ticket" error.
+type OnceNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceFailedResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "failed" error.
+type OnceFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceUnavailableResponseBody is the type of the "pipelines" service "once"
+// endpoint HTTP response body for the "unavailable" error.
+type OnceUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// OnceDeadlineExceededResponseBody is the type of the "pipelines" service
+// "once" endpoint HTTP response body for the "deadline_exceeded" error.
+type OnceDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultBadRequestResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "bad_request" error.
+type ResultBadRequestResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultUnauthorizedResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unauthorized" error.
+type ResultUnauthorizedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultForbiddenResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "forbidden" error.
+type ResultForbiddenResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultNotFoundResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "not_found" error.
+type ResultNotFoundResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultOutcomeUnknownResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "outcome_unknown" error.
+type ResultOutcomeUnknownResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultGoneResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "gone" error.
+type ResultGoneResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultTooLargeResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "too_large" error.
+type ResultTooLargeResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultNeedsTicketResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "needs_ticket" error.
+type ResultNeedsTicketResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultFailedResponseBody is the type of the "pipelines" service "result"
+// endpoint HTTP response body for the "failed" error.
+type ResultFailedResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultUnavailableResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unavailable" error.
+type ResultUnavailableResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64               `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	Stages       []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload      *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// ResultDeadlineExceededResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "deadline_exceeded" error.
+type ResultDeadlineExceededResponseBody struct {
+	// Short name of the HTTP status.
+	Status  string `form:"status" json:"status" xml:"status"`
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Why the outcome is not complete.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// The reason for a person to read.
+	Message   *string           `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	RequestID *string           `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	TraceID   *string           `form:"trace_id,omitempty" json:"trace_id,omitempty" xml:"trace_id,omitempty"`
+	Rule      *RuleResponseBody `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// When to come back, if that may help.
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int                 `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	Stages     []*StageResponseBody `form:"stages,omitempty" json:"stages,omitempty" xml:"stages,omitempty"`
+	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
+}
+
+// RuleResponseBody is used to define fields on response body types.
+type RuleResponseBody struct {
+	// Line in the rules, from 1.
+	Line int `form:"line" json:"line" xml:"line"`
+	// Who asked for it.
+	Asked string `form:"asked" json:"asked" xml:"asked"`
+}
+
+// StageResponseBody is used to define fields on response body types.
+type StageResponseBody struct {
+	Stage    string  `form:"stage" json:"stage" xml:"stage"`
+	Server   *string `form:"server,omitempty" json:"server,omitempty" xml:"server,omitempty"`
+	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Attempts uint    `form:"attempts" json:"attempts" xml:"attempts"`
+	// False only if no attempt can have reached a backend server.
+	Ran    bool                   `form:"ran" json:"ran" xml:"ran"`
+	TookMs float64                `form:"took_ms" json:"took_ms" xml:"took_ms"`
+	Tokens uint32                 `form:"tokens" json:"tokens" xml:"tokens"`
+	Cost   *StageCostResponseBody `form:"cost" json:"cost" xml:"cost"`
+}
+
+// StageCostResponseBody is used to define fields on response body types.
+type StageCostResponseBody struct {
+	Useful uint64 `form:"useful" json:"useful" xml:"useful"`
+	// Cancelled, superseded, late and failed attempts.
+	Wasted uint64 `form:"wasted" json:"wasted" xml:"wasted"`
+}
+
+// OutputResponseBody is used to define fields on response body types.
+type OutputResponseBody struct {
+	Text     *string                `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+	Receipt  *string                `form:"receipt,omitempty" json:"receipt,omitempty" xml:"receipt,omitempty"`
+	Passages []*PassageResponseBody `form:"passages,omitempty" json:"passages,omitempty" xml:"passages,omitempty"`
+	Vector   []float32              `form:"vector,omitempty" json:"vector,omitempty" xml:"vector,omitempty"`
+}
+
+// PassageResponseBody is used to define fields on response body types.
+type PassageResponseBody struct {
+	ID    string  `form:"id" json:"id" xml:"id"`
+	Text  string  `form:"text" json:"text" xml:"text"`
+	Score float64 `form:"score" json:"score" xml:"score"`
+}
+
+// NewRunResponseBody builds the HTTP response body from the result of the
+// "run" endpoint of the "pipelines" service.
+func NewRunResponseBody(res *pipelines.Answer) *RunResponseBody {
+	body := &RunResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
 // NewStreamResponseBody builds the HTTP response body from the result of the
 // "stream" endpoint of the "pipelines" service.
 func NewStreamResponseBody(res *pipelines.StreamResult) *StreamResponseBody {
@@ -42,38 +1358,1966 @@
 	return body
 }
 
-// NewStreamPayload builds a pipelines service stream endpoint payload.
-func NewStreamPayload(body *StreamRequestBody, pipeline string) *pipelines.StreamPayload {
-	v := &pipelines.StreamPayload{
-		Input: *body.Input,
+// NewIssueResponseBody builds the HTTP response body from the result of the
+// "issue" endpoint of the "pipelines" service.
+func NewIssueResponseBody(res *pipelines.Ticket) *IssueResponseBody {
+	body := &IssueResponseBody{
+		RequestID:   res.RequestID,
+		ExpiresInMs: res.ExpiresInMs,
 	}
-	v.Pipeline = pipeline
+	return body
+}
 
-	return v
+// NewOnceResponseBody builds the HTTP response body from the result of the
+// "once" endpoint of the "pipelines" service.
+func NewOnceResponseBody(res *pipelines.Answer) *OnceResponseBody {
+	body := &OnceResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
 }
 
-// NewRunPayload builds a pipelines service run endpoint payload.
-func NewRunPayload(body *RunRequestBody, pipeline string) *pipelines.RunPayload {
-	v := &pipelines.RunPayload{
-		Input: *body.Input,
+// NewResultResponseBody builds the HTTP response body from the result of the
+// "result" endpoint of the "pipelines" service.
+func NewResultResponseBody(res *pipelines.Answer) *ResultResponseBody {
+	body := &ResultResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 	}
-	v.Pipeline = pipeline
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
 
-	return v
+// NewRunBadRequestResponseBody builds the HTTP response body from the result
+// of the "run" endpoint of the "pipelines" service.
+func NewRunBadRequestResponseBody(res *pipelines.Answer) *RunBadRequestResponseBody {
+	body := &RunBadRequestResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
 }
 
-// ValidateStreamRequestBody runs the validations defined on StreamRequestBody
-func ValidateStreamRequestBody(body *StreamRequestBody) (err error) {
-	if body.Input == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("input", "body"))
+// NewRunUnauthorizedResponseBody builds the HTTP response body from the result
+// of the "run" endpoint of the "pipelines" service.
+func NewRunUnauthorizedResponseBody(res *pipelines.Answer) *RunUnauthorizedResponseBody {
+	body := &RunUnauthorizedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 	}
-	return
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
 }
 
-// ValidateRunRequestBody runs the validations defined on RunRequestBody
-func ValidateRunRequestBody(body *RunRequestBody) (err error) {
-	if body.Input == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("input", "body"))
+// NewRunForbiddenResponseBody builds the HTTP response body from the result of
+// the "run" endpoint of the "pipelines" service.
+func NewRunForbiddenResponseBody(res *pipelines.Answer) *RunForbiddenResponseBody {
+	body := &RunForbiddenResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunNotFoundResponseBody builds the HTTP response body from the result of
+// the "run" endpoint of the "pipelines" service.
+func NewRunNotFoundResponseBody(res *pipelines.Answer) *RunNotFoundResponseBody {
+	body := &RunNotFoundResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "run" endpoint of the "pipelines" service.
+func NewRunOutcomeUnknownResponseBody(res *pipelines.Answer) *RunOutcomeUnknownResponseBody {
+	body := &RunOutcomeUnknownResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunGoneResponseBody builds the HTTP response body from the result of the
+// "run" endpoint of the "pipelines" service.
+func NewRunGoneResponseBody(res *pipelines.Answer) *RunGoneResponseBody {
+	body := &RunGoneResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunTooLargeResponseBody builds the HTTP response body from the result of
+// the "run" endpoint of the "pipelines" service.
+func NewRunTooLargeResponseBody(res *pipelines.Answer) *RunTooLargeResponseBody {
+	body := &RunTooLargeResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunNeedsTicketResponseBody builds the HTTP response body from the result
+// of the "run" endpoint of the "pipelines" service.
+func NewRunNeedsTicketResponseBody(res *pipelines.Answer) *RunNeedsTicketResponseBody {
+	body := &RunNeedsTicketResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunFailedResponseBody builds the HTTP response body from the result of
+// the "run" endpoint of the "pipelines" service.
+func NewRunFailedResponseBody(res *pipelines.Answer) *RunFailedResponseBody {
+	body := &RunFailedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunUnavailableResponseBody builds the HTTP response body from the result
+// of the "run" endpoint of the "pipelines" service.
+func NewRunUnavailableResponseBody(res *pipelines.Answer) *RunUnavailableResponseBody {
+	body := &RunUnavailableResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunDeadlineExceededResponseBody builds the HTTP response body from the
+// result of the "run" endpoint of the "pipelines" service.
+func NewRunDeadlineExceededResponseBody(res *pipelines.Answer) *RunDeadlineExceededResponseBody {
+	body := &RunDeadlineExceededResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamBadRequestResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamBadRequestResponseBody(res *pipelines.Answer) *StreamBadRequestResponseBody {
+	body := &StreamBadRequestResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamUnauthorizedResponseBody(res *pipelines.Answer) *StreamUnauthorizedResponseBody {
+	body := &StreamUnauthorizedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamForbiddenResponseBody builds the HTTP response body from the result
+// of the "stream" endpoint of the "pipelines" service.
+func NewStreamForbiddenResponseBody(res *pipelines.Answer) *StreamForbiddenResponseBody {
+	body := &StreamForbiddenResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamNotFoundResponseBody builds the HTTP response body from the result
+// of the "stream" endpoint of the "pipelines" service.
+func NewStreamNotFoundResponseBody(res *pipelines.Answer) *StreamNotFoundResponseBody {
+	body := &StreamNotFoundResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamOutcomeUnknownResponseBody(res *pipelines.Answer) *StreamOutcomeUnknownResponseBody {
+	body := &StreamOutcomeUnknownResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamGoneResponseBody builds the HTTP response body from the result of
+// the "stream" endpoint of the "pipelines" service.
+func NewStreamGoneResponseBody(res *pipelines.Answer) *StreamGoneResponseBody {
+	body := &StreamGoneResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamTooLargeResponseBody builds the HTTP response body from the result
+// of the "stream" endpoint of the "pipelines" service.
+func NewStreamTooLargeResponseBody(res *pipelines.Answer) *StreamTooLargeResponseBody {
+	body := &StreamTooLargeResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamNeedsTicketResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamNeedsTicketResponseBody(res *pipelines.Answer) *StreamNeedsTicketResponseBody {
+	body := &StreamNeedsTicketResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamFailedResponseBody builds the HTTP response body from the result of
+// the "stream" endpoint of the "pipelines" service.
+func NewStreamFailedResponseBody(res *pipelines.Answer) *StreamFailedResponseBody {
+	body := &StreamFailedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamUnavailableResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamUnavailableResponseBody(res *pipelines.Answer) *StreamUnavailableResponseBody {
+	body := &StreamUnavailableResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewStreamDeadlineExceededResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "pipelines" service.
+func NewStreamDeadlineExceededResponseBody(res *pipelines.Answer) *StreamDeadlineExceededResponseBody {
+	body := &StreamDeadlineExceededResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueBadRequestResponseBody builds the HTTP response body from the result
+// of the "issue" endpoint of the "pipelines" service.
+func NewIssueBadRequestResponseBody(res *pipelines.Answer) *IssueBadRequestResponseBody {
+	body := &IssueBadRequestResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "issue" endpoint of the "pipelines" service.
+func NewIssueUnauthorizedResponseBody(res *pipelines.Answer) *IssueUnauthorizedResponseBody {
+	body := &IssueUnauthorizedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueForbiddenResponseBody builds the HTTP response body from the result
+// of the "issue" endpoint of the "pipelines" service.
+func NewIssueForbiddenResponseBody(res *pipelines.Answer) *IssueForbiddenResponseBody {
+	body := &IssueForbiddenResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueNotFoundResponseBody builds the HTTP response body from the result
+// of the "issue" endpoint of the "pipelines" service.
+func NewIssueNotFoundResponseBody(res *pipelines.Answer) *IssueNotFoundResponseBody {
+	body := &IssueNotFoundResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "issue" endpoint of the "pipelines" service.
+func NewIssueOutcomeUnknownResponseBody(res *pipelines.Answer) *IssueOutcomeUnknownResponseBody {
+	body := &IssueOutcomeUnknownResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueGoneResponseBody builds the HTTP response body from the result of
+// the "issue" endpoint of the "pipelines" service.
+func NewIssueGoneResponseBody(res *pipelines.Answer) *IssueGoneResponseBody {
+	body := &IssueGoneResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueTooLargeResponseBody builds the HTTP response body from the result
+// of the "issue" endpoint of the "pipelines" service.
+func NewIssueTooLargeResponseBody(res *pipelines.Answer) *IssueTooLargeResponseBody {
+	body := &IssueTooLargeResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueNeedsTicketResponseBody builds the HTTP response body from the
+// result of the "issue" endpoint of the "pipelines" service.
+func NewIssueNeedsTicketResponseBody(res *pipelines.Answer) *IssueNeedsTicketResponseBody {
+	body := &IssueNeedsTicketResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueFailedResponseBody builds the HTTP response body from the result of
+// the "issue" endpoint of the "pipelines" service.
+func NewIssueFailedResponseBody(res *pipelines.Answer) *IssueFailedResponseBody {
+	body := &IssueFailedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueUnavailableResponseBody builds the HTTP response body from the
+// result of the "issue" endpoint of the "pipelines" service.
+func NewIssueUnavailableResponseBody(res *pipelines.Answer) *IssueUnavailableResponseBody {
+	body := &IssueUnavailableResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewIssueDeadlineExceededResponseBody builds the HTTP response body from the
+// result of the "issue" endpoint of the "pipelines" service.
+func NewIssueDeadlineExceededResponseBody(res *pipelines.Answer) *IssueDeadlineExceededResponseBody {
+	body := &IssueDeadlineExceededResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceBadRequestResponseBody builds the HTTP response body from the result
+// of the "once" endpoint of the "pipelines" service.
+func NewOnceBadRequestResponseBody(res *pipelines.Answer) *OnceBadRequestResponseBody {
+	body := &OnceBadRequestResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "once" endpoint of the "pipelines" service.
+func NewOnceUnauthorizedResponseBody(res *pipelines.Answer) *OnceUnauthorizedResponseBody {
+	body := &OnceUnauthorizedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceForbiddenResponseBody builds the HTTP response body from the result
+// of the "once" endpoint of the "pipelines" service.
+func NewOnceForbiddenResponseBody(res *pipelines.Answer) *OnceForbiddenResponseBody {
+	body := &OnceForbiddenResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceNotFoundResponseBody builds the HTTP response body from the result of
+// the "once" endpoint of the "pipelines" service.
+func NewOnceNotFoundResponseBody(res *pipelines.Answer) *OnceNotFoundResponseBody {
+	body := &OnceNotFoundResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "once" endpoint of the "pipelines" service.
+func NewOnceOutcomeUnknownResponseBody(res *pipelines.Answer) *OnceOutcomeUnknownResponseBody {
+	body := &OnceOutcomeUnknownResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceGoneResponseBody builds the HTTP response body from the result of the
+// "once" endpoint of the "pipelines" service.
+func NewOnceGoneResponseBody(res *pipelines.Answer) *OnceGoneResponseBody {
+	body := &OnceGoneResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceTooLargeResponseBody builds the HTTP response body from the result of
+// the "once" endpoint of the "pipelines" service.
+func NewOnceTooLargeResponseBody(res *pipelines.Answer) *OnceTooLargeResponseBody {
+	body := &OnceTooLargeResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceNeedsTicketResponseBody builds the HTTP response body from the result
+// of the "once" endpoint of the "pipelines" service.
+func NewOnceNeedsTicketResponseBody(res *pipelines.Answer) *OnceNeedsTicketResponseBody {
+	body := &OnceNeedsTicketResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceFailedResponseBody builds the HTTP response body from the result of
+// the "once" endpoint of the "pipelines" service.
+func NewOnceFailedResponseBody(res *pipelines.Answer) *OnceFailedResponseBody {
+	body := &OnceFailedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceUnavailableResponseBody builds the HTTP response body from the result
+// of the "once" endpoint of the "pipelines" service.
+func NewOnceUnavailableResponseBody(res *pipelines.Answer) *OnceUnavailableResponseBody {
+	body := &OnceUnavailableResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewOnceDeadlineExceededResponseBody builds the HTTP response body from the
+// result of the "once" endpoint of the "pipelines" service.
+func NewOnceDeadlineExceededResponseBody(res *pipelines.Answer) *OnceDeadlineExceededResponseBody {
+	body := &OnceDeadlineExceededResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultBadRequestResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultBadRequestResponseBody(res *pipelines.Answer) *ResultBadRequestResponseBody {
+	body := &ResultBadRequestResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultUnauthorizedResponseBody(res *pipelines.Answer) *ResultUnauthorizedResponseBody {
+	body := &ResultUnauthorizedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultForbiddenResponseBody builds the HTTP response body from the result
+// of the "result" endpoint of the "pipelines" service.
+func NewResultForbiddenResponseBody(res *pipelines.Answer) *ResultForbiddenResponseBody {
+	body := &ResultForbiddenResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultNotFoundResponseBody builds the HTTP response body from the result
+// of the "result" endpoint of the "pipelines" service.
+func NewResultNotFoundResponseBody(res *pipelines.Answer) *ResultNotFoundResponseBody {
+	body := &ResultNotFoundResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultOutcomeUnknownResponseBody(res *pipelines.Answer) *ResultOutcomeUnknownResponseBody {
+	body := &ResultOutcomeUnknownResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultGoneResponseBody builds the HTTP response body from the result of
+// the "result" endpoint of the "pipelines" service.
+func NewResultGoneResponseBody(res *pipelines.Answer) *ResultGoneResponseBody {
+	body := &ResultGoneResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultTooLargeResponseBody builds the HTTP response body from the result
+// of the "result" endpoint of the "pipelines" service.
+func NewResultTooLargeResponseBody(res *pipelines.Answer) *ResultTooLargeResponseBody {
+	body := &ResultTooLargeResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultNeedsTicketResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultNeedsTicketResponseBody(res *pipelines.Answer) *ResultNeedsTicketResponseBody {
+	body := &ResultNeedsTicketResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultFailedResponseBody builds the HTTP response body from the result of
+// the "result" endpoint of the "pipelines" service.
+func NewResultFailedResponseBody(res *pipelines.Answer) *ResultFailedResponseBody {
+	body := &ResultFailedResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultUnavailableResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultUnavailableResponseBody(res *pipelines.Answer) *ResultUnavailableResponseBody {
+	body := &ResultUnavailableResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewResultDeadlineExceededResponseBody builds the HTTP response body from the
+// result of the "result" endpoint of the "pipelines" service.
+func NewResultDeadlineExceededResponseBody(res *pipelines.Answer) *ResultDeadlineExceededResponseBody {
+	body := &ResultDeadlineExceededResponseBody{
+		Status:       res.Status,
+		Outcome:      res.Outcome,
+		Reason:       res.Reason,
+		Message:      res.Message,
+		RequestID:    res.RequestID,
+		TraceID:      res.TraceID,
+		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
+	}
+	if res.Rule != nil {
+		body.Rule = marshalPipelinesRuleToRuleResponseBody(res.Rule)
+	}
+	if res.Stages != nil {
+		body.Stages = make([]*StageResponseBody, len(res.Stages))
+		for i, val := range res.Stages {
+			if val == nil {
+				body.Stages[i] = nil
+				continue
+			}
+			body.Stages[i] = marshalPipelinesStageToStageResponseBody(val)
+		}
+	}
+	if res.Payload != nil {
+		body.Payload = marshalPipelinesOutputToOutputResponseBody(res.Payload)
+	}
+	return body
+}
+
+// NewRunPayload builds a pipelines service run endpoint payload.
+func NewRunPayload(body *RunRequestBody, pipeline string, workspace string, token *string) *pipelines.RunPayload {
+	v := &pipelines.RunPayload{
+		Input:     *body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
+	}
+	v.Pipeline = pipeline
+	v.Workspace = workspace
+	v.Token = token
+
+	return v
+}
+
+// NewStreamPayload builds a pipelines service stream endpoint payload.
+func NewStreamPayload(body *StreamRequestBody, pipeline string, workspace string, token *string) *pipelines.StreamPayload {
+	v := &pipelines.StreamPayload{
+		Input:     *body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
+	}
+	v.Pipeline = pipeline
+	v.Workspace = workspace
+	v.Token = token
+
+	return v
+}
+
+// NewIssuePayload builds a pipelines service issue endpoint payload.
+func NewIssuePayload(body *IssueRequestBody, workspace string, token *string) *pipelines.IssuePayload {
+	v := &pipelines.IssuePayload{
+		Pipeline: *body.Pipeline,
+	}
+	v.Workspace = workspace
+	v.Token = token
+
+	return v
+}
+
+// NewOncePayload builds a pipelines service once endpoint payload.
+func NewOncePayload(body *OnceRequestBody, requestID string, workspace string, token *string) *pipelines.OncePayload {
+	v := &pipelines.OncePayload{
+		Pipeline:  *body.Pipeline,
+		Input:     *body.Input,
+		MaxTokens: body.MaxTokens,
+		BudgetMs:  body.BudgetMs,
+	}
+	v.RequestID = requestID
+	v.Workspace = workspace
+	v.Token = token
+
+	return v
+}
+
+// NewResultPayload builds a pipelines service result endpoint payload.
+func NewResultPayload(requestID string, workspace string, token *string) *pipelines.ResultPayload {
+	v := &pipelines.ResultPayload{}
+	v.RequestID = requestID
+	v.Workspace = workspace
+	v.Token = token
+
+	return v
+}
+
+// ValidateRunRequestBody runs the validations defined on RunRequestBody
+func ValidateRunRequestBody(body *RunRequestBody) (err error) {
+	if body.Input == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("input", "body"))
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+		}
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+		}
+	}
+	return
+}
+
+// ValidateStreamRequestBody runs the validations defined on StreamRequestBody
+func ValidateStreamRequestBody(body *StreamRequestBody) (err error) {
+	if body.Input == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("input", "body"))
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+		}
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+		}
+	}
+	return
+}
+
+// ValidateIssueRequestBody runs the validations defined on IssueRequestBody
+func ValidateIssueRequestBody(body *IssueRequestBody) (err error) {
+	if body.Pipeline == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("pipeline", "body"))
+	}
+	if body.Pipeline != nil {
+		err = goa.MergeErrors(err, goa.ValidatePattern("body.pipeline", *body.Pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+	}
+	return
+}
+
+// ValidateOnceRequestBody runs the validations defined on OnceRequestBody
+func ValidateOnceRequestBody(body *OnceRequestBody) (err error) {
+	if body.Pipeline == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("pipeline", "body"))
+	}
+	if body.Input == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("input", "body"))
+	}
+	if body.Pipeline != nil {
+		err = goa.MergeErrors(err, goa.ValidatePattern("body.pipeline", *body.Pipeline, "^[A-Za-z0-9._-]{1,64}$"))
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 1, true))
+		}
+	}
+	if body.BudgetMs != nil {
+		if *body.BudgetMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.budget_ms", *body.BudgetMs, 3.6e+06, false))
+		}
 	}
 	return
 }
--- a/internal/gen/pipelines/client.go
+++ b/internal/gen/pipelines/client.go
@@ -15,19 +15,61 @@
 
 // Client is the "pipelines" service client.
 type Client struct {
-	StreamEndpoint goa.Endpoint
 	RunEndpoint    goa.Endpoint
+	StreamEndpoint goa.Endpoint
+	IssueEndpoint  goa.Endpoint
+	OnceEndpoint   goa.Endpoint
+	ResultEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "pipelines" service client given the endpoints.
-func NewClient(stream, run goa.Endpoint) *Client {
+func NewClient(run, stream, issue, once, result goa.Endpoint) *Client {
 	return &Client{
-		StreamEndpoint: stream,
 		RunEndpoint:    run,
+		StreamEndpoint: stream,
+		IssueEndpoint:  issue,
+		OnceEndpoint:   once,
+		ResultEndpoint: result,
 	}
 }
 
+// Run calls the "run" endpoint of the "pipelines" service.
+// Run may return the following errors:
+//   - "bad_request" (type *Answer)
+//   - "unauthorized" (type *Answer)
+//   - "forbidden" (type *Answer)
+//   - "not_found" (type *Answer)
+//   - "outcome_unknown" (type *Answer)
+//   - "gone" (type *Answer)
+//   - "too_large" (type *Answer)
+//   - "needs_ticket" (type *Answer)
+//   - "failed" (type *Answer)
+//   - "unavailable" (type *Answer)
+//   - "deadline_exceeded" (type *Answer)
+//   - error: internal error
+func (c *Client) Run(ctx context.Context, p *RunPayload) (res *Answer, err error) {
+	var ires any
+	ires, err = c.RunEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Answer), nil
+}
+
 // Stream calls the "stream" endpoint of the "pipelines" service.
+// Stream may return the following errors:
+//   - "bad_request" (type *Answer)
+//   - "unauthorized" (type *Answer)
+//   - "forbidden" (type *Answer)
+//   - "not_found" (type *Answer)
+//   - "outcome_unknown" (type *Answer)
+//   - "gone" (type *Answer)
+//   - "too_large" (type *Answer)
+//   - "needs_ticket" (type *Answer)
+//   - "failed" (type *Answer)
+//   - "unavailable" (type *Answer)
+//   - "deadline_exceeded" (type *Answer)
+//   - error: internal error
 func (c *Client) Stream(ctx context.Context, p *StreamPayload) (res StreamClientStream, err error) {
 	var ires any
 	ires, err = c.StreamEndpoint(ctx, p)
@@ -37,12 +79,71 @@
 	return ires.(StreamClientStream), nil
 }
 
-// Run calls the "run" endpoint of the "pipelines" service.
-func (c *Client) Run(ctx context.Context, p *RunPayload) (res string, err error) {
+// Issue calls the "issue" endpoint of the "pipelines" service.
+// Issue may return the following errors:
+//   - "bad_request" (type *Answer)
+//   - "unauthorized" (type *Answer)
+//   - "forbidden" (type *Answer)
+//   - "not_found" (type *Answer)
+//   - "outcome_unknown" (type *Answer)
+//   - "gone" (type *Answer)
+//   - "too_large" (type *Answer)
+//   - "needs_ticket" (type *Answer)
+//   - "failed" (type *Answer)
+//   - "unavailable" (type *Answer)
+//   - "deadline_exceeded" (type *Answer)
+//   - error: internal error
+func (c *Client) Issue(ctx context.Context, p *IssuePayload) (res *Ticket, err error) {
 	var ires any
-	ires, err = c.RunEndpoint(ctx, p)
+	ires, err = c.IssueEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Ticket), nil
+}
+
+// Once calls the "once" endpoint of the "pipelines" service.
+// Once may return the following errors:
+//   - "bad_request" (type *Answer)
+//   - "unauthorized" (type *Answer)
+//   - "forbidden" (type *Answer)
+//   - "not_found" (type *Answer)
+//   - "outcome_unknown" (type *Answer)
+//   - "gone" (type *Answer)
+//   - "too_large" (type *Answer)
+//   - "needs_ticket" (type *Answer)
+//   - "failed" (type *Answer)
+//   - "unavailable" (type *Answer)
+//   - "deadline_exceeded" (type *Answer)
+//   - error: internal error
+func (c *Client) Once(ctx context.Context, p *OncePayload) (res *Answer, err error) {
+	var ires any
+	ires, err = c.OnceEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Answer), nil
+}
+
+// Result calls the "result" endpoint of the "pipelines" service.
+// Result may return the following errors:
+//   - "bad_request" (type *Answer)
+//   - "unauthorized" (type *Answer)
+//   - "forbidden" (type *Answer)
+//   - "not_found" (type *Answer)
+//   - "outcome_unknown" (type *Answer)
+//   - "gone" (type *Answer)
+//   - "too_large" (type *Answer)
+//   - "needs_ticket" (type *Answer)
+//   - "failed" (type *Answer)
+//   - "unavailable" (type *Answer)
+//   - "deadline_exceeded" (type *Answer)
+//   - error: internal error
+func (c *Client) Result(ctx context.Context, p *ResultPayload) (res *Answer, err error) {
+	var ires any
+	ires, err = c.ResultEndpoint(ctx, p)
 	if err != nil {
 		return
 	}
-	return ires.(string), nil
+	return ires.(*Answer), nil
 }
--- a/internal/gen/pipelines/endpoints.go
+++ b/internal/gen/pipelines/endpoints.go
@@ -15,8 +15,11 @@
 
 // Endpoints wraps the "pipelines" service endpoints.
 type Endpoints struct {
-	Stream goa.Endpoint
 	Run    goa.Endpoint
+	Stream goa.Endpoint
+	Issue  goa.Endpoint
+	Once   goa.Endpoint
+	Result goa.Endpoint
 }
 
 // StreamEndpointInput holds both the payload and the server stream of the
@@ -31,15 +34,30 @@
 // NewEndpoints wraps the methods of the "pipelines" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		Stream: NewStreamEndpoint(s),
 		Run:    NewRunEndpoint(s),
+		Stream: NewStreamEndpoint(s),
+		Issue:  NewIssueEndpoint(s),
+		Once:   NewOnceEndpoint(s),
+		Result: NewResultEndpoint(s),
 	}
 }
 
 // Use applies the given middleware to all the "pipelines" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
-	e.Stream = m(e.Stream)
 	e.Run = m(e.Run)
+	e.Stream = m(e.Stream)
+	e.Issue = m(e.Issue)
+	e.Once = m(e.Once)
+	e.Result = m(e.Result)
+}
+
+// NewRunEndpoint returns an endpoint function that calls the method "run" of
+// service "pipelines".
+func NewRunEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RunPayload)
+		return s.Run(ctx, p)
+	}
 }
 
 // NewStreamEndpoint returns an endpoint function that calls the method
@@ -51,11 +69,29 @@
 	}
 }
 
-// NewRunEndpoint returns an endpoint function that calls the method "run" of
+// NewIssueEndpoint returns an endpoint function that calls the method "issue"
+// of service "pipelines".
+func NewIssueEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*IssuePayload)
+		return s.Issue(ctx, p)
+	}
+}
+
+// NewOnceEndpoint returns an endpoint function that calls the method "once" of
 // service "pipelines".
-func NewRunEndpoint(s Service) goa.Endpoint {
+func NewOnceEndpoint(s Service) goa.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*RunPayload)
-		return s.Run(ctx, p)
+		p := req.(*OncePayload)
+		return s.Once(ctx, p)
+	}
+}
+
+// NewResultEndpoint returns an endpoint function that calls the method
+// "result" of service "pipelines".
+func NewResultEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ResultPayload)
+		return s.Result(ctx, p)
 	}
 }
--- a/internal/gen/pipelines/service.go
+++ b/internal/gen/pipelines/service.go
@@ -13,10 +13,17 @@
 
 // Service is the pipelines service interface.
 type Service interface {
-	// Stream implements stream.
+	// Runs an idempotent pipeline and answers with the whole result.
+	Run(context.Context, *RunPayload) (res *Answer, err error)
+	// Runs an idempotent pipeline and streams what goes on: stage, text, reset,
+	// beat, answer.
 	Stream(context.Context, *StreamPayload, StreamServerStream) (err error)
-	// Run implements run.
-	Run(context.Context, *RunPayload) (res string, err error)
+	// Gives out a ticket for one run of a non-idempotent pipeline.
+	Issue(context.Context, *IssuePayload) (res *Ticket, err error)
+	// Runs a pipeline at most once for its ticket; a repeat gets the same answer.
+	Once(context.Context, *OncePayload) (res *Answer, err error)
+	// The answer to a ticketed request; waits for it if it runs.
+	Result(context.Context, *ResultPayload) (res *Answer, err error)
 }
 
 // APIName is the name of the API as defined in the design.
@@ -33,7 +40,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [2]string{"stream", "run"}
+var MethodNames = [5]string{"run", "stream", "issue", "once", "result"}
 
 // StreamServerStream allows streaming instances of *StreamResult to the client.
 type StreamServerStream interface {
@@ -54,20 +61,237 @@
 	RecvWithContext(context.Context) (*StreamResult, error)
 }
 
+// Answer is the result type of the pipelines service run method.
+type Answer struct {
+	// Short name of the HTTP status.
+	Status  string
+	Outcome string
+	// Why the outcome is not complete.
+	Reason *string
+	// The reason for a person to read.
+	Message   *string
+	RequestID *string
+	TraceID   *string
+	Rule      *Rule
+	// When to come back, if that may help.
+	RetryAfterMs *int64
+	// The same in whole seconds, as the header Retry-After.
+	RetryAfter *int
+	Stages     []*Stage
+	Payload    *Output
+}
+
+// IssuePayload is the payload type of the pipelines service issue method.
+type IssuePayload struct {
+	Workspace string
+	// Authorization: Bearer TOKEN
+	Token    *string
+	Pipeline string
+}
+
+// OncePayload is the payload type of the pipelines service once method.
+type OncePayload struct {
+	Workspace string
+	// Authorization: Bearer TOKEN
+	Token *string
+	// The ticket's id.
+	RequestID string
+	Pipeline  string
+	Input     string
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64
+}
+
+// What the stages produced.
+type Output struct {
+	Text     *string
+	Receipt  *string
+	Passages []*Passage
+	Vector   []float32
+}
+
+type Passage struct {
+	ID    string
+	Text  string
+	Score float64
+}
+
+// ResultPayload is the payload type of the pipelines service result method.
+type ResultPayload struct {
+	Workspace string
+	// Authorization: Bearer TOKEN
+	Token *string
+	// The ticket's id.
+	RequestID string
+}
+
+// The line of the rules behind a decision.
+type Rule struct {
+	// Line in the rules, from 1.
+	Line int
+	// Who asked for it.
+	Asked string
+}
+
 // RunPayload is the payload type of the pipelines service run method.
 type RunPayload struct {
+	Workspace string
+	// Authorization: Bearer TOKEN
+	Token    *string
 	Pipeline string
 	Input    string
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64
+}
+
+// What ran of one stage, and what it cost.
+type Stage struct {
+	Stage    string
+	Server   *string
+	Zone     *string
+	Attempts uint
+	// False only if no attempt can have reached a backend server.
+	Ran    bool
+	TookMs float64
+	Tokens uint32
+	Cost   *StageCost
+}
+
+// Thousandths of a server-second.
+type StageCost struct {
+	Useful uint64
+	// Cancelled, superseded, late and failed attempts.
+	Wasted uint64
 }
 
 // StreamPayload is the payload type of the pipelines service stream method.
 type StreamPayload struct {
+	Workspace string
+	// Authorization: Bearer TOKEN
+	Token    *string
 	Pipeline string
 	Input    string
+	// Bounds what a generate stage produces; 0 leaves it to the engine.
+	MaxTokens *uint32
+	// The caller's own time limit; bounded by the pipeline's deadline.
+	BudgetMs *int64
 }
 
 // StreamResult is the result type of the pipelines service stream method.
 type StreamResult struct {
 	Kind string
+	// JSON in one line.
 	Data string
 }
+
+// Ticket is the result type of the pipelines service issue method.
+type Ticket struct {
+	RequestID   string
+	ExpiresInMs int64
+}
+
+// Error returns an error description.
+func (e *Answer) Error() string {
+	return "The one final answer to a request; also the body of every refusal."
+}
+
+// ErrorName returns "Answer".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Answer) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Answer".
+func (e *Answer) GoaErrorName() string {
+	return e.Status
+}
+
+// Error returns an error description.
+func (e *Output) Error() string {
+	return "What the stages produced."
+}
+
+// ErrorName returns "Output".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Output) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Output".
+func (e *Output) GoaErrorName() string {
+	return "Output"
+}
+
+// Error returns an error description.
+func (e *Passage) Error() string {
+	return ""
+}
+
+// ErrorName returns "Passage".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Passage) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Passage".
+func (e *Passage) GoaErrorName() string {
+	return "Passage"
+}
+
+// Error returns an error description.
+func (e *Rule) Error() string {
+	return "The line of the rules behind a decision."
+}
+
+// ErrorName returns "Rule".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Rule) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Rule".
+func (e *Rule) GoaErrorName() string {
+	return "Rule"
+}
+
+// Error returns an error description.
+func (e *Stage) Error() string {
+	return "What ran of one stage, and what it cost."
+}
+
+// ErrorName returns "Stage".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *Stage) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "Stage".
+func (e *Stage) GoaErrorName() string {
+	return "Stage"
+}
+
+// Error returns an error description.
+func (e *StageCost) Error() string {
+	return "Thousandths of a server-second."
+}
+
+// ErrorName returns "StageCost".
+//
+// Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
+func (e *StageCost) ErrorName() string {
+	return e.GoaErrorName()
+}
+
+// GoaErrorName returns "StageCost".
+func (e *StageCost) GoaErrorName() string {
+	return "StageCost"
+}
--- /dev/null
+++ b/internal/prefs/option.go
@@ -0,0 +1,61 @@
+package prefs
+
+import (
+	"reflect"
+	"strings"
+)
+
+// option is one setting, as the tags of its field describe it.
+type option struct {
+	section, key string
+	unit, doc    string
+	min, max     string
+	// check is the name of the check on the text, with its argument after "=".
+	check string
+	// empty: the option may be left empty, and is then not checked.
+	empty bool
+	// at is the path of the field in Prefs.
+	at []int
+}
+
+// section is a group of options.
+type section struct {
+	name, doc string
+	options   []option
+}
+
+// sections are all options in the order of the struct.
+var sections = describe(reflect.TypeOf(Prefs{}))
+
+func describe(t reflect.Type) []section {
+	var all []section
+	for i := range t.NumField() {
+		f := t.Field(i)
+		s := section{name: f.Tag.Get("ini"), doc: f.Tag.Get("doc")}
+		for j := range f.Type.NumField() {
+			s.options = append(s.options, describeOption(s.name, f.Type.Field(j), []int{i, j}))
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func describeOption(section string, f reflect.StructField, at []int) option {
+	check, rest, _ := strings.Cut(f.Tag.Get("check"), ",")
+	return option{
+		section: section,
+		key:     f.Tag.Get("ini"),
+		unit:    f.Tag.Get("unit"),
+		doc:     f.Tag.Get("doc"),
+		min:     f.Tag.Get("min"),
+		max:     f.Tag.Get("max"),
+		check:   check,
+		empty:   rest == "empty",
+		at:      at,
+	}
+}
+
+// field of p that holds the option.
+func (o *option) field(p *Prefs) reflect.Value {
+	return reflect.ValueOf(p).Elem().FieldByIndex(o.at)
+}
