--- /dev/null
+++ b/internal/rules/big_test.go
@@ -0,0 +1,83 @@
+package rules
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// size is how large a made-up rules file is.
+type size struct{ workspaces, servers int }
+
+// designSize is what the users plan for in the next two years.
+var designSize = size{workspaces: 27_000, servers: 2_500}
+
+// bigText makes a rules file of some size, with 13 zones and 9 pipelines.
+func bigText(s size) []byte {
+	var b bytes.Buffer
+	b.WriteString("[zones]\n")
+	for i := range 13 {
+		fmt.Fprintf(&b, "zone-%d = region region-%d ; platform group\n", i, i%4)
+	}
+	b.WriteString("[suppliers]\nnoord = leaving no ; board\nzuid = leaving no ; board\n[models]\n")
+	for i := range 9 {
+		fmt.Fprintf(&b, "model-%d = version %d ; model desk\n", i, i+1)
+	}
+	b.WriteString("[pools]\n")
+	for i := range 9 {
+		fmt.Fprintf(&b, "pool-%d = kind generate, model model-%d ; model desk\n", i, i)
+	}
+	b.WriteString("[servers]\n")
+	for i := range s.servers {
+		fmt.Fprintf(&b, "gen-%d = pool pool-%d, zone zone-%d, supplier noord, url http://10.1.%d.%d:9000, "+
+			"capacity 8, cold_bears 2, checks_caller yes, fenced yes ; operations desk, order %d\n",
+			i, i%9, i%13, i/250, i%250, i)
+	}
+	b.WriteString("[pipelines]\n")
+	for i := range 9 {
+		fmt.Fprintf(&b, "pipe-%d = deadline 6s, stages one two three ; desk %d\n", i, i)
+	}
+	b.WriteString("[stages]\n")
+	for i := range 9 {
+		for _, stage := range []string{"one", "two", "three"} {
+			fmt.Fprintf(&b, "pipe-%d/%s = kind generate, pool pool-%d, minimum 50ms ; desk %d\n", i, stage, i, i)
+		}
+	}
+	b.WriteString("[workspaces]\n")
+	for i := range s.workspaces {
+		hash := sha256.Sum256(fmt.Appendf(nil, "demo-ws-%d", i))
+		fmt.Fprintf(&b, "ws-%d = share %d, token_sha256 %x, pipelines pipe-%d ; customer %d\n", i, 1+i%4, hash, i%9, i)
+	}
+	return b.Bytes()
+}
+
+func TestPackJoins(t *testing.T) {
+	text := bigText(size{workspaces: 2_000, servers: 200})
+	index, parts := Pack(text)
+	require.Greater(t, len(parts), 1)
+	list, err := ParseIndex(3, index)
+	require.NoError(t, err)
+	back, err := Join(list, parts)
+	require.NoError(t, err)
+	require.Equal(t, text, back)
+}
+
+// sizes for the slopes, up to the design size.
+var sizes = []size{{270, 25}, {2_700, 250}, {9_000, 833}, designSize}
+
+func BenchmarkParse(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("workspaces=%d/servers=%d", s.workspaces, s.servers), func(b *testing.B) {
+			text := bigText(s)
+			b.SetBytes(int64(len(text)))
+			b.ReportAllocs()
+			for b.Loop() {
+				_, faults := Parse(text, 1)
+				require.Empty(b, faults)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rules/build.go
@@ -0,0 +1,246 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// Limits on numbers.
+const (
+	maxCapacity    = 100_000
+	maxShare       = 1_000_000
+	maxUnit        = 1_000_000
+	maxWeightLoads = 10_000
+	maxStages      = 16
+	maxDeadline    = time.Hour
+	minTime        = time.Millisecond
+)
+
+var kinds = map[string]shed.StageKind{
+	"encode":   shed.KindEncode,
+	"retrieve": shed.KindRetrieve,
+	"rerank":   shed.KindRerank,
+	"generate": shed.KindGenerate,
+	"service":  shed.KindService,
+}
+
+const kindMend = "use encode, retrieve, rerank, generate or service"
+
+// sectionNames in the order in which a file usually has them.
+var sectionNames = []string{
+	sectionZones, sectionSuppliers, sectionModels, sectionPools, sectionServers,
+	sectionPipelines, sectionStages, sectionWorkspaces, sectionLimits,
+}
+
+var sections = map[string]func(*builder, *fields){
+	sectionZones:      (*builder).zone,
+	sectionSuppliers:  (*builder).supplier,
+	sectionModels:     (*builder).model,
+	sectionPools:      (*builder).pool,
+	sectionServers:    (*builder).server,
+	sectionPipelines:  (*builder).pipeline,
+	sectionStages:     (*builder).stage,
+	sectionWorkspaces: (*builder).workspace,
+	sectionLimits:     (*builder).limit,
+}
+
+// ruleName tells one rule from another within a file.
+type ruleName struct{ section, key string }
+
+// stageName is a stage of a pipeline, as `pipeline/stage` in the file.
+type stageName struct {
+	pipeline shed.PipelineID
+	stage    shed.StageID
+}
+
+// builder collects what the rows say, then links them.
+type builder struct {
+	rules  *shed.Rules
+	faults Faults
+	first  map[ruleName]int
+	// stages by name, until link puts them into their pipelines.
+	stages map[stageName]*shed.Stage
+	// wants are the stages that a pipeline lists.
+	wants map[shed.PipelineID][]shed.StageID
+	// rows in the order of the file, so that faults found by link have an order.
+	rows []row
+}
+
+func newBuilder(rev shed.Revision, faults Faults) *builder {
+	return &builder{
+		rules: &shed.Rules{
+			Revision:    rev,
+			Pipelines:   map[shed.PipelineID]*shed.Pipeline{},
+			Pools:       map[shed.PoolID]*shed.Pool{},
+			Servers:     map[shed.ServerID]*shed.Server{},
+			Workspaces:  map[shed.WorkspaceID]*shed.Workspace{},
+			Zones:       map[shed.ZoneID]*shed.Zone{},
+			Suppliers:   map[shed.SupplierID]*shed.Supplier{},
+			Models:      map[shed.ModelID]*shed.Model{},
+			WeightLoads: 1,
+		},
+		faults: faults,
+		first:  map[ruleName]int{},
+		stages: map[stageName]*shed.Stage{},
+		wants:  map[shed.PipelineID][]shed.StageID{},
+	}
+}
+
+func (b *builder) fault(r row, reason, mend string) {
+	b.faults = append(b.faults, Fault{
+		Line: r.Line, Section: r.section, Key: r.key, Reason: reason, Mend: mend,
+	})
+}
+
+func (b *builder) add(r row) {
+	if !idPattern.MatchString(r.key) {
+		b.fault(r, "the key is no id", idMend)
+		return
+	}
+	name := ruleName{r.section, r.key}
+	if line, twice := b.first[name]; twice {
+		b.fault(r, fmt.Sprintf("already given on line %d", line), "keep one of the two lines")
+		return
+	}
+	b.first[name] = r.Line
+	b.rows = append(b.rows, r)
+	if r.section == sectionLimits {
+		sections[r.section](b, &fields{row: r, faults: &b.faults})
+		return
+	}
+	sections[r.section](b, splitFields(r, &b.faults))
+}
+
+func (b *builder) zone(f *fields) {
+	z := &shed.Zone{Origin: f.row.Origin, ID: shed.ZoneID(f.row.key)}
+	z.Region = f.id("region")
+	z.Out = f.yes("out", false)
+	f.done("region", "out")
+	b.rules.Zones[z.ID] = z
+}
+
+func (b *builder) supplier(f *fields) {
+	s := &shed.Supplier{Origin: f.row.Origin, ID: shed.SupplierID(f.row.key)}
+	s.Leaving = f.yes("leaving", false)
+	f.done("leaving")
+	b.rules.Suppliers[s.ID] = s
+}
+
+func (b *builder) model(f *fields) {
+	m := &shed.Model{Origin: f.row.Origin, ID: shed.ModelID(f.row.key)}
+	m.Version = f.id("version")
+	m.Adapters = f.ids("adapters")
+	f.done("version", "adapters")
+	b.rules.Models[m.ID] = m
+}
+
+func (b *builder) pool(f *fields) {
+	p := &shed.Pool{Origin: f.row.Origin, ID: shed.PoolID(f.row.key)}
+	p.Kind = f.kind()
+	if _, there := f.values["model"]; there {
+		p.Model = shed.ModelID(f.id("model"))
+	}
+	p.Unit = f.price("unit", maxUnit)
+	f.done("kind", "model", "unit")
+	b.rules.Pools[p.ID] = p
+}
+
+func (f *fields) kind() shed.StageKind {
+	value, ok := f.must("kind")
+	if !ok {
+		return 0
+	}
+	kind, known := kinds[value]
+	if !known {
+		f.fault(fmt.Sprintf("unknown kind %q", value), kindMend)
+	}
+	return kind
+}
+
+func (b *builder) server(f *fields) {
+	s := &shed.Server{Origin: f.row.Origin, ID: shed.ServerID(f.row.key)}
+	s.Pool = shed.PoolID(f.id("pool"))
+	s.Zone = shed.ZoneID(f.id("zone"))
+	s.Supplier = shed.SupplierID(f.id("supplier"))
+	s.URL = f.base("url")
+	s.Capacity = f.count("capacity", 0, maxCapacity)
+	s.ColdBears = f.count("cold_bears", 0, maxCapacity)
+	if s.Capacity > 0 && s.ColdBears > s.Capacity {
+		f.fault(fmt.Sprintf("cold_bears %d is above capacity %d", s.ColdBears, s.Capacity),
+			"a cold server never bears more than a warm one; lower cold_bears")
+	}
+	s.ChecksCaller = f.yes("checks_caller", false)
+	s.Fenced = f.yes("fenced", false)
+	s.Leaving = f.yes("leaving", false)
+	if role, ok := f.take("role"); ok {
+		s.Role = role
+		if role != "prefill" && role != "decode" {
+			f.fault(fmt.Sprintf("unknown role %q", role), "use prefill or decode, or leave it out")
+		}
+	}
+	f.done("pool", "zone", "supplier", "url", "capacity", "cold_bears",
+		"checks_caller", "fenced", "leaving", "role")
+	b.rules.Servers[s.ID] = s
+}
+
+func (b *builder) pipeline(f *fields) {
+	p := &shed.Pipeline{Origin: f.row.Origin, ID: shed.PipelineID(f.row.key)}
+	p.Deadline = f.duration("deadline", minTime, maxDeadline)
+	_, there := f.values["stages"]
+	list := f.ids("stages")
+	if !there || len(list) > maxStages {
+		f.fault(fmt.Sprintf("the pipeline lists %d stages", len(list)),
+			fmt.Sprintf("write `stages first second`, with 1 to %d stages", maxStages))
+	}
+	f.done("deadline", "stages")
+	b.rules.Pipelines[p.ID] = p
+	b.wants[p.ID] = typedIDs[shed.StageID](list)
+}
+
+func (b *builder) stage(f *fields) {
+	s := &shed.Stage{Origin: f.row.Origin}
+	slash := strings.LastIndex(f.row.key, "/")
+	if slash < 1 || slash == len(f.row.key)-1 {
+		f.fault("the key names no pipeline and stage", "write `pipeline/stage = …`")
+		return
+	}
+	pipeline := shed.PipelineID(f.row.key[:slash])
+	s.ID = shed.StageID(f.row.key[slash+1:])
+	s.Kind = f.kind()
+	s.Pool = shed.PoolID(f.id("pool"))
+	s.Zones = sortedIDs[shed.ZoneID](f.ids("zones"))
+	s.Minimum = f.duration("minimum", minTime, maxDeadline)
+	// A service call that is repeated unasked may push a warning twice, so
+	// whoever writes the rule has to say that it may.
+	if _, there := f.values["idempotent"]; s.Kind == shed.KindService && !there {
+		f.fault("nothing says whether the service call may be repeated", "add `idempotent no`, or `idempotent yes` if it may")
+	}
+	s.Idempotent = f.yes("idempotent", true)
+	f.done("kind", "pool", "zones", "minimum", "idempotent")
+	b.stages[stageName{pipeline, s.ID}] = s
+}
+
+func (b *builder) workspace(f *fields) {
+	w := &shed.Workspace{Origin: f.row.Origin, ID: shed.WorkspaceID(f.row.key)}
+	w.Share = f.count("share", 1, maxShare)
+	if hash, ok := f.must("token_sha256"); ok {
+		w.TokenHash = hash
+		if !hashPattern.MatchString(hash) {
+			f.fault("token_sha256 is no SHA-256", "write the 64 small hex digits that `printf %s TOKEN | sha256sum` prints")
+		}
+	}
+	w.Pipelines = sortedIDs[shed.PipelineID](f.ids("pipelines"))
+	f.done("share", "token_sha256", "pipelines")
+	b.rules.Workspaces[w.ID] = w
+}
+
+func (b *builder) limit(f *fields) {
+	if f.row.key != "weight_loads" {
+		f.fault("unknown limit", "use weight_loads")
+		return
+	}
+	b.rules.WeightLoads = f.checkCount("weight_loads", strings.TrimSpace(f.row.value), maxWeightLoads)
+}
--- /dev/null
+++ b/internal/rules/field.go
@@ -0,0 +1,229 @@
+package rules
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9._/-]{1,64}$`)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+const idMend = "use 1 to 64 letters, digits, dots, dashes, underscores or slashes"
+
+// fields reads the `name value` fields of one row and notes what is wrong with
+// them. Once all that a section knows were read, done refuses the rest.
+type fields struct {
+	row    row
+	values map[string]string
+	names  []string
+	faults *Faults
+}
+
+func splitFields(r row, faults *Faults) *fields {
+	f := &fields{row: r, values: map[string]string{}, faults: faults}
+	if strings.TrimSpace(r.value) == "" {
+		return f
+	}
+	for _, part := range strings.Split(r.value, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), " ")
+		if name == "" {
+			f.fault("an empty field", "take out the extra comma")
+			continue
+		}
+		if _, twice := f.values[name]; twice {
+			f.fault(fmt.Sprintf("field %s stands twice", name), "keep one of them")
+			continue
+		}
+		f.values[name] = strings.TrimSpace(value)
+		f.names = append(f.names, name)
+	}
+	return f
+}
+
+func (f *fields) fault(reason, mend string) {
+	*f.faults = append(*f.faults, Fault{
+		Line: f.row.Line, Section: f.row.section, Key: f.row.key, Reason: reason, Mend: mend,
+	})
+}
+
+// take removes a field and returns its value.
+func (f *fields) take(name string) (string, bool) {
+	value, ok := f.values[name]
+	delete(f.values, name)
+	if ok && value == "" {
+		f.fault(fmt.Sprintf("field %s has no value", name), fmt.Sprintf("write `%s value`", name))
+		return "", false
+	}
+	return value, ok
+}
+
+// must is take for a field that has to be there.
+func (f *fields) must(name string) (string, bool) {
+	_, there := f.values[name]
+	value, ok := f.take(name)
+	if !there {
+		f.fault(fmt.Sprintf("field %s is missing", name), fmt.Sprintf("add `%s value`", name))
+	}
+	return value, ok
+}
+
+// done refuses the fields that nobody took.
+func (f *fields) done(known ...string) {
+	for _, name := range f.names {
+		if _, left := f.values[name]; left {
+			f.fault(fmt.Sprintf("unknown field %s", name), "use: "+strings.Join(known, ", "))
+		}
+	}
+}
+
+// id reads an id that has to be there.
+func (f *fields) id(name string) string {
+	value, ok := f.must(name)
+	if !ok {
+		return ""
+	}
+	return f.checkID(name, value)
+}
+
+func (f *fields) checkID(name, value string) string {
+	if !idPattern.MatchString(value) {
+		f.fault(fmt.Sprintf("%s %q is no id", name, value), idMend)
+		return ""
+	}
+	return value
+}
+
+// ids reads a list of ids, in the order of the file.
+func (f *fields) ids(name string) []string {
+	value, ok := f.take(name)
+	if !ok {
+		return nil
+	}
+	var list []string
+	seen := map[string]bool{}
+	for _, id := range strings.Fields(value) {
+		if f.checkID(name, id) == "" {
+			continue
+		}
+		if seen[id] {
+			f.fault(fmt.Sprintf("%s names %s twice", name, id), "keep one of them")
+			continue
+		}
+		seen[id] = true
+		list = append(list, id)
+	}
+	return list
+}
+
+// count reads a whole number within 1 and most; when 0 it has to be there.
+func (f *fields) count(name string, otherwise, most int) int {
+	if _, there := f.values[name]; !there && otherwise > 0 {
+		return otherwise
+	}
+	value, ok := f.must(name)
+	if !ok {
+		return 0
+	}
+	return f.checkCount(name, value, most)
+}
+
+func (f *fields) checkCount(name, value string, most int) int {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 1 || n > most {
+		f.fault(fmt.Sprintf("%s %q is out of range", name, value), fmt.Sprintf("write a whole number from 1 to %d", most))
+		return 0
+	}
+	return n
+}
+
+// price reads a number that is not negative; 1 if it is not there.
+func (f *fields) price(name string, most float64) float64 {
+	value, ok := f.take(name)
+	if !ok {
+		return 1
+	}
+	x, err := strconv.ParseFloat(value, 64)
+	// A NaN fails both comparisons, so the test asks for what is right.
+	if err != nil || !(x >= 0 && x <= most) {
+		f.fault(fmt.Sprintf("%s %q is out of range", name, value), fmt.Sprintf("write a number from 0 to %g", most))
+		return 1
+	}
+	return x
+}
+
+// yes reads yes or no; otherwise if it is not there.
+func (f *fields) yes(name string, otherwise bool) bool {
+	value, ok := f.take(name)
+	if !ok {
+		return otherwise
+	}
+	if value != "yes" && value != "no" {
+		f.fault(fmt.Sprintf("%s %q is neither yes nor no", name, value), fmt.Sprintf("write `%s yes` or `%s no`", name, name))
+		return otherwise
+	}
+	return value == "yes"
+}
+
+// duration reads a time within least and most.
+func (f *fields) duration(name string, least, most time.Duration) time.Duration {
+	value, ok := f.must(name)
+	if !ok {
+		return 0
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d < least || d > most {
+		f.fault(fmt.Sprintf("%s %q is out of range", name, value),
+			fmt.Sprintf("write a time from %s to %s, such as 20ms or 6s", least, most))
+		return 0
+	}
+	return d
+}
+
+// base reads the base URL of a server. Its host is an IP number: daemons ask no
+// name service, so a name would fail only when the first call is sent.
+func (f *fields) base(name string) string {
+	const mend = "write http://IP:PORT, with a path if the server needs one"
+	value, ok := f.must(name)
+	if !ok {
+		return ""
+	}
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		f.fault(fmt.Sprintf("%s %q is no HTTP address", name, value), mend)
+		return ""
+	}
+	if u.User != nil || u.RawQuery != "" || u.Fragment != "" || u.Opaque != "" {
+		f.fault(fmt.Sprintf("%s %q holds more than a server and a path", name, value), mend)
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		f.fault(fmt.Sprintf("%s %q has no IP number and port", name, value), mend)
+		return ""
+	}
+	return strings.TrimSuffix(value, "/")
+}
+
+// sortedIDs converts a list of ids into a sorted list of their type.
+func sortedIDs[T ~string](from []string) []T {
+	list := typedIDs[T](from)
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+func typedIDs[T ~string](from []string) []T {
+	if len(from) == 0 {
+		return nil
+	}
+	list := make([]T, len(from))
+	for i, id := range from {
+		list[i] = T(id)
+	}
+	return list
+}
