TicketMove names the one process that may adopt

A move that is repeated to a VM's address could reach a later process there, which would start tickets that the earlier one had started already.

--- a/message.go
+++ b/message.go
@@ -98,6 +98,10 @@
 type TicketMove struct {
 	From    Peer          `cbor:"1,keyasint"`
 	Tickets []MovedTicket `cbor:"2,keyasint"`
+	// To is the one process that may adopt the tickets. A copy that reaches a
+	// later process on the same VM must not count: the earlier one may have run
+	// some of them.
+	To Peer `cbor:"3,keyasint"`
 }
 
 // MovedTicket is one unused ticket on its way to an heir.
