--- /dev/null
+++ b/internal/cmds/cmds.go
@@ -0,0 +1,64 @@
+// Package cmds is the command line, one file for each command.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Deps are what commands have in common.
+type Deps struct {
+	Out, Err io.Writer
+	In       io.Reader
+	// Version of the program.
+	Version string
+	// SettingsPath is the flag --settings; empty for the defaults.
+	SettingsPath string
+}
+
+// commands builds every command of the program. A new one is one file and one
+// line here.
+var commands = []func(*Deps) *cobra.Command{
+	newRequestCommand,
+	newStatusCommand,
+	newExplainCommand,
+	newSettingsCommand,
+	newVersionCommand,
+}
+
+// NewRoot builds the whole command line.
+func NewRoot(d *Deps) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "jasmineshed",
+		Short:         "Serves multi-stage model pipelines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(d.Out)
+	root.SetErr(d.Err)
+	root.SetIn(d.In)
+	root.PersistentFlags().StringVar(&d.SettingsPath, "settings", "", "file with settings; defaults without one")
+	for _, build := range commands {
+		root.AddCommand(build(d))
+	}
+	return root
+}
+
+// Main runs the program and returns its exit code. The first SIGINT or SIGTERM
+// ends the command's context; serve counts signals by itself.
+func Main(version string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d := &Deps{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Version: version}
+	if err := NewRoot(d).ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(d.Err, "jasmineshed: %v\n", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/cmds/settings.go
@@ -0,0 +1,56 @@
+package cmds
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"jasmineshed/internal/prefs"
+)
+
+// Settings reads the file that --settings names.
+func (d *Deps) Settings() (*prefs.Prefs, error) {
+	if d.SettingsPath == "" {
+		return prefs.Defaults(), nil
+	}
+	return prefs.Load(d.SettingsPath)
+}
+
+func newSettingsCommand(d *Deps) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "settings",
+		Short: "Show or check the settings of a daemon",
+	}
+	c.AddCommand(newSettingsShowCommand(d), newSettingsCheckCommand(d))
+	return c
+}
+
+func newSettingsShowCommand(d *Deps) *cobra.Command {
+	return &cobra.Command{
+		Use:   "show",
+		Short: "Print the settings that would be in force",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			p, err := d.Settings()
+			if err != nil {
+				return err
+			}
+			return prefs.Show(d.Out, p)
+		},
+	}
+}
+
+func newSettingsCheckCommand(d *Deps) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell every fault in a file with settings",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if _, err := prefs.Load(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(d.Out, "settings are right")
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,68 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// operTimeout bounds a call to the operators' listener.
+const operTimeout = 10 * time.Second
+
+// operFlag adds the flag that names the operators' listener.
+func operFlag(c *cobra.Command) *string {
+	return c.Flags().String("operators", "http://127.0.0.1:7402", "base URL of a daemon's operators' listener")
+}
+
+func newStatusCommand(d *Deps) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Print what a daemon believes",
+		Args:  cobra.NoArgs,
+	}
+	base := operFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		return d.get(c.Context(), *base, "/status")
+	}
+	return c
+}
+
+func newExplainCommand(d *Deps) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "explain REQUEST",
+		Short: "Print what a daemon decided on a request and why",
+		Args:  cobra.ExactArgs(1),
+	}
+	base := operFlag(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		return d.get(c.Context(), *base, "/explain/"+url.PathEscape(args[0]))
+	}
+	return c
+}
+
+// get prints what the operators' listener says.
+func (d *Deps) get(ctx context.Context, base, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, operTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
+	if err != nil {
+		return fmt.Errorf("asking the daemon: %w", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("asking the daemon: %w", err)
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(d.Out, res.Body); err != nil {
+		return fmt.Errorf("reading what the daemon says: %w", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("the daemon says %s", res.Status)
+	}
+	return nil
+}
--- a/internal/design/design.go
+++ b/internal/design/design.go
@@ -217,8 +217,13 @@
 	})
 })
 
+var NotReady = Type("NotReady", func() {
+	ErrorName("status", String)
+	Required("status")
+})
+
 var _ = Service("health", func() {
-	Error("not_ready", Health)
+	Error("not_ready", NotReady)
 	Method("live", func() {
 		Result(Health)
 		HTTP(func() { GET("/healthz") })
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,145 @@
+package front
+
+import (
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/gen/pipelines"
+)
+
+// Names of the HTTP statuses; the design maps each to its number.
+const (
+	statusComplete     = "complete"
+	statusBadRequest   = "bad_request"
+	statusUnauthorized = "unauthorized"
+	statusForbidden    = "forbidden"
+	statusNotFound     = "not_found"
+	statusUnknown      = "outcome_unknown"
+	statusGone         = "gone"
+	statusTooLarge     = "too_large"
+	statusNeedsTicket  = "needs_ticket"
+	statusFailed       = "failed"
+	statusUnavailable  = "unavailable"
+	statusDeadline     = "deadline_exceeded"
+)
+
+// outcomes are the names of the closed set.
+var outcomes = map[shed.Outcome]string{
+	shed.OutcomeComplete:  "complete",
+	shed.OutcomeNotRun:    "not_run",
+	shed.OutcomeRefused:   "refused",
+	shed.OutcomeUnknown:   "outcome_unknown",
+	shed.OutcomeFailed:    "failed",
+	shed.OutcomeDeadline:  "deadline_exceeded",
+	shed.OutcomeCancelled: "cancelled",
+}
+
+// callerFaults are the reasons that the caller has to mend; coming back later
+// won't help.
+var callerFaults = map[shed.Reason]string{
+	shed.ReasonUnknownPipeline:  statusNotFound,
+	shed.ReasonUnknownWorkspace: statusUnauthorized,
+	shed.ReasonNotAllowed:       statusForbidden,
+	shed.ReasonNeedsTicket:      statusNeedsTicket,
+	shed.ReasonTicketUnknown:    statusNotFound,
+	shed.ReasonTicketExpired:    statusGone,
+}
+
+// status of an answer.
+func status(fin *shed.Finish) string {
+	switch fin.Outcome {
+	case shed.OutcomeComplete:
+		return statusComplete
+	case shed.OutcomeUnknown:
+		return statusUnknown
+	case shed.OutcomeFailed:
+		return statusFailed
+	case shed.OutcomeDeadline:
+		return statusDeadline
+	case shed.OutcomeNotRun:
+		if s, ok := callerFaults[fin.Reason]; ok {
+			return s
+		}
+	}
+	return statusUnavailable
+}
+
+// leastRetryAfter is one second since the header has no smaller unit, and since
+// a caller that is told 0 comes back at once.
+const leastRetryAfter = time.Second
+
+func retryAfter(d time.Duration) (seconds int, ms int64) {
+	d = max(d, leastRetryAfter)
+	return int((d + time.Second - 1) / time.Second), d.Milliseconds()
+}
+
+// newAnswer turns an answer into the design's type.
+func newAnswer(a *shed.Answer) *pipelines.Answer {
+	out := newRefusal(&a.Finish)
+	out.TraceID = text(a.Trace)
+	out.Payload = newOutput(&a.Payload)
+	return out
+}
+
+// newRefusal is an answer without a payload.
+func newRefusal(fin *shed.Finish) *pipelines.Answer {
+	out := &pipelines.Answer{
+		Status:    status(fin),
+		Outcome:   outcomes[fin.Outcome],
+		Reason:    text(string(fin.Reason)),
+		Message:   text(message(fin)),
+		RequestID: text(string(fin.Request)),
+		Stages:    newStages(fin.Stages),
+	}
+	if fin.Rule.Line > 0 {
+		out.Rule = &pipelines.Rule{Line: fin.Rule.Line, Asked: fin.Rule.Asked}
+	}
+	if out.Status == statusUnavailable {
+		seconds, ms := retryAfter(fin.RetryAfter)
+		out.RetryAfter = &seconds
+		out.RetryAfterMs = &ms
+	}
+	return out
+}
+
+func newStages(reports []shed.StageReport) []*pipelines.Stage {
+	out := make([]*pipelines.Stage, 0, len(reports))
+	for i := range reports {
+		out = append(out, newStage(&reports[i]))
+	}
+	return out
+}
+
+func newStage(r *shed.StageReport) *pipelines.Stage {
+	return &pipelines.Stage{
+		Stage:    string(r.Stage),
+		Server:   text(string(r.Server)),
+		Zone:     text(string(r.Zone)),
+		Attempts: uint(r.Attempts),
+		Ran:      r.Ran,
+		TookMs:   float64(r.Took.Microseconds()) / 1000,
+		Tokens:   uint32(r.Tokens),
+		Cost:     &pipelines.StageCost{Useful: uint64(r.Useful), Wasted: uint64(r.Wasted)},
+	}
+}
+
+func newOutput(p *shed.Payload) *pipelines.Output {
+	out := &pipelines.Output{
+		Text:    text(p.Text),
+		Receipt: text(p.Receipt),
+		Vector:  p.Vector,
+	}
+	for i := range p.Passages {
+		q := &p.Passages[i]
+		out.Passages = append(out.Passages, &pipelines.Passage{ID: q.ID, Text: q.Text, Score: q.Score})
+	}
+	return out
+}
+
+// text is nil for an empty string, which JSON then leaves out.
+func text(s string) *string {
+	if s == "" {
+		return nil
+	}
+	return &s
+}
--- /dev/null
+++ b/internal/front/guard.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/telem"
+)
+
+// guard stands before goa's handlers: limits, spans and counts.
+type guard struct {
+	cfg    Config
+	next   http.Handler
+	tracer trace.Tracer
+	count  *counts
+	flying atomic.Int64
+}
+
+func newGuard(cfg Config, next http.Handler) *guard {
+	return &guard{
+		cfg:    cfg,
+		next:   next,
+		tracer: cfg.Tracer.Tracer("jasmineshed/front"),
+		count:  newCounts(cfg.Scope),
+	}
+}
+
+// ServeHTTP lets one call through, or refuses it.
+func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	tw := &timedWriter{ResponseWriter: w, timeout: g.cfg.Limits.WriteTimeout}
+	// A balancer keeps connections open to a VM that it was told to leave, and
+	// would only notice when they are cut.
+	if !g.cfg.Serving.Ready() {
+		tw.Header().Set("Connection", "close")
+	}
+	if isProbe(r) {
+		g.next.ServeHTTP(tw, r)
+		return
+	}
+	ctx, span := g.tracer.Start(telem.Extract(r.Context(), r.Header), "http "+r.Method,
+		trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	r = r.WithContext(ctx)
+	g.pass(tw, r)
+	span.SetName(spanName(r))
+	span.SetAttributes(attribute.Int("http.response.status_code", tw.code))
+	g.count.ended(r, tw, time.Since(start))
+}
+
+// pass counts the call among those in flight and bounds its body.
+func (g *guard) pass(w *timedWriter, r *http.Request) {
+	flying := g.flying.Add(1)
+	defer g.flying.Add(-1)
+	if flying > int64(g.cfg.Limits.Streams) {
+		refuse(w, r, shed.Finish{Outcome: shed.OutcomeNotRun, Reason: reasonStreams})
+		return
+	}
+	r.Body = newTimedBody(w, r.Body, &g.cfg.Limits)
+	g.next.ServeHTTP(w, r)
+}
+
+// refuse answers 503 without going through goa.
+func refuse(w http.ResponseWriter, r *http.Request, fin shed.Finish) {
+	a := newRefusal(&fin)
+	enc := newEncoder(r.Context(), w)
+	w.Header().Set("Retry-After", strconv.Itoa(*a.RetryAfter))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = enc.Encode(newFault(a, http.StatusServiceUnavailable))
+}
+
+func isProbe(r *http.Request) bool {
+	return r.URL.Path == "/healthz" || r.URL.Path == "/readyz"
+}
+
+// spanName is the route, since the path holds ids.
+func spanName(r *http.Request) string {
+	if r.Pattern == "" {
+		return "http unknown route"
+	}
+	return r.Pattern
+}
--- /dev/null
+++ b/internal/front/service.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/gen/health"
+	"jasmineshed/internal/gen/pipelines"
+)
+
+// service implements goa's services on top of shed.Serving.
+type service struct {
+	serving shed.Serving
+	beat    time.Duration
+}
+
+// Run answers with the whole result.
+func (s *service) Run(ctx context.Context, p *pipelines.RunPayload) (*pipelines.Answer, error) {
+	req := newRequest(p.Workspace, p.Token, p.Pipeline)
+	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
+	return whole(s.serving.Serve(ctx, req, nil))
+}
+
+// Stream answers with events.
+func (s *service) Stream(ctx context.Context, p *pipelines.StreamPayload, stream pipelines.StreamServerStream) error {
+	req := newRequest(p.Workspace, p.Token, p.Pipeline)
+	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
+	events := newEvents(stream, s.beat)
+	answer := s.serving.Serve(ctx, req, events.update)
+	return events.finish(&answer)
+}
+
+// Issue gives out a ticket.
+func (s *service) Issue(ctx context.Context, p *pipelines.IssuePayload) (*pipelines.Ticket, error) {
+	ticket, refusal := s.serving.Issue(ctx, newRequest(p.Workspace, p.Token, p.Pipeline))
+	if refusal != nil {
+		return nil, newRefusal(refusal)
+	}
+	return &pipelines.Ticket{
+		RequestID:   string(ticket.ID),
+		ExpiresInMs: time.Until(ticket.Expires).Milliseconds(),
+	}, nil
+}
+
+// Once runs a request at most once for its ticket.
+func (s *service) Once(ctx context.Context, p *pipelines.OncePayload) (*pipelines.Answer, error) {
+	req := newRequest(p.Workspace, p.Token, p.Pipeline)
+	req.ID = shed.RequestID(p.RequestID)
+	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
+	return whole(s.serving.Serve(ctx, req, nil))
+}
+
+// Result answers with what a ticketed request came to.
+func (s *service) Result(ctx context.Context, p *pipelines.ResultPayload) (*pipelines.Answer, error) {
+	req := newRequest(p.Workspace, p.Token, "")
+	req.ID = shed.RequestID(p.RequestID)
+	return whole(s.serving.Result(ctx, req))
+}
+
+// Live tells that the process answers at all.
+func (s *service) Live(context.Context) (*health.Health, error) {
+	return &health.Health{Status: "live"}, nil
+}
+
+// Ready tells the balancer whether to send requests here.
+func (s *service) Ready(context.Context) (*health.Health, error) {
+	if !s.serving.Ready() {
+		return nil, &health.NotReady{Status: "not_ready"}
+	}
+	return &health.Health{Status: "ready"}, nil
+}
+
+// whole gives an answer that is not complete as an error, which the design maps
+// to its HTTP status.
+func whole(answer shed.Answer) (*pipelines.Answer, error) {
+	out := newAnswer(&answer)
+	if out.Status != statusComplete {
+		return nil, out
+	}
+	return out, nil
+}
+
+const bearer = "Bearer "
+
+func newRequest(workspace string, token *string, pipeline string) shed.Request {
+	req := shed.Request{
+		Workspace: shed.WorkspaceID(workspace),
+		Pipeline:  shed.PipelineID(pipeline),
+	}
+	if token != nil {
+		req.Token = strings.TrimPrefix(*token, bearer)
+	}
+	return req
+}
+
+func addWork(req *shed.Request, input string, tokens *uint32, budget *int64) {
+	req.Payload.Input = input
+	if tokens != nil {
+		req.Payload.MaxTokens = shed.Tokens(*tokens)
+	}
+	if budget != nil {
+		req.Budget = time.Duration(*budget) * time.Millisecond
+	}
+}
--- /dev/null
+++ b/internal/front/timed.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"jasmineshed/internal/prefs"
+)
+
+// timedWriter bounds how long a write may block. A caller that has gone silent
+// would else hold its request, and the engine behind it, until TCP gives up
+// after many minutes; the failed write ends the request's context.
+type timedWriter struct {
+	http.ResponseWriter
+	timeout time.Duration
+	// until is the deadline set on the connection.
+	until time.Time
+	code  int
+	// events counts flushes, which are one for each event of a stream.
+	events int64
+}
+
+// WriteHeader notes the status.
+func (w *timedWriter) WriteHeader(code int) {
+	w.code = code
+	if code == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Write puts the deadline off where it draws near.
+func (w *timedWriter) Write(p []byte) (int, error) {
+	w.putOff()
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written; http.ResponseController looks for it.
+func (w *timedWriter) FlushError() error {
+	w.events++
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *timedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// putOff moves the deadline only after a quarter of it has gone, since setting
+// it costs more than a token is worth.
+func (w *timedWriter) putOff() {
+	now := time.Now()
+	if w.until.Sub(now) > w.timeout*3/4 {
+		return
+	}
+	w.until = now.Add(w.timeout)
+	// A writer without deadlines, as in a test, goes without.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(w.until)
+}
+
+// timedBody bounds a body in bytes and time.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+func newTimedBody(w *timedWriter, body io.ReadCloser, limits *prefs.Limits) io.ReadCloser {
+	control := http.NewResponseController(w.ResponseWriter)
+	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
+	return &timedBody{
+		ReadCloser: http.MaxBytesReader(w.ResponseWriter, body, limits.BodyBytes),
+		control:    control,
+	}
+}
+
+// Read lifts the deadline at the end of the body: net/http goes on reading the
+// connection to see the caller go, and would take a passed deadline for that.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/gen/health/client.go
+++ b/internal/gen/health/client.go
@@ -29,7 +29,7 @@
 
 // Live calls the "live" endpoint of the "health" service.
 // Live may return the following errors:
-//   - "not_ready" (type *Health)
+//   - "not_ready" (type *NotReady)
 //   - error: internal error
 func (c *Client) Live(ctx context.Context) (res *Health, err error) {
 	var ires any
@@ -42,7 +42,7 @@
 
 // Ready calls the "ready" endpoint of the "health" service.
 // Ready may return the following errors:
-//   - "not_ready" (type *Health)
+//   - "not_ready" (type *NotReady)
 //   - error: internal error
 func (c *Client) Ready(ctx context.Context) (res *Health, err error) {
 	var ires any
--- a/internal/gen/health/service.go
+++ b/internal/gen/health/service.go
@@ -40,19 +40,23 @@
 	Status string
 }
 
+type NotReady struct {
+	Status string
+}
+
 // Error returns an error description.
-func (e *Health) Error() string {
+func (e *NotReady) Error() string {
 	return ""
 }
 
-// ErrorName returns "Health".
+// ErrorName returns "NotReady".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e *Health) ErrorName() string {
+func (e *NotReady) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "Health".
-func (e *Health) GoaErrorName() string {
-	return "not_ready"
+// GoaErrorName returns "NotReady".
+func (e *NotReady) GoaErrorName() string {
+	return e.Status
 }
--- a/internal/gen/http/health/client/encode_decode.go
+++ b/internal/gen/http/health/client/encode_decode.go
@@ -91,7 +91,7 @@
 // ready endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeReadyResponse may return the following errors:
-//   - "not_ready" (type *health.Health): http.StatusServiceUnavailable
+//   - "not_ready" (type *health.NotReady): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeReadyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
--- a/internal/gen/http/health/client/types.go
+++ b/internal/gen/http/health/client/types.go
@@ -52,8 +52,8 @@
 }
 
 // NewReadyNotReady builds a health service ready endpoint not_ready error.
-func NewReadyNotReady(body *ReadyNotReadyResponseBody) *health.Health {
-	v := &health.Health{
+func NewReadyNotReady(body *ReadyNotReadyResponseBody) *health.NotReady {
+	v := &health.NotReady{
 		Status: *body.Status,
 	}
 
--- a/internal/gen/http/health/server/encode_decode.go
+++ b/internal/gen/http/health/server/encode_decode.go
@@ -52,7 +52,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "not_ready":
-			var res *health.Health
+			var res *health.NotReady
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
--- a/internal/gen/http/health/server/types.go
+++ b/internal/gen/http/health/server/types.go
@@ -49,7 +49,7 @@
 
 // NewReadyNotReadyResponseBody builds the HTTP response body from the result
 // of the "ready" endpoint of the "health" service.
-func NewReadyNotReadyResponseBody(res *health.Health) *ReadyNotReadyResponseBody {
+func NewReadyNotReadyResponseBody(res *health.NotReady) *ReadyNotReadyResponseBody {
 	body := &ReadyNotReadyResponseBody{
 		Status: res.Status,
 	}
--- /dev/null
+++ b/internal/httpd/httpd.go
@@ -0,0 +1,113 @@
+// Package httpd is an HTTP listener with limits, as a service of the supervisor
+// tree.
+package httpd
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"jasmineshed/internal/prefs"
+)
+
+// Config of a Server.
+type Config struct {
+	// Name in logs and errors.
+	Name string
+	// Listener takes the connections; Serve closes it.
+	Listener net.Listener
+	// TLS is nil for plain TCP.
+	TLS     *tls.Config
+	Handler http.Handler
+	Limits  prefs.Limits
+	// Drain bounds how long Serve waits for requests in flight at its end.
+	Drain time.Duration
+	Log   logrus.FieldLogger
+}
+
+// Server is one HTTP listener. It serves once.
+type Server struct {
+	cfg  Config
+	http *http.Server
+}
+
+// New builds the server; nothing runs before Serve.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, http: &http.Server{
+		Handler:           cfg.Handler,
+		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
+		IdleTimeout:       cfg.Limits.IdleTimeout,
+		ErrorLog:          log.New(logWriter{cfg.Log}, "", 0),
+	}}
+}
+
+// listener adds the connection limit and TLS. The limit comes first, so that a
+// connection counts from its handshake on.
+func (s *Server) listener() net.Listener {
+	l := netutil.LimitListener(s.cfg.Listener, s.cfg.Limits.Connections)
+	if s.cfg.TLS == nil {
+		return l
+	}
+	c := s.cfg.TLS.Clone()
+	// HTTP/2 would put all calls of a client on one connection, and all of them
+	// would hang with it when it goes silent.
+	c.NextProtos = []string{"http/1.1"}
+	return tls.NewListener(l, c)
+}
+
+// Serve takes calls until ctx ends, then waits for those in flight.
+func (s *Server) Serve(ctx context.Context) error {
+	var g errgroup.Group
+	ended := make(chan struct{})
+	g.Go(func() error {
+		defer close(ended)
+		err := s.http.Serve(s.listener())
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return fmt.Errorf("%s listener: %w", s.cfg.Name, err)
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return s.drain()
+		case <-ended:
+			return nil
+		}
+	})
+	return g.Wait()
+}
+
+// drain lets requests in flight end, up to the limit. Their contexts do not
+// come from Serve's, so the end of that one cuts off none of them.
+func (s *Server) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Drain)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err == nil {
+		return nil
+	}
+	s.cfg.Log.WithField("listener", s.cfg.Name).Warn("requests cut off at the end of the drain")
+	if err := s.http.Close(); err != nil {
+		return fmt.Errorf("closing %s listener: %w", s.cfg.Name, err)
+	}
+	return nil
+}
+
+// logWriter takes the lines of net/http's own log.
+type logWriter struct{ log logrus.FieldLogger }
+
+func (w logWriter) Write(p []byte) (int, error) {
+	w.log.Warn(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,148 @@
+// Package client calls a fleet of jasmineshed as a caller does.
+//
+// A call is repeated only where that can't run anything twice: a request that
+// the fleet says was not run, or a ticketed one.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Config of a Client.
+type Config struct {
+	// URLs of the fleet's entry VMs or its balancer; one at least. A call that
+	// is repeated goes to the next one.
+	URLs []string
+	// Workspace and its token.
+	Workspace, Token string
+	// Repeats bounds how often one call is made again; 0 takes DefaultRepeats,
+	// a negative one repeats nothing.
+	Repeats int
+	// Silence is the longest time that a stream may say nothing at all before
+	// its connection is given up; 0 takes DefaultSilence. The fleet sends beats
+	// far more often.
+	Silence time.Duration
+	// Transport carries the calls; nil takes one of the client's own.
+	Transport http.RoundTripper
+}
+
+// Defaults for Config.
+const (
+	DefaultRepeats = 3
+	DefaultSilence = 10 * time.Second
+)
+
+// answerLimit bounds the body of an answer.
+const answerLimit = 64 << 20
+
+// Client calls a fleet. It may be used by many goroutines at once.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// New builds a client.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.URLs) == 0 {
+		return nil, errors.New("client: no URL")
+	}
+	if cfg.Repeats == 0 {
+		cfg.Repeats = DefaultRepeats
+	}
+	if cfg.Silence == 0 {
+		cfg.Silence = DefaultSilence
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = newTransport()
+	}
+	return &Client{cfg: cfg, http: &http.Client{
+		Transport: cfg.Transport,
+		// A redirect would send the request a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}, nil
+}
+
+func newTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: 2 * time.Second}
+	return &http.Transport{
+		Proxy:                 http.ProxyFromEnvironment,
+		DialContext:           dialer.DialContext,
+		TLSHandshakeTimeout:   5 * time.Second,
+		MaxIdleConnsPerHost:   64,
+		IdleConnTimeout:       30 * time.Second,
+		ResponseHeaderTimeout: time.Minute,
+	}
+}
+
+// Work is what a pipeline is asked to do.
+type Work struct {
+	Pipeline string
+	Input    string
+	// MaxTokens bounds what a generate stage produces; 0 leaves it open.
+	MaxTokens uint32
+	// Budget is the time limit; 0 takes the pipeline's deadline.
+	Budget time.Duration
+}
+
+// Run runs an idempotent pipeline and gives its whole answer.
+func (c *Client) Run(ctx context.Context, work Work) (*Answer, error) {
+	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+		return c.whole(ctx, call{
+			method: http.MethodPost,
+			url:    base + "/v1/pipelines/" + escape(work.Pipeline) + "/requests",
+			body:   newWorkBody(work, ""),
+		})
+	})
+}
+
+// Ticket gets a ticket for one run of a non-idempotent pipeline.
+func (c *Client) Ticket(ctx context.Context, pipeline string) (*Ticket, error) {
+	var ticket Ticket
+	_, err := c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+		return nil, c.do(ctx, call{
+			method: http.MethodPost,
+			url:    base + "/v1/tickets",
+			body:   ticketBody{Pipeline: pipeline},
+		}, &ticket)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &ticket, nil
+}
+
+// RunOnce gets a ticket and runs the pipeline at most once. After a broken
+// connection it asks again with the same ticket, which can't run it twice.
+func (c *Client) RunOnce(ctx context.Context, work Work) (*Answer, error) {
+	ticket, err := c.Ticket(ctx, work.Pipeline)
+	if err != nil {
+		return nil, fmt.Errorf("getting a ticket: %w", err)
+	}
+	return c.RunTicket(ctx, ticket.RequestID, work)
+}
+
+// RunTicket is RunOnce with a ticket that the caller has got.
+func (c *Client) RunTicket(ctx context.Context, ticket string, work Work) (*Answer, error) {
+	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+		return c.whole(ctx, call{
+			method: http.MethodPut,
+			url:    base + "/v1/requests/" + escape(ticket),
+			body:   newWorkBody(work, work.Pipeline),
+		})
+	})
+}
+
+// Result gives the answer to a ticketed request, waiting for it if it runs.
+func (c *Client) Result(ctx context.Context, ticket string) (*Answer, error) {
+	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+		return c.whole(ctx, call{
+			method: http.MethodGet,
+			url:    base + "/v1/requests/" + escape(ticket),
+		})
+	})
+}
