--- a/message.go
+++ b/message.go
@@ -25,6 +25,10 @@
 	Never bool `cbor:"3,keyasint,omitempty"`
 	// Ask wants a ConfigDigest back.
 	Ask bool `cbor:"4,keyasint,omitempty"`
+	// Sequence of an Ask comes back in its answer; 0 in a digest that nobody
+	// asked for. An answer can't be older than its ask, so the asker knows how
+	// old Confirmed is at the most, however long the answer was on its way.
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigPull asks a peer for its configuration, but for the parts held.
--- a/outcome.go
+++ b/outcome.go
@@ -61,6 +61,9 @@
 	ReasonStaleAttempt     Reason = "stale_attempt"
 	ReasonDuplicate        Reason = "duplicate"
 	ReasonTooManyHops      Reason = "too_many_hops"
+	ReasonConfigInvalid    Reason = "configuration_invalid"
+	ReasonConfigStale      Reason = "configuration_stale"
+	ReasonConfigBehind     Reason = "configuration_behind"
 )
 
 // CallEnd is how one call ended, as the driver saw it. The set is closed.
