--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,236 @@
+// Package flow drives the requests that this daemon accepted through their
+// stages: one live call per stage, retries only where they can't double work,
+// and exactly one final answer for each request.
+package flow
+
+import (
+	"container/heap"
+	"time"
+
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/cost"
+	"jasmineshed/internal/flow/trail"
+	"jasmineshed/internal/retry"
+
+	shed "jasmineshed"
+)
+
+// Defaults for a zero Config.
+const (
+	DefaultMaxAttempts = 4
+	DefaultMaxResumes  = 2
+	DefaultSilence     = 2 * time.Second
+	DefaultLease       = 500 * time.Millisecond
+	DefaultBackoff     = 50 * time.Millisecond
+)
+
+// maxAvoid bounds the servers that a stage call asks to avoid.
+const maxAvoid = 8
+
+// Resumer is implemented by a Placer that has a say in whether a server may go
+// on with a stream that it holds.
+type Resumer interface {
+	MayResume(now time.Time, server shed.ServerID) bool
+}
+
+// Config sets up a Flow. Placer, Budget, Admit and Ledger are required; zero
+// values of the rest take the defaults.
+type Config struct {
+	Placer shed.Placer
+	Budget *retry.Budget
+	Admit  *admit.Gate
+	Ledger *cost.Ledger
+	// MaxAttempts bounds the sends of one stage, resumes included.
+	MaxAttempts int
+	// MaxResumes bounds how often one stage's stream is resumed.
+	MaxResumes int
+	// Silence is StartCall.Silence.
+	Silence time.Duration
+	// Lease bounds the time between a decision to send and the send.
+	Lease time.Duration
+	// Backoff is the wait before a repeat that has nowhere new to go; it
+	// doubles with each attempt.
+	Backoff time.Duration
+}
+
+// Flow holds the live requests. It is not safe for concurrent use.
+//
+// Every slice of actions that it returns holds at most one StartCall or
+// HandStage: the Placer reserves nothing, so two placements in one step could
+// both be given the last place of a cold server. The caller books a start
+// first and then calls Freed until that returns no start.
+type Flow struct {
+	cfg   Config
+	off   safeguards
+	rules *shed.Rules
+	// requests are those accepted and not yet finished.
+	requests map[shed.RequestID]*request
+	// wakes orders all requests by the time at which something must be done.
+	wakes wakeHeap
+	// stopping is why nothing new is accepted; empty while it is.
+	stopping shed.Reason
+	// out gathers the actions of the step; started tells whether a start is
+	// among them.
+	out     []shed.Action
+	started bool
+	queues  []admit.QueueKey
+}
+
+// safeguards can be turned off by tests, to show that the proof needs them.
+type safeguards struct {
+	staleEnds    bool
+	mayRepeat    bool
+	oneFinish    bool
+	checkLate    bool
+	oneStart     bool
+	runOnIfBound bool
+	hopeless     bool
+}
+
+// New returns a flow without requests.
+func New(cfg Config) *Flow {
+	if cfg.MaxAttempts == 0 {
+		cfg.MaxAttempts = DefaultMaxAttempts
+	}
+	if cfg.MaxResumes == 0 {
+		cfg.MaxResumes = DefaultMaxResumes
+	}
+	if cfg.Silence == 0 {
+		cfg.Silence = DefaultSilence
+	}
+	if cfg.Lease == 0 {
+		cfg.Lease = DefaultLease
+	}
+	if cfg.Backoff == 0 {
+		cfg.Backoff = DefaultBackoff
+	}
+	return &Flow{cfg: cfg, requests: map[shed.RequestID]*request{}}
+}
+
+// SetRules puts rules in force. A request goes on with the pipeline that it
+// was accepted with; where its stages may run follows the new rules at once.
+func (f *Flow) SetRules(rules *shed.Rules) {
+	f.rules = rules
+	f.cfg.Admit.SetRules(rules)
+}
+
+// Stop refuses whatever arrives from now on; what is live goes on to its end.
+func (f *Flow) Stop(reason shed.Reason) { f.stopping = reason }
+
+// Live counts the requests that have no final answer yet.
+func (f *Flow) Live() int { return len(f.requests) }
+
+// Handle takes one step. Events of other packages are ignored. The slice is
+// valid until the next step.
+func (f *Flow) Handle(now time.Time, ev shed.Event) []shed.Action {
+	f.begin()
+	switch e := ev.(type) {
+	case shed.Arrived:
+		f.arrived(now, e)
+	case shed.CallerGone:
+		f.callerGone(now, e.Request)
+	case shed.CallProgress:
+		f.progress(e)
+	case shed.CallEnded:
+		f.callEnded(now, e)
+	case shed.Tick:
+		f.tick(now)
+	}
+	return f.out
+}
+
+// Freed offers places that may have freed to those who wait, in queue order.
+// It starts one at the most.
+func (f *Flow) Freed(now time.Time) []shed.Action {
+	f.begin()
+	f.drain(now)
+	return f.out
+}
+
+func (f *Flow) begin() {
+	f.out = nil
+	f.started = false
+}
+
+func (f *Flow) emit(a shed.Action) { f.out = append(f.out, a) }
+
+func (f *Flow) arrived(now time.Time, a shed.Arrived) {
+	if f.requests[a.Request] != nil {
+		f.emit(shed.Note{Reason: shed.ReasonDuplicate, Request: a.Request})
+		return
+	}
+	p, refusal := f.pipeline(a)
+	if p == nil {
+		f.emit(trail.Refuse(a.Request, refusal))
+		return
+	}
+	key := admit.KeyOf(&p.Stages[0])
+	verdict := f.cfg.Admit.Admit(now, admit.Ask{
+		Request:  a.Request,
+		Pipeline: p,
+		Deadline: a.Deadline,
+		Queue:    key,
+	})
+	if !verdict.OK {
+		end := trail.End{Reason: verdict.Reason, Rule: p.Origin, RetryAfter: verdict.RetryAfter}
+		f.emit(trail.Refuse(a.Request, end))
+		return
+	}
+	r := &request{
+		arrived:  a,
+		pipeline: p,
+		trail:    trail.New(trail.Config{Request: a.Request, Stages: p.Stages}),
+		index:    -1,
+	}
+	f.requests[a.Request] = r
+	f.advance(now, r)
+}
+
+func (f *Flow) pipeline(a shed.Arrived) (*shed.Pipeline, trail.End) {
+	if f.stopping != shed.ReasonNone {
+		return nil, trail.End{Reason: f.stopping}
+	}
+	if f.rules == nil {
+		return nil, trail.End{Reason: shed.ReasonNoConfig}
+	}
+	p := f.rules.Pipelines[a.Pipeline]
+	if p == nil || len(p.Stages) == 0 {
+		return nil, trail.End{Reason: shed.ReasonUnknownPipeline}
+	}
+	return p, trail.End{}
+}
+
+// tick ends what has run out of time and lets one request that waited go on.
+func (f *Flow) tick(now time.Time) {
+	for len(f.wakes) > 0 && !f.wakes[0].wake.After(now) {
+		r := heap.Pop(&f.wakes).(*request)
+		f.woke(now, r)
+	}
+	f.drain(now)
+}
+
+func (f *Flow) woke(now time.Time, r *request) {
+	switch r.state {
+	case stateBackoff:
+		f.advance(now, r)
+	case stateWaiting:
+		f.giveUp(now, r, shed.ReasonServersBusy)
+	case stateRunning:
+		f.finish(now, r, trail.End{Cause: trail.CauseDeadline, Reason: shed.ReasonDeadline})
+	}
+}
+
+// finish gives the request its one answer and forgets it. A call that still
+// runs is cancelled: its result would be dropped.
+func (f *Flow) finish(now time.Time, r *request, end trail.End) {
+	if r.state == stateRunning {
+		f.emit(shed.CancelCall{Call: r.call, Reason: end.Reason})
+	}
+	f.emit(r.trail.Finish(now, end))
+	r.trail.Book(f.cfg.Ledger, r.pipeline.ID)
+	f.cfg.Admit.Drop(r.arrived.Request)
+	f.setState(r, stateOver, time.Time{})
+	if !f.off.oneFinish {
+		delete(f.requests, r.arrived.Request)
+	}
+}
--- /dev/null
+++ b/internal/flow/place.go
@@ -0,0 +1,232 @@
+package flow
+
+import (
+	"time"
+
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/flow/trail"
+
+	shed "jasmineshed"
+)
+
+// advance finds a server for the stage at hand, behind those who wait for the
+// same servers already.
+func (f *Flow) advance(now time.Time, r *request) {
+	key := admit.KeyOf(r.at())
+	if f.started && !f.off.oneStart || f.cfg.Admit.Len(key) > 0 {
+		f.enqueue(now, r, key)
+		f.drainQueue(now, key)
+		return
+	}
+	if !f.place(now, r) {
+		f.enqueue(now, r, key)
+	}
+}
+
+// place tries to start the stage. It returns false if the request has to wait;
+// true if it was started, backs off or is finished.
+func (f *Flow) place(now time.Time, r *request) bool {
+	if f.hopeless(now, r) {
+		f.giveUp(now, r, shed.ReasonWontMeetDeadline)
+		return true
+	}
+	p := f.cfg.Placer.Place(now, f.question(now, r))
+	switch p.Kind {
+	case shed.PlaceLocal:
+		f.start(now, r, p.Server)
+	case shed.PlacePeer:
+		f.hand(now, r, p.Peer)
+	case shed.PlaceWait:
+		return false
+	default:
+		f.nowhere(now, r, p)
+	}
+	return true
+}
+
+// hopeless tells whether the rest of the pipeline can't be done in time even
+// if it is started now. Starting it would only take a place from another.
+func (f *Flow) hopeless(now time.Time, r *request) bool {
+	if f.off.hopeless {
+		return false
+	}
+	return now.Add(admit.Minimum(r.pipeline, r.stage)).After(r.arrived.Deadline)
+}
+
+func (f *Flow) question(now time.Time, r *request) shed.PlaceAsk {
+	ask := shed.StageAsk{
+		Call:      r.trail.Next(r.stage),
+		Pipeline:  r.pipeline.ID,
+		Workspace: r.arrived.Workspace,
+		Prefix:    r.arrived.Prefix,
+		Input:     r.arrived.Input,
+		Budget:    r.cutoff().Sub(now),
+		Avoid:     r.avoid,
+	}
+	if f.rules != nil {
+		ask.Revision = f.rules.Revision
+	}
+	return shed.PlaceAsk{StageAsk: ask, Stage: *r.at(), Deadline: r.cutoff()}
+}
+
+func (f *Flow) start(now time.Time, r *request, s *shed.Server) {
+	a := f.startCall(now, r)
+	f.run(r, r.trail.Start(now, a, s), s)
+}
+
+func (f *Flow) startCall(now time.Time, r *request) shed.StartCall {
+	a := shed.StartCall{
+		Call:     r.trail.Next(r.stage),
+		Stage:    *r.at(),
+		Until:    f.until(now, r),
+		Deadline: r.cutoff(),
+		Priority: priority(r.cutoff().Sub(now)),
+		Silence:  f.cfg.Silence,
+	}
+	if f.rules == nil {
+		return a
+	}
+	if pool := f.rules.Pools[a.Stage.Pool]; pool != nil {
+		a.Model = pool.Model
+	}
+	return a
+}
+
+// run makes a recorded call the live one.
+func (f *Flow) run(r *request, a shed.StartCall, s *shed.Server) {
+	f.started = true
+	r.call = a.Call
+	r.local = s
+	r.offset = a.ResumeFrom
+	f.setState(r, stateRunning, r.cutoff())
+	f.emit(a)
+}
+
+func (f *Flow) hand(now time.Time, r *request, to shed.VM) {
+	a := r.trail.Hand(now, shed.HandStage{
+		To:       to,
+		Ask:      f.question(now, r).StageAsk,
+		Until:    f.until(now, r),
+		Deadline: r.cutoff(),
+		Silence:  f.cfg.Silence,
+	})
+	a.Ask.Hops++
+	f.started = true
+	r.call = a.Ask.Call
+	r.local = nil
+	r.offset = 0
+	f.setState(r, stateRunning, r.cutoff())
+	f.emit(a)
+}
+
+// until bounds the time from here to the send, so that a process which was
+// paused in between does not send on what it knew before.
+func (f *Flow) until(now time.Time, r *request) time.Time {
+	until := now.Add(f.cfg.Lease)
+	if cutoff := r.cutoff(); cutoff.Before(until) {
+		return cutoff
+	}
+	return until
+}
+
+// priority for the engine: the slack in tenths of a second.
+func priority(slack time.Duration) int {
+	return int(slack / (100 * time.Millisecond))
+}
+
+// nowhere ends the request, unless only the servers it avoids are left: they
+// are better than none, after a pause.
+func (f *Flow) nowhere(now time.Time, r *request, p shed.Placement) {
+	if len(r.avoid) > 0 {
+		r.avoid = nil
+		f.backOff(now, r)
+		return
+	}
+	reason := p.Reason
+	if reason == shed.ReasonNone {
+		reason = shed.ReasonNoServer
+	}
+	f.finish(now, r, trail.End{
+		Cause:      trail.CauseRefused,
+		Reason:     reason,
+		Rule:       p.Rule,
+		RetryAfter: max(p.RetryAfter, f.retryAfter(now, r)),
+	})
+}
+
+func (f *Flow) backOff(now time.Time, r *request) {
+	pause := f.cfg.Backoff << min(max(r.trail.Attempts(r.stage)-1, 0), maxShift)
+	f.setState(r, stateBackoff, now.Add(pause))
+}
+
+// maxShift bounds how far Backoff doubles.
+const maxShift = 5
+
+// enqueue lets the request wait for as long as it may still make its deadline.
+func (f *Flow) enqueue(now time.Time, r *request, key admit.QueueKey) {
+	latest := r.arrived.Deadline.Add(-f.cfg.Admit.Least(now, r.pipeline, r.stage))
+	if !latest.After(now) {
+		f.giveUp(now, r, shed.ReasonServersBusy)
+		return
+	}
+	f.setState(r, stateWaiting, latest)
+	evicted, ok := f.cfg.Admit.Push(now, key, admit.Waiting{
+		Request:   r.arrived.Request,
+		Workspace: r.arrived.Workspace,
+		Share:     f.share(r.arrived.Workspace),
+		Latest:    latest,
+	})
+	if ok {
+		return
+	}
+	if v := f.requests[evicted]; v != nil {
+		f.giveUp(now, v, shed.ReasonQueueFull)
+	}
+}
+
+func (f *Flow) share(id shed.WorkspaceID) int {
+	if f.rules == nil {
+		return 1
+	}
+	if ws := f.rules.Workspaces[id]; ws != nil {
+		return ws.Share
+	}
+	return 1
+}
+
+// giveUp ends a request that can't be done in time.
+func (f *Flow) giveUp(now time.Time, r *request, reason shed.Reason) {
+	f.finish(now, r, trail.End{
+		Cause:      trail.CauseRefused,
+		Reason:     reason,
+		Rule:       r.pipeline.Origin,
+		RetryAfter: f.retryAfter(now, r),
+	})
+}
+
+func (f *Flow) retryAfter(now time.Time, r *request) time.Duration {
+	return f.cfg.Admit.RetryAfter(now, admit.KeyOf(r.at()), r.arrived.Request)
+}
+
+// drain starts one of those who wait, if there is room for it.
+func (f *Flow) drain(now time.Time) {
+	f.queues = f.cfg.Admit.Queues(f.queues[:0])
+	for _, key := range f.queues {
+		if f.started {
+			return
+		}
+		f.drainQueue(now, key)
+	}
+}
+
+func (f *Flow) drainQueue(now time.Time, key admit.QueueKey) {
+	next := func(id shed.RequestID) bool {
+		r := f.requests[id]
+		return r == nil || f.place(now, r)
+	}
+	for !f.started || f.off.oneStart {
+		if !f.cfg.Admit.PopReady(now, key, next) {
+			return
+		}
+	}
+}
