--- /dev/null
+++ b/internal/daemon/guest.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/peers"
+
+	"go.opentelemetry.io/otel/propagation"
+)
+
+var _ peers.Handler = (*Daemon)(nil)
+
+// guest is a stage call that a peer handed over.
+type guest struct {
+	// ctx ends when the peer's stream does.
+	ctx     context.Context
+	payload shed.Payload
+	send    func(shed.Frame) error
+
+	once  sync.Once
+	ended chan struct{}
+	over  shed.CallEnded
+}
+
+func (g *guest) end(e shed.CallEnded) {
+	g.once.Do(func() {
+		g.over = e
+		close(g.ended)
+	})
+}
+
+// Stage implements peers.Handler.
+func (d *Daemon) Stage(ctx context.Context, in peers.StageCall, send func(shed.Frame) error) shed.CallEnded {
+	ctx = propagator.Extract(ctx, propagation.MapCarrier(in.Trace))
+	g := &guest{ctx: ctx, payload: in.Payload, send: send, ended: make(chan struct{})}
+	id := in.Ask.Call
+	if !d.admit(id, g, shed.StageAsked{Ask: in.Ask, From: in.From}) {
+		// The same attempt is here already: a doubled message must not run twice.
+		return shed.CallEnded{Call: id, End: shed.EndNotStarted, Reason: shed.ReasonDuplicate}
+	}
+	// The call's own context is derived from ctx, so a peer that goes ends it.
+	<-g.ended
+	d.mu.Lock()
+	delete(d.guests, id)
+	d.mu.Unlock()
+	return g.over
+}
+
+// admit registers the guest and tells core of it; false if the call is here.
+func (d *Daemon) admit(id shed.Call, g *guest, ev shed.StageAsked) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.guests[id] != nil || d.calls[id] != nil {
+		return false
+	}
+	d.guests[id] = g
+	d.perform(d.cfg.Core.Handle(time.Now(), ev))
+	return true
+}
+
+// refuseStage answers a guest that was not run. The caller holds d.mu.
+func (d *Daemon) refuseStage(a shed.RefuseStage) {
+	g := d.guests[a.Call]
+	if g == nil {
+		return
+	}
+	g.end(shed.CallEnded{Call: a.Call, End: shed.EndNotStarted, Reason: a.Reason, RetryAfter: a.RetryAfter})
+}
+
+// Control implements peers.Handler.
+func (d *Daemon) Control(from shed.Peer, msg shed.Message) {
+	d.handle(shed.PeerMessage{From: from, Message: msg})
+}
+
+// PeerLost tells core that a peer's link gave no answer. It does not block.
+func (d *Daemon) PeerLost(to shed.VM) {
+	d.background(func(context.Context) { d.handle(shed.PeerLost{Peer: to}) })
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	shed "jasmineshed"
+
+	"go.opentelemetry.io/otel/trace"
+)
+
+// run is one request accepted here.
+type run struct {
+	id        shed.RequestID
+	workspace shed.WorkspaceID
+	pipeline  shed.PipelineID
+	ticketed  bool
+	started   time.Time
+	span      trace.Span
+	// ctx carries the span to the calls; it ends with the daemon, not with the
+	// caller, since core decides what a gone caller means.
+	ctx context.Context
+
+	// payload is the input of the live stage. Guarded by Daemon.mu.
+	payload shed.Payload
+	// live is the call whose result counts. Guarded by Daemon.mu.
+	live *call
+	// last is the call that ended last, for its result or to resume it.
+	// Guarded by Daemon.mu.
+	last *call
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// pending are updates that no waiter has taken yet. Only the first waiter
+	// takes updates; one that joins later gets the final answer.
+	pending []shed.Update
+	// waiters counts the callers who wait. The request's caller is gone once
+	// there are none.
+	waiters int
+	answer  shed.Answer
+	keep    time.Time
+	// wake has room for one; it is filled when there is something to take.
+	wake chan struct{}
+	// done is closed once answer is final.
+	done chan struct{}
+}
+
+func newRun(ctx context.Context, id shed.RequestID, req shed.Request, ticketed bool) *run {
+	return &run{
+		id:        id,
+		workspace: req.Workspace,
+		pipeline:  req.Pipeline,
+		ticketed:  ticketed,
+		started:   time.Now(),
+		span:      trace.SpanFromContext(ctx),
+		ctx:       ctx,
+		payload:   req.Payload,
+		wake:      make(chan struct{}, 1),
+		done:      make(chan struct{}),
+	}
+}
+
+// push gives an update to the waiting caller.
+func (r *run) push(u shed.Update) {
+	r.mu.Lock()
+	r.pending = append(r.pending, u)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the pending updates into spare and returns it.
+func (r *run) take(spare []shed.Update) []shed.Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.pending
+	r.pending = spare[:0]
+	return out
+}
+
+// end makes the answer final; only the first one counts.
+func (r *run) end(a shed.Answer, keep time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.done:
+		return false
+	default:
+	}
+	r.answer = a
+	r.keep = time.Now().Add(keep)
+	close(r.done)
+	return true
+}
+
+func (r *run) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *run) expired(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended() && now.After(r.keep)
+}
+
+func (r *run) join() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiters++
+}
+
+// leave tells whether nobody waits any more.
+func (r *run) leave() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiters--
+	return r.waiters == 0
+}
+
+// wait passes updates on until the answer is final or the caller's ctx ends.
+func (r *run) wait(ctx context.Context, update func(shed.Update)) (shed.Answer, bool) {
+	var spare []shed.Update
+	deliver := func() {
+		if update == nil {
+			return
+		}
+		got := r.take(spare)
+		for _, u := range got {
+			update(u)
+		}
+		spare = got
+	}
+	for {
+		select {
+		case <-r.done:
+			deliver()
+			return r.answer, true
+		case <-ctx.Done():
+			return shed.Answer{}, false
+		case <-r.wake:
+			deliver()
+		}
+	}
+}
