--- /dev/null
+++ b/internal/core/calls.go
@@ -0,0 +1,81 @@
+package core
+
+import (
+	"time"
+
+	shed "jasmineshed"
+)
+
+const (
+	// shunLost is how long a peer whose link broke gets no work.
+	shunLost = time.Second
+	// shunBusy is how long a peer or zone that refused gets no work, if it
+	// named no time itself.
+	shunBusy = 200 * time.Millisecond
+	// shunMost bounds what a peer may ask for.
+	shunMost = 5 * time.Second
+)
+
+func (c *Core) callProgress(now time.Time, e shed.CallProgress) {
+	if _, here := c.local[e.Call]; here {
+		c.take(c.load.FirstToken(now, e.Call))
+	}
+	if !c.guests[e.Call] {
+		c.book(now, c.flow.Handle(now, e))
+	}
+}
+
+func (c *Core) callEnded(now time.Time, e shed.CallEnded) {
+	if id, here := c.local[e.Call]; here {
+		delete(c.local, e.Call)
+		e.Server = id
+		c.take(c.load.Ended(now, e.Call, e.End))
+		c.take(c.slots.Release(now, e.Call, e.End))
+	}
+	if to, far := c.handed[e.Call]; far {
+		delete(c.handed, e.Call)
+		c.judge(now, to, e)
+	}
+	if c.guests[e.Call] {
+		delete(c.guests, e.Call)
+		return
+	}
+	c.book(now, c.flow.Handle(now, e))
+}
+
+// judge notes that a peer, or its whole zone, gives no good answers just now.
+func (c *Core) judge(now time.Time, to target, e shed.CallEnded) {
+	switch e.End {
+	case shed.EndNotStarted:
+		pause := shunBusy
+		if e.RetryAfter > 0 {
+			pause = min(e.RetryAfter, shunMost)
+		}
+		c.shun(now, peerKey(to.vm), pause)
+		if e.Reason != shed.ReasonBroken && to.zone != c.cfg.Zone {
+			c.shun(now, zoneKey(to.zone), pause)
+		}
+	case shed.EndBroken:
+		c.shun(now, peerKey(to.vm), shunLost)
+	}
+}
+
+func peerKey(vm shed.VM) string    { return "peer " + string(vm) }
+func zoneKey(z shed.ZoneID) string { return "zone " + string(z) }
+
+func (c *Core) shun(now time.Time, key string, pause time.Duration) {
+	c.shunned[key] = now.Add(pause)
+}
+
+func (c *Core) isShunned(now time.Time, key string) bool {
+	until, ok := c.shunned[key]
+	return ok && now.Before(until)
+}
+
+func (c *Core) forgetShunned(now time.Time) {
+	for key, until := range c.shunned {
+		if !now.Before(until) {
+			delete(c.shunned, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,333 @@
+// Package core is all of a daemon's decisions as one: it hands each event to
+// the packages that it concerns, answers where a stage call may run, and books
+// every start and end with those who must know of it.
+package core
+
+import (
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/config"
+	"jasmineshed/internal/cost"
+	"jasmineshed/internal/flow"
+	"jasmineshed/internal/load"
+	"jasmineshed/internal/member"
+	"jasmineshed/internal/order"
+	"jasmineshed/internal/retry"
+	"jasmineshed/internal/route"
+	"jasmineshed/internal/slots"
+	"jasmineshed/internal/ticket"
+)
+
+// Defaults of Config.
+const (
+	defaultPolicy   = "affinity"
+	defaultNotice   = 2 * time.Second
+	defaultMaxDrain = 30 * time.Second
+)
+
+// Config sets up a Core. Zero values take the defaults.
+type Config struct {
+	Self  shed.Peer
+	Zone  shed.ZoneID
+	Seeds []shed.VM
+	// Seed of all random choices.
+	Seed uint64
+	// Compile turns the text of a configuration into rules.
+	Compile func(text []byte, rev shed.Revision) (*shed.Rules, error)
+	// Policy picks servers; see route.Named.
+	Policy string
+	// Notice is how long a stopping daemon still serves while the balancer
+	// notices that it is not ready.
+	Notice time.Duration
+	// MaxDrain bounds a graceful stop.
+	MaxDrain time.Duration
+
+	Config config.Config
+	Member member.Config
+	Slots  slots.Config
+	Load   load.Config
+	Order  order.Config
+	Flow   flow.Config
+	Admit  admit.Config
+	Retry  retry.Config
+	Ticket ticket.Config
+}
+
+// Core is one daemon's decisions. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	config  *config.State
+	member  *member.Group
+	slots   *slots.Table
+	load    *load.Book
+	orders  *order.Giver
+	flow    *flow.Flow
+	gate    *admit.Gate
+	ledger  *cost.Ledger
+	tickets *ticket.Table
+	policy  shed.Policy
+
+	// rules in force; nil until the first.
+	rules *shed.Rules
+	// viewHash is that of the view that the packages were last told.
+	viewHash uint64
+	// ready is what the driver was last told.
+	ready bool
+	stop  stop
+
+	// guests are the calls that run here for a peer.
+	guests map[shed.Call]bool
+	// local are the calls under way on servers of this zone.
+	local map[shed.Call]shed.ServerID
+	// handed are the calls under way at peers, with where.
+	handed map[shed.Call]target
+	// shunned are peers and zones that refused work or were lost, until when.
+	shunned map[string]time.Time
+	// scratch for the candidates of one placement.
+	scratch []shed.Candidate
+
+	// out gathers the actions of one event.
+	out []shed.Action
+}
+
+// target is where a call was handed.
+type target struct {
+	vm   shed.VM
+	zone shed.ZoneID
+}
+
+// New makes a Core. It fails only on an unknown policy.
+func New(cfg Config) (*Core, error) {
+	if cfg.Policy == "" {
+		cfg.Policy = defaultPolicy
+	}
+	if cfg.Notice == 0 {
+		cfg.Notice = defaultNotice
+	}
+	if cfg.MaxDrain == 0 {
+		cfg.MaxDrain = defaultMaxDrain
+	}
+	policy, err := route.Named(cfg.Policy, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		cfg:     cfg,
+		policy:  policy,
+		gate:    admit.New(cfg.Admit),
+		ledger:  cost.New(cost.Config{}),
+		guests:  make(map[shed.Call]bool),
+		local:   make(map[shed.Call]shed.ServerID),
+		handed:  make(map[shed.Call]target),
+		shunned: make(map[string]time.Time),
+	}
+	c.build()
+	return c, nil
+}
+
+// build makes the parts that need to know who this process is.
+func (c *Core) build() {
+	cfg := c.cfg
+	cfg.Config.Self, cfg.Config.Zone = cfg.Self, cfg.Zone
+	cfg.Config.Compile, cfg.Config.Seed = cfg.Compile, cfg.Seed
+	cfg.Config.Seeds = len(cfg.Seeds)
+	c.config = config.New(cfg.Config)
+	cfg.Member.Self, cfg.Member.Zone = cfg.Self, cfg.Zone
+	cfg.Member.Seeds, cfg.Member.Seed = cfg.Seeds, cfg.Seed
+	c.member = member.New(cfg.Member)
+	cfg.Slots.Self = cfg.Self.VM
+	c.slots = slots.New(cfg.Slots)
+	cfg.Load.Self = cfg.Self.VM
+	c.load = load.New(cfg.Load)
+	cfg.Order.Self, cfg.Order.Zone = cfg.Self.VM, cfg.Zone
+	c.orders = order.New(cfg.Order)
+	cfg.Ticket.Self = cfg.Self
+	c.tickets = ticket.New(cfg.Ticket)
+	cfg.Flow.Placer, cfg.Flow.Admit, cfg.Flow.Ledger = c, c.gate, c.ledger
+	cfg.Flow.Budget = retry.New(cfg.Retry)
+	c.flow = flow.New(cfg.Flow)
+}
+
+// Handle takes one event and returns what to do, in order. The slice is the
+// caller's.
+func (c *Core) Handle(now time.Time, ev shed.Event) []shed.Action {
+	c.out = nil
+	// Configuration sees every event first: it is the one that notices, by the
+	// time since the last tick, that the process was paused. A request that is
+	// handled between waking up and the next tick must already find it unready.
+	c.take(c.config.Handle(now, ev))
+	c.dispatch(now, ev)
+	c.flowOn(now)
+	return c.out
+}
+
+func (c *Core) dispatch(now time.Time, ev shed.Event) {
+	switch e := ev.(type) {
+	case shed.Tick:
+		c.tick(now, e)
+	case shed.Arrived:
+		c.arrived(now, e)
+	case shed.StageAsked:
+		c.stageAsked(now, e)
+	case shed.CallProgress:
+		c.callProgress(now, e)
+	case shed.CallEnded:
+		c.callEnded(now, e)
+	case shed.CallerGone:
+		c.book(now, c.flow.Handle(now, e))
+	case shed.PeerMessage:
+		c.message(now, e)
+	case shed.PeerLost:
+		c.shun(now, peerKey(e.Peer), shunLost)
+		c.take(c.member.Handle(now, e))
+		c.view(now)
+	case shed.VMsRead:
+		c.take(c.member.Handle(now, e))
+		c.view(now)
+	case shed.LoadReported, shed.ServerSilent:
+		c.take(c.load.Handle(now, ev))
+		c.take(c.slots.Handle(now, ev))
+		c.take(c.orders.Handle(now, ev))
+	case shed.OrderEnded:
+		c.take(c.orders.Handle(now, e))
+	case shed.StopAsked:
+		c.stopAsked(now, e)
+	}
+}
+
+// take passes actions on that need no booking, and puts new rules in force.
+func (c *Core) take(acts []shed.Action) {
+	c.out = append(c.out, acts...)
+}
+
+func (c *Core) tick(now time.Time, t shed.Tick) {
+	c.take(c.member.Handle(now, t))
+	c.view(now)
+	c.adopt(now)
+	c.take(c.load.Handle(now, t))
+	c.take(c.slots.Handle(now, t))
+	c.take(c.orders.Handle(now, t))
+	c.tickets.Expire(now)
+	c.book(now, c.flow.Handle(now, t))
+	c.forgetShunned(now)
+	c.stopTick(now)
+	c.tellReady()
+}
+
+func (c *Core) message(now time.Time, m shed.PeerMessage) {
+	c.take(c.member.Handle(now, m))
+	c.take(c.load.Handle(now, m))
+	c.take(c.slots.Handle(now, m))
+	c.take(c.orders.Handle(now, m))
+	if move, ok := m.Message.(shed.TicketMove); ok && move.From == m.From {
+		c.tickets.Adopt(now, move)
+	}
+	c.view(now)
+	c.adopt(now)
+}
+
+// adopt puts rules in force that config has taken.
+func (c *Core) adopt(now time.Time) {
+	rules := c.config.Rules()
+	if rules == nil || rules == c.rules {
+		return
+	}
+	c.rules = rules
+	var mine []*shed.Server
+	for _, s := range rules.Servers {
+		if s.Zone == c.cfg.Zone {
+			mine = append(mine, s)
+		}
+	}
+	slices.SortFunc(mine, func(a, b *shed.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	c.load.SetServers(now, mine)
+	c.take(c.slots.SetServers(now, mine))
+	c.take(c.orders.SetRules(now, rules))
+	c.flow.SetRules(rules)
+	c.out = append(c.out, shed.RulesInForce{Rules: rules})
+}
+
+// view tells the packages who is alive.
+func (c *Core) view(now time.Time) {
+	v := c.member.View()
+	vms := v.VMs(c.cfg.Zone)
+	unsure := !c.member.Confirmed(now)
+	known := c.member.Known()
+	hash := v.Hash(c.cfg.Zone)
+	c.slots.SetKnown(now, known)
+	c.take(c.slots.SetView(now, vms, hash, unsure))
+	c.orders.SetKnown(now, known)
+	c.orders.SetView(now, vms, hash, unsure)
+	c.load.SetView(now, vms)
+	others := make(map[shed.ZoneID][]shed.Peer)
+	for _, z := range v.Zones() {
+		if z != c.cfg.Zone {
+			others[z] = v.Zone(z)
+		}
+	}
+	c.config.SetPeers(v.Zone(c.cfg.Zone), others)
+}
+
+// tellReady tells the driver when readiness changes.
+func (c *Core) tellReady() {
+	ready := c.config.Ready() && c.rules != nil && !c.stop.asked
+	if ready != c.ready {
+		c.ready = ready
+		c.out = append(c.out, shed.Ready{Ready: ready})
+	}
+}
+
+// flowOn offers places that may have freed until nobody takes one more. Flow
+// starts one call a step, so that each is booked before the next is placed.
+func (c *Core) flowOn(now time.Time) {
+	for {
+		acts := c.flow.Freed(now)
+		if !c.book(now, acts) {
+			return
+		}
+	}
+}
+
+// book passes on what flow decided, and tells those who must know of it. It
+// returns whether a call was started.
+func (c *Core) book(now time.Time, acts []shed.Action) bool {
+	started := false
+	for _, act := range acts {
+		switch a := act.(type) {
+		case shed.StartCall:
+			c.bookStart(now, a)
+			started = true
+		case shed.HandStage:
+			c.handed[a.Ask.Call] = target{vm: a.To, zone: c.zoneOf(a.To)}
+			started = true
+		case shed.Finish:
+			c.tickets.Finished(now, a.Request, a)
+		}
+		c.out = append(c.out, act)
+	}
+	return started
+}
+
+func (c *Core) bookStart(now time.Time, a shed.StartCall) {
+	c.local[a.Call] = a.Server
+	cand, _ := c.load.Candidate(now, a.Server)
+	c.load.Sent(now, a.Server, a.Call)
+	if cand.Cold {
+		c.slots.Take(now, a.Server, a.Call)
+		return
+	}
+	c.slots.Occupy(now, a.Server, a.Call)
+}
+
+func (c *Core) zoneOf(vm shed.VM) shed.ZoneID {
+	m, _ := c.member.Lookup(vm)
+	return m.Zone
+}
--- /dev/null
+++ b/internal/core/guest.go
@@ -0,0 +1,117 @@
+package core
+
+import (
+	"time"
+
+	shed "jasmineshed"
+)
+
+const (
+	// guestLease bounds the time from the decision to the send.
+	guestLease = 500 * time.Millisecond
+	// guestSilence is the longest time without a frame from a server.
+	guestSilence = 2 * time.Second
+	// guestComeBack is when a peer that was refused may ask again.
+	guestComeBack = 200 * time.Millisecond
+)
+
+// stageAsked places a stage call that a peer handed over: under this daemon's
+// own rules, at once or not at all, and one attempt at the most.
+func (c *Core) stageAsked(now time.Time, e shed.StageAsked) {
+	ask := e.Ask
+	stage, reason := c.stageOf(ask)
+	switch {
+	case reason != shed.ReasonNone:
+		c.refuseStage(ask.Call, reason, comeBack)
+		return
+	case c.stop.refuses(now):
+		c.refuseStage(ask.Call, shed.ReasonStopping, comeBack)
+		return
+	case c.busyWith(ask.Call):
+		c.refuseStage(ask.Call, shed.ReasonDuplicate, 0)
+		return
+	case ask.Hops > maxHops:
+		c.refuseStage(ask.Call, shed.ReasonTooManyHops, 0)
+		return
+	}
+	q := shed.PlaceAsk{StageAsk: ask, Stage: stage, Deadline: now.Add(ask.Budget)}
+	p := c.placeHere(now, q, c.rules.Pools[stage.Pool], e.From.VM)
+	switch p.Kind {
+	case shed.PlaceLocal:
+		c.startGuest(now, q, p.Server)
+	case shed.PlacePeer:
+		c.passOn(now, q, p.Peer)
+	default:
+		c.out = append(c.out, shed.Note{Reason: p.Reason, Request: ask.Call.Request, Zone: c.cfg.Zone, Rule: p.Rule})
+		c.refuseStage(ask.Call, p.Reason, guestComeBack)
+	}
+}
+
+// stageOf finds the stage in the rules in force here, which may be older or
+// newer than the sender's.
+func (c *Core) stageOf(ask shed.StageAsk) (shed.Stage, shed.Reason) {
+	if c.rules == nil {
+		return shed.Stage{}, shed.ReasonNoConfig
+	}
+	if !c.config.Ready() {
+		return shed.Stage{}, shed.ReasonWoke
+	}
+	p := c.rules.Pipelines[ask.Pipeline]
+	if p == nil || int(ask.Call.Stage) >= len(p.Stages) {
+		return shed.Stage{}, shed.ReasonUnknownPipeline
+	}
+	stage := p.Stages[ask.Call.Stage]
+	if c.rules.Pools[stage.Pool] == nil {
+		return shed.Stage{}, shed.ReasonNoServer
+	}
+	return stage, shed.ReasonNone
+}
+
+// busyWith tells whether the attempt is here already, for a peer or for a
+// request of this daemon's own: a doubled or circling message.
+func (c *Core) busyWith(call shed.Call) bool {
+	_, local := c.local[call]
+	_, handed := c.handed[call]
+	return local || handed || c.guests[call]
+}
+
+func (c *Core) refuseStage(call shed.Call, reason shed.Reason, after time.Duration) {
+	c.out = append(c.out, shed.RefuseStage{Call: call, Reason: reason, RetryAfter: after})
+}
+
+func (c *Core) startGuest(now time.Time, q shed.PlaceAsk, s *shed.Server) {
+	a := shed.StartCall{
+		Call:     q.Call,
+		Server:   s.ID,
+		URL:      s.URL,
+		Stage:    q.Stage,
+		Model:    c.rules.Pools[q.Stage.Pool].Model,
+		Until:    earlier(now.Add(guestLease), q.Deadline),
+		Deadline: q.Deadline,
+		Priority: int(q.Budget / (100 * time.Millisecond)),
+		Silence:  guestSilence,
+	}
+	c.guests[q.Call] = true
+	c.bookStart(now, a)
+	c.out = append(c.out, a)
+}
+
+func (c *Core) passOn(now time.Time, q shed.PlaceAsk, to shed.VM) {
+	q.Hops++
+	c.guests[q.Call] = true
+	c.handed[q.Call] = target{vm: to, zone: c.cfg.Zone}
+	c.out = append(c.out, shed.HandStage{
+		To:       to,
+		Ask:      q.StageAsk,
+		Until:    earlier(now.Add(guestLease), q.Deadline),
+		Deadline: q.Deadline,
+		Silence:  guestSilence,
+	})
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,19 +26,11 @@
 	// Issue gives out a ticket whose id embeds random; else it is refused.
 	Issue(now time.Time, ws shed.WorkspaceID, pipeline shed.PipelineID, random [16]byte) (shed.Ticket, *shed.Finish)
 	// Locate tells which process a ticket's requests run at.
-	Locate(id shed.RequestID) Home
+	Locate(id shed.RequestID) shed.Home
 	// Status is what the daemon believes, for operators.
 	Status(now time.Time) any
 }
 
-// Home is where a ticket's requests run.
-type Home struct {
-	// Self: this process.
-	Self bool
-	// Peer is another process; zero if none is known or alive.
-	Peer shed.Peer
-}
-
 // Config is what a Daemon needs.
 type Config struct {
 	Self     shed.Peer
--- a/internal/slots/table.go
+++ b/internal/slots/table.go
@@ -356,3 +356,13 @@
 		e.inFlight--
 	}
 }
+
+// Ask returns a peer that may send a call to the cold server, by the view that
+// this daemon trusts now.
+func (t *Table) Ask(now time.Time, server shed.ServerID) (shed.VM, bool) {
+	e := t.servers[server]
+	if e == nil || !t.trust(now) {
+		return "", false
+	}
+	return t.other(e)
+}
--- a/serving.go
+++ b/serving.go
@@ -119,3 +119,13 @@
 	// Ready tells whether the balancer should send requests here.
 	Ready() bool
 }
+
+// Home is where a ticket's requests run.
+type Home struct {
+	// Self says that it is this process.
+	Self bool
+	// Forged says that nobody ever gave out the ticket.
+	Forged bool
+	// Peer is the process that has the ticket; zero if it is gone.
+	Peer Peer
+}
