flow: state machine and fault matrix against an oracle

Removing the trail's own check against a second end is not caught: flow drops such an end before it.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -85,6 +85,7 @@
 	oneStart     bool
 	runOnIfBound bool
 	hopeless     bool
+	boundPause   bool
 }
 
 // New returns a flow without requests.
--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,97 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/cost"
+	"jasmineshed/internal/retry"
+
+	shed "jasmineshed"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fakePlacer places by a function; it counts the calls on each server, as core
+// does, from what the flow emits.
+type fakePlacer struct {
+	place func(shed.PlaceAsk) shed.Placement
+}
+
+func (p *fakePlacer) Place(_ time.Time, ask shed.PlaceAsk) shed.Placement { return p.place(ask) }
+
+func server(id shed.ServerID) *shed.Server {
+	return &shed.Server{ID: id, Pool: "p", Zone: "a", Capacity: 4, ColdBears: 1}
+}
+
+func onServer(id shed.ServerID) func(shed.PlaceAsk) shed.Placement {
+	s := server(id)
+	return func(shed.PlaceAsk) shed.Placement {
+		return shed.Placement{Kind: shed.PlaceLocal, Server: s}
+	}
+}
+
+// testRules has a drafting pipeline whose stages may be repeated and a
+// publishing one whose second stage must run at most once.
+func testRules() *shed.Rules {
+	encode := shed.Stage{ID: "encode", Kind: shed.KindEncode, Pool: "p", Minimum: 10 * time.Millisecond, Idempotent: true}
+	write := shed.Stage{ID: "write", Kind: shed.KindGenerate, Pool: "p", Minimum: 100 * time.Millisecond, Idempotent: true}
+	publish := shed.Stage{ID: "publish", Kind: shed.KindService, Pool: "p", Minimum: 10 * time.Millisecond}
+	return &shed.Rules{
+		Revision: 1,
+		Pipelines: map[shed.PipelineID]*shed.Pipeline{
+			"draft":   {ID: "draft", Deadline: 6 * time.Second, Stages: []shed.Stage{encode, write}},
+			"publish": {ID: "publish", Deadline: 6 * time.Second, Stages: []shed.Stage{encode, publish, encode}},
+		},
+		Servers: map[shed.ServerID]*shed.Server{"s1": server("s1"), "s2": server("s2")},
+	}
+}
+
+func newFlow(place func(shed.PlaceAsk) shed.Placement) *Flow {
+	f := New(Config{
+		Placer: &fakePlacer{place: place},
+		Budget: retry.New(retry.Config{}),
+		Admit:  admit.New(admit.Config{}),
+		Ledger: cost.New(cost.Config{}),
+	})
+	f.SetRules(testRules())
+	return f
+}
+
+func arrived(id shed.RequestID, p shed.PipelineID) shed.Arrived {
+	return shed.Arrived{Request: id, Pipeline: p, Workspace: "w", Deadline: start.Add(6 * time.Second)}
+}
+
+// only returns the actions of one type.
+func only[A shed.Action](acts []shed.Action) []A {
+	var out []A
+	for _, a := range acts {
+		if a, ok := a.(A); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func TestStagesInOrderToComplete(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	now := start
+	acts := f.Handle(now, arrived("r", "draft"))
+	for stage := range uint8(2) {
+		calls := only[shed.StartCall](acts)
+		require.Len(t, calls, 1)
+		require.Equal(t, shed.Call{Request: "r", Stage: stage, Attempt: 1}, calls[0].Call)
+		require.Equal(t, now.Add(DefaultLease), calls[0].Until)
+		now = now.Add(400 * time.Millisecond)
+		acts = f.Handle(now, shed.CallEnded{Call: calls[0].Call, End: shed.EndComplete, Server: "s1", Zone: "a"})
+		require.Equal(t, []shed.StageDone{{Call: calls[0].Call}}, only[shed.StageDone](acts))
+	}
+	fin := only[shed.Finish](acts)
+	require.Len(t, fin, 1)
+	require.Equal(t, shed.OutcomeComplete, fin[0].Outcome)
+	require.Equal(t, shed.Cost(100), fin[0].Stages[0].Useful)
+	require.Zero(t, f.Live())
+}
--- /dev/null
+++ b/internal/flow/matrix_test.go
@@ -0,0 +1,169 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+)
+
+// fault is something that happens in place of the next good step.
+type fault struct {
+	name string
+	do   func(*world)
+}
+
+// matrixFaults are all that can come to the flow at any step: each bad end of
+// the live call, ends that are doubled or of another attempt, callers that
+// leave, time that leaps, and servers that can't be had.
+func matrixFaults() []fault {
+	faults := []fault{
+		{"caller gone", func(w *world) {
+			w.o.requests["r1"].gone = true
+			w.handle(shed.CallerGone{Request: "r1"})
+		}},
+		{"end doubled", func(w *world) {
+			for _, e := range w.old {
+				w.handle(e)
+			}
+		}},
+		{"end of another attempt", func(w *world) {
+			for _, c := range w.open {
+				c.Attempt++
+				w.handle(shed.CallEnded{Call: c, End: shed.EndComplete})
+			}
+		}},
+		{"end of another stage", func(w *world) {
+			for _, c := range w.open {
+				c.Stage++
+				w.handle(shed.CallEnded{Call: c, End: shed.EndComplete})
+			}
+		}},
+		{"paused past the deadline", func(w *world) { w.leap(time.Minute) }},
+		{"result after the deadline, before the tick", func(w *world) {
+			w.now = w.now.Add(time.Minute)
+			w.endFirst(shed.EndComplete, 0)
+		}},
+		{"paused, not past the deadline", func(w *world) { w.leap(2 * time.Second) }},
+		{"arrived twice", func(w *world) {
+			if w.o.requests["r1"].finish == nil {
+				w.handle(arrived("r1", "draft"))
+			}
+		}},
+		{"no rules for it", func(w *world) { w.f.SetRules(&shed.Rules{Revision: 2}) }},
+		{"stop", func(w *world) { w.f.Stop(shed.ReasonStopping) }},
+	}
+	for k, name := range []string{"nowhere", "at a peer", "full"} {
+		faults = append(faults, fault{"next placing: " + name, func(w *world) { w.script = append(w.script, k) }})
+	}
+	for end := shed.EndNotStarted; end <= shed.EndCancelled; end++ {
+		faults = append(faults,
+			fault{fmt.Sprintf("end %d", end), func(w *world) { w.endFirst(end, 0) }},
+			fault{fmt.Sprintf("end %d midway", end), func(w *world) { w.endFirst(end, 9) }})
+	}
+	return faults
+}
+
+func (w *world) leap(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.handle(shed.Tick{Wall: w.now})
+	w.o.settled(w.now)
+}
+
+func (w *world) endFirst(end shed.CallEnd, tokens shed.Tokens) {
+	if len(w.open) == 0 {
+		return
+	}
+	c := w.open[0]
+	w.ended(shed.CallEnded{Call: c, End: end, Server: w.on[c], Tokens: tokens, Reason: shed.ReasonBroken})
+}
+
+const matrixSteps = 7
+
+// cell runs one request, with the faults in place of the steps given, and
+// returns what the oracle found.
+func cell(p shed.PipelineID, off safeguards, at map[int][]fault) []string {
+	w := newWorld(off)
+	w.placing = func() int {
+		if len(w.script) == 0 {
+			return -1
+		}
+		k := w.script[0]
+		w.script = w.script[1:]
+		return k
+	}
+	a := arrived("r1", p)
+	w.o.arrived(a, testRules().Pipelines[p])
+	w.handle(a)
+	for step := range matrixSteps {
+		for _, f := range at[step] {
+			f.do(w)
+		}
+		if len(at[step]) == 0 {
+			w.endFirst(shed.EndComplete, 20)
+		}
+		w.leap(100 * time.Millisecond)
+	}
+	w.close()
+	return w.o.faults
+}
+
+// everyCell calls visit for each fault at each step and for each pair of faults
+// at each pair of steps, the same step included, until visit returns false.
+func everyCell(visit func(p shed.PipelineID, name string, at map[int][]fault) bool) {
+	faults := matrixFaults()
+	for _, p := range []shed.PipelineID{"draft", "publish"} {
+		for i := range matrixSteps * len(faults) {
+			f, step := faults[i%len(faults)], i/len(faults)
+			if !visit(p, fmt.Sprintf("%d %s", step, f.name), map[int][]fault{step: {f}}) {
+				return
+			}
+			for k := step * len(faults); k < matrixSteps*len(faults); k++ {
+				g, later := faults[k%len(faults)], k/len(faults)
+				at := map[int][]fault{step: {f}}
+				at[later] = append(at[later], g)
+				if !visit(p, fmt.Sprintf("%d %s, %d %s", step, f.name, later, g.name), at) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Every fault comes at every step of a request, then every pair of faults. The
+// caller must see one true answer in each cell, and nothing may run twice that
+// must not: the step before the fault may have sent it already.
+func TestFaultMatrix(t *testing.T) {
+	cells := 0
+	everyCell(func(p shed.PipelineID, name string, at map[int][]fault) bool {
+		cells++
+		return assert.Empty(t, cell(p, safeguards{}, at), "%s: %s", p, name)
+	})
+	t.Logf("%d cells", cells)
+}
+
+// With a safeguard off some cell must go red, or the matrix proves nothing of
+// it. "one start" and "bound pause" need a second request and three faults in a
+// row, so they are left to the state machine.
+func TestFaultMatrixCatchesEachSafeguardOff(t *testing.T) {
+	for name, off := range mutants() {
+		if off.oneStart || off.boundPause {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			red := ""
+			everyCell(func(p shed.PipelineID, cellName string, at map[int][]fault) bool {
+				if faults := cell(p, off, at); len(faults) > 0 {
+					red = fmt.Sprintf("%s: %s: %v", p, cellName, faults)
+				}
+				return red == ""
+			})
+			require.NotEmpty(t, red, "no cell went red")
+			t.Log(red)
+		})
+	}
+}
--- /dev/null
+++ b/internal/flow/oracle_test.go
@@ -0,0 +1,242 @@
+package flow
+
+import (
+	"fmt"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// oracle judges a run by what came in and what went out. It knows the promises
+// and nothing of the implementation.
+type oracle struct {
+	now      time.Time
+	requests map[shed.RequestID]*seen
+	faults   []string
+}
+
+// seen is what the oracle saw of one request.
+type seen struct {
+	pipeline *shed.Pipeline
+	deadline time.Time
+	sends    []*send
+	done     []shed.Call
+	finish   *shed.Finish
+	gone     bool
+}
+
+// send is one call that left; end is 0 until its end came in.
+type send struct {
+	call     shed.Call
+	resumed  bool
+	end      shed.CallEnd
+	canceled bool
+}
+
+func newOracle() *oracle { return &oracle{requests: map[shed.RequestID]*seen{}} }
+
+func (o *oracle) fault(format string, args ...any) {
+	o.faults = append(o.faults, fmt.Sprintf(format, args...))
+}
+
+func (o *oracle) arrived(a shed.Arrived, p *shed.Pipeline) {
+	if o.requests[a.Request] == nil {
+		o.requests[a.Request] = &seen{pipeline: p, deadline: a.Deadline}
+	}
+}
+
+// ended is told before the flow is. It returns false for an end that is not of
+// a call in flight, which must change nothing.
+func (o *oracle) ended(e shed.CallEnded) bool {
+	for _, s := range o.sendsOf(e.Call.Request) {
+		if s.call == e.Call && s.end == 0 {
+			s.end = e.End
+			return true
+		}
+	}
+	return false
+}
+
+func (o *oracle) sendsOf(id shed.RequestID) []*send {
+	if r := o.requests[id]; r != nil {
+		return r.sends
+	}
+	return nil
+}
+
+// step judges the actions of one step at now.
+func (o *oracle) step(now time.Time, acts []shed.Action) {
+	o.now = now
+	starts := 0
+	for _, a := range acts {
+		switch a := a.(type) {
+		case shed.StartCall:
+			starts++
+			o.sent(&send{call: a.Call, resumed: a.ResumeFrom > 0}, a.Until)
+		case shed.HandStage:
+			starts++
+			o.sent(&send{call: a.Ask.Call}, a.Until)
+		case shed.CancelCall:
+			o.cancelled(a.Call)
+		case shed.StageDone:
+			o.stageDone(a.Call)
+		case shed.Finish:
+			o.finished(a)
+		}
+	}
+	if starts > 1 {
+		o.fault("%d starts in one step", starts)
+	}
+}
+
+func (o *oracle) sent(s *send, until time.Time) {
+	r := o.requests[s.call.Request]
+	if r == nil || r.finish != nil {
+		o.fault("%v sent for a request that is not live", s.call)
+		return
+	}
+	if until.After(r.deadline) || o.now.After(r.deadline) {
+		o.fault("%v may be sent after the deadline", s.call)
+	}
+	if int(s.call.Stage) != len(r.done) {
+		o.fault("%v sent out of order", s.call)
+	}
+	attempts := 1
+	for _, before := range r.sends {
+		if before.end == 0 && !before.canceled {
+			o.fault("%v sent while %v is live", s.call, before.call)
+		}
+		if before.call.Stage != s.call.Stage {
+			continue
+		}
+		attempts++
+		open := before.end == 0 || before.end.MayHaveRun()
+		if open && !s.resumed && !r.pipeline.Stages[s.call.Stage].Idempotent {
+			o.fault("%v must run at most once, but %v may have run", s.call, before.call)
+		}
+	}
+	if attempts > DefaultMaxAttempts {
+		o.fault("%v: %d attempts", s.call, attempts)
+	}
+	r.sends = append(r.sends, s)
+}
+
+func (o *oracle) cancelled(c shed.Call) {
+	for _, s := range o.sendsOf(c.Request) {
+		if s.call == c {
+			s.canceled = true
+		}
+	}
+	// A cancel is no end: the call may have run.
+	if r := o.requests[c.Request]; r.gone && o.now.Before(r.deadline) && r.bound() {
+		o.fault("%v cancelled for a caller, though its outcome must become known", c)
+	}
+}
+
+func (o *oracle) stageDone(c shed.Call) {
+	r := o.requests[c.Request]
+	if r.finish != nil || int(c.Stage) != len(r.done) {
+		o.fault("%v done out of order", c)
+	}
+	for _, s := range r.sends {
+		if s.call == c && s.end == shed.EndComplete {
+			r.done = append(r.done, c)
+			return
+		}
+	}
+	o.fault("%v done without a whole result", c)
+}
+
+func (o *oracle) finished(f shed.Finish) {
+	r := o.requests[f.Request]
+	if r == nil || r.finish != nil {
+		o.fault("%s: no answer was due: %v", f.Request, f.Outcome)
+		return
+	}
+	r.finish = &f
+	for _, s := range r.sends {
+		if s.end == 0 && !s.canceled {
+			o.fault("%v left running after the answer", s.call)
+		}
+	}
+	reached := r.reached(-1)
+	switch f.Outcome {
+	case shed.OutcomeComplete:
+		late := o.now.After(r.deadline) && r.pipeline.Idempotent()
+		if len(r.done) != len(r.pipeline.Stages) || late {
+			o.fault("%s: complete with %d stages, late %v", f.Request, len(r.done), late)
+		}
+	case shed.OutcomeNotRun:
+		if reached {
+			o.fault("%s: not_run, but a call may have reached a server", f.Request)
+		}
+	case shed.OutcomeUnknown:
+		if !r.inDoubt() {
+			o.fault("%s: unknown, but nothing is in doubt", f.Request)
+		}
+	}
+	if r.inDoubt() && f.Outcome != shed.OutcomeUnknown {
+		o.fault("%s: %d, but a stage is in doubt", f.Request, f.Outcome)
+	}
+	if f.Outcome != shed.OutcomeComplete && f.Reason == shed.ReasonNone {
+		o.fault("%s: no reason given", f.Request)
+	}
+	for i, s := range f.Stages {
+		if s.Ran != r.reached(i) {
+			o.fault("%s: stage %d reported as ran: %v", f.Request, i, s.Ran)
+		}
+	}
+}
+
+// reached tells whether a send of the stage, or of any for -1, can have come to
+// a server.
+func (r *seen) reached(stage int) bool {
+	for _, s := range r.sends {
+		if s.end != shed.EndNotStarted && (stage < 0 || int(s.call.Stage) == stage) {
+			return true
+		}
+	}
+	return false
+}
+
+// bound tells whether a stage that must run at most once may have run.
+func (r *seen) bound() bool {
+	for _, s := range r.sends {
+		if !r.pipeline.Stages[s.call.Stage].Idempotent && (s.end == 0 || s.end.MayHaveRun()) {
+			return true
+		}
+	}
+	return false
+}
+
+// inDoubt tells whether such a stage has neither result nor error.
+func (r *seen) inDoubt() bool {
+	doubt := false
+	for _, s := range r.sends {
+		if r.pipeline.Stages[s.call.Stage].Idempotent {
+			continue
+		}
+		switch s.end {
+		case shed.EndComplete:
+			return false
+		case 0, shed.EndBroken, shed.EndBadReply, shed.EndCancelled:
+			doubt = true
+		}
+	}
+	return doubt
+}
+
+// settled judges what must hold between steps.
+func (o *oracle) settled(now time.Time) {
+	for id, r := range o.requests {
+		if r.finish != nil {
+			continue
+		}
+		if now.After(r.deadline) {
+			o.fault("%s: no answer after its deadline", id)
+		}
+		if r.gone && !r.bound() {
+			o.fault("%s: goes on for nobody", id)
+		}
+	}
+}
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -154,8 +154,15 @@
 	})
 }
 
+// backOff waits before the next try, or gives up at once if the wait would
+// leave too little time.
 func (f *Flow) backOff(now time.Time, r *request) {
 	pause := f.cfg.Backoff << min(max(r.trail.Attempts(r.stage)-1, 0), maxShift)
+	left := r.arrived.Deadline.Sub(now) - admit.Minimum(r.pipeline, r.stage)
+	if pause >= left && !f.off.boundPause {
+		f.giveUp(now, r, shed.ReasonWontMeetDeadline)
+		return
+	}
 	f.setState(r, stateBackoff, now.Add(pause))
 }
 
