--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,10 @@
 	rules *shed.Rules
 	// viewHash is that of the view that the packages were last told.
 	viewHash uint64
+	// rulesAt is when the first rules came into force.
+	rulesAt time.Time
+	// surveyed: every server of the zone has been heard of, or had its time.
+	surveyed bool
 	// ready is what the driver was last told.
 	ready bool
 	stop  stop
@@ -159,6 +163,7 @@
 	// time since the last tick, that the process was paused. A request that is
 	// handled between waking up and the next tick must already find it unready.
 	c.take(c.config.Handle(now, ev))
+	c.adopt(now)
 	c.dispatch(now, ev)
 	c.flowOn(now)
 	return c.out
@@ -206,7 +211,6 @@
 func (c *Core) tick(now time.Time, t shed.Tick) {
 	c.take(c.member.Handle(now, t))
 	c.view(now)
-	c.adopt(now)
 	c.take(c.load.Handle(now, t))
 	c.take(c.slots.Handle(now, t))
 	c.take(c.orders.Handle(now, t))
@@ -214,7 +218,7 @@
 	c.book(now, c.flow.Handle(now, t))
 	c.forgetShunned(now)
 	c.stopTick(now)
-	c.tellReady()
+	c.tellReady(now)
 }
 
 func (c *Core) message(now time.Time, m shed.PeerMessage) {
@@ -226,7 +230,6 @@
 		c.tickets.Adopt(now, move)
 	}
 	c.view(now)
-	c.adopt(now)
 }
 
 // adopt puts rules in force that config has taken.
@@ -235,6 +238,9 @@
 	if rules == nil || rules == c.rules {
 		return
 	}
+	if c.rules == nil {
+		c.rulesAt = now
+	}
 	c.rules = rules
 	var mine []*shed.Server
 	for _, s := range rules.Servers {
@@ -252,7 +258,6 @@
 	c.take(c.slots.SetServers(now, mine))
 	c.take(c.orders.SetRules(now, rules))
 	c.flow.SetRules(rules)
-	c.out = append(c.out, shed.RulesInForce{Rules: rules})
 }
 
 // view tells the packages who is alive.
@@ -276,9 +281,35 @@
 	c.config.SetPeers(v.Zone(c.cfg.Zone), others)
 }
 
+// surveyFor bounds the wait for the first load report of every server.
+const surveyFor = 3 * time.Second
+
+// survey looks whether every server of the zone that may have work has been
+// heard of. A daemon that took requests before would know no server that is
+// warm, and refuse what its zone could well carry.
+func (c *Core) survey(now time.Time) {
+	if c.surveyed || c.rules == nil {
+		return
+	}
+	c.surveyed = true
+	if now.Sub(c.rulesAt) > surveyFor {
+		return
+	}
+	for id, s := range c.rules.Servers {
+		open, _ := c.rules.ServerOpen(s)
+		if s.Zone != c.cfg.Zone || !open {
+			continue
+		}
+		if _, _, heard := c.load.Report(now, id); !heard {
+			c.surveyed = false
+		}
+	}
+}
+
 // tellReady tells the driver when readiness changes.
-func (c *Core) tellReady() {
-	ready := c.config.Ready() && c.rules != nil && !c.stop.asked
+func (c *Core) tellReady(now time.Time) {
+	c.survey(now)
+	ready := c.config.Ready() && c.surveyed && !c.stop.asked
 	if ready != c.ready {
 		c.ready = ready
 		c.out = append(c.out, shed.Ready{Ready: ready})
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -66,7 +66,11 @@
 	var cold []*shed.Server
 	open := 0
 	for _, s := range pool.Servers {
-		if s.Zone != c.cfg.Zone || slices.Contains(ask.Avoid, s.ID) || c.orders.Draining(s.ID) {
+		if s.Zone != c.cfg.Zone || slices.Contains(ask.Avoid, s.ID) {
+			continue
+		}
+		if c.orders.Draining(s.ID) {
+			nowhere.Reason = shed.ReasonServerOrdered
 			continue
 		}
 		ok, rule := c.rules.ServerOpen(s)
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -28,7 +28,7 @@
 	if !c.stop.asked {
 		c.stop = stop{asked: true, until: now.Add(c.cfg.Notice), latest: now.Add(c.cfg.MaxDrain)}
 		c.leave(now)
-		c.tellReady()
+		c.tellReady(now)
 	}
 	c.stop.hurry = c.stop.hurry || e.Hurry
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,6 +109,12 @@
 // ErrFailed is returned by Run when a service failed for good.
 var ErrFailed = errors.New("daemon failed")
 
+// Add adds services that are run beside the daemon's own. It is called before
+// Run.
+func (d *Daemon) Add(services ...suture.Service) {
+	d.cfg.Services = append(d.cfg.Services, services...)
+}
+
 // Run runs the daemon until a graceful stop is done, or ctx ends at once.
 // The supervisor restarts a service that fails.
 func (d *Daemon) Run(ctx context.Context) error {
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,281 @@
+// Package node puts one daemon together from its settings: listeners, core,
+// driver, logs, metrics and traces.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/certs"
+	"jasmineshed/internal/config"
+	"jasmineshed/internal/core"
+	"jasmineshed/internal/daemon"
+	"jasmineshed/internal/engine"
+	"jasmineshed/internal/front"
+	"jasmineshed/internal/member"
+	"jasmineshed/internal/oper"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/plat"
+	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/rules"
+	"jasmineshed/internal/telem"
+	"jasmineshed/internal/ticket"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+)
+
+// Config is what a Node needs.
+type Config struct {
+	Prefs *prefs.Prefs
+	// LogTo takes the JSON lines.
+	LogTo io.Writer
+	// Policy picks servers; empty takes the default.
+	Policy string
+	// OrderToken goes with each order to an engine.
+	OrderToken string
+	// Tune, if not nil, changes core's configuration before it is used; for
+	// experiments and tests.
+	Tune func(*core.Config)
+	// Listeners are opened by New unless they are given.
+	Callers, Peers, Operators net.Listener
+}
+
+// Node is one daemon with its listeners.
+type Node struct {
+	cfg     Config
+	log     *logrus.Logger
+	metrics *telem.Metrics
+	tracing *telem.Tracing
+	engine  *engine.Engine
+	plat    *plat.Platform
+	// callerCerts and peerCerts are nil without TLS.
+	callerCerts, peerCerts *certs.Store
+	daemon                 *daemon.Daemon
+	self                   shed.Peer
+}
+
+// ErrStart is returned by New when the daemon can't be put together.
+var ErrStart = errors.New("daemon can't start")
+
+// New opens the listeners and puts the daemon together; Run runs it.
+func New(ctx context.Context, cfg Config) (*Node, error) {
+	n := &Node{cfg: cfg}
+	if err := n.open(ctx); err != nil {
+		n.closeListeners()
+		return nil, fmt.Errorf("%w: %w", ErrStart, err)
+	}
+	return n, nil
+}
+
+func (n *Node) open(ctx context.Context) error {
+	p := n.cfg.Prefs
+	var err error
+	if n.log, err = telem.NewLogger(n.cfg.LogTo, p.Log.Level); err != nil {
+		return err
+	}
+	n.metrics = telem.NewMetrics(n.log)
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.tracing, err = telem.NewTracing(ctx, telem.TraceConfig{
+		Exporter: p.Trace.Exporter, File: p.Trace.File, Endpoint: p.Trace.Endpoint,
+		Ratio: p.Trace.Ratio, Zone: p.Node.Zone, VM: string(n.reach()),
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.openCerts(); err != nil {
+		return err
+	}
+	n.self = shed.Peer{VM: n.reach(), Incarnation: shed.Incarnation(time.Now().UnixNano())}
+	n.engine = engine.New(engine.Config{OrderToken: n.cfg.OrderToken})
+	n.plat = plat.New(plat.Config{URL: p.Platform.URL, Timeout: p.Platform.ReadTimeout})
+	return n.assemble()
+}
+
+// listen opens the listeners that were not given.
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&n.cfg.Callers, n.cfg.Prefs.Listen.Callers},
+		{&n.cfg.Peers, n.cfg.Prefs.Node.Peer},
+		{&n.cfg.Operators, n.cfg.Prefs.Listen.Operators},
+	} {
+		if *l.to != nil {
+			continue
+		}
+		lis, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return err
+		}
+		*l.to = lis
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.cfg.Callers, n.cfg.Peers, n.cfg.Operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// openCerts reads the keys and certificates that the settings name.
+func (n *Node) openCerts() error {
+	t := n.cfg.Prefs.TLS
+	var err error
+	if t.CallerCert != "" {
+		n.callerCerts, err = certs.Open(certs.Config{Cert: t.CallerCert, Key: t.CallerKey, Every: t.Reload, Log: n.log})
+		if err != nil {
+			return err
+		}
+	}
+	if t.PeerCert == "" {
+		return nil
+	}
+	n.peerCerts, err = certs.Open(certs.Config{
+		Cert: t.PeerCert, Key: t.PeerKey, CA: t.PeerCA, Name: t.PeerName, Every: t.Reload, Log: n.log,
+	})
+	return err
+}
+
+// reach is the address at which peers reach this daemon. A listener on port 0
+// gets its port from the system.
+func (n *Node) reach() shed.VM {
+	if p := n.cfg.Prefs.Node; p.Advertise != "" {
+		return shed.VM(p.Advertise)
+	}
+	return shed.VM(n.cfg.Peers.Addr().String())
+}
+
+func (n *Node) assemble() error {
+	c, err := core.New(n.coreConfig())
+	if err != nil {
+		return err
+	}
+	// The peers' client tells the daemon of lost peers, and the daemon sends by
+	// the client; lost closes that circle.
+	var lost func(shed.VM)
+	clientCfg := peers.ClientConfig{Self: n.self, Lost: func(vm shed.VM) { lost(vm) }}
+	var serverCfg peers.ServerConfig
+	if n.peerCerts != nil {
+		clientCfg.TLS = n.peerCerts.PeerClient
+		serverCfg.TLS = n.peerCerts.PeerServer()
+	}
+	dcfg := daemon.Config{
+		Self: n.self, Zone: shed.ZoneID(n.cfg.Prefs.Node.Zone), Core: c,
+		Backend: n.engine, Platform: n.plat, Peers: peers.NewClient(clientCfg),
+		Log: n.log, Scope: n.metrics.Scope, Tracer: n.tracing.Tracer("jasmineshed"),
+		PeerListener: n.cfg.Peers, PeerServer: serverCfg,
+		KeepAnswers: 2 * n.cfg.Prefs.Limits.TicketLifetime,
+	}
+	n.daemon = daemon.New(dcfg)
+	lost = n.daemon.PeerLost
+	n.daemon.Add(n.services()...)
+	return nil
+}
+
+func (n *Node) coreConfig() core.Config {
+	p := n.cfg.Prefs
+	seeds := make([]shed.VM, len(p.Node.Seeds))
+	for i, s := range p.Node.Seeds {
+		seeds[i] = shed.VM(s)
+	}
+	cfg := core.Config{
+		Self:     n.self,
+		Zone:     shed.ZoneID(p.Node.Zone),
+		Seeds:    seeds,
+		Seed:     xxhash.Sum64String(string(n.self.VM)) ^ uint64(n.self.Incarnation),
+		Compile:  rules.Compile,
+		Policy:   n.cfg.Policy,
+		Notice:   p.Stop.Notice,
+		MaxDrain: p.Stop.Notice + p.Stop.Drain,
+		Config:   config.Config{WatchFor: p.Platform.Watch},
+		Member:   member.Config{VMsEvery: p.Platform.VMPoll},
+		Admit:    admit.Config{MostQueued: p.Limits.Queue},
+		Ticket:   ticket.Config{Most: p.Limits.Tickets, Life: p.Limits.TicketLifetime, Keep: p.Limits.TicketLifetime},
+	}
+	if n.cfg.Tune != nil {
+		n.cfg.Tune(&cfg)
+	}
+	return cfg
+}
+
+// services are the listeners for callers and operators, and what else runs
+// beside the daemon.
+func (n *Node) services() []suture.Service {
+	p := n.cfg.Prefs
+	caller := front.Config{
+		Listener: n.cfg.Callers, Serving: n.daemon, Limits: p.Limits, Drain: p.Stop.Drain,
+		Log: n.log, Scope: n.metrics.Scope, Tracer: n.tracing,
+	}
+	if n.callerCerts != nil {
+		caller.TLS = n.callerCerts.Callers()
+	}
+	return []suture.Service{
+		front.New(caller),
+		oper.New(oper.Config{
+			Listener: n.cfg.Operators, Statuser: n.daemon, Explainer: explainer{n.daemon},
+			Metrics: n.metrics.Handler, Limits: p.Limits, Profile: p.Listen.Profile, Log: n.log,
+		}),
+	}
+}
+
+// Run runs the daemon until a graceful stop is done or ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.WithFields(logrus.Fields{
+		"vm": n.self.VM, "zone": n.cfg.Prefs.Node.Zone, "incarnation": n.self.Incarnation,
+		"callers": n.CallerURL(), "operators": n.OperatorURL(),
+	}).Info("daemon starts")
+	err := n.daemon.Run(ctx)
+	n.plat.Close()
+	shut, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if terr := n.tracing.Shutdown(shut); terr != nil {
+		n.log.WithError(terr).Warn("last spans are lost")
+	}
+	_ = n.metrics.Close()
+	n.log.Info("daemon ends")
+	return err
+}
+
+// Stop asks for a graceful stop; asked twice, it hurries.
+func (n *Node) Stop(hurry bool) { n.daemon.Stop(hurry) }
+
+// Daemon is the driver inside, for status and for tests.
+func (n *Node) Daemon() *daemon.Daemon { return n.daemon }
+
+// Self is this process as its peers know it.
+func (n *Node) Self() shed.Peer { return n.self }
+
+// CallerURL is the base URL for callers.
+func (n *Node) CallerURL() string {
+	scheme := "http"
+	if n.callerCerts != nil {
+		scheme = "https"
+	}
+	return scheme + "://" + n.cfg.Callers.Addr().String()
+}
+
+// OperatorURL is the base URL for operators.
+func (n *Node) OperatorURL() string { return "http://" + n.cfg.Operators.Addr().String() }
+
+// explainer gives the daemon's notes to the operators' listener.
+type explainer struct{ d *daemon.Daemon }
+
+// Explain implements oper.Explainer.
+func (e explainer) Explain(id shed.RequestID) (any, bool) {
+	entries := e.d.Explain(id)
+	return entries, len(entries) > 0
+}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -42,8 +42,9 @@
 type ClientConfig struct {
 	// Self is sent along with every call.
 	Self shed.Peer
-	// TLS is the mutual TLS of peers; nil for plain TCP.
-	TLS *tls.Config
+	// TLS gives the mutual TLS of a new connection, which may have been
+	// renewed since the last; nil for plain TCP.
+	TLS func() *tls.Config
 	// Dial connects; nil takes a plain TCP dialer. Tests cut links here.
 	Dial func(ctx context.Context, to shed.VM) (net.Conn, error)
 	// Lost is told of a peer whose connection went silent or can't be made;
@@ -126,7 +127,7 @@
 		return nil, fmt.Errorf("dial peer %s: %w", l.to, err)
 	}
 	if c.cfg.TLS != nil {
-		secure := tls.Client(raw, c.cfg.TLS)
+		secure := tls.Client(raw, c.cfg.TLS())
 		if err := secure.HandshakeContext(ctx); err != nil {
 			_ = raw.Close()
 			return nil, fmt.Errorf("dial peer %s: %w", l.to, err)
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -38,7 +38,7 @@
 // Platform says how to read from the platform.
 type Platform struct {
 	URL         string        `ini:"url" unit:"URL" check:"url" doc:"Base URL of the platform's configuration service."`
-	Watch       time.Duration `ini:"watch" unit:"duration" min:"1s" max:"10m" doc:"Longest time that one watch waits for a change."`
+	Watch       time.Duration `ini:"watch" unit:"duration" min:"100ms" max:"2s" doc:"Longest time that one watch waits for a change. An answer also confirms the configuration, which counts for 3 s."`
 	VMPoll      time.Duration `ini:"vm_poll" unit:"duration" min:"100ms" max:"10m" doc:"Period of reading the VM list."`
 	ReadTimeout time.Duration `ini:"read_timeout" unit:"duration" min:"10ms" max:"1m" doc:"Longest time for one read; a watch has this beyond its wait."`
 }
@@ -100,7 +100,7 @@
 		Listen: Listen{Callers: "127.0.0.1:7400", Operators: "127.0.0.1:7402"},
 		Platform: Platform{
 			URL:         "http://127.0.0.1:7500",
-			Watch:       30 * time.Second,
+			Watch:       500 * time.Millisecond,
 			VMPoll:      5 * time.Second,
 			ReadTimeout: 2 * time.Second,
 		},
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -23,6 +23,9 @@
 	// WarmAfter is how many calls must be done before it is warm; 0 means that
 	// it starts warm.
 	WarmAfter int
+	// Done is how many calls it had completed before the test began; a server
+	// that has run for long is known to be warm by it.
+	Done uint64
 	// FallTime is how long it refuses everything after too much load while
 	// cold; 0 means 2 s.
 	FallTime time.Duration
@@ -111,6 +114,7 @@
 		cfg:   cfg,
 		mux:   http.NewServeMux(),
 		cold:  cfg.WarmAfter > 0,
+		done:  cfg.Done,
 		model: cfg.Model,
 		role:  cfg.Role,
 	}
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -29,6 +29,8 @@
 	ID shed.ServerID
 	// Capacity is how many calls run at once; 0 means 8.
 	Capacity int
+	// Done is how many calls it had completed before the test began.
+	Done uint64
 	// CallTime is the time of one call.
 	CallTime time.Duration
 }
@@ -53,7 +55,7 @@
 	if cfg.Capacity == 0 {
 		cfg.Capacity = defaultCapacity
 	}
-	s := &Service{cfg: cfg, mux: http.NewServeMux()}
+	s := &Service{cfg: cfg, mux: http.NewServeMux(), done: cfg.Done}
 	s.mux.HandleFunc("POST "+wire.PathCall, s.serveCall)
 	s.mux.HandleFunc("GET "+wire.PathLoad, s.serveLoad)
 	return s
--- a/outcome.go
+++ b/outcome.go
@@ -41,6 +41,7 @@
 	ReasonServersBusy      Reason = "servers_busy"
 	ReasonZoneOut          Reason = "zone_out"
 	ReasonServerLeaving    Reason = "server_leaving"
+	ReasonServerOrdered    Reason = "server_changes_model_or_role"
 	ReasonUnconfirmed      Reason = "configuration_unconfirmed"
 	ReasonStopping         Reason = "stopping"
 	ReasonWoke             Reason = "woke_after_pause"
