--- a/ids.go
+++ b/ids.go
@@ -54,7 +54,7 @@
 // Tokens counts tokens of a model, or results of a service.
 type Tokens uint32
 
-// Cost is the work done for a call, in thousandths of a server-second:
-// one call occupying one of a server's Capacity places for one second costs
-// 1000/Capacity.
+// Cost is the work done for a call, in millionths of a server-second: one call
+// occupying one of a server's Capacity places for one second costs
+// 1,000,000/Capacity.
 type Cost uint64
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -25,6 +25,8 @@
 // commands builds every command of the program. A new one is one file and one
 // line here.
 var commands = []func(*Deps) *cobra.Command{
+	newServeCommand,
+	newDemoCommand,
 	newRequestCommand,
 	newStatusCommand,
 	newExplainCommand,
--- /dev/null
+++ b/internal/cmds/demo.go
@@ -0,0 +1,36 @@
+package cmds
+
+import (
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	sample "jasmineshed/examples"
+	"jasmineshed/internal/demo"
+)
+
+func newDemoCommand(d *Deps) *cobra.Command {
+	cfg := demo.Config{Out: d.Out}
+	logs := false
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole fleet with stand-ins in this process",
+		Long: "Run a whole fleet with stand-ins in this process, on loopback, and send one request\n" +
+			"through each pipeline. It exits 0 only if every answer was whole.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var to io.Writer
+			if logs {
+				to = d.Err
+			}
+			cfg.LogTo = to
+			return demo.Run(c.Context(), cfg)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&cfg.Example, "example", "weerbeeld", "rules to run: "+strings.Join(sample.Names(), ", "))
+	f.BoolVar(&cfg.Keep, "keep", false, "stay up afterwards and print how to reach the fleet")
+	f.BoolVar(&logs, "logs", false, "write the daemons' logs to standard error")
+	return c
+}
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -118,5 +118,5 @@
 	if took <= 0 {
 		return 0
 	}
-	return shed.Cost(took.Milliseconds()) / shed.Cost(max(capacity, 1))
+	return shed.Cost(took.Microseconds()) / shed.Cost(max(capacity, 1))
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	sample "jasmineshed/examples"
 	"jasmineshed/internal/stand"
 	"jasmineshed/pkg/client"
 
@@ -15,7 +16,7 @@
 // start runs a small fleet that ends with the test.
 func start(t *testing.T) *Fleet {
 	t.Helper()
-	text, err := os.ReadFile("testdata/small.rules.ini")
+	text, err := sample.Rules("small")
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
--- a/pkg/client/answer.go
+++ b/pkg/client/answer.go
@@ -49,7 +49,7 @@
 	Cost     Cost    `json:"cost"`
 }
 
-// Cost is in thousandths of a server-second.
+// Cost is in millionths of a server-second.
 type Cost struct {
 	Useful uint64 `json:"useful"`
 	Wasted uint64 `json:"wasted"`
--- a/rules.go
+++ b/rules.go
@@ -84,7 +84,7 @@
 	Model ModelID
 	// Servers are the pool's servers, sorted by id.
 	Servers []*Server
-	// Unit prices one thousandth of a server-second, for cost by stage.
+	// Unit prices one second of a whole server, for cost by stage.
 	Unit float64
 }
 
