--- a/internal/ticket/move.go
+++ b/internal/ticket/move.go
@@ -59,14 +59,16 @@
 //
 // The same move may come twice, late, or at a later process on the same VM.
 // Then a ticket that was used, forgotten or moved on would come back to life
-// and run again. So only the process that the move names may adopt, only one
-// move of each sender, and only before it moved its own tickets on. A sender
-// makes one move in its life, hence nothing is lost by this.
+// and run again. So only the process that the move names may adopt, and only
+// one move of each sender. A sender makes one move in its life, hence nothing
+// is lost by this.
 func (t *Table) Adopt(now time.Time, move shed.TicketMove) int {
 	if move.To != t.cfg.Self && !t.off.anyHeir {
 		return 0
 	}
-	if t.closed && !t.off.revive {
+	// Past its own move a table only waits for its end; what it took now would
+	// be lost with it, while callers are told to look elsewhere.
+	if t.closed {
 		return 0
 	}
 	if t.movers[move.From] && !t.off.adoptTwice {
--- a/internal/ticket/table.go
+++ b/internal/ticket/table.go
@@ -72,7 +72,6 @@
 	moveRunning bool
 	anyHeir     bool
 	adoptTwice  bool
-	revive      bool
 }
 
 // Table holds the tickets that this process may start. It is not safe for
