--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -20,6 +20,7 @@
 	queue queue
 	order int
 	nodes []*node
+	byVM  map[shed.VM]*node
 	// zones counts the availability zones.
 	zones int
 
@@ -38,7 +39,8 @@
 	reads    int
 	readings map[int64]int // reads by second
 	bytes    int
-	tweak    func(*Config)
+	// blind is how long a new process knows no peer.
+	blind time.Duration
 }
 
 // revision is what was published, and when.
@@ -89,7 +91,7 @@
 
 const simStart = 1_800_000_000
 
-func newSim(seed uint64, zones, perZone int, tweak func(*Config)) *sim {
+func newSim(seed uint64, zones, perZone int, tweak func(*sim)) *sim {
 	s := &sim{
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		now:      time.Unix(simStart, 0),
@@ -98,14 +100,20 @@
 		cut:      map[[2]int]bool{},
 		noPlat:   map[int]bool{},
 		readings: map[int64]int{},
-		tweak:    tweak,
+		byVM:     map[shed.VM]*node{},
+	}
+	if tweak != nil {
+		tweak(s)
 	}
 	for i := range zones * perZone {
 		n := &node{id: i, zone: i % zones, vm: shed.VM(fmt.Sprintf("10.0.%d.%d:70", i%zones, i/zones))}
 		s.nodes = append(s.nodes, n)
-		s.boot(n)
+		s.byVM[n.vm] = n
 		s.tickLater(n, time.Duration(s.rng.Int64N(int64(shed.TickEvery))))
 	}
+	for _, n := range s.nodes {
+		s.boot(n)
+	}
 	return s
 }
 
@@ -122,11 +130,13 @@
 		Seeds:   2,
 		Compile: simCompile,
 	}
-	if s.tweak != nil {
-		s.tweak(&cfg)
-	}
 	n.state = New(cfg)
-	n.state.SetPeers(s.view(n))
+	if s.blind == 0 {
+		n.state.SetPeers(s.view(n))
+		return
+	}
+	state := n.state
+	s.after(s.blind, func() { state.SetPeers(s.view(n)) })
 }
 
 // view is every VM, as a membership that has not noticed any death.
@@ -223,14 +233,13 @@
 		push.Parts = spoilt(push.Parts)
 		a.Message = push
 	}
-	for _, to := range s.nodes {
-		if to.vm != a.To || s.apart(from.zone, to.zone) || s.rng.Float64() < s.loss {
-			continue
-		}
-		s.after(s.latency(), func() {
-			s.give(to, shed.PeerMessage{From: shed.Peer{VM: from.vm, Incarnation: shed.Incarnation(boots << 40)}, Message: a.Message})
-		})
+	to := s.byVM[a.To]
+	if to == nil || s.apart(from.zone, to.zone) || s.rng.Float64() < s.loss {
+		return
 	}
+	s.after(s.latency(), func() {
+		s.give(to, shed.PeerMessage{From: shed.Peer{VM: from.vm, Incarnation: shed.Incarnation(boots << 40)}, Message: a.Message})
+	})
 }
 
 // platform answers a read, at once or when a watch ends.
@@ -321,14 +330,29 @@
 		if !good && i == 0 {
 			text = fmt.Appendf(nil, "bad revision %d\n", rev)
 		}
-		hash := shed.PartHash(sha256.Sum256(text))
-		r.parts[hash] = text
-		r.index.Parts = append(r.index.Parts, hash)
+		r.add(text)
 	}
 	s.published = append(s.published, r)
 	return rev
 }
 
+// publishText makes a revision of parts of some bytes each.
+func (s *sim) publishText(parts, size int) {
+	rev := shed.Revision(len(s.published) + 1)
+	r := revision{rev: rev, good: true, at: s.now, parts: map[shed.PartHash][]byte{}}
+	r.index.Revision = rev
+	for i := range parts {
+		r.add(bytes.Repeat([]byte{'a' + byte(i)}, size))
+	}
+	s.published = append(s.published, r)
+}
+
+func (r *revision) add(text []byte) {
+	hash := shed.PartHash(sha256.Sum256(text))
+	r.parts[hash] = text
+	r.index.Parts = append(r.index.Parts, hash)
+}
+
 // newest is the last revision published at or before t.
 func (s *sim) newest(t time.Time) (rev shed.Revision, good bool) {
 	for i := len(s.published) - 1; i >= 0; i-- {
