--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -109,9 +109,9 @@
 	return err
 }
 
-// Call runs one call to its end. On a resumed call, the text of the frames and
-// of the result is what follows start.ResumeFrom. The zone of frames and end
-// is left for the caller to fill in.
+// Call runs one call to its end. On a resumed call, the frames carry the text
+// that follows start.ResumeFrom, and the result has no text. The zone of frames
+// and end is left for the caller to fill in.
 func (e *Engine) Call(
 	ctx context.Context, start shed.StartCall, in shed.Payload, sink func(shed.Frame) error,
 ) shed.CallEnded {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -41,6 +41,14 @@
 	return nil
 }
 
+func (c *collect) text() string {
+	text := ""
+	for _, f := range c.frames {
+		text += f.Text
+	}
+	return text
+}
+
 func TestEveryStageKind(t *testing.T) {
 	in := shed.Payload{Input: "rain in the north", MaxTokens: 40}
 	in.Passages = stand.Passages(in.Input, 4)
@@ -73,12 +81,10 @@
 			last := got.frames[len(got.frames)-1]
 			require.True(t, last.Last)
 			require.Equal(t, want, *last.Result)
-			text := ""
 			for i, f := range got.frames {
 				require.EqualValues(t, i, f.Sequence)
-				text += f.Text
 			}
-			require.Equal(t, want.Text, text)
+			require.Equal(t, want.Text, got.text())
 		})
 	}
 }
--- a/internal/engine/fault_test.go
+++ b/internal/engine/fault_test.go
@@ -78,7 +78,8 @@
 		end = b.engine.Call(t.Context(), start, shed.Payload{Input: "x", MaxTokens: 40}, got.take)
 		require.Equal(t, shed.EndComplete, end.End, end.Reason)
 		whole := stand.WholeText("x", 40)
-		require.Equal(t, strings.TrimPrefix(whole, stand.WholeText("x", 10)), got.frames[len(got.frames)-1].Result.Text)
+		require.Equal(t, strings.TrimPrefix(whole, stand.WholeText("x", 10)), got.text())
+		require.Empty(t, got.frames[len(got.frames)-1].Result.Text)
 		b.close(t)
 	})
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -38,9 +38,7 @@
 	err := g.read()
 	switch {
 	case err == nil:
-		out := c.in
-		out.Text = g.text.String()
-		return c.complete(out, br)
+		return c.complete(g.result(), br)
 	case errors.Is(err, errEngine):
 		return c.end(shed.EndError, shed.ReasonServerError)
 	case errors.Is(err, errBadReply):
@@ -52,6 +50,17 @@
 	}
 }
 
+// result is the payload after the stage. Of a resumed stream only the end is
+// here, so the text is left to whoever holds the beginning.
+func (g *generation) result() shed.Payload {
+	out := g.in
+	out.Text = ""
+	if g.start.ResumeFrom == 0 {
+		out.Text = g.text.String()
+	}
+	return out
+}
+
 // generation puts the events of one stream together.
 type generation struct {
 	*call
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,6 +17,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/rules"
 	"jasmineshed/internal/wire"
 )
 
@@ -25,8 +25,6 @@
 const (
 	// maxValue is the largest value in bytes, as the platform promises.
 	maxValue = 1 << 20
-	// maxParts bounds the parts of one configuration.
-	maxParts = 64
 	// maxVMs bounds the VM list, in bytes.
 	maxVMs = 1 << 20
 	// defaultTimeout bounds a call beyond the time that it waits on purpose.
@@ -96,41 +94,22 @@
 // what the platform holds: equal to read.After confirms it, a lower one shows
 // that the platform is stale.
 func (p *Platform) Config(ctx context.Context, read shed.ReadConfig) (shed.ConfigRead, error) {
-	got, err := p.value(ctx, wire.KeyRules, read.After, read.Wait)
+	got, err := p.value(ctx, rules.IndexKey, read.After, read.Wait)
 	if err != nil {
 		return shed.ConfigRead{Err: true}, err
 	}
-	out := shed.ConfigRead{Index: shed.ConfigIndex{Revision: got.revision}}
 	if !got.newer {
-		return out, nil
+		return shed.ConfigRead{Index: shed.ConfigIndex{Revision: got.revision}}, nil
 	}
-	out.Index.Parts, err = readIndex(got.data)
+	index, err := rules.ParseIndex(got.revision, got.data)
 	if err != nil {
-		return shed.ConfigRead{Err: true}, err
+		return shed.ConfigRead{Err: true}, fmt.Errorf("%w: %w", ErrBadReply, err)
 	}
-	out.Parts, err = p.parts(ctx, out.Index.Parts, read.Have)
+	parts, err := p.parts(ctx, index.Parts, read.Have)
 	if err != nil {
 		return shed.ConfigRead{Err: true}, err
 	}
-	return out, nil
-}
-
-func readIndex(data []byte) ([]shed.PartHash, error) {
-	var index wire.Index
-	if err := json.Unmarshal(data, &index); err != nil {
-		return nil, fmt.Errorf("%w: index: %w", ErrBadReply, err)
-	}
-	if len(index.Parts) > maxParts {
-		return nil, fmt.Errorf("%w: index of %d parts, more than %d", ErrBadReply, len(index.Parts), maxParts)
-	}
-	parts := make([]shed.PartHash, len(index.Parts))
-	for i, text := range index.Parts {
-		n, err := hex.Decode(parts[i][:], []byte(text)[:min(len(text), 2*sha256.Size)])
-		if err != nil || n != sha256.Size || len(text) != 2*sha256.Size {
-			return nil, fmt.Errorf("%w: part %d of the index is no SHA-256", ErrBadReply, i)
-		}
-	}
-	return parts, nil
+	return shed.ConfigRead{Index: index, Parts: parts}, nil
 }
 
 // parts reads those that are not held. All of them arrive or none: a revision
@@ -141,7 +120,7 @@
 		if _, got := parts[hash]; got || slices.Contains(have, hash) {
 			continue
 		}
-		got, err := p.value(ctx, wire.KeyPart+hex.EncodeToString(hash[:]), 0, 0)
+		got, err := p.value(ctx, rules.PartName(hash), 0, 0)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -15,6 +15,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/plat"
+	"jasmineshed/internal/rules"
 	"jasmineshed/internal/stand"
 	"jasmineshed/internal/wire"
 )
@@ -45,9 +46,9 @@
 		hash := sha256.Sum256([]byte(part))
 		hashes = append(hashes, hash)
 		names = append(names, `"`+hex.EncodeToString(hash[:])+`"`)
-		out[wire.KeyPart+hex.EncodeToString(hash[:])] = []byte(part)
+		out[rules.PartName(hash)] = []byte(part)
 	}
-	out[wire.KeyRules] = []byte(`{"parts":[` + strings.Join(names, ",") + `]}`)
+	out[rules.IndexKey] = []byte(`{"parts":[` + strings.Join(names, ",") + `]}`)
 	return out, hashes
 }
 
@@ -190,23 +191,23 @@
 // every daemon has the whole revision or the one before.
 func TestBadReplies(t *testing.T) {
 	good, hashes := values("a")
-	name := wire.KeyPart + hex.EncodeToString(hashes[0][:])
+	name := rules.PartName(hashes[0])
 	cases := []struct {
 		name  string
 		index string
 		part  string
 	}{
-		{"other contents", string(good[wire.KeyRules]), "b"},
+		{"other contents", string(good[rules.IndexKey]), "b"},
 		{"no JSON", `{"parts":`, "a"},
 		{"no hash", `{"parts":["zz"]}`, "a"},
 		{"long hash", `{"parts":["` + strings.Repeat("0", 66) + `"]}`, "a"},
-		{"too many parts", `{"parts":[` + strings.Repeat(`"",`, 99) + `""]}`, "a"},
-		{"part too large", string(good[wire.KeyRules]), strings.Repeat("a", 1<<20+1)},
+		{"too many parts", `{"parts":[` + strings.Repeat(`"",`, 9999) + `""]}`, "a"},
+		{"part too large", string(good[rules.IndexKey]), strings.Repeat("a", 1<<20+1)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			stood := stand.NewPlatform(stand.PlatformConfig{})
-			stood.Publish(map[string][]byte{wire.KeyRules: []byte(c.index), name: []byte(c.part)})
+			stood.Publish(map[string][]byte{rules.IndexKey: []byte(c.index), name: []byte(c.part)})
 			got, err := reader(t, stood).Config(context.Background(), shed.ReadConfig{})
 			require.ErrorIs(t, err, plat.ErrBadReply)
 			require.Equal(t, shed.ConfigRead{Err: true}, got)
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -9,6 +9,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/rules"
 	"jasmineshed/internal/wire"
 )
 
@@ -101,6 +102,16 @@
 	return p.revision
 }
 
+// PublishRules packs the text of a rules file and publishes it at one revision.
+func (p *Platform) PublishRules(text []byte) shed.Revision {
+	index, parts := rules.Pack(text)
+	values := map[string][]byte{rules.IndexKey: index}
+	for hash, part := range parts {
+		values[rules.PartName(hash)] = part
+	}
+	return p.Publish(values)
+}
+
 // SetStale makes the platform go on answering what it holds now, whatever is
 // published, until it is set to false.
 func (p *Platform) SetStale(stale bool) {
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -174,11 +174,6 @@
 	Prefix   uint64 `json:"prefix"`
 }
 
-// Index is the value of KeyRules.
-type Index struct {
-	Parts []string `json:"parts"`
-}
-
 // VM is one line of the platform's list.
 type VM struct {
 	VM      shed.VM     `json:"vm"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,14 +46,6 @@
 	PathVMs         = "/v1/vms"
 )
 
-// Keys of the platform's values.
-const (
-	// KeyRules holds the Index.
-	KeyRules = "rules"
-	// KeyPart is followed by the hex SHA-256 of the part.
-	KeyPart = "part-"
-)
-
 // StreamDone is the data of a stream's last event.
 const StreamDone = "[DONE]"
 
