--- /dev/null
+++ b/internal/gauge/safety.go
@@ -0,0 +1,87 @@
+package gauge
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/stand"
+)
+
+// Safety is what the stand-ins saw, against what must always hold.
+type Safety struct {
+	// Overshoots counts how often a cold server got more than it bears, and
+	// WorstOvershoot is by how many calls.
+	Overshoots, WorstOvershoot int
+	// Doubled are requests that a plain service ran more than once.
+	Doubled int
+	// Closings tell how long new work still came after a zone or a supplier
+	// was told to get no more.
+	Closings []Closing
+}
+
+// Closing is one event after which some servers get no new work.
+type Closing struct {
+	Event string
+	// Last is the time from the event to the last call begun there, before
+	// they were opened again; 0 if none began.
+	Last  time.Duration
+	Calls int
+}
+
+// safety reads the records of the stand-ins.
+func (r *Result) safety(once func(shed.ServerID) bool) Safety {
+	var out Safety
+	for _, server := range r.Servers {
+		for _, o := range server.Record.Overshoots() {
+			out.Overshoots++
+			out.WorstOvershoot = max(out.WorstOvershoot, o.Running-o.Bears)
+		}
+		if once(server.ID) {
+			out.Doubled += len(server.Record.Doubled())
+		}
+	}
+	for _, ev := range r.Done {
+		if ev.Kind == EventZoneOut || ev.Kind == EventSupplierLeaving {
+			out.Closings = append(out.Closings, r.closing(ev))
+		}
+	}
+	return out
+}
+
+// closing looks for calls that began after ev on the servers that it closed.
+func (r *Result) closing(ev Happened) Closing {
+	from := r.Began.Add(ev.Began)
+	until := r.reopened(ev)
+	out := Closing{Event: ev.Name}
+	for _, run := range r.closedRuns(ev.Event) {
+		if run.Start.Before(from) || (!until.IsZero() && run.Start.After(until)) {
+			continue
+		}
+		out.Calls++
+		out.Last = max(out.Last, run.Start.Sub(from))
+	}
+	return out
+}
+
+func (r *Result) closedRuns(ev Event) []stand.Run {
+	var runs []stand.Run
+	for _, server := range r.Servers {
+		if string(server.Zone) == ev.Target || string(server.Supplier) == ev.Target {
+			runs = append(runs, server.Record.Runs()...)
+		}
+	}
+	slices.SortFunc(runs, func(a, b stand.Run) int { return cmp.Compare(a.Start.UnixNano(), b.Start.UnixNano()) })
+	return runs
+}
+
+// reopened is when the zone of ev came back; zero if it did not.
+func (r *Result) reopened(ev Happened) time.Time {
+	for _, later := range r.Done {
+		if later.Kind == EventZoneBack && later.Target == ev.Target && later.Began > ev.Began {
+			return r.Began.Add(later.Began)
+		}
+	}
+	return time.Time{}
+}
