--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,9 +122,7 @@
 	}
 	f.servers = append(f.servers, srv)
 	f.platformURL = srv.URL()
-	if _, err := f.Publish(f.text); err != nil {
-		return err
-	}
+	f.Publish(f.text)
 	for _, z := range f.Zones() {
 		for range f.cfg.PerZone {
 			if _, err := f.Add(ctx, z); err != nil {
@@ -195,16 +193,9 @@
 	return out
 }
 
-// Publish puts a rules file on the platform, as an operator does. Parts go
-// before the index that names them, so that no reader sees an index without.
-func (f *Fleet) Publish(text []byte) (shed.Revision, error) {
-	index, parts := rules.Pack(text)
-	values := make(map[string][]byte, len(parts))
-	for hash, data := range parts {
-		values[rules.PartName(hash)] = data
-	}
-	f.Platform.Publish(values)
-	return f.Platform.Publish(map[string][]byte{wire.KeyRules: index}), nil
+// Publish puts a rules file on the platform, as an operator does.
+func (f *Fleet) Publish(text []byte) shed.Revision {
+	return f.Platform.PublishRules(text)
 }
 
 // Add starts one more daemon in the zone.
