--- a/internal/config/fault_test.go
+++ b/internal/config/fault_test.go
@@ -21,7 +21,7 @@
 
 func (s *sim) allFresh() bool {
 	for _, n := range s.nodes {
-		if !n.paused && !(n.state.Fresh(s.now) && n.state.Ready()) {
+		if !n.paused && (!n.state.Fresh(s.now) || !n.state.Ready()) {
 			return false
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,8 +72,6 @@
 
 	// rules in force; nil until the first.
 	rules *shed.Rules
-	// viewHash is that of the view that the packages were last told.
-	viewHash uint64
 	// rulesAt is when the first rules came into force.
 	rulesAt time.Time
 	// surveyed: every server of the zone has been heard of, or had its time.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -259,7 +259,7 @@
 
 // Stop stops a daemon gracefully and waits for its end.
 func (f *Fleet) Stop(m *Member) {
-	m.Node.Stop(false)
+	m.Stop(false)
 	<-m.done
 	f.remove(m)
 }
--- a/internal/gauge/plot.go
+++ b/internal/gauge/plot.go
@@ -1,4 +1,3 @@
-//nolint:misspell // the libraries spell their names so
 package gauge
 
 import (
