--- a/event.go
+++ b/event.go
@@ -32,6 +32,10 @@
 	From Peer
 }
 
+// HandedBack means that a HandRequest is over: the home's answer went to the
+// caller, or none came.
+type HandedBack struct{ Request RequestID }
+
 // CallerGone means that nobody waits for the request's answer any more.
 type CallerGone struct{ Request RequestID }
 
@@ -158,6 +162,7 @@
 func (Tick) event()         {}
 func (Arrived) event()      {}
 func (CallerGone) event()   {}
+func (HandedBack) event()   {}
 func (StageAsked) event()   {}
 func (CallProgress) event() {}
 func (CallEnded) event()    {}
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -90,10 +90,15 @@
 		// could send it round in circles.
 		c.end(a, shed.OutcomeUnknown, shed.ReasonHomeGone, shed.Origin{}, 0)
 	default:
-		c.out = append(c.out, shed.HandRequest{Request: a.Request, To: home.Peer, Deadline: a.Deadline})
+		c.handOver(a, home.Peer)
 	}
 }
 
+func (c *Core) handOver(a shed.Arrived, home shed.Peer) {
+	c.away[a.Request] = true
+	c.out = append(c.out, shed.HandRequest{Request: a.Request, To: home, Deadline: a.Deadline})
+}
+
 // start runs a ticketed request here, if this is its first time.
 func (c *Core) start(now time.Time, a shed.Arrived) {
 	v := c.tickets.Start(now, a.Request, a.Workspace, a.Pipeline)
@@ -107,7 +112,7 @@
 			c.end(a, shed.OutcomeUnknown, shed.ReasonHomeGone, shed.Origin{}, 0)
 			return
 		}
-		c.out = append(c.out, shed.HandRequest{Request: a.Request, To: v.Heir, Deadline: a.Deadline})
+		c.handOver(a, v.Heir)
 	default:
 		outcome, reason := v.Outcome()
 		c.end(a, outcome, reason, shed.Origin{}, 0)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,6 +86,9 @@
 	local map[shed.Call]shed.ServerID
 	// handed are the calls under way at peers, with where.
 	handed map[shed.Call]target
+	// away are the requests that were handed to their ticket's home and have
+	// not come back.
+	away map[shed.RequestID]bool
 	// shunned are peers and zones that refused work or were lost, until when.
 	shunned map[string]time.Time
 	// scratch for the candidates of one placement.
@@ -124,6 +127,7 @@
 		guests:  make(map[shed.Call]bool),
 		local:   make(map[shed.Call]shed.ServerID),
 		handed:  make(map[shed.Call]target),
+		away:    make(map[shed.RequestID]bool),
 		shunned: make(map[string]time.Time),
 	}
 	c.build()
@@ -179,6 +183,8 @@
 		c.callProgress(now, e)
 	case shed.CallEnded:
 		c.callEnded(now, e)
+	case shed.HandedBack:
+		delete(c.away, e.Request)
 	case shed.CallerGone:
 		c.book(now, c.flow.Handle(now, e))
 	case shed.PeerMessage:
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -72,7 +72,7 @@
 	if c.stop.refuses(now) {
 		c.flow.Stop(shed.ReasonStopping)
 	}
-	idle := c.stop.refuses(now) && c.flow.Live() == 0 && len(c.guests) == 0
+	idle := c.stop.refuses(now) && c.flow.Live() == 0 && len(c.guests) == 0 && len(c.away) == 0
 	if idle || !now.Before(c.stop.latest) {
 		c.stop.exited = true
 		c.out = append(c.out, shed.Exit{})
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -90,6 +90,7 @@
 		d.endRun(r, answer)
 		// This process holds no answer for others' tickets; their home does.
 		delete(d.runs, r.id)
+		d.perform(d.cfg.Core.Handle(time.Now(), shed.HandedBack{Request: r.id}))
 		return nil
 	})
 }
--- /dev/null
+++ b/internal/proof/matrix_test.go
@@ -0,0 +1,219 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	shed "jasmineshed"
+)
+
+var (
+	cellFault = flag.String("fault", "", "run only the cells of this fault")
+	cellStep  = flag.Int("step", 0, "run only the cell of this step, with -fault")
+	cellSeed  = flag.Uint64("seed", 1, "seed of the matrix")
+	perFault  = flag.Int("cells", 120, "cells for each fault")
+	pairCells = flag.Int("pairs", 600, "cells with two faults")
+)
+
+// faulty are the bounds with one fault.
+var faulty = bounds{noWork: 3 * time.Second, answer: 500 * time.Millisecond, spread: 5 * time.Second}
+
+// twice are the bounds with two faults, which may follow one another.
+var twice = bounds{noWork: 3 * time.Second, answer: 500 * time.Millisecond, spread: 5 * time.Second}
+
+// cell is one world with faults at given steps.
+type cell struct {
+	seed   uint64
+	at     []int
+	faults []fault
+}
+
+func (c cell) String() string {
+	s := fmt.Sprintf("seed %d", c.seed)
+	for i, f := range c.faults {
+		s += fmt.Sprintf(", %s at step %d", f.name, c.at[i])
+	}
+	return s
+}
+
+// run plays the story with the cell's faults.
+func (c cell) run() *world {
+	w := fleetWorld(c.seed)
+	w.onStep = func(step int, n *node) {
+		for i, at := range c.at {
+			if at == step && n.up {
+				c.faults[i].do(w, n)
+			}
+		}
+	}
+	w.play(story())
+	return w
+}
+
+func (c cell) bounds() bounds {
+	b := faulty
+	if len(c.faults) > 1 {
+		b = twice
+	}
+	for _, f := range c.faults {
+		if f.late {
+			b.answer = 0
+		}
+	}
+	return b
+}
+
+// verdict is what the oracle says of one cell.
+type verdict struct {
+	cell       cell
+	violations []violation
+	lastWork   time.Duration
+	complete   int
+	asked      int
+}
+
+func judgeCell(c cell) verdict {
+	w := c.run()
+	v := verdict{cell: c, violations: w.judge(c.bounds()), lastWork: w.lastWork(), asked: len(w.asked)}
+	for _, a := range w.asked {
+		if len(a.answers) == 1 && a.answers[0].outcome == shed.OutcomeComplete {
+			v.complete++
+		}
+	}
+	return v
+}
+
+// judgeCells runs the cells on all cores and returns the verdicts in order.
+func judgeCells(cells []cell) []verdict {
+	out := make([]verdict, len(cells))
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i, c := range cells {
+		g.Go(func() error {
+			out[i] = judgeCell(c)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
+
+// stepsOf is how many steps the story has without a fault, and at which the
+// load begins.
+var stepsOf = sync.OnceValues(func() (first, last int) {
+	w := fleetWorld(*cellSeed)
+	w.after(story().from-500*time.Millisecond, func() { first = w.steps + 1 })
+	w.play(story())
+	return first, w.steps
+})
+
+// singleCells is the product of steps and faults, thinned evenly: each fault
+// takes other steps, so that together they cover all kinds.
+func singleCells() []cell {
+	first, last := stepsOf()
+	var cells []cell
+	for k, f := range faults {
+		if *cellFault != "" && f.name != *cellFault {
+			continue
+		}
+		for i := range *perFault {
+			at := first + (last-first)*i/(*perFault) + k*7%max(1, (last-first)/(*perFault))
+			if *cellStep > 0 {
+				at = *cellStep
+			}
+			cells = append(cells, cell{seed: *cellSeed, at: []int{at}, faults: []fault{f}})
+			if *cellStep > 0 {
+				break
+			}
+		}
+	}
+	return cells
+}
+
+// pairs of faults at two steps; the second falls into the first one's time.
+func pairsOf(n int) []cell {
+	first, last := stepsOf()
+	var cells []cell
+	for i := range n {
+		a, b := faults[i%len(faults)], faults[(i*7+i/len(faults))%len(faults)]
+		at := first + (last-first)*i/n
+		cells = append(cells, cell{
+			seed: *cellSeed + uint64(i%5), at: []int{at, at + 40 + i*13%400}, faults: []fault{a, b},
+		})
+	}
+	return cells
+}
+
+// report prints the count of cells and failures by promise and by fault, and
+// fails the test if there are any.
+func report(t *testing.T, verdicts []verdict) {
+	t.Helper()
+	failed := map[promise]int{}
+	byFault := map[string]int{}
+	worst := map[string]time.Duration{}
+	var red []string
+	asked, complete, cellsRed := 0, 0, 0
+	for _, v := range verdicts {
+		asked += v.asked
+		complete += v.complete
+		name := v.cell.faults[0].name
+		if len(v.cell.faults) > 1 {
+			name += " + " + v.cell.faults[1].name
+		}
+		worst[v.cell.faults[0].name] = max(worst[v.cell.faults[0].name], v.lastWork)
+		seen := map[promise]bool{}
+		for _, x := range v.violations {
+			if !seen[x.promise] {
+				failed[x.promise]++
+			}
+			seen[x.promise] = true
+		}
+		if len(v.violations) > 0 {
+			cellsRed++
+			byFault[name]++
+			red = append(red, fmt.Sprintf("%s: %s (and %d more)", v.cell, v.violations[0], len(v.violations)-1))
+		}
+	}
+	t.Logf("%d cells, %d failed; %d requests, %d complete", len(verdicts), cellsRed, asked, complete)
+	for _, p := range promises {
+		t.Logf("%6d failed: %s", failed[p], p)
+	}
+	for _, k := range sortedKeys(byFault) {
+		t.Logf("%6d failed with %s", byFault[k], k)
+	}
+	var names []string
+	for k := range worst {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		t.Logf("last new work after a closing: %8s with %s", worst[k].Round(time.Millisecond), k)
+	}
+	for i, line := range red {
+		if i == 40 {
+			break
+		}
+		t.Log(line)
+	}
+	require.Zero(t, cellsRed, "cells that broke a promise")
+}
+
+// Whatever one thing goes wrong at whatever step of the story, every promise
+// holds. Each cell is one world: a fault strikes the process that was about to
+// act, at that very moment.
+func TestEveryFaultAtEveryStep(t *testing.T) {
+	report(t, judgeCells(singleCells()))
+}
+
+// A second fault strikes while the first one lasts or soon after.
+func TestPairsOfFaults(t *testing.T) {
+	report(t, judgeCells(pairsOf(*pairCells)))
+}
--- /dev/null
+++ b/internal/proof/world_test.go
@@ -0,0 +1,214 @@
+package proof
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/core"
+)
+
+// world is a fleet of decision cores with fakes around them.
+type world struct {
+	clock
+	journal
+	rng     *rand.Rand
+	nodes   []*node
+	servers []*server
+	plat    *platform
+	// cuts are pairs of labels between which nothing passes, one way.
+	cuts map[[2]string]bool
+	// noise delays and doubles control messages at random.
+	noise bool
+	// steps counts what may be interrupted; onStep is told of each, before it.
+	steps  int
+	onStep func(step int, n *node)
+	tune   func(*core.Config)
+	reads  int
+}
+
+const (
+	// latency of one message, to which up to as much is added at random.
+	latency = time.Millisecond
+	// dialTimeout, linkSilence and beat are those of the drivers.
+	dialTimeout = 500 * time.Millisecond
+	linkSilence = time.Second
+	beat        = 200 * time.Millisecond
+)
+
+func newWorld(seed uint64) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]string]bool{}}
+	w.now = epoch
+	w.plat = &platform{world: w}
+	return w
+}
+
+// cut stops messages from a to b, which are zones, VMs, servers or "platform".
+func (w *world) cut(a, b string)  { w.cuts[[2]string{a, b}] = true }
+func (w *world) heal(a, b string) { delete(w.cuts, [2]string{a, b}) }
+
+func (w *world) reach(from, to []string) bool {
+	for _, a := range from {
+		for _, b := range to {
+			if w.cuts[[2]string{a, b}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// travel is how long one message takes.
+func (w *world) travel() time.Duration {
+	return latency + time.Duration(w.rng.Int64N(int64(latency)))
+}
+
+// lag is what noise adds to a control message.
+func (w *world) lag() time.Duration {
+	if !w.noise || w.rng.IntN(4) > 0 {
+		return 0
+	}
+	return time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond)))
+}
+
+func (w *world) node(vm shed.VM) *node {
+	for _, n := range w.nodes {
+		if n.vm == vm {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) server(id shed.ServerID) *server {
+	for _, s := range w.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// step counts a moment at which the world may be interrupted.
+func (w *world) step(n *node) {
+	w.steps++
+	if w.onStep != nil {
+		w.onStep(w.steps, n)
+	}
+}
+
+// platform is the configuration service and the VM list.
+type platform struct {
+	world *world
+	// values by revision; the last is the newest.
+	values []value
+	down   bool
+	// frozen is how many values are shown while stale; 0 means all.
+	frozen  int
+	watches []watch
+	lists   []vmList
+}
+
+type value struct {
+	index shed.ConfigIndex
+	parts map[shed.PartHash][]byte
+}
+
+type watch struct {
+	after shed.Revision
+	done  func()
+}
+
+type vmList struct {
+	from time.Time
+	vms  []shed.VMEntry
+}
+
+// vmLag is how late the VM list is.
+const vmLag = 2 * time.Second
+
+func (p *platform) shown() []value {
+	if p.frozen > 0 {
+		return p.values[:p.frozen]
+	}
+	return p.values
+}
+
+func (p *platform) publish(v value) {
+	p.values = append(p.values, v)
+	due := p.watches
+	p.watches = nil
+	for _, x := range due {
+		x.done()
+	}
+}
+
+// read answers a ReadConfig of node n.
+func (p *platform) read(n *node, a shed.ReadConfig) {
+	w := p.world
+	w.reads++
+	if p.down || !w.reach(n.labels(), []string{"platform"}) {
+		n.at(a.Wait+2*time.Second, func() { n.handle(shed.ConfigRead{Err: true}) })
+		return
+	}
+	answered := false
+	done := func() {
+		if answered {
+			return
+		}
+		answered = true
+		if p.down || !w.reach([]string{"platform"}, n.labels()) {
+			n.at(2*time.Second, func() { n.handle(shed.ConfigRead{Err: true}) })
+			return
+		}
+		got := p.answer(a)
+		n.at(w.travel(), func() { n.handle(got) })
+	}
+	w.after(w.travel(), func() {
+		if shown := p.shown(); len(shown) > 0 && shown[len(shown)-1].index.Revision > a.After {
+			done()
+			return
+		}
+		p.watches = append(p.watches, watch{after: a.After, done: done})
+		w.after(a.Wait, done)
+	})
+}
+
+func (p *platform) answer(a shed.ReadConfig) shed.ConfigRead {
+	shown := p.shown()
+	if len(shown) == 0 {
+		return shed.ConfigRead{}
+	}
+	v := shown[len(shown)-1]
+	if v.index.Revision <= a.After {
+		return shed.ConfigRead{Index: shed.ConfigIndex{Revision: v.index.Revision}}
+	}
+	return shed.ConfigRead{Index: v.index, Parts: v.parts}
+}
+
+// listed shows the VM list as it was vmLag ago.
+func (p *platform) listed() []shed.VMEntry {
+	var out []shed.VMEntry
+	for _, l := range p.lists {
+		if !l.from.After(p.world.now) {
+			out = l.vms
+		}
+	}
+	return out
+}
+
+func (p *platform) relist() {
+	var vms []shed.VMEntry
+	for _, n := range p.world.nodes {
+		if n.up {
+			vms = append(vms, shed.VMEntry{VM: n.vm, Zone: n.zone})
+		}
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].VM < vms[j].VM })
+	lag := vmLag
+	if len(p.lists) == 0 {
+		lag = 0
+	}
+	p.lists = append(p.lists, vmList{from: p.world.now.Add(lag), vms: vms})
+}
