admit: fairness, refusal and reopening under test

Two faults found by the tests: RetryAfter lost its spread at its upper bound, so that all those refused would have come back together; and after a slow spell the gate stayed shut for over a minute, since old samples faded by count alone.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -18,7 +18,7 @@
 	DefaultTrialEvery = 500 * time.Millisecond
 	DefaultMemory     = 30 * time.Second
 	DefaultMinRetry   = 100 * time.Millisecond
-	DefaultMaxRetry   = 10 * time.Second
+	DefaultMaxRetry   = 20 * time.Second
 )
 
 // Config sets up a Gate. Zero values take the defaults.
@@ -212,8 +212,8 @@
 // has drained. The spread by the request's id keeps those refused together
 // from coming back together.
 func (g *Gate) RetryAfter(now time.Time, key QueueKey, id shed.RequestID) time.Duration {
-	base := max(g.Wait(now, key), g.cfg.MinRetry)
+	base := max(min(g.Wait(now, key), g.cfg.MaxRetry/2), g.cfg.MinRetry)
 	const steps = 1024
 	share := time.Duration(xxhash.Sum64String(string(id)) % steps)
-	return min(base+base*share/steps, g.cfg.MaxRetry)
+	return base + base*share/steps
 }
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,245 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	shed "jasmineshed"
+)
+
+var zero = time.Unix(1_700_000_000, 0)
+
+func pipeline(minimum time.Duration) *shed.Pipeline {
+	return &shed.Pipeline{ID: "draft", Stages: []shed.Stage{
+		{ID: "encode", Pool: "enc", Minimum: minimum},
+		{ID: "write", Pool: "llm", Minimum: minimum},
+	}}
+}
+
+func ask(id shed.RequestID, p *shed.Pipeline, left time.Duration) Ask {
+	return Ask{Request: id, Pipeline: p, Deadline: zero.Add(left), Queue: "enc"}
+}
+
+func wait(g *Gate, ws shed.WorkspaceID, n int, share int) {
+	for i := range n {
+		g.Push(zero, "enc", Waiting{
+			Request:   shed.RequestID(fmt.Sprintf("%s-%04d", ws, i)),
+			Workspace: ws,
+			Share:     share,
+			Latest:    zero.Add(time.Duration(i+1) * time.Second),
+		})
+	}
+}
+
+// pop takes the next n requests and counts them by workspace.
+func pop(t *testing.T, g *Gate, n int) map[shed.WorkspaceID]int {
+	t.Helper()
+	got := map[shed.WorkspaceID]int{}
+	for range n {
+		ok := g.PopReady(zero, "enc", func(id shed.RequestID) bool {
+			got[g.where[id].Workspace]++
+			return true
+		})
+		require.True(t, ok)
+	}
+	return got
+}
+
+func TestRefusesWhatCannotBeDone(t *testing.T) {
+	p := pipeline(100 * time.Millisecond)
+	g := New(Config{})
+	require.False(t, g.Admit(zero, ask("r", p, 199*time.Millisecond)).OK, "below the sum of minimums")
+	require.True(t, g.Admit(zero, ask("r", p, 200*time.Millisecond)).OK)
+	for range 100 {
+		g.Observe(zero, StageKey{"draft", "write"}, 2*time.Second)
+	}
+	require.True(t, g.Admit(zero, ask("r1", p, time.Second)).OK, "the trial")
+	v := g.Admit(zero, ask("r2", p, time.Second))
+	require.Equal(t, shed.ReasonWontMeetDeadline, v.Reason)
+	require.True(t, g.Admit(zero, ask("r3", p, 3*time.Second)).OK)
+}
+
+// Every stage was slow for a while, so each caller is refused, and no stage
+// runs that could show that it is quick again. The caller would be refused for
+// good; the trials let enough through for the estimate to mend.
+func TestGateOpensAgain(t *testing.T) {
+	p := pipeline(time.Millisecond)
+	g := New(Config{})
+	for range 250 {
+		g.Observe(zero, StageKey{"draft", "write"}, 5*time.Second)
+	}
+	now := zero
+	admitted := 0
+	for i := range 600 {
+		now = now.Add(100 * time.Millisecond)
+		a := Ask{Request: shed.RequestID(fmt.Sprint(i)), Pipeline: p, Deadline: now.Add(time.Second), Queue: "enc"}
+		if g.Admit(now, a).OK {
+			admitted++
+			g.Observe(now, StageKey{"draft", "write"}, 50*time.Millisecond)
+		}
+	}
+	require.Greater(t, admitted, 450, "nearly all of the last 45 s")
+	require.True(t, g.Admit(now, Ask{Request: "r", Pipeline: p, Deadline: now.Add(time.Second), Queue: "enc"}).OK)
+}
+
+func TestRetryAfterFollowsTheDrain(t *testing.T) {
+	g := New(Config{})
+	wait(g, "w", 100, 1)
+	now := zero
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		require.True(t, g.PopReady(now, "enc", func(shed.RequestID) bool { return true }))
+	}
+	// 80 wait, 10 a second go.
+	require.InDelta(t, 8, g.Wait(now, "enc").Seconds(), 1.5)
+	a, b := g.RetryAfter(now, "enc", "a"), g.RetryAfter(now, "enc", "b")
+	require.NotEqual(t, a, b)
+	require.Equal(t, a, g.RetryAfter(now, "enc", "a"))
+	require.GreaterOrEqual(t, a, g.Wait(now, "enc"))
+}
+
+func TestQuantilesWithinATenth(t *testing.T) {
+	var s sketch
+	for i := range 1000 {
+		s.add(zero, time.Duration(i*37%100+1)*10*time.Millisecond, DefaultLow, DefaultHigh)
+	}
+	require.InEpsilon(t, 0.1, s.low.Seconds(), 0.15)
+	require.InEpsilon(t, 0.7, s.high.Seconds(), 0.15)
+}
+
+// One workspace floods the queue. The caller of a small one waits for at most
+// one turn of the flood, and keeps its place when the queue overflows.
+func TestGreedyWorkspaceStarvesNobody(t *testing.T) {
+	g := New(Config{MostQueued: 1000})
+	wait(g, "greedy", 1000, 1)
+	wait(g, "small", 1, 1)
+	require.Equal(t, 1000, g.Queued())
+	require.Equal(t, map[shed.WorkspaceID]int{"greedy": 1, "small": 1}, pop(t, g, 2))
+}
+
+func TestTurnsFollowShares(t *testing.T) {
+	g := New(Config{})
+	wait(g, "a", 300, 1)
+	wait(g, "b", 300, 3)
+	got := pop(t, g, 200)
+	require.InDelta(t, 50, got["a"], 2)
+	require.InDelta(t, 150, got["b"], 2)
+}
+
+// A workspace that sends one request at a time, always just after its last one
+// was served, gains nothing over one that queues all at once.
+func TestComingAndGoingGainsNoTurns(t *testing.T) {
+	g := New(Config{})
+	wait(g, "steady", 500, 1)
+	got := map[shed.WorkspaceID]int{}
+	for i := range 200 {
+		id := shed.RequestID(fmt.Sprintf("hopper-%d", i))
+		g.Push(zero, "enc", Waiting{Request: id, Workspace: "hopper", Share: 1, Latest: zero})
+		for ws, n := range pop(t, g, 1) {
+			got[ws] += n
+		}
+		g.Drop(id)
+	}
+	require.LessOrEqual(t, got["hopper"], 101)
+}
+
+// Whatever is pushed, popped and dropped in whatever order, each request leaves
+// the queue exactly once, the most urgent of a workspace first.
+func TestQueueLosesAndDoublesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := New(Config{MostQueued: 8})
+		waiting := map[shed.RequestID]Waiting{}
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				w := Waiting{
+					Request:   shed.RequestID(fmt.Sprint(next)),
+					Workspace: rapid.SampledFrom([]shed.WorkspaceID{"a", "b", "c"}).Draw(t, "ws"),
+					Share:     rapid.IntRange(1, 3).Draw(t, "share"),
+					Latest:    zero.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "latest"))),
+				}
+				waiting[w.Request] = w
+				if out, ok := g.Push(zero, "enc", w); !ok {
+					require.Contains(t, waiting, out)
+					delete(waiting, out)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				take := rapid.Bool().Draw(t, "take")
+				g.PopReady(zero, "enc", func(id shed.RequestID) bool {
+					w, ok := waiting[id]
+					require.True(t, ok, "popped twice")
+					for _, other := range waiting {
+						urgent := other.Workspace == w.Workspace && other.Latest.Before(w.Latest)
+						require.False(t, urgent, "a more urgent one waits")
+					}
+					if take {
+						delete(waiting, id)
+					}
+					return take
+				})
+			},
+			"drop": func(t *rapid.T) {
+				id := shed.RequestID(fmt.Sprint(rapid.IntRange(0, next).Draw(t, "id")))
+				_, waits := waiting[id]
+				require.Equal(t, waits, g.Drop(id))
+				delete(waiting, id)
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, len(waiting), g.Queued())
+				require.Equal(t, len(waiting), g.Len("enc"))
+			},
+		})
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	g := New(Config{})
+	p := pipeline(time.Millisecond)
+	for i := range 300 {
+		g.Observe(zero, StageKey{"draft", "write"}, time.Duration(i)*time.Millisecond)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		g.Admit(zero, ask("request", p, time.Second))
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	g := New(Config{})
+	b.ReportAllocs()
+	for i := range b.N {
+		g.Observe(zero, StageKey{"draft", "write"}, time.Duration(i%1000)*time.Millisecond)
+	}
+}
+
+// The queue holds one request of each of 27,000 workspaces; each round pops one
+// and pushes one.
+func BenchmarkQueue27000Workspaces(b *testing.B) {
+	const workspaces = 27_000
+	g := New(Config{MostQueued: 2 * workspaces})
+	names := make([]shed.WorkspaceID, workspaces)
+	ids := make([]shed.RequestID, workspaces)
+	for i := range names {
+		names[i] = shed.WorkspaceID(fmt.Sprintf("w%d", i))
+		ids[i] = shed.RequestID(fmt.Sprintf("r%d", i))
+		g.Push(zero, "enc", Waiting{Request: ids[i], Workspace: names[i], Share: 1, Latest: zero})
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now := zero.Add(time.Duration(i) * time.Microsecond)
+		var popped shed.RequestID
+		g.PopReady(now, "enc", func(id shed.RequestID) bool {
+			popped = id
+			return true
+		})
+		k := i * 7919 % workspaces
+		g.Push(now, "enc", Waiting{Request: popped, Workspace: names[k], Share: 1, Latest: now})
+	}
+}
--- a/internal/admit/sketch.go
+++ b/internal/admit/sketch.go
@@ -13,7 +13,11 @@
 	sketchRatio   = 1.1
 	// sketchFade is the count at which all buckets are halved: the sketch
 	// remembers about this many recent samples.
-	sketchFade = 256
+	sketchFade = 64
+	// sketchHalfLife is the time after which all buckets are halved too. After
+	// a slow spell only few samples come in, and these would need minutes to
+	// outweigh the old ones by count alone.
+	sketchHalfLife = 5 * time.Second
 	// sketchRefresh is after how many samples the quantiles are worked out
 	// anew.
 	sketchRefresh = 8
@@ -31,11 +35,13 @@
 	fresh int
 	// low and high are quantiles; 0 until there is a sample.
 	low, high time.Duration
-	// last is when the latest sample came.
-	last time.Time
+	// last is when the latest sample came, faded when buckets were last halved
+	// for age.
+	last, faded time.Time
 }
 
 func (s *sketch) add(now time.Time, d time.Duration, lowQ, highQ float64) {
+	s.age(now)
 	s.buckets[bucketOf(d)]++
 	s.count++
 	s.last = now
@@ -50,6 +56,22 @@
 	}
 }
 
+// age halves the buckets once for each half-life gone by.
+func (s *sketch) age(now time.Time) {
+	if s.count == 0 {
+		s.faded = now
+		return
+	}
+	const enough = 24
+	lives := int(now.Sub(s.faded) / sketchHalfLife)
+	for range min(lives, enough) {
+		s.fade()
+	}
+	if lives > 0 {
+		s.faded = now
+	}
+}
+
 func (s *sketch) fade() {
 	s.count = 0
 	for i := range s.buckets {
