--- a/message.go
+++ b/message.go
@@ -25,6 +25,10 @@
 	Never bool `cbor:"3,keyasint,omitempty"`
 	// Ask wants a ConfigDigest back.
 	Ask bool `cbor:"4,keyasint,omitempty"`
+	// Sequence of an Ask comes back in its answer; 0 in a digest that nobody
+	// asked for. An answer can't be older than its ask, so the asker knows how
+	// old Confirmed is at the most, however long the answer was on its way.
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigPull asks a peer for its configuration, but for the parts held.
@@ -70,6 +74,9 @@
 	Gossip   []Member `cbor:"3,keyasint,omitempty"`
 	// For, if set, asks the receiver to probe that VM on the sender's behalf.
 	For VM `cbor:"4,keyasint,omitempty"`
+	// View is the sender's view of its zone, as a hash. If the receiver is of
+	// the same zone and has another, it adds more gossip to its ack.
+	View uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ProbeAck answers a Probe.
@@ -79,13 +86,21 @@
 	Gossip   []Member `cbor:"3,keyasint,omitempty"`
 	// For is set if the ack is passed on for another VM.
 	For VM `cbor:"4,keyasint,omitempty"`
+	// View as in Probe.
+	View uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// SlotRelease says that the sender uses no slot of these servers any more.
+// SlotRelease says that the sender uses no slot of these servers any more but
+// for those that its view gives it; no servers means all of the zone.
 type SlotRelease struct {
 	Servers []ServerID `cbor:"1,keyasint"`
 	// View is the sender's view, as a hash, for which it let go.
 	View uint64 `cbor:"2,keyasint"`
+	// Turn is new after each change of the sender's view; Seen is the last Turn
+	// that the sender heard from the receiver, so a late release is known as
+	// such.
+	Turn uint64 `cbor:"3,keyasint,omitempty"`
+	Seen uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // LoadDigest spreads load reports within a zone.
--- a/outcome.go
+++ b/outcome.go
@@ -41,6 +41,7 @@
 	ReasonServersBusy      Reason = "servers_busy"
 	ReasonZoneOut          Reason = "zone_out"
 	ReasonServerLeaving    Reason = "server_leaving"
+	ReasonServerOrdered    Reason = "server_changes_model_or_role"
 	ReasonUnconfirmed      Reason = "configuration_unconfirmed"
 	ReasonStopping         Reason = "stopping"
 	ReasonWoke             Reason = "woke_after_pause"
@@ -61,6 +62,9 @@
 	ReasonStaleAttempt     Reason = "stale_attempt"
 	ReasonDuplicate        Reason = "duplicate"
 	ReasonTooManyHops      Reason = "too_many_hops"
+	ReasonConfigInvalid    Reason = "configuration_invalid"
+	ReasonConfigStale      Reason = "configuration_stale"
+	ReasonConfigBehind     Reason = "configuration_behind"
 )
 
 // CallEnd is how one call ended, as the driver saw it. The set is closed.
