flow: a call that reached nothing goes elsewhere at once; refusals name what was short

A server whose port refused the connection ends calls as not started; the repeat waited 50 ms and could go to the same server. It now avoids that server and goes at once, and only a second such end backs off. Calls that reached no server no longer use up MaxAttempts, but MaxSends bounds them. The matrix gains a fault, 'not started, twice in a row'; without it the cell that caught 'hopeless' off was gone. ticket: answers are kept for Keep from their end, no longer, so that a driver which keeps payloads for as long never lacks one that the table says to join.

--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -135,7 +135,7 @@
 	if !r.trail.MayRepeat(r.stage) && !f.off.mayRepeat {
 		return orElse(e.Reason, shed.ReasonBroken)
 	}
-	if r.trail.Attempts(r.stage) >= f.cfg.MaxAttempts {
+	if r.trail.Reached(r.stage) >= f.cfg.MaxAttempts || r.trail.Attempts(r.stage) >= f.cfg.MaxSends {
 		return shed.ReasonAttempts
 	}
 	// A call that reached no server put no load on one, so a repeat of it is
@@ -153,17 +153,17 @@
 	return a
 }
 
-// retry sends the stage again, elsewhere if it can. A call that reached no
-// server tells of no server to avoid, so it backs off: whatever refused it
-// would refuse it again.
+// retry sends the stage again, elsewhere if it can. Whatever kept two calls
+// from so much as leaving would likely keep the next ones too, so these back
+// off.
 func (f *Flow) retry(now time.Time, r *request, e shed.CallEnded) {
-	if e.End == shed.EndNotStarted {
-		f.backOff(now, r)
-		return
-	}
 	if e.Server != "" && len(r.avoid) < maxAvoid {
 		r.avoid = append(r.avoid, e.Server)
 	}
+	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 {
+		f.backOff(now, r)
+		return
+	}
 	f.advance(now, r)
 }
 
@@ -180,7 +180,7 @@
 	if e.Tokens <= r.offset || r.resumes >= f.cfg.MaxResumes {
 		return false
 	}
-	if r.trail.Attempts(r.stage) >= f.cfg.MaxAttempts || !f.mayResume(now, s) {
+	if r.trail.Reached(r.stage) >= f.cfg.MaxAttempts || !f.mayResume(now, s) {
 		return false
 	}
 	r.resumes++
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -18,6 +18,7 @@
 // Defaults for a zero Config.
 const (
 	DefaultMaxAttempts = 4
+	DefaultMaxSends    = 16
 	DefaultMaxResumes  = 2
 	DefaultSilence     = 2 * time.Second
 	DefaultLease       = 500 * time.Millisecond
@@ -40,8 +41,11 @@
 	Budget *retry.Budget
 	Admit  *admit.Gate
 	Ledger *cost.Ledger
-	// MaxAttempts bounds the sends of one stage, resumes included.
+	// MaxAttempts bounds the calls of one stage that can have come to a server,
+	// resumes included.
 	MaxAttempts int
+	// MaxSends bounds all calls of one stage, with those that reached nothing.
+	MaxSends int
 	// MaxResumes bounds how often one stage's stream is resumed.
 	MaxResumes int
 	// Silence is StartCall.Silence.
@@ -93,6 +97,9 @@
 	if cfg.MaxAttempts == 0 {
 		cfg.MaxAttempts = DefaultMaxAttempts
 	}
+	if cfg.MaxSends == 0 {
+		cfg.MaxSends = DefaultMaxSends
+	}
 	if cfg.MaxResumes == 0 {
 		cfg.MaxResumes = DefaultMaxResumes
 	}
@@ -215,7 +222,7 @@
 	case stateBackoff:
 		f.advance(now, r)
 	case stateWaiting:
-		f.giveUp(now, r, shed.ReasonServersBusy)
+		f.giveUp(now, r, r.waits)
 	case stateRunning:
 		f.finish(now, r, trail.End{Cause: trail.CauseDeadline, Reason: shed.ReasonDeadline})
 	}
--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -54,6 +54,10 @@
 				w.handle(arrived("r1", "draft"))
 			}
 		}},
+		{"not started, twice in a row", func(w *world) {
+			w.endFirst(shed.EndNotStarted, 0)
+			w.endFirst(shed.EndNotStarted, 0)
+		}},
 		{"no rules for it", func(w *world) { w.f.SetRules(&shed.Rules{Revision: 2}) }},
 		{"stop", func(w *world) { w.f.Stop(shed.ReasonStopping) }},
 	}
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -37,6 +37,7 @@
 	case shed.PlacePeer:
 		f.hand(now, r, p.Peer)
 	case shed.PlaceWait:
+		r.waits = p.Reason
 		return false
 	default:
 		f.nowhere(now, r, p)
@@ -142,13 +143,9 @@
 		f.backOff(now, r)
 		return
 	}
-	reason := p.Reason
-	if reason == shed.ReasonNone {
-		reason = shed.ReasonNoServer
-	}
 	f.finish(now, r, trail.End{
 		Cause:      trail.CauseRefused,
-		Reason:     reason,
+		Reason:     orElse(p.Reason, shed.ReasonNoServer),
 		Rule:       p.Rule,
 		RetryAfter: max(p.RetryAfter, f.retryAfter(now, r)),
 	})
@@ -173,7 +170,7 @@
 func (f *Flow) enqueue(now time.Time, r *request, key admit.QueueKey) {
 	latest := r.arrived.Deadline.Add(-f.cfg.Admit.Least(now, r.pipeline, r.stage))
 	if !latest.After(now) {
-		f.giveUp(now, r, shed.ReasonServersBusy)
+		f.giveUp(now, r, r.waits)
 		return
 	}
 	f.setState(r, stateWaiting, latest)
@@ -205,7 +202,7 @@
 func (f *Flow) giveUp(now time.Time, r *request, reason shed.Reason) {
 	f.finish(now, r, trail.End{
 		Cause:      trail.CauseRefused,
-		Reason:     reason,
+		Reason:     orElse(reason, shed.ReasonServersBusy),
 		Rule:       r.pipeline.Origin,
 		RetryAfter: f.retryAfter(now, r),
 	})
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -40,6 +40,8 @@
 	resumes int
 	// avoid are the servers that failed this stage, at most maxAvoid.
 	avoid []shed.ServerID
+	// waits is why the last placing found no room.
+	waits shed.Reason
 	// gone: the caller went away, but the end must become known.
 	gone bool
 	// wake is when something must be done; index is its place in the heap, -1
--- a/internal/flow/trail/trail.go
+++ b/internal/flow/trail/trail.go
@@ -147,6 +147,17 @@
 // Attempts counts the sends of a stage.
 func (t *Trail) Attempts(stage int) int { return len(t.stages[stage].calls) }
 
+// Reached counts the sends of a stage that can have come to a server.
+func (t *Trail) Reached(stage int) int {
+	n := 0
+	for i := range t.stages[stage].calls {
+		if t.stages[stage].calls[i].end != shed.EndNotStarted {
+			n++
+		}
+	}
+	return n
+}
+
 // Took is how long the call ran, once it has ended.
 func (t *Trail) Took(id shed.Call) time.Duration {
 	if c := t.find(id); c != nil {
--- a/internal/ticket/start.go
+++ b/internal/ticket/start.go
@@ -105,9 +105,10 @@
 	return Verdict{Kind: VerdictUnknown}
 }
 
-// Finished stores the answer of a running ticket; a second one is ignored and
-// gives false. The answer outlasts the ticket's own expiry, so a repeat that
-// was allowed to start is still told the truth.
+// Finished stores the answer of a running ticket for Config.Keep; a second one
+// is ignored and gives false. Whoever keeps the payload must keep it for as
+// long at least, from the same moment or later, or a repeat would be told to
+// join what is no longer there.
 func (t *Table) Finished(now time.Time, id shed.RequestID, finish shed.Finish) bool {
 	e := t.entries[id]
 	if e == nil || e.state != stateRunning {
@@ -116,9 +117,6 @@
 	e.state = stateEnded
 	e.finish = finish
 	e.forget = now.Add(t.cfg.Keep)
-	if e.expires.After(now) {
-		e.forget = e.expires.Add(t.cfg.Keep)
-	}
 	heap.Push(&t.expiry, e)
 	return true
 }
