--- /dev/null
+++ b/internal/flow/story_test.go
@@ -0,0 +1,175 @@
+package flow
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jasmineshed/internal/cost"
+
+	shed "jasmineshed"
+)
+
+func read(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(name)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func ended(c shed.Call, end shed.CallEnd, tokens shed.Tokens) shed.CallEnded {
+	return shed.CallEnded{Call: c, End: end, Server: "s1", Zone: "a", Tokens: tokens, Reason: shed.ReasonBroken}
+}
+
+// writing runs a draft up to its generate stage, whose call it returns.
+func writing(t *testing.T, f *Flow) shed.StartCall {
+	t.Helper()
+	acts := f.Handle(start, arrived("r", "draft"))
+	acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+	return only[shed.StartCall](acts)[0]
+}
+
+// The connection to the engine breaks after 40 tokens. The caller sees the text
+// go on: the stream is resumed where it was, on the server that holds it. All of
+// the work counts as useful, since none was done twice.
+func TestStreamIsResumed(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	first := writing(t, f)
+	now := start.Add(time.Second)
+	acts := f.Handle(now, ended(first.Call, shed.EndBroken, 40))
+	next := only[shed.StartCall](acts)
+	require.Len(t, next, 1)
+	require.Equal(t, first.Call, next[0].Resumes)
+	require.Equal(t, shed.Tokens(40), next[0].ResumeFrom)
+	require.Equal(t, uint16(2), next[0].Call.Attempt)
+	now = now.Add(time.Second)
+	fin := only[shed.Finish](f.Handle(now, ended(next[0].Call, shed.EndComplete, 90)))[0]
+	require.Equal(t, shed.OutcomeComplete, fin.Outcome)
+	require.Equal(t, cost.Of(2*time.Second, 4), fin.Stages[1].Useful)
+	require.Zero(t, fin.Stages[1].Wasted)
+}
+
+// The engine lost the stream, or its server is leaving by now: then the draft
+// runs again from its start, elsewhere, and the first part was wasted.
+func TestStreamThatCannotBeResumedRunsAgain(t *testing.T) {
+	cases := map[string]func(*testing.T, *Flow, shed.Call) []shed.Action{
+		"server leaves": func(_ *testing.T, f *Flow, c shed.Call) []shed.Action {
+			rules := testRules()
+			rules.Servers["s1"].Leaving = true
+			f.SetRules(rules)
+			return f.Handle(start, ended(c, shed.EndBroken, 40))
+		},
+		"no progress": func(_ *testing.T, f *Flow, c shed.Call) []shed.Action {
+			return f.Handle(start, ended(c, shed.EndBroken, 0))
+		},
+		"stream gone": func(t *testing.T, f *Flow, c shed.Call) []shed.Action {
+			resumed := only[shed.StartCall](f.Handle(start, ended(c, shed.EndBroken, 40)))
+			require.Equal(t, shed.Tokens(40), resumed[0].ResumeFrom)
+			return f.Handle(start, ended(resumed[0].Call, shed.EndBroken, 40))
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFlow(onServer("s1"))
+			acts := run(t, f, writing(t, f).Call)
+			again := only[shed.StartCall](acts)
+			require.Len(t, again, 1)
+			require.Zero(t, again[0].ResumeFrom)
+		})
+	}
+}
+
+// The caller of a publication hangs up while it runs. Cancelling would leave it
+// unknown whether it was published, for the caller's own repeat too. So it runs
+// on, and the repeat is told that it is complete.
+func TestPublicationOutlivesItsCaller(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	acts := f.Handle(start, arrived("r", "publish"))
+	acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+	publish := only[shed.StartCall](acts)[0]
+	require.Empty(t, f.Handle(start, shed.CallerGone{Request: "r"}))
+	acts = f.Handle(start, ended(publish.Call, shed.EndComplete, 0))
+	acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+	require.Equal(t, shed.OutcomeComplete, only[shed.Finish](acts)[0].Outcome)
+}
+
+// The link breaks while the publication runs. It is told as unknown at once:
+// waiting could not tell more, and a repeat could publish twice.
+func TestBrokenPublicationIsUnknown(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	acts := f.Handle(start, arrived("r", "publish"))
+	acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+	acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndBroken, 0))
+	fin := only[shed.Finish](acts)[0]
+	require.Equal(t, shed.OutcomeUnknown, fin.Outcome)
+	require.Equal(t, []bool{true, true, false}, []bool{fin.Stages[0].Ran, fin.Stages[1].Ran, fin.Stages[2].Ran})
+}
+
+// Every server fails. The first few requests are tried again, then the budget
+// is spent and each costs one call only: without the budget the failing servers
+// would carry four times the load.
+func TestRetriesEndWithTheBudget(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	calls := 0
+	const requests = 200
+	for i := range requests {
+		id := shed.RequestID(rune('a' + i))
+		acts := f.Handle(start, arrived(id, "draft"))
+		for len(only[shed.StartCall](acts)) > 0 {
+			calls++
+			acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndError, 0))
+		}
+	}
+	require.Zero(t, f.Live())
+	require.LessOrEqual(t, calls, requests+20)
+}
+
+// Requests wait for a full server. Those whose time runs out while they wait
+// are told at once that nothing was run, not when the server has room again.
+func TestWaitingEndsWhenHopeless(t *testing.T) {
+	f := newFlow(func(shed.PlaceAsk) shed.Placement {
+		return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServerCold}
+	})
+	require.Empty(t, f.Handle(start, arrived("r", "draft")))
+	latest := start.Add(6*time.Second - 110*time.Millisecond)
+	require.Empty(t, f.Handle(latest.Add(-1), shed.Tick{}))
+	fin := only[shed.Finish](f.Handle(latest, shed.Tick{}))[0]
+	require.Equal(t, shed.OutcomeNotRun, fin.Outcome)
+	require.Equal(t, shed.ReasonServerCold, fin.Reason)
+	require.Positive(t, fin.RetryAfter)
+}
+
+// The package that records calls must stay the only one that builds answers, or an
+// answer could say "not run" of a call that it has no record of.
+func TestOnlyTheTrailFinishes(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	require.Equal(t, shed.OutcomeNotRun, only[shed.Finish](f.Handle(start, arrived("r", "none")))[0].Outcome)
+	for _, name := range []string{"flow.go", "request.go", "place.go", "ends.go"} {
+		text := read(t, name)
+		require.NotContains(t, text, "shed.Finish{", name)
+		require.NotContains(t, text, "Outcome: ", name)
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	f := newFlow(onServer("s1"))
+	b.ReportAllocs()
+	for range b.N {
+		acts := f.Handle(start, arrived("r", "draft"))
+		acts = f.Handle(start, ended(acts[0].(shed.StartCall).Call, shed.EndComplete, 0))
+		f.Handle(start, ended(acts[1].(shed.StartCall).Call, shed.EndComplete, 0))
+	}
+}
+
+func BenchmarkTickWith1000Live(b *testing.B) {
+	f := newFlow(onServer("s1"))
+	for i := range 1000 {
+		f.Handle(start, arrived(shed.RequestID(rune(0x4e00+i)), "draft"))
+	}
+	b.ReportAllocs()
+	for range b.N {
+		f.Handle(start, shed.Tick{})
+	}
+}
