--- a/internal/route/affinity.go
+++ b/internal/route/affinity.go
@@ -14,7 +14,7 @@
 	DefaultBound      = 1.25
 	DefaultRanks      = 2
 	DefaultSlowFactor = 2.0
-	DefaultStale      = time.Second
+	DefaultDraws      = 2
 )
 
 // AffinityConfig sets up an Affinity policy. Zero values take the defaults.
@@ -27,8 +27,9 @@
 	Ranks int
 	// SlowFactor times the mean time per call makes a server slow.
 	SlowFactor float64
-	// Stale is the age from which a load report says little.
-	Stale time.Duration
+	// Draws is how many candidates are drawn where no server that has the prefix
+	// will do; the least loaded of them is taken.
+	Draws int
 }
 
 // Affinity sends calls with one prefix to the few servers that rank highest
@@ -53,8 +54,8 @@
 	if cfg.SlowFactor == 0 {
 		cfg.SlowFactor = DefaultSlowFactor
 	}
-	if cfg.Stale == 0 {
-		cfg.Stale = DefaultStale
+	if cfg.Draws == 0 {
+		cfg.Draws = DefaultDraws
 	}
 	return &Affinity{cfg: cfg, rng: newRand(cfg.Seed)}
 }
@@ -68,7 +69,7 @@
 			return i
 		}
 	}
-	return p.least(from, m.load, slow)
+	return p.sampled(from, slow)
 }
 
 // means are the means over all candidates.
@@ -130,29 +131,24 @@
 	return -1
 }
 
-// least returns the candidate with the least relative load. The older a
-// report, the more noise is added: daemons that share one old report would
-// otherwise all pick the same server and run it over until the next report.
-func (p *Affinity) least(from []shed.Candidate, mean float64, slow time.Duration) int {
+// sampled returns the least loaded of a few candidates drawn at random. All
+// daemons see the same reports, late: if each took the least loaded of all,
+// they would run that one over together before the next report.
+func (p *Affinity) sampled(from []shed.Candidate, slow time.Duration) int {
 	best, bestLoad := 0, 0.0
-	for i := range from {
+	for k := range p.cfg.Draws {
+		i := p.rng.IntN(len(from))
 		load := relative(&from[i])
-		load += p.noise(from[i].Age, mean)
 		if slow > 0 && from[i].Slow > slow {
 			load++
 		}
-		if i == 0 || load < bestLoad {
+		if k == 0 || load < bestLoad {
 			best, bestLoad = i, load
 		}
 	}
 	return best
 }
 
-func (p *Affinity) noise(age time.Duration, mean float64) float64 {
-	share := min(float64(age)/float64(p.cfg.Stale), 1)
-	return p.rng.Float64() * mean * share / 2
-}
-
 func rendezvous(prefix uint64, id shed.ServerID) uint64 {
 	x := xxhash.Sum64String(string(id)) ^ prefix
 	x ^= x >> 33
