admit: a workspace's wait is predicted from its own backlog and share

The whole queue was counted, so one greedy workspace had everybody refused at the door although their fair turn was next. With the whole queue counted again, TestGreedyWorkspaceClosesTheDoorToNobody fails (go test ./internal/admit).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -47,7 +47,8 @@
 
 // Ask is the question whether a request may come in.
 type Ask struct {
-	Request  shed.RequestID
+	// Waiting is the request as it would wait; its Latest is void.
+	Waiting
 	Pipeline *shed.Pipeline
 	Deadline time.Time
 	// Queue is where the first stage would wait.
@@ -143,7 +144,7 @@
 	if Minimum(ask.Pipeline, 0) > left {
 		return g.refuse(now, ask)
 	}
-	wait := g.Wait(now, ask.Queue)
+	wait := g.Wait(now, ask.Queue, ask.Waiting)
 	if wait+g.Expected(now, ask.Pipeline, 0) <= left {
 		return Verdict{OK: true}
 	}
@@ -156,7 +157,7 @@
 func (g *Gate) refuse(now time.Time, ask Ask) Verdict {
 	return Verdict{
 		Reason:     shed.ReasonWontMeetDeadline,
-		RetryAfter: g.RetryAfter(now, ask.Queue, ask.Request),
+		RetryAfter: g.RetryAfter(now, ask.Queue, ask.Waiting),
 	}
 }
 
@@ -208,12 +209,12 @@
 	return s.low, s.high
 }
 
-// RetryAfter is when a refused request should come back: once what waits now
-// has drained. The spread by the request's id keeps those refused together
+// RetryAfter is when a refused request should come back: once its turn would
+// have come. The spread by the request's id keeps those refused together
 // from coming back together.
-func (g *Gate) RetryAfter(now time.Time, key QueueKey, id shed.RequestID) time.Duration {
-	base := max(min(g.Wait(now, key), g.cfg.MaxRetry/2), g.cfg.MinRetry)
+func (g *Gate) RetryAfter(now time.Time, key QueueKey, w Waiting) time.Duration {
+	base := max(min(g.Wait(now, key, w), g.cfg.MaxRetry/2), g.cfg.MinRetry)
 	const steps = 1024
-	share := time.Duration(xxhash.Sum64String(string(id)) % steps)
+	share := time.Duration(xxhash.Sum64String(string(w.Request)) % steps)
 	return base + base*share/steps
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -21,7 +21,7 @@
 }
 
 func ask(id shed.RequestID, p *shed.Pipeline, left time.Duration) Ask {
-	return Ask{Request: id, Pipeline: p, Deadline: zero.Add(left), Queue: "enc"}
+	return Ask{Waiting: Waiting{Request: id, Workspace: "w"}, Pipeline: p, Deadline: zero.Add(left), Queue: "enc"}
 }
 
 func wait(g *Gate, ws shed.WorkspaceID, n int, share int) {
@@ -76,14 +76,14 @@
 	admitted := 0
 	for i := range 600 {
 		now = now.Add(100 * time.Millisecond)
-		a := Ask{Request: shed.RequestID(fmt.Sprint(i)), Pipeline: p, Deadline: now.Add(time.Second), Queue: "enc"}
+		a := ask(shed.RequestID(fmt.Sprint(i)), p, now.Sub(zero)+time.Second)
 		if g.Admit(now, a).OK {
 			admitted++
 			g.Observe(now, StageKey{"draft", "write"}, 50*time.Millisecond)
 		}
 	}
 	require.Greater(t, admitted, 450, "nearly all of the last 45 s")
-	require.True(t, g.Admit(now, Ask{Request: "r", Pipeline: p, Deadline: now.Add(time.Second), Queue: "enc"}).OK)
+	require.True(t, g.Admit(now, ask("r", p, now.Sub(zero)+time.Second)).OK)
 }
 
 func TestRetryAfterFollowsTheDrain(t *testing.T) {
@@ -95,11 +95,31 @@
 		require.True(t, g.PopReady(now, "enc", func(shed.RequestID) bool { return true }))
 	}
 	// 80 wait, 10 a second go.
-	require.InDelta(t, 8, g.Wait(now, "enc").Seconds(), 1.5)
-	a, b := g.RetryAfter(now, "enc", "a"), g.RetryAfter(now, "enc", "b")
+	wa, wb := Waiting{Request: "a", Workspace: "w"}, Waiting{Request: "b", Workspace: "w"}
+	require.InDelta(t, 8, g.Wait(now, "enc", wa).Seconds(), 1.5)
+	a, b := g.RetryAfter(now, "enc", wa), g.RetryAfter(now, "enc", wb)
 	require.NotEqual(t, a, b)
-	require.Equal(t, a, g.RetryAfter(now, "enc", "a"))
-	require.GreaterOrEqual(t, a, g.Wait(now, "enc"))
+	require.Equal(t, a, g.RetryAfter(now, "enc", wa))
+	require.GreaterOrEqual(t, a, g.Wait(now, "enc", wa))
+}
+
+// One workspace has filled the queue with more than a minute's work. The caller
+// of another one must not be refused for it: its turn is the next but one.
+func TestGreedyWorkspaceClosesTheDoorToNobody(t *testing.T) {
+	g := New(Config{})
+	wait(g, "greedy", 1000, 1)
+	now := zero
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		require.True(t, g.PopReady(now, "enc", func(shed.RequestID) bool { return true }))
+	}
+	require.Greater(t, g.Wait(now, "enc", Waiting{Workspace: "greedy"}), time.Minute)
+	require.Less(t, g.Wait(now, "enc", Waiting{Workspace: "w"}), time.Second)
+	a := ask("r", pipeline(time.Millisecond), now.Sub(zero)+time.Second)
+	require.True(t, g.Admit(now, a).OK)
+	a.Workspace = "greedy"
+	g.Admit(now, a) // the trial
+	require.False(t, g.Admit(now, a).OK)
 }
 
 func TestQuantilesWithinATenth(t *testing.T) {
--- a/internal/admit/heaps.go
+++ b/internal/admit/heaps.go
@@ -76,8 +76,8 @@
 func (h backlogHeap) Len() int { return len(h) }
 
 func (h backlogHeap) Less(i, j int) bool {
-	a := float64(len(h[i].items)) / h[i].weight
-	b := float64(len(h[j].items)) / h[j].weight
+	a := float64(len(h[i].items)) / float64(h[i].weight)
+	b := float64(len(h[j].items)) / float64(h[j].weight)
 	if a != b {
 		return a > b
 	}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -44,7 +44,8 @@
 // share is one workspace's part of a queue.
 type share struct {
 	workspace shed.WorkspaceID
-	weight    float64
+	// weight is 1 or more and changes only while the share is empty.
+	weight int
 	// tag is the queue's virtual time at which the workspace's next turn is
 	// due; it grows by 1/weight per turn.
 	tag float64
@@ -65,8 +66,11 @@
 	backlogs backlogHeap
 	// virtual is the greatest tag served; it never goes backwards.
 	virtual float64
-	length  int
-	drain   rate
+	// length counts the requests, active the weights of the shares that aren't
+	// empty.
+	length int
+	active int
+	drain  rate
 	// since is when the queue last moved: drained, or ceased to be empty.
 	since time.Time
 }
@@ -113,7 +117,7 @@
 		return true
 	}
 	q.virtual = max(q.virtual, s.tag)
-	s.tag += 1 / s.weight
+	s.tag += 1 / float64(s.weight)
 	heap.Fix(&q.turns, s.turn)
 	g.remove(it)
 	q.drain.add(now)
@@ -152,20 +156,34 @@
 // Queued is how many requests wait in all.
 func (g *Gate) Queued() int { return len(g.where) }
 
-// Wait predicts how long a request that comes now would wait in the queue. It
-// looks at the whole queue, so it is too long for a workspace that uses little
-// of its share.
-func (g *Gate) Wait(now time.Time, key QueueKey) time.Duration {
+// Wait predicts how long a request that comes now would wait in the queue. By
+// fair turns a workspace waits for its own backlog, and for the others only as
+// far as their shares go: counting the whole queue, one greedy workspace would
+// have everybody else refused at the door.
+func (g *Gate) Wait(now time.Time, key QueueKey, w Waiting) time.Duration {
 	q := g.queues[key]
 	if q == nil || q.length == 0 {
 		return 0
 	}
+	turns := q.turnsBefore(w)
 	perSecond := q.drain.perSecond(now)
 	if perSecond == 0 {
 		// Nothing has moved for a while: at best one goes each such while.
-		return time.Duration(q.length) * now.Sub(q.since)
+		return time.Duration(turns * float64(now.Sub(q.since)))
 	}
-	return time.Duration(float64(q.length) / perSecond * float64(time.Second))
+	return time.Duration(turns / perSecond * float64(time.Second))
+}
+
+// turnsBefore is after about how many turns the request would have its own.
+func (q *queue) turnsBefore(w Waiting) float64 {
+	weight := float64(max(w.Share, 1))
+	own, active := 0, float64(q.active)
+	if s := q.shares[w.Workspace]; s != nil && len(s.items) > 0 {
+		own = len(s.items)
+	} else {
+		active += weight
+	}
+	return min(float64(own+1)*active/weight, float64(q.length+1))
 }
 
 func (g *Gate) queue(key QueueKey) *queue {
@@ -203,10 +221,11 @@
 		q.shares[it.Workspace] = s
 		heap.Push(&q.turns, s)
 	}
-	s.weight = float64(max(it.Share, 1))
-	if len(s.items) == 0 && s.tag < q.virtual {
-		s.tag = q.virtual
+	if len(s.items) == 0 {
+		s.weight = max(it.Share, 1)
+		s.tag = max(s.tag, q.virtual)
 		heap.Fix(&q.turns, s.turn)
+		q.active += s.weight
 	}
 	it.flow = s
 	heap.Push(&s.items, it)
@@ -224,6 +243,7 @@
 	q.length--
 	if len(s.items) == 0 {
 		heap.Remove(&q.backlogs, s.backlog)
+		q.active -= s.weight
 		return
 	}
 	heap.Fix(&q.backlogs, s.backlog)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -174,7 +174,7 @@
 	}
 	key := admit.KeyOf(&p.Stages[0])
 	verdict := f.cfg.Admit.Admit(now, admit.Ask{
-		Request:  a.Request,
+		Waiting:  f.waiting(a, time.Time{}),
 		Pipeline: p,
 		Deadline: a.Deadline,
 		Queue:    key,
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -174,12 +174,7 @@
 		return
 	}
 	f.setState(r, stateWaiting, latest)
-	evicted, ok := f.cfg.Admit.Push(now, key, admit.Waiting{
-		Request:   r.arrived.Request,
-		Workspace: r.arrived.Workspace,
-		Share:     f.share(r.arrived.Workspace),
-		Latest:    latest,
-	})
+	evicted, ok := f.cfg.Admit.Push(now, key, f.waiting(r.arrived, latest))
 	if ok {
 		return
 	}
@@ -188,6 +183,15 @@
 	}
 }
 
+func (f *Flow) waiting(a shed.Arrived, latest time.Time) admit.Waiting {
+	return admit.Waiting{
+		Request:   a.Request,
+		Workspace: a.Workspace,
+		Share:     f.share(a.Workspace),
+		Latest:    latest,
+	}
+}
+
 func (f *Flow) share(id shed.WorkspaceID) int {
 	if f.rules == nil {
 		return 1
@@ -209,7 +213,7 @@
 }
 
 func (f *Flow) retryAfter(now time.Time, r *request) time.Duration {
-	return f.cfg.Admit.RetryAfter(now, admit.KeyOf(r.at()), r.arrived.Request)
+	return f.cfg.Admit.RetryAfter(now, admit.KeyOf(r.at()), f.waiting(r.arrived, time.Time{}))
 }
 
 // drain starts one of those who wait, if there is room for it.
