--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -90,6 +90,7 @@
 	runOnIfBound bool
 	hopeless     bool
 	boundPause   bool
+	stepAside    bool
 }
 
 // New returns a flow without requests.
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -38,13 +38,24 @@
 		f.hand(now, r, p.Peer)
 	case shed.PlaceWait:
 		r.waits = p.Reason
-		return false
+		return f.stepAside(now, r)
 	default:
 		f.nowhere(now, r, p)
 	}
 	return true
 }
 
+// stepAside keeps a request that avoids servers out of the queue, and returns
+// whether it did. At the head of the queue it would hold up all those behind it
+// that could go to the very server it avoids.
+func (f *Flow) stepAside(now time.Time, r *request) bool {
+	if len(r.avoid) == 0 || f.off.stepAside {
+		return false
+	}
+	f.backOff(now, r)
+	return true
+}
+
 // hopeless tells whether the rest of the pipeline can't be done in time even
 // if it is started now. Starting it would only take a place from another.
 func (f *Flow) hopeless(now time.Time, r *request) bool {
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -141,6 +141,26 @@
 	require.Positive(t, fin.RetryAfter)
 }
 
+// A draft failed on s2, and s1 is full. It waits for s1, but the next caller's
+// draft goes to s2 at once and does not wait behind it.
+func TestOneThatAvoidsAServerHoldsUpNobody(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := newFlow(func(ask shed.PlaceAsk) shed.Placement {
+			if len(ask.Avoid) > 0 {
+				return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+			}
+			return onServer("s2")(ask)
+		})
+		f.off.stepAside = off
+		first := only[shed.StartCall](f.Handle(start, arrived("first", "draft")))[0]
+		failed := ended(first.Call, shed.EndOverloaded, 0)
+		failed.Server = "s2"
+		require.Empty(t, only[shed.StartCall](f.Handle(start, failed)))
+		acts := f.Handle(start, arrived("second", "draft"))
+		require.Equal(t, !off, len(only[shed.StartCall](acts)) == 1, "safeguard off: %v", off)
+	}
+}
+
 // The package that records calls must stay the only one that builds answers, or an
 // answer could say "not run" of a call that it has no record of.
 func TestOnlyTheTrailFinishes(t *testing.T) {
