--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -185,12 +185,17 @@
 func (g *Gate) Expected(now time.Time, p *shed.Pipeline, from int) time.Duration {
 	var sum time.Duration
 	for i := from; i < len(p.Stages); i++ {
-		low, high := g.quantiles(now, p, i)
-		sum += max(p.Stages[i].Minimum, low, high)
+		sum += g.Likely(now, p, i)
 	}
 	return sum
 }
 
+// Likely is the time that one stage will likely take.
+func (g *Gate) Likely(now time.Time, p *shed.Pipeline, stage int) time.Duration {
+	_, high := g.quantiles(now, p, stage)
+	return max(p.Stages[stage].Minimum, high)
+}
+
 // Least is the time below which the stages from one on hardly ever end.
 func (g *Gate) Least(now time.Time, p *shed.Pipeline, from int) time.Duration {
 	var sum time.Duration
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -91,6 +91,7 @@
 	hopeless     bool
 	boundPause   bool
 	stepAside    bool
+	needed       bool
 }
 
 // New returns a flow without requests.
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -62,7 +62,21 @@
 	if f.off.hopeless {
 		return false
 	}
-	return now.Add(admit.Minimum(r.pipeline, r.stage)).After(r.arrived.Deadline)
+	return now.Add(f.needed(now, r)).After(r.arrived.Deadline)
+}
+
+// needed is the least time that a start must leave. A stage that must run at
+// most once needs what it likely takes: started later, it would run into the
+// deadline, and its caller be told that the outcome is unknown where "not run"
+// could have been told. Half of the pipeline's time always suffices, so that
+// one slow spell can't keep the stage from ever being tried again.
+func (f *Flow) needed(now time.Time, r *request) time.Duration {
+	least := admit.Minimum(r.pipeline, r.stage)
+	if r.at().Idempotent || f.off.needed {
+		return least
+	}
+	likely := min(f.cfg.Admit.Likely(now, r.pipeline, r.stage), r.pipeline.Deadline/2)
+	return max(least, likely)
 }
 
 func (f *Flow) question(now time.Time, r *request) shed.PlaceAsk {
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jasmineshed/internal/admit"
 	"jasmineshed/internal/cost"
 
 	shed "jasmineshed"
@@ -161,6 +162,26 @@
 	}
 }
 
+// Publishing takes a second of late, and a publication comes to that stage with
+// half a second left. Started, it would be cut off by the deadline and its
+// caller told "unknown". It is refused instead, with nothing published.
+func TestPublicationIsNotStartedTooLate(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := newFlow(onServer("s1"))
+		f.off.needed = off
+		for range 20 {
+			f.cfg.Admit.Observe(start, admit.StageKey{Pipeline: "publish", Stage: "publish"}, time.Second)
+		}
+		acts := f.Handle(start, arrived("r", "publish"))
+		late := start.Add(5500 * time.Millisecond)
+		acts = f.Handle(late, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+		require.Equal(t, off, len(only[shed.StartCall](acts)) == 1, "safeguard off: %v", off)
+		if !off {
+			require.Equal(t, shed.OutcomeRefused, only[shed.Finish](acts)[0].Outcome)
+		}
+	}
+}
+
 // The package that records calls must stay the only one that builds answers, or an
 // answer could say "not run" of a call that it has no record of.
 func TestOnlyTheTrailFinishes(t *testing.T) {
