--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -18,7 +18,7 @@
 	DefaultTrialEvery = 500 * time.Millisecond
 	DefaultMemory     = 30 * time.Second
 	DefaultMinRetry   = 100 * time.Millisecond
-	DefaultMaxRetry   = 10 * time.Second
+	DefaultMaxRetry   = 20 * time.Second
 )
 
 // Config sets up a Gate. Zero values take the defaults.
@@ -47,7 +47,8 @@
 
 // Ask is the question whether a request may come in.
 type Ask struct {
-	Request  shed.RequestID
+	// Waiting is the request as it would wait; its Latest is void.
+	Waiting
 	Pipeline *shed.Pipeline
 	Deadline time.Time
 	// Queue is where the first stage would wait.
@@ -143,7 +144,7 @@
 	if Minimum(ask.Pipeline, 0) > left {
 		return g.refuse(now, ask)
 	}
-	wait := g.Wait(now, ask.Queue)
+	wait := g.Wait(now, ask.Queue, ask.Waiting)
 	if wait+g.Expected(now, ask.Pipeline, 0) <= left {
 		return Verdict{OK: true}
 	}
@@ -156,7 +157,7 @@
 func (g *Gate) refuse(now time.Time, ask Ask) Verdict {
 	return Verdict{
 		Reason:     shed.ReasonWontMeetDeadline,
-		RetryAfter: g.RetryAfter(now, ask.Queue, ask.Request),
+		RetryAfter: g.RetryAfter(now, ask.Queue, ask.Waiting),
 	}
 }
 
@@ -184,12 +185,17 @@
 func (g *Gate) Expected(now time.Time, p *shed.Pipeline, from int) time.Duration {
 	var sum time.Duration
 	for i := from; i < len(p.Stages); i++ {
-		low, high := g.quantiles(now, p, i)
-		sum += max(p.Stages[i].Minimum, low, high)
+		sum += g.Likely(now, p, i)
 	}
 	return sum
 }
 
+// Likely is the time that one stage will likely take.
+func (g *Gate) Likely(now time.Time, p *shed.Pipeline, stage int) time.Duration {
+	_, high := g.quantiles(now, p, stage)
+	return max(p.Stages[stage].Minimum, high)
+}
+
 // Least is the time below which the stages from one on hardly ever end.
 func (g *Gate) Least(now time.Time, p *shed.Pipeline, from int) time.Duration {
 	var sum time.Duration
@@ -208,12 +214,12 @@
 	return s.low, s.high
 }
 
-// RetryAfter is when a refused request should come back: once what waits now
-// has drained. The spread by the request's id keeps those refused together
+// RetryAfter is when a refused request should come back: once its turn would
+// have come. The spread by the request's id keeps those refused together
 // from coming back together.
-func (g *Gate) RetryAfter(now time.Time, key QueueKey, id shed.RequestID) time.Duration {
-	base := max(g.Wait(now, key), g.cfg.MinRetry)
+func (g *Gate) RetryAfter(now time.Time, key QueueKey, w Waiting) time.Duration {
+	base := max(min(g.Wait(now, key, w), g.cfg.MaxRetry/2), g.cfg.MinRetry)
 	const steps = 1024
-	share := time.Duration(xxhash.Sum64String(string(id)) % steps)
-	return min(base+base*share/steps, g.cfg.MaxRetry)
+	share := time.Duration(xxhash.Sum64String(string(w.Request)) % steps)
+	return base + base*share/steps
 }
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -37,20 +37,46 @@
 	case shed.PlacePeer:
 		f.hand(now, r, p.Peer)
 	case shed.PlaceWait:
-		return false
+		r.waits = p.Reason
+		return f.stepAside(now, r)
 	default:
 		f.nowhere(now, r, p)
 	}
 	return true
 }
 
+// stepAside keeps a request that avoids servers out of the queue, and returns
+// whether it did. At the head of the queue it would hold up all those behind it
+// that could go to the very server it avoids.
+func (f *Flow) stepAside(now time.Time, r *request) bool {
+	if len(r.avoid) == 0 || f.off.stepAside {
+		return false
+	}
+	f.backOff(now, r)
+	return true
+}
+
 // hopeless tells whether the rest of the pipeline can't be done in time even
 // if it is started now. Starting it would only take a place from another.
 func (f *Flow) hopeless(now time.Time, r *request) bool {
 	if f.off.hopeless {
 		return false
 	}
-	return now.Add(admit.Minimum(r.pipeline, r.stage)).After(r.arrived.Deadline)
+	return now.Add(f.needed(now, r)).After(r.arrived.Deadline)
+}
+
+// needed is the least time that a start must leave. A stage that must run at
+// most once needs what it likely takes: started later, it would run into the
+// deadline, and its caller be told that the outcome is unknown where "not run"
+// could have been told. Half of the pipeline's time always suffices, so that
+// one slow spell can't keep the stage from ever being tried again.
+func (f *Flow) needed(now time.Time, r *request) time.Duration {
+	least := admit.Minimum(r.pipeline, r.stage)
+	if r.at().Idempotent || f.off.needed {
+		return least
+	}
+	likely := min(f.cfg.Admit.Likely(now, r.pipeline, r.stage), r.pipeline.Deadline/2)
+	return max(least, likely)
 }
 
 func (f *Flow) question(now time.Time, r *request) shed.PlaceAsk {
@@ -142,13 +168,9 @@
 		f.backOff(now, r)
 		return
 	}
-	reason := p.Reason
-	if reason == shed.ReasonNone {
-		reason = shed.ReasonNoServer
-	}
 	f.finish(now, r, trail.End{
 		Cause:      trail.CauseRefused,
-		Reason:     reason,
+		Reason:     orElse(p.Reason, shed.ReasonNoServer),
 		Rule:       p.Rule,
 		RetryAfter: max(p.RetryAfter, f.retryAfter(now, r)),
 	})
@@ -173,16 +195,11 @@
 func (f *Flow) enqueue(now time.Time, r *request, key admit.QueueKey) {
 	latest := r.arrived.Deadline.Add(-f.cfg.Admit.Least(now, r.pipeline, r.stage))
 	if !latest.After(now) {
-		f.giveUp(now, r, shed.ReasonServersBusy)
+		f.giveUp(now, r, r.waits)
 		return
 	}
 	f.setState(r, stateWaiting, latest)
-	evicted, ok := f.cfg.Admit.Push(now, key, admit.Waiting{
-		Request:   r.arrived.Request,
-		Workspace: r.arrived.Workspace,
-		Share:     f.share(r.arrived.Workspace),
-		Latest:    latest,
-	})
+	evicted, ok := f.cfg.Admit.Push(now, key, f.waiting(r.arrived, latest))
 	if ok {
 		return
 	}
@@ -191,6 +208,15 @@
 	}
 }
 
+func (f *Flow) waiting(a shed.Arrived, latest time.Time) admit.Waiting {
+	return admit.Waiting{
+		Request:   a.Request,
+		Workspace: a.Workspace,
+		Share:     f.share(a.Workspace),
+		Latest:    latest,
+	}
+}
+
 func (f *Flow) share(id shed.WorkspaceID) int {
 	if f.rules == nil {
 		return 1
@@ -205,14 +231,14 @@
 func (f *Flow) giveUp(now time.Time, r *request, reason shed.Reason) {
 	f.finish(now, r, trail.End{
 		Cause:      trail.CauseRefused,
-		Reason:     reason,
+		Reason:     orElse(reason, shed.ReasonServersBusy),
 		Rule:       r.pipeline.Origin,
 		RetryAfter: f.retryAfter(now, r),
 	})
 }
 
 func (f *Flow) retryAfter(now time.Time, r *request) time.Duration {
-	return f.cfg.Admit.RetryAfter(now, admit.KeyOf(r.at()), r.arrived.Request)
+	return f.cfg.Admit.RetryAfter(now, admit.KeyOf(r.at()), f.waiting(r.arrived, time.Time{}))
 }
 
 // drain starts one of those who wait, if there is room for it.
