--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -14,9 +14,12 @@
 	pullTimeout = 400 * time.Millisecond
 	maxClaims   = 16
 	claimForget = time.Minute
-	maxFails    = 4
-	maxParts    = 4096
-	maxBytes    = 32 << 20
+	// patience is how many pulls in a row may bring nothing before the next
+	// ones wait longer and longer; messages are lost, too.
+	patience = 3
+	maxFails = 4
+	maxParts = 4096
+	maxBytes = 32 << 20
 	// pushBytes bounds the parts of one push, so that no message nears the
 	// limit of a link; the puller asks for the rest.
 	pushBytes = 512 << 10
@@ -132,7 +135,8 @@
 	}
 	s.sortClaims()
 	best := f.claims[0]
-	if best.fails > 0 && now.Sub(f.asked) < pullTimeout<<min(best.fails, maxFails) {
+	tired := max(0, best.fails-patience)
+	if now.Sub(f.asked) < pullTimeout<<min(tired, maxFails) && tired > 0 {
 		return nil
 	}
 	return s.pull(now, best.from)
--- a/internal/config/fresh.go
+++ b/internal/config/fresh.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -64,8 +65,8 @@
 	confirmed time.Time
 	// promise is a confirmation for a revision not yet held.
 	promise promise
-	// asks without an answer yet, by sequence.
-	asks     map[uint64]ask
+	// asks without an answer yet, oldest first; at most maxAsks.
+	asks     []ask
 	sequence uint64
 	nextAsk  time.Time
 }
@@ -78,8 +79,9 @@
 
 // ask is a digest that was asked for.
 type ask struct {
-	to shed.VM
-	at time.Time
+	to       shed.VM
+	at       time.Time
+	sequence uint64
 }
 
 func (f *fresh) age(now time.Time) (age time.Duration, known bool) {
@@ -146,20 +148,16 @@
 
 // ask sends a digest that wants an answer.
 func (s *State) ask(now time.Time, to shed.VM) shed.Action {
-	if s.fresh.asks == nil {
-		s.fresh.asks = map[uint64]ask{}
-	}
-	for seq, a := range s.fresh.asks {
-		if now.Sub(a.at) > askForget || len(s.fresh.asks) >= maxAsks && seq+maxAsks <= s.fresh.sequence {
-			delete(s.fresh.asks, seq)
-		}
+	f := &s.fresh
+	for len(f.asks) > 0 && (len(f.asks) >= maxAsks || now.Sub(f.asks[0].at) > askForget) {
+		f.asks = f.asks[1:]
 	}
-	s.fresh.sequence++
-	s.fresh.asks[s.fresh.sequence] = ask{to, now}
+	f.sequence++
+	f.asks = append(f.asks, ask{to, now, f.sequence})
 	s.counts.Asks++
 	m := s.Digest(now)
 	m.Ask = true
-	m.Sequence = s.fresh.sequence
+	m.Sequence = f.sequence
 	return shed.SendPeer{To: to, Message: m}
 }
 
@@ -168,12 +166,13 @@
 	if m.Ask || m.Sequence == 0 {
 		return ask{}, false
 	}
-	a, ok := s.fresh.asks[m.Sequence]
-	if !ok || a.to != from {
-		return ask{}, false
+	for i, a := range s.fresh.asks {
+		if a.sequence == m.Sequence && a.to == from {
+			s.fresh.asks = slices.Delete(s.fresh.asks, i, i+1)
+			return a, true
+		}
 	}
-	delete(s.fresh.asks, m.Sequence)
-	return a, true
+	return ask{}, false
 }
 
 // digest takes in what a peer says of its revision.
