--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// Settings and Tune change each daemon's settings and core.
 	Settings func(*prefs.Prefs)
 	Tune     func(*core.Config)
+	// Node changes how each daemon is put together, for instance how it dials.
+	Node func(*node.Config)
 }
 
 // Fleet is a fleet that runs.
@@ -122,9 +124,7 @@
 	}
 	f.servers = append(f.servers, srv)
 	f.platformURL = srv.URL()
-	if _, err := f.Publish(f.text); err != nil {
-		return err
-	}
+	f.Publish(f.text)
 	for _, z := range f.Zones() {
 		for range f.cfg.PerZone {
 			if _, err := f.Add(ctx, z); err != nil {
@@ -195,16 +195,10 @@
 	return out
 }
 
-// Publish puts a rules file on the platform, as an operator does. Parts go
-// before the index that names them, so that no reader sees an index without.
-func (f *Fleet) Publish(text []byte) (shed.Revision, error) {
-	index, parts := rules.Pack(text)
-	values := make(map[string][]byte, len(parts))
-	for hash, data := range parts {
-		values[rules.PartName(hash)] = data
-	}
-	f.Platform.Publish(values)
-	return f.Platform.Publish(map[string][]byte{wire.KeyRules: index}), nil
+// Publish puts a rules file on the platform, as an operator does: index and
+// parts at one revision, so that no reader sees an index without its parts.
+func (f *Fleet) Publish(text []byte) shed.Revision {
+	return f.Platform.PublishRules(text)
 }
 
 // Add starts one more daemon in the zone.
@@ -220,7 +214,11 @@
 	if f.cfg.Settings != nil {
 		f.cfg.Settings(p)
 	}
-	n, err := node.New(ctx, node.Config{Prefs: p, LogTo: f.cfg.LogTo, Policy: f.cfg.Policy, Tune: f.cfg.Tune})
+	cfg := node.Config{Prefs: p, LogTo: f.cfg.LogTo, Policy: f.cfg.Policy, Tune: f.cfg.Tune}
+	if f.cfg.Node != nil {
+		f.cfg.Node(&cfg)
+	}
+	n, err := node.New(ctx, cfg)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,10 @@
 	// Tune, if not nil, changes core's configuration before it is used; for
 	// experiments and tests.
 	Tune func(*core.Config)
+	// DialPeer and DialPlatform open connections; nil means TCP. Experiments
+	// cut links here.
+	DialPeer     func(ctx context.Context, to shed.VM) (net.Conn, error)
+	DialPlatform func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Listeners are opened by New unless they are given.
 	Callers, Peers, Operators net.Listener
 }
@@ -97,7 +101,7 @@
 	}
 	n.self = shed.Peer{VM: n.reach(), Incarnation: shed.Incarnation(time.Now().UnixNano())}
 	n.engine = engine.New(engine.Config{OrderToken: n.cfg.OrderToken})
-	n.plat = plat.New(plat.Config{URL: p.Platform.URL, Timeout: p.Platform.ReadTimeout})
+	n.plat = plat.New(plat.Config{URL: p.Platform.URL, Timeout: p.Platform.ReadTimeout, Dial: n.cfg.DialPlatform})
 	return n.assemble()
 }
 
@@ -167,7 +171,7 @@
 	// The peers' client tells the daemon of lost peers, and the daemon sends by
 	// the client; lost closes that circle.
 	var lost func(shed.VM)
-	clientCfg := peers.ClientConfig{Self: n.self, Lost: func(vm shed.VM) { lost(vm) }}
+	clientCfg := peers.ClientConfig{Self: n.self, Dial: n.cfg.DialPeer, Lost: func(vm shed.VM) { lost(vm) }}
 	var serverCfg peers.ServerConfig
 	if n.peerCerts != nil {
 		clientCfg.TLS = n.peerCerts.PeerClient
