--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -29,6 +29,7 @@
 	newStatusCommand,
 	newExplainCommand,
 	newSettingsCommand,
+	newMeasureCommand,
 	newVersionCommand,
 }
 
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/stand"
+	"jasmineshed/pkg/client"
 )
 
 func TestExamplesParse(t *testing.T) {
@@ -90,24 +92,26 @@
 	return []Server{{ID: "gen-1", Zone: "a", Record: &f.engine.Record}}
 }
 
-func (f *fake) Serve(_ context.Context, req shed.Request, update func(shed.Update)) shed.Answer {
+func (f *fake) Call(_ context.Context, a Arrival, tokens int, text func()) (*client.Answer, error) {
 	time.Sleep(200 * time.Millisecond)
-	update(shed.Update{Text: "first"})
+	text()
 	time.Sleep(800 * time.Millisecond)
-	out := shed.Answer{Finish: shed.Finish{Outcome: shed.OutcomeComplete}, Payload: req.Payload}
-	out.Payload.Text = stand.WholeText(req.Payload.Input, int(req.Payload.MaxTokens))
-	out.Stages = []shed.StageReport{{Stage: "draft", Attempts: 2, Useful: 30, Wasted: 10}}
-	switch req.Payload.Input[len(req.Payload.Input)-2] {
-	case '1':
-		out.Finish = shed.Finish{Outcome: shed.OutcomeNotRun, Reason: shed.ReasonQueueFull}
-	case '2':
-		out.Payload.Text = stand.WholeText("another's", 24)
-	case '3':
+	out := &client.Answer{Outcome: client.Complete}
+	out.Payload.Text = stand.WholeText(a.Input, tokens)
+	out.Stages = []client.Stage{{Stage: "draft", Attempts: 2, Cost: client.Cost{Useful: 30, Wasted: 10}}}
+	switch a.Number % 10 {
+	case 1:
+		return nil, &client.AnswerError{Answer: &client.Answer{Outcome: client.NotRun, Reason: "queue_full"}}
+	case 2:
+		out.Payload.Text = stand.WholeText("another's", tokens)
+	case 3:
 		time.Sleep(time.Second)
-	case '4':
-		out.Finish = shed.Finish{Outcome: shed.OutcomeUnknown, Reason: shed.ReasonBroken}
+	case 4:
+		return nil, &client.AnswerError{Answer: &client.Answer{Outcome: client.Unknown, Reason: "connection_broken"}}
+	case 5:
+		return nil, &client.BrokenError{Sent: true, Err: io.ErrUnexpectedEOF}
 	}
-	return out
+	return out, nil
 }
 
 func newFake() *fake {
--- a/internal/gauge/judge.go
+++ b/internal/gauge/judge.go
@@ -1,11 +1,12 @@
 package gauge
 
 import (
-	"reflect"
-	"time"
+	"errors"
+	"slices"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/stand"
+	"jasmineshed/pkg/client"
 )
 
 // Verdict is what a request was worth to its caller. The set is closed.
@@ -31,42 +32,60 @@
 	return [...]string{"attained", "late", "missing", "wrong", "refused"}[v]
 }
 
+// reasonNoAnswer is given where a connection to a daemon broke.
+const reasonNoAnswer = "no_answer"
+
 // judge says what an answer was worth. It compares with what the stand-ins
 // answer to this input, which no daemon knows.
-func judge(p *shed.Pipeline, in shed.Payload, answer shed.Answer, took time.Duration) Verdict {
-	switch answer.Outcome {
-	case shed.OutcomeNotRun:
-		return Refused
-	case shed.OutcomeComplete:
-	default:
-		return Missing
+func (s *Sample) judge(p *shed.Pipeline, tokens int, answer *client.Answer, err error) {
+	s.Verdict = Missing
+	s.Reason = reasonNoAnswer
+	var refused *client.AnswerError
+	if errors.As(err, &refused) {
+		answer = refused.Answer
 	}
-	want := expected(p, answer.Request, in)
-	if !reflect.DeepEqual(want, answer.Payload) {
-		return Wrong
+	if answer == nil {
+		return
 	}
-	if took > p.Deadline {
-		return Late
+	s.Outcome = answer.Outcome
+	s.Reason = answer.Reason
+	s.Stages = answer.Stages
+	switch {
+	case answer.Outcome == client.NotRun:
+		s.Verdict = Refused
+	case answer.Outcome != client.Complete:
+		s.Verdict = Missing
+	case !right(p, answer, s.Input, tokens):
+		s.Verdict = Wrong
+	case s.Took > p.Deadline:
+		s.Verdict = Late
+	default:
+		s.Verdict = Attained
 	}
-	return Attained
 }
 
-// expected is the payload after all stages of p.
-func expected(p *shed.Pipeline, id shed.RequestID, in shed.Payload) shed.Payload {
-	out := in
+// right tells whether the answer is what all stages of p make of the input.
+func right(p *shed.Pipeline, answer *client.Answer, input string, tokens int) bool {
+	var want client.Payload
+	var passages []shed.Passage
 	for _, stage := range p.Stages {
 		switch stage.Kind {
 		case shed.KindEncode:
-			out.Vector = stand.Vector(in.Input)
+			want.Vector = stand.Vector(input)
 		case shed.KindRetrieve:
-			out.Passages = stand.Passages(in.Input, 0)
+			passages = stand.Passages(input, 0)
 		case shed.KindRerank:
-			out.Passages = stand.Reranked(in.Input, out.Passages)
+			passages = stand.Reranked(input, passages)
 		case shed.KindGenerate:
-			out.Text = stand.WholeText(in.Input, int(in.MaxTokens))
+			want.Text = stand.WholeText(input, tokens)
 		case shed.KindService:
-			out.Receipt = stand.Receipt(id, in.Input)
+			want.Receipt = stand.Receipt(shed.RequestID(answer.RequestID), input)
 		}
 	}
-	return out
+	got := answer.Payload
+	for _, p := range passages {
+		want.Passages = append(want.Passages, client.Passage{ID: p.ID, Text: p.Text, Score: p.Score})
+	}
+	return got.Text == want.Text && got.Receipt == want.Receipt &&
+		slices.Equal(got.Passages, want.Passages) && slices.Equal(got.Vector, want.Vector)
 }
--- a/internal/gauge/play.go
+++ b/internal/gauge/play.go
@@ -12,18 +12,19 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/stand"
+	"jasmineshed/pkg/client"
 )
 
 // Fleet is a running fleet before stand-ins, with the platform's balancer.
 type Fleet interface {
 	// Rules that the fleet was started with.
 	Rules() *shed.Rules
-	// Serve runs a request at the daemon that the balancer picks, with a ticket
-	// if its pipeline may run only once.
-	Serve(ctx context.Context, req shed.Request, update func(shed.Update)) shed.Answer
+	// Call runs a request at the daemon that the balancer picks, with a ticket
+	// if its pipeline may run only once, and calls text when some came.
+	Call(ctx context.Context, a Arrival, tokens int, text func()) (*client.Answer, error)
 	// Do makes an event happen.
 	Do(ctx context.Context, ev Event) error
-	// Servers are the stand-ins of backend servers, sorted by id.
+	// Servers are the stand-ins of backend servers.
 	Servers() []Server
 	// Platform is the stand-in of the platform.
 	Platform() *stand.Platform
@@ -135,22 +136,14 @@
 	due := p.began.Add(a.At)
 	lag := time.Since(due)
 	pipeline := p.fleet.Rules().Pipelines[a.Pipeline]
-	in := shed.Payload{Input: a.Input, MaxTokens: shed.Tokens(p.scenario.Tokens)}
 	sample := Sample{Arrival: a}
-	answer := p.fleet.Serve(ctx, shed.Request{
-		Workspace: a.Workspace,
-		Pipeline:  a.Pipeline,
-		Payload:   in,
-	}, func(u shed.Update) {
-		if sample.FirstText == 0 && u.Text != "" {
+	answer, err := p.fleet.Call(ctx, a, p.scenario.Tokens, func() {
+		if sample.FirstText == 0 {
 			sample.FirstText = time.Since(due)
 		}
 	})
 	sample.Took = time.Since(due)
-	sample.Outcome = answer.Outcome
-	sample.Reason = answer.Reason
-	sample.Stages = answer.Stages
-	sample.Verdict = judge(pipeline, in, answer, sample.Took)
+	sample.judge(pipeline, p.scenario.Tokens, answer, err)
 	p.running.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gauge/report.go
+++ b/internal/gauge/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/pkg/client"
 )
 
 // Report is a result worked out.
@@ -145,20 +146,11 @@
 	Workspace   shed.WorkspaceID `json:"workspace"`
 	Pipeline    shed.PipelineID  `json:"pipeline"`
 	Verdict     string           `json:"verdict"`
-	Outcome     string           `json:"outcome"`
-	Reason      shed.Reason      `json:"reason,omitempty"`
+	Outcome     client.Outcome   `json:"outcome"`
+	Reason      string           `json:"reason,omitempty"`
 	TookMS      float64          `json:"took_ms"`
 	FirstTextMS float64          `json:"first_text_ms,omitempty"`
-	Stages      []stageLine      `json:"stages,omitempty"`
-}
-
-type stageLine struct {
-	Stage    shed.StageID  `json:"stage"`
-	Server   shed.ServerID `json:"server,omitempty"`
-	Zone     shed.ZoneID   `json:"zone,omitempty"`
-	Attempts uint16        `json:"attempts"`
-	Useful   shed.Cost     `json:"useful"`
-	Wasted   shed.Cost     `json:"wasted"`
+	Stages      []client.Stage   `json:"stages,omitempty"`
 }
 
 // WriteLines writes one JSON line for each request, in order of answers.
@@ -173,28 +165,18 @@
 }
 
 func lineOf(s *Sample) line {
-	out := line{
+	return line{
 		Number:      s.Number,
 		AtMS:        s.At.Milliseconds(),
 		Workspace:   s.Workspace,
 		Pipeline:    s.Pipeline,
 		Verdict:     s.Verdict.String(),
-		Outcome:     s.Outcome.String(),
+		Outcome:     s.Outcome,
 		Reason:      s.Reason,
 		TookMS:      milliseconds(s.Took),
 		FirstTextMS: milliseconds(s.FirstText),
+		Stages:      s.Stages,
 	}
-	for _, stage := range s.Stages {
-		out.Stages = append(out.Stages, stageLine{
-			Stage:    stage.Stage,
-			Server:   stage.Server,
-			Zone:     stage.Zone,
-			Attempts: stage.Attempts,
-			Useful:   stage.Useful,
-			Wasted:   stage.Wasted,
-		})
-	}
-	return out
 }
 
 func milliseconds(d time.Duration) float64 {
--- a/internal/gauge/tally.go
+++ b/internal/gauge/tally.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	shed "jasmineshed"
+	"jasmineshed/pkg/client"
 )
 
 const (
@@ -21,13 +22,13 @@
 type Sample struct {
 	Arrival
 	Verdict Verdict
-	Outcome shed.Outcome
-	Reason  shed.Reason
+	Outcome client.Outcome
+	Reason  string
 	// Took is counted from the planned arrival.
 	Took time.Duration
 	// FirstText is the time to the first text; 0 if none came.
 	FirstText time.Duration
-	Stages    []shed.StageReport
+	Stages    []client.Stage
 }
 
 // Window is the quality of service of the arrivals in a span of time.
@@ -104,9 +105,9 @@
 // StageCost is the work of one stage, in thousandths of a server-second.
 type StageCost struct {
 	Pipeline       shed.PipelineID
-	Stage          shed.StageID
+	Stage          string
 	Calls          int
-	Useful, Wasted shed.Cost
+	Useful, Wasted uint64
 }
 
 // windows cuts the samples at the events and bursts of the scenario, with all
@@ -189,7 +190,7 @@
 func costs(samples []Sample) []StageCost {
 	type key struct {
 		pipeline shed.PipelineID
-		stage    shed.StageID
+		stage    string
 	}
 	sums := map[key]*StageCost{}
 	for _, s := range samples {
@@ -198,9 +199,9 @@
 			if sums[k] == nil {
 				sums[k] = &StageCost{Pipeline: s.Pipeline, Stage: stage.Stage}
 			}
-			sums[k].Calls += int(stage.Attempts)
-			sums[k].Useful += stage.Useful
-			sums[k].Wasted += stage.Wasted
+			sums[k].Calls += stage.Attempts
+			sums[k].Useful += stage.Cost.Useful
+			sums[k].Wasted += stage.Cost.Wasted
 		}
 	}
 	out := make([]StageCost, 0, len(sums))
@@ -235,6 +236,6 @@
 // ReasonCount is how often a verdict had a reason.
 type ReasonCount struct {
 	Verdict Verdict
-	Reason  shed.Reason
+	Reason  string
 	Count   int
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -20,8 +20,8 @@
 	Capacity int
 	// ColdBears is how many it bears at once while cold; 0 means 1.
 	ColdBears int
-	// WarmAfter is how many calls must be done before it is warm; 0 means that
-	// it starts warm.
+	// WarmAfter is how many calls must be done before it is warm; it starts warm
+	// if Done is no less.
 	WarmAfter int
 	// Done is how many calls it had completed before the test began; a server
 	// that has run for long is known to be warm by it.
@@ -86,12 +86,16 @@
 	// doneCold counts the calls done since the engine turned cold.
 	doneCold int
 	cold     bool
+	// slowness multiplies every time; 0 means 1.
+	slowness float64
 	fallen   time.Time
 	fence    uint64
 	model    string
 	role     string
 	orders   []wire.Order
-	history  []snapshot
+	// first is the state at the last start; it shows until history is old enough.
+	first   wire.Load
+	history []snapshot
 }
 
 type snapshot struct {
@@ -113,12 +117,13 @@
 	e := &Engine{
 		cfg:   cfg,
 		mux:   http.NewServeMux(),
-		cold:  cfg.WarmAfter > 0,
+		cold:  cfg.Done < uint64(cfg.WarmAfter),
 		done:  cfg.Done,
 		model: cfg.Model,
 		role:  cfg.Role,
 	}
 	e.cache.cfg = cfg
+	e.first = e.load()
 	e.mux.HandleFunc("POST "+wire.PathChat, e.serveChat)
 	e.mux.HandleFunc("POST "+wire.PathEmbeddings, e.serveEmbed)
 	e.mux.HandleFunc("POST "+wire.PathRerank, e.serveRerank)
@@ -144,6 +149,13 @@
 	e.doneCold = 0
 }
 
+// SetSlowness makes everything take so many times as long; 1 ends it.
+func (e *Engine) SetSlowness(times float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slowness = times
+}
+
 // Restart gives the engine a new boot id and forgets streams, cache and
 // counts. The calls that run keep running; cut them with SetDown.
 func (e *Engine) Restart() {
@@ -158,6 +170,7 @@
 	e.model = e.cfg.Model
 	e.role = e.cfg.Role
 	e.history = nil
+	e.first = e.load()
 	e.streams.clear()
 	e.cache.clear()
 }
@@ -236,7 +249,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	others := float64(max(e.running-1, 0)) / float64(max(e.cfg.Capacity-1, 1))
-	d = time.Duration(float64(d) * (1 + e.cfg.LoadSlope*others))
+	d = time.Duration(float64(d) * (1 + e.cfg.LoadSlope*others) * max(e.slowness, 1))
 	if time.Now().Before(e.fallen) {
 		d *= fallenSlowness
 	}
@@ -271,8 +284,7 @@
 	defer e.mu.Unlock()
 	load := e.load()
 	if e.cfg.LoadLag > 0 {
-		load.Running, load.Done = 0, 0
-		load.Warm = e.cfg.WarmAfter == 0
+		load = e.first
 	}
 	for _, old := range e.history {
 		if old.at.Add(e.cfg.LoadLag).After(now) {
