--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -195,8 +195,7 @@
 	return out
 }
 
-// Publish puts a rules file on the platform, as an operator does: index and
-// parts at one revision, so that no reader sees an index without its parts.
+// Publish puts a rules file on the platform, as an operator does.
 func (f *Fleet) Publish(text []byte) shed.Revision {
 	return f.Platform.PublishRules(text)
 }
