--- a/internal/gauge/arrive.go
+++ b/internal/gauge/arrive.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	shed "jasmineshed"
@@ -11,6 +12,9 @@
 // topics is how many beginnings of prompts each workspace's users share.
 const topics = 8
 
+// sharedPrefix is the least length of instructions in bytes.
+const sharedPrefix = 320
+
 // Arrival is one planned request.
 type Arrival struct {
 	Number    int
@@ -54,10 +58,17 @@
 		At:        at,
 		Workspace: shed.WorkspaceID(ws),
 		Pipeline:  shed.PipelineID(pipeline),
-		Input:     fmt.Sprintf("For %s, %s, on topic %d, write a few short lines. Request %d.", ws, pipeline, topic, n),
+		Input:     instructions(ws, topic) + fmt.Sprintf("This is request %d, for %s.", n, pipeline),
 	}
 }
 
+// instructions are the beginning that prompts of one workspace on one topic
+// share; longer than what caches tell apart.
+func instructions(workspace string, topic int) string {
+	line := fmt.Sprintf("Write for the readers of %s on topic %d, in short lines. ", workspace, topic)
+	return strings.Repeat(line, sharedPrefix/len(line)+1)
+}
+
 func pick(rng *rand.Rand, shares []Share) string {
 	sum := 0.0
 	for _, s := range shares {
