--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// Settings and Tune change each daemon's settings and core.
 	Settings func(*prefs.Prefs)
 	Tune     func(*core.Config)
+	// Node changes how each daemon is put together, for instance how it dials.
+	Node func(*node.Config)
 }
 
 // Fleet is a fleet that runs.
@@ -211,7 +213,11 @@
 	if f.cfg.Settings != nil {
 		f.cfg.Settings(p)
 	}
-	n, err := node.New(ctx, node.Config{Prefs: p, LogTo: f.cfg.LogTo, Policy: f.cfg.Policy, Tune: f.cfg.Tune})
+	cfg := node.Config{Prefs: p, LogTo: f.cfg.LogTo, Policy: f.cfg.Policy, Tune: f.cfg.Tune}
+	if f.cfg.Node != nil {
+		f.cfg.Node(&cfg)
+	}
+	n, err := node.New(ctx, cfg)
 	if err != nil {
 		return nil, err
 	}
