--- a/event.go
+++ b/event.go
@@ -63,14 +63,16 @@
 	Avoid []ServerID `cbor:"9,keyasint,omitempty"`
 }
 
-// CallProgress means that the live call has produced Tokens in all. It comes with the
-// first token and then at most every ProgressEvery.
+// CallProgress means that the live call has produced Tokens in all. It comes when
+// the server has accepted the call, with the first token, and then at most every ProgressEvery.
 type CallProgress struct {
 	Call   Call
 	Tokens Tokens
 	// Server is the one that runs the call, which a far daemon may have chosen.
 	Server ServerID
 	Zone   ZoneID
+	// Boot is the server's boot identity, if it gave one with its acceptance.
+	Boot string
 }
 
 // ProgressEvery is the shortest time between two CallProgress of one call.
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -28,12 +28,13 @@
 
 // notNow is why this daemon takes no requests at the moment.
 func (c *Core) notNow(now time.Time) shed.Reason {
-	switch {
-	case c.rules == nil:
+	if c.rules == nil {
 		return shed.ReasonNoConfig
-	case !c.config.Ready():
-		return shed.ReasonWoke
-	case c.stop.refuses(now):
+	}
+	if reason := c.unsure(now); reason != shed.ReasonNone {
+		return reason
+	}
+	if c.stop.refuses(now) {
 		return shed.ReasonStopping
 	}
 	return shed.ReasonNone
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -18,7 +18,10 @@
 
 func (c *Core) callProgress(now time.Time, e shed.CallProgress) {
 	if _, here := c.local[e.Call]; here {
-		c.take(c.load.FirstToken(now, e.Call))
+		c.take(c.load.Seen(now, e.Call, e.Boot))
+		if e.Tokens > 0 {
+			c.take(c.load.FirstToken(now, e.Call))
+		}
 	}
 	if !c.guests[e.Call] {
 		c.book(now, c.flow.Handle(now, e))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,10 @@
 	defaultPolicy   = "affinity"
 	defaultNotice   = 2 * time.Second
 	defaultMaxDrain = 30 * time.Second
+	// defaultSureFor is how long a daemon that hears from nobody goes on with
+	// what it knows. New work at a closed zone or server ends within this and
+	// the lease of a send, half a second.
+	defaultSureFor = 2400 * time.Millisecond
 )
 
 // Config sets up a Core. Zero values take the defaults.
@@ -115,6 +119,12 @@
 	if cfg.MaxDrain == 0 {
 		cfg.MaxDrain = defaultMaxDrain
 	}
+	if cfg.Config.FreshFor == 0 {
+		cfg.Config.FreshFor = defaultSureFor
+	}
+	if cfg.Member.LeaseFor == 0 {
+		cfg.Member.LeaseFor = defaultSureFor
+	}
 	policy, err := route.Named(cfg.Policy, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -313,7 +323,7 @@
 // tellReady tells the driver when readiness changes.
 func (c *Core) tellReady(now time.Time) {
 	c.survey(now)
-	ready := c.config.Ready() && c.surveyed && !c.stop.asked
+	ready := c.surveyed && !c.stop.asked && c.unsure(now) == shed.ReasonNone
 	if ready != c.ready {
 		c.ready = ready
 		c.out = append(c.out, shed.Ready{Ready: ready})
--- a/internal/core/guest.go
+++ b/internal/core/guest.go
@@ -19,7 +19,7 @@
 // own rules, at once or not at all, and one attempt at the most.
 func (c *Core) stageAsked(now time.Time, e shed.StageAsked) {
 	ask := e.Ask
-	stage, reason := c.stageOf(ask)
+	stage, reason := c.stageOf(now, ask)
 	switch {
 	case reason != shed.ReasonNone:
 		c.refuseStage(ask.Call, reason, comeBack)
@@ -49,12 +49,12 @@
 
 // stageOf finds the stage in the rules in force here, which may be older or
 // newer than the sender's.
-func (c *Core) stageOf(ask shed.StageAsk) (shed.Stage, shed.Reason) {
+func (c *Core) stageOf(now time.Time, ask shed.StageAsk) (shed.Stage, shed.Reason) {
 	if c.rules == nil {
 		return shed.Stage{}, shed.ReasonNoConfig
 	}
-	if !c.config.Ready() {
-		return shed.Stage{}, shed.ReasonWoke
+	if reason := c.unsure(now); reason != shed.ReasonNone {
+		return shed.Stage{}, reason
 	}
 	p := c.rules.Pipelines[ask.Pipeline]
 	if p == nil || int(ask.Call.Stage) >= len(p.Stages) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -24,8 +24,8 @@
 // Place implements shed.Placer: a server of this zone first, then a peer of
 // the zone that may use a cold one, then another zone.
 func (c *Core) Place(now time.Time, ask shed.PlaceAsk) shed.Placement {
-	if !c.config.Ready() {
-		return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonWoke}
+	if reason := c.unsure(now); reason != shed.ReasonNone {
+		return shed.Placement{Kind: shed.PlaceWait, Reason: reason}
 	}
 	pool := c.rules.Pools[ask.Stage.Pool]
 	if pool == nil {
@@ -44,10 +44,28 @@
 	return here
 }
 
+// unsure is why this daemon may start no work at all at the moment.
+//
+// One that woke from a pause doesn't know what was decided meanwhile. One that
+// hears neither the platform nor any daemon, of its own zone or another, may be
+// alone in not knowing that its zone was taken out or a server leaves: callers
+// would see work go there for as long as it is cut off. The others of its zone
+// serve meanwhile. A zone that is cut off as a whole goes on, since its daemons
+// hear each other, and so does a daemon that is the only one left of its zone.
+func (c *Core) unsure(now time.Time) shed.Reason {
+	switch {
+	case !c.config.Ready():
+		return shed.ReasonWoke
+	case !c.config.Fresh(now) && !c.member.Confirmed(now):
+		return shed.ReasonUnconfirmed
+	}
+	return shed.ReasonNone
+}
+
 // MayResume tells whether a stream may go on at the server that holds it.
 func (c *Core) MayResume(now time.Time, id shed.ServerID) bool {
 	s := c.rules.Servers[id]
-	if s == nil || !c.config.Ready() {
+	if s == nil || c.unsure(now) != shed.ReasonNone {
 		return false
 	}
 	open, _ := c.rules.ServerOpen(s)
@@ -82,7 +100,7 @@
 		cand, known := c.load.Candidate(now, s.ID)
 		switch {
 		case !known:
-		case !cand.Cold && c.load.Room(s.ID) > 0:
+		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.Unseen(s.ID) < c.unseenShare(s):
 			room = append(room, cand)
 		case cand.Cold && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
 			room = append(room, cand)
@@ -108,6 +126,15 @@
 	return shed.Placement{Kind: shed.PlaceWait, Reason: reason}
 }
 
+// unseenShare is how many calls this daemon may have under way of which the
+// server has given no sign. A warm server may turn cold without warning; all
+// daemons' unseen calls together are then what hits it before anyone knows, so
+// each takes its share of what the server bears cold.
+func (c *Core) unseenShare(s *shed.Server) int {
+	daemons := len(c.member.View().Zone(c.cfg.Zone))
+	return max(1, s.ColdBears/max(1, daemons))
+}
+
 // closedBy says why the rules keep new work from the server.
 func (c *Core) closedBy(s *shed.Server) shed.Reason {
 	if z := c.rules.Zones[s.Zone]; z != nil && z.Out {
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -165,6 +165,10 @@
 // sink takes the call's frames.
 func (c *call) sink(d *Daemon) func(shed.Frame) error {
 	return func(f shed.Frame) error {
+		if f.Accepted {
+			d.handle(shed.CallProgress{Call: c.id, Server: c.server, Zone: c.zone, Boot: f.Boot})
+			return nil
+		}
 		c.tokens += f.Tokens
 		d.stats.tokens.Inc(int64(f.Tokens))
 		if f.Server != "" {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -78,11 +78,14 @@
 			require.Equal(t, shed.EndComplete, end.End, end.Reason)
 			want := in
 			c.want(&want)
+			require.Equal(t, c.kind != shed.KindService, got.frames[0].Boot == "s1-0")
 			last := got.frames[len(got.frames)-1]
 			require.True(t, last.Last)
 			require.Equal(t, want, *last.Result)
+			// Exactly one frame tells of the acceptance, before all others.
 			for i, f := range got.frames {
-				require.EqualValues(t, i, f.Sequence)
+				require.Equal(t, i == 0, f.Accepted)
+				require.EqualValues(t, max(i-1, 0), f.Sequence)
 			}
 			require.Equal(t, want.Text, got.text())
 		})
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -63,6 +63,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return c.refused(resp)
 	}
+	if err := c.accepted(resp.Header.Get(wire.HeaderBoot)); err != nil {
+		return c.end(shed.EndBroken, shed.ReasonBroken)
+	}
 	return c.answer(ctx, resp.Body)
 }
 
@@ -167,6 +170,11 @@
 	}
 }
 
+// accepted tells that the server has taken the call in.
+func (c *call) accepted(boot string) error {
+	return c.sink(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
+}
+
 // emit hands one frame on.
 func (c *call) emit(f shed.Frame) error {
 	f.Call = c.start.Call
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -98,6 +98,8 @@
 
 	// flight are this daemon's calls in flight on the server.
 	flight []*call
+	// unseen are those of flight of which the server has shown no sign yet.
+	unseen int
 	// ended are calls that ended after the last report.
 	ended []span
 	first ring // times to the first token
@@ -108,6 +110,7 @@
 type call struct {
 	server shed.ServerID
 	sent   time.Time
+	seen   bool // the server has answered in any way
 	first  bool // the first token has come
 	leapt  bool // already counted as a symptom
 }
@@ -243,8 +246,7 @@
 		return out // the same report by way of another reader
 	}
 	if r.Boot != e.report.Boot && e.report.Boot != "" {
-		e.former = append(e.former, e.report.Boot)
-		e.former = e.former[max(0, len(e.former)-formerMax):]
+		e.forgetBoot()
 	}
 	out = b.judge(now, out, e, r)
 	e.report, e.at = r, at
@@ -275,6 +277,60 @@
 	c := &call{server: server, sent: now}
 	b.calls[id] = c
 	e.flight = append(e.flight, c)
+	e.unseen++
+}
+
+// Unseen returns how many of this daemon's calls the server has given no sign
+// of. A server that restarted takes them as a new one: until its answer tells,
+// no more may be under way than a cold server bears.
+func (b *Book) Unseen(server shed.ServerID) int {
+	e := b.servers[server]
+	if e == nil {
+		return 0
+	}
+	return e.unseen
+}
+
+// Seen tells that the server has accepted the call, and its boot identity if
+// it gave one. A new boot means that the server restarted, long before the next
+// report would tell.
+func (b *Book) Seen(now time.Time, id shed.Call, boot string) []shed.Action {
+	c := b.calls[id]
+	if c == nil {
+		return nil
+	}
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	e.sight(c)
+	if boot == "" || e.report.Boot == "" || boot == e.report.Boot || slices.Contains(e.former, boot) {
+		return nil
+	}
+	return b.reborn(now, e, boot)
+}
+
+func (e *entry) sight(c *call) {
+	if !c.seen {
+		c.seen = true
+		e.unseen--
+	}
+}
+
+// reborn takes in a boot that no report has told of yet.
+func (b *Book) reborn(now time.Time, e *entry, boot string) []shed.Action {
+	e.forgetBoot()
+	e.report = shed.LoadReport{Boot: boot, Running: len(e.flight)}
+	e.at = now
+	out := b.turnCold(now, nil, e, 0)
+	e.told, e.toldAt = e.report, now
+	return b.send(out, map[shed.ServerID]shed.LoadReport{e.server.ID: e.report})
+}
+
+// forgetBoot remembers the present boot as a former one.
+func (e *entry) forgetBoot() {
+	e.former = append(e.former, e.report.Boot)
+	e.former = e.former[max(0, len(e.former)-formerMax):]
 }
 
 // FirstToken tells that the call's first token has come.
@@ -288,6 +344,7 @@
 	if e == nil {
 		return nil
 	}
+	e.sight(c)
 	return b.firstToken(now, e, c)
 }
 
@@ -302,6 +359,7 @@
 	if e == nil {
 		return nil
 	}
+	e.sight(c)
 	e.flight = slices.DeleteFunc(e.flight, func(o *call) bool { return o == c })
 	e.ended = append(e.ended, span{sent: c.sent, ended: now})
 	if len(e.ended) > endedMax {
@@ -313,6 +371,8 @@
 		e.cold.completed++
 	case shed.EndOverloaded:
 		return b.symptom(now, nil, e)
+	case shed.EndBroken:
+		return b.suspect(now, e)
 	}
 	return nil
 }
--- a/internal/load/cold.go
+++ b/internal/load/cold.go
@@ -95,6 +95,20 @@
 	return b.send(out, map[shed.ServerID]shed.LoadReport{e.server.ID: word})
 }
 
+// suspect holds the server cold after a broken connection, since a restart
+// breaks them all, until a report made after that shows the same boot. It asks
+// for one at once: waiting for the next would leave a good server unused.
+func (b *Book) suspect(now time.Time, e *entry) []shed.Action {
+	if e.cold.on {
+		return nil
+	}
+	e.cold.on, e.cold.since = true, now
+	return []shed.Action{
+		shed.Note{Reason: ReasonTurnedCold, Server: e.server.ID},
+		shed.PollServer{Server: e.server.ID, URL: e.server.URL},
+	}
+}
+
 // silent: the server gave this reader no report. If no other reader had one
 // lately either, the server may have restarted, so it counts as cold.
 func (b *Book) silent(now time.Time, e *entry) []shed.Action {
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -135,6 +135,12 @@
 		back(func() { finish(shed.EndOverloaded, shed.ReasonOverloaded, "") })
 		return
 	}
+	boot := s.bootID()
+	back(func() {
+		if !x.over {
+			n.handle(shed.CallProgress{Call: a.Call, Server: s.id, Zone: s.zone, Boot: boot})
+		}
+	})
 	w.after(s.takes/2, func() {
 		back(func() {
 			if !x.over {
@@ -285,6 +291,7 @@
 			return
 		}
 		r.end(ans)
+		delete(n.runs, a.Request)
 		n.handle(shed.HandedBack{Request: a.Request})
 	}
 	give := func(reason shed.Reason) {
--- a/internal/proof/journal_test.go
+++ b/internal/proof/journal_test.go
@@ -82,4 +82,6 @@
 	ended time.Time
 	// cut are callers whose connection the end of the process cut off.
 	cut int
+	// killed: something else ended the process first.
+	killed bool
 }
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -21,6 +21,7 @@
 	started time.Time
 	core    *core.Core
 	ready   bool
+	rev     shed.Revision
 	stop    *plannedStop
 
 	// frozen keeps what comes in for when the process wakes up.
@@ -117,6 +118,9 @@
 		return
 	}
 	n.up, n.ready = false, false
+	if n.stop != nil && n.stop.ended.IsZero() {
+		n.stop.killed = true
+	}
 	n.life++
 	for _, c := range sortedCalls(n.calls) {
 		n.calls[c].end()
@@ -216,16 +220,26 @@
 	case shed.PollServer:
 		n.poll(w.server(a.Server))
 	case shed.RulesInForce:
-		w.inForce = append(w.inForce, inForce{
-			vm: n.vm, inc: n.self.Incarnation, rev: a.Rules.Revision, at: w.now, zone: n.zone,
-		})
+		n.rev = a.Rules.Revision
+		n.noteRevision()
 	case shed.Ready:
 		n.ready = a.Ready
+		n.noteRevision()
 	case shed.Exit:
 		n.exit()
 	}
 }
 
+// noteRevision records what is in force. A process that is not ready serves
+// nobody, so what it holds is not in force yet.
+func (n *node) noteRevision() {
+	if n.ready {
+		n.w.inForce = append(n.w.inForce, inForce{
+			vm: n.vm, inc: n.self.Incarnation, rev: n.rev, at: n.w.now, zone: n.zone,
+		})
+	}
+}
+
 func (n *node) poll(s *server) {
 	if s.down || !n.w.reach(n.labels(), s.labels()) {
 		n.at(time.Second, func() { n.handle(shed.ServerSilent{Server: s.id}) })
@@ -281,7 +295,7 @@
 	var watch func()
 	watch = func() {
 		n.w.stops[i] = *stop
-		if stop.ended.IsZero() {
+		if stop.ended.IsZero() && !stop.killed {
 			n.w.after(100*time.Millisecond, watch)
 		}
 	}
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -35,6 +35,10 @@
 
 func (v violation) String() string { return string(v.promise) + ": " + v.what }
 
+// stopWithin is how long a planned stop may take: the notice, the longest
+// request, and some slack.
+const stopWithin = deadline + 3*time.Second
+
 // bounds are the times that the oracle allows.
 type bounds struct {
 	// noWork is how long after a change new work may still begin.
@@ -62,6 +66,9 @@
 		if s.cut > 0 {
 			fail(plannedEnd, "the stop of %s cut off %d callers", s.vm, s.cut)
 		}
+		if s.ended.IsZero() && !s.killed && w.now.Sub(s.asked) > stopWithin {
+			fail(plannedEnd, "the stop of %s asked at %s did not end", s.vm, w.since(s.asked))
+		}
 	}
 	return out
 }
--- a/internal/proof/server_test.go
+++ b/internal/proof/server_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"fmt"
 	"time"
 
 	shed "jasmineshed"
@@ -51,10 +52,12 @@
 	s.running = map[shed.Call]*serving{}
 }
 
+func (s *server) bootID() string { return fmt.Sprintf("%s/%d", s.id, s.boot) }
+
 func (s *server) report() shed.LoadReport {
 	s.sequence++
 	return shed.LoadReport{
-		Boot: string(s.id) + "/" + string(rune('a'+s.boot)), Sequence: s.sequence,
+		Boot: s.bootID(), Sequence: s.sequence,
 		Running: len(s.running), Warm: !s.cold, Done: s.done,
 	}
 }
--- a/internal/stand/chat.go
+++ b/internal/stand/chat.go
@@ -109,12 +109,20 @@
 		cancelled := ctx.Err() != nil && r.Context().Err() == nil
 		e.finish(run, whole, cancelled, sent)
 	}()
-	if !pause(ctx, e.aged(e.prefill(st.prompt))) {
+	if accept(w) != nil || !pause(ctx, e.aged(e.prefill(st.prompt))) {
 		return
 	}
 	sent, whole = e.generate(ctx, w, st, from)
 }
 
+// accept sends the headers at once, so that the caller knows that the call has
+// been taken in, and by which boot of the engine, before the first token.
+func accept(w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	return http.NewResponseController(w).Flush()
+}
+
 // open finds the stream to resume, or makes a new one.
 func (e *Engine) open(w http.ResponseWriter, r *http.Request, ask wire.Chat) (*stream, int, bool) {
 	id := r.Header.Get(wire.HeaderCall)
@@ -166,8 +174,6 @@
 // generate writes the tokens from from on, and tells how many, and whether the
 // stream came to its end.
 func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, st *stream, from int) (int, bool) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w)
 	head := `data: {"id":` + strconv.Quote(st.id) + `,"choices":[{"index":0,"delta":{"content":"`
 	buf := make([]byte, 0, len(head)+64)
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -194,8 +194,10 @@
 		e.Record.begin(run)
 		e.remember(now)
 	}
+	boot := e.bootID()
 	e.mu.Unlock()
 	if refuse == 0 {
+		w.Header().Set(wire.HeaderBoot, boot)
 		return run
 	}
 	e.refuse()
@@ -266,9 +268,12 @@
 	e.history = append(e.history, snapshot{at: now, load: e.load()})
 }
 
+// bootID changes with each restart. The caller holds e.mu.
+func (e *Engine) bootID() string { return string(e.cfg.ID) + "-" + strconv.Itoa(e.boot) }
+
 func (e *Engine) load() wire.Load {
 	return wire.Load{
-		Boot:    string(e.cfg.ID) + "-" + strconv.Itoa(e.boot),
+		Boot:    e.bootID(),
 		Running: e.running,
 		Warm:    !e.cold,
 		Done:    e.done,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,6 +24,9 @@
 	HeaderBudget = "X-Budget-Ms"
 	// HeaderNotRun, set to NotRunTrue, says that the server has not run the call.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderBoot carries the server's boot identity, on the answer to a call. It
+	// shows a restart before the next load report does.
+	HeaderBoot = "X-Boot-Id"
 	// HeaderRevision carries the platform's store revision.
 	HeaderRevision = "X-Revision"
 )
--- a/serving.go
+++ b/serving.go
@@ -44,6 +44,11 @@
 	Last bool `cbor:"7,keyasint,omitempty"`
 	// Result is the payload after the stage; only on the final frame.
 	Result *Payload `cbor:"8,keyasint,omitempty"`
+	// Accepted marks a frame that carries nothing of the result: the server has
+	// taken the call in. It has no sequence number.
+	Accepted bool `cbor:"9,keyasint,omitempty"`
+	// Boot is the server's boot identity, on an Accepted frame if it gave one.
+	Boot string `cbor:"10,keyasint,omitempty"`
 }
 
 // Backend talks to the backend servers. Implementations are safe for use by
