--- a/internal/config/fresh.go
+++ b/internal/config/fresh.go
@@ -213,6 +213,10 @@
 	return []shed.Action{shed.Note{Reason: shed.ReasonWoke}}
 }
 
+// Doubt makes the daemon ask anew what its peers have, as after a pause. Core
+// calls it when a daemon that heard nobody hears somebody again.
+func (s *State) Doubt(now time.Time) []shed.Action { return s.wake(now) }
+
 // jitter draws a time within a quarter of d, to either side.
 func (s *State) jitter(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(s.rng.Int64N(int64(d/2)+1))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,8 @@
 	rules *shed.Rules
 	// rulesAt is when the first rules came into force.
 	rulesAt time.Time
+	// alone: this daemon hears nobody, see unsure.
+	alone bool
 	// surveyed: every server of the zone has been heard of, or had its time.
 	surveyed bool
 	// ready is what the driver was last told.
@@ -293,6 +295,7 @@
 		}
 	}
 	c.config.SetPeers(v.Zone(c.cfg.Zone), others)
+	c.lookAround(now)
 }
 
 // surveyFor bounds the wait for the first load report of every server.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -56,12 +56,29 @@
 	switch {
 	case !c.config.Ready():
 		return shed.ReasonWoke
-	case !c.config.Fresh(now) && !c.member.Confirmed(now):
+	case c.alone || c.hearsNobody(now):
 		return shed.ReasonUnconfirmed
 	}
 	return shed.ReasonNone
 }
 
+func (c *Core) hearsNobody(now time.Time) bool {
+	return !c.config.Fresh(now) && !c.member.Confirmed(now)
+}
+
+// lookAround notices when this daemon hears nobody, and when it hears somebody
+// again. Then it asks what is in force before it starts anything: the first
+// sign of life of a peer says nothing of what was decided meanwhile.
+func (c *Core) lookAround(now time.Time) {
+	switch nobody := c.hearsNobody(now); {
+	case nobody && c.config.Ready():
+		c.alone = true
+	case !nobody && c.alone:
+		c.alone = false
+		c.take(c.config.Doubt(now))
+	}
+}
+
 // MayResume tells whether a stream may go on at the server that holds it.
 func (c *Core) MayResume(now time.Time, id shed.ServerID) bool {
 	s := c.rules.Servers[id]
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -286,6 +286,10 @@
 	if !n.up {
 		return
 	}
+	if n.stop != nil {
+		n.handle(shed.StopAsked{})
+		return
+	}
 	n.stop = &plannedStop{vm: n.vm, inc: n.self.Incarnation, asked: n.w.now}
 	n.w.stops = append(n.w.stops, *n.stop)
 	i := len(n.w.stops) - 1
