--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -263,3 +263,15 @@
 		g.Push(now, "enc", Waiting{Request: popped, Workspace: names[k], Share: 1, Latest: now})
 	}
 }
+
+// BenchmarkPushKept lets one request of a new workspace wait each time: its
+// bytes are what a waiting request and its workspace take, with the maps'
+// growth, hence an upper bound.
+func BenchmarkPushKept(b *testing.B) {
+	g := New(Config{MostQueued: 1 << 30})
+	b.ReportAllocs()
+	for i := range b.N {
+		id := fmt.Sprint(i)
+		g.Push(zero, "enc", Waiting{Request: shed.RequestID(id), Workspace: shed.WorkspaceID(id), Share: 1, Latest: zero})
+	}
+}
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -214,3 +215,13 @@
 		f.Handle(start, shed.Tick{})
 	}
 }
+
+// BenchmarkLive keeps every request live: its bytes are what one takes, with
+// the map's growth, hence an upper bound.
+func BenchmarkLive(b *testing.B) {
+	f := newFlow(onServer("s1"))
+	b.ReportAllocs()
+	for i := range b.N {
+		f.Handle(start, arrived(shed.RequestID(strconv.Itoa(i)), "draft"))
+	}
+}
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -115,3 +115,23 @@
 		tab.Finished(now, id, shed.Finish{})
 	}
 }
+
+// BenchmarkIssueKept keeps every ticket: its bytes are what one entry takes,
+// with the map's growth, hence an upper bound.
+func BenchmarkIssueKept(b *testing.B) {
+	tab := New(Config{Self: home, Most: 1 << 30})
+	b.ReportAllocs()
+	var random [16]byte
+	for i := range b.N {
+		random[0], random[1], random[2], random[3] = byte(i), byte(i>>8), byte(i>>16), byte(i>>24)
+		_, _ = tab.Issue(zero, ID(home, random), "w", "publish")
+	}
+}
+
+func BenchmarkHome(b *testing.B) {
+	id := ID(home, [16]byte{1})
+	b.ReportAllocs()
+	for range b.N {
+		_, _ = Home(id)
+	}
+}
