flow: avoiding a server ends after two pauses

A request that avoided a server polled for another until its deadline, and met the moment at which one freed only by luck, as those in the queue came first.

--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -78,6 +78,7 @@
 	r.stage++
 	r.avoid = nil
 	r.resumes = 0
+	r.asides = 0
 	if r.stage < len(r.pipeline.Stages) {
 		f.advance(now, r)
 		return
--- a/internal/flow/machine_test.go
+++ b/internal/flow/machine_test.go
@@ -61,11 +61,19 @@
 	case 2:
 		return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
 	}
+	open := 0
 	for _, id := range []shed.ServerID{"s1", "s2"} {
-		if w.load[id] < worldCapacity && !slices.Contains(ask.Avoid, id) {
+		if slices.Contains(ask.Avoid, id) {
+			continue
+		}
+		open++
+		if w.load[id] < worldCapacity {
 			return shed.Placement{Kind: shed.PlaceLocal, Server: server(id)}
 		}
 	}
+	if open == 0 {
+		return shed.Placement{Kind: shed.PlaceNowhere, Reason: shed.ReasonNoServer}
+	}
 	return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
 }
 
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -47,15 +47,25 @@
 
 // stepAside keeps a request that avoids servers out of the queue, and returns
 // whether it did. At the head of the queue it would hold up all those behind it
-// that could go to the very server it avoids.
+// that could go to the very server it avoids. It does so a few times only: on
+// its own it hardly ever meets the moment at which another server frees, so it
+// then takes its turn like the others, and any server.
 func (f *Flow) stepAside(now time.Time, r *request) bool {
 	if len(r.avoid) == 0 || f.off.stepAside {
 		return false
 	}
+	if r.asides >= maxAsides {
+		r.avoid = nil
+		return false
+	}
+	r.asides++
 	f.backOff(now, r)
 	return true
 }
 
+// maxAsides bounds how often a request steps aside in one stage.
+const maxAsides = 2
+
 // hopeless tells whether the rest of the pipeline can't be done in time even
 // if it is started now. Starting it would only take a place from another.
 func (f *Flow) hopeless(now time.Time, r *request) bool {
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -38,6 +38,8 @@
 	// offset is how many tokens were here before the live call.
 	offset  shed.Tokens
 	resumes int
+	// asides counts how often it stepped aside in this stage.
+	asides int
 	// avoid are the servers that failed this stage, at most maxAvoid.
 	avoid []shed.ServerID
 	// waits is why the last placing found no room.
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// The only other server stays full. The draft does not avoid the one that
+// failed it until its deadline: after a while any server is better than none.
+func TestAvoidingEndsWhereNothingElseFrees(t *testing.T) {
+	f := newFlow(func(ask shed.PlaceAsk) shed.Placement {
+		if len(ask.Avoid) > 0 {
+			return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+		}
+		return onServer("s2")(ask)
+	})
+	failed := ended(only[shed.StartCall](f.Handle(start, arrived("r", "draft")))[0].Call, shed.EndOverloaded, 0)
+	failed.Server = "s2"
+	f.Handle(start, failed)
+	started := 0
+	for now := start; now.Before(start.Add(time.Second)); now = now.Add(shed.TickEvery) {
+		started += len(only[shed.StartCall](f.Handle(now, shed.Tick{})))
+	}
+	require.Equal(t, 1, started)
+}
+
 // Publishing takes a second of late, and a publication comes to that stage with
 // half a second left. Started, it would be cut off by the deadline and its
 // caller told "unknown". It is refused instead, with nothing published.
