--- /dev/null
+++ b/internal/config/spread_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The platform gives about so many reads a second to everyone together.
+const platformReads = 2_000
+
+// designParts is about how many parts the rules have at the design size.
+const designParts = 200
+
+// peak is the most reads in any one second.
+func (s *sim) peak() int {
+	most := 0
+	for _, n := range s.readings {
+		most = max(most, n)
+	}
+	return most
+}
+
+func (s *sim) forgetReads() {
+	s.reads, s.bytes, s.readings = 0, 0, map[int64]int{}
+}
+
+// TestSpread measures how long a change takes to be in force everywhere, and
+// what it costs, with and without faults.
+func TestSpread(t *testing.T) {
+	cases := map[string]struct {
+		zones, perZone int
+		fault          func(*sim)
+		bound          time.Duration
+	}{
+		"today":                          {3, 3, nil, 2 * time.Second},
+		"design size":                    {13, 52, nil, 2 * time.Second},
+		"one zone without platform":      {13, 52, func(s *sim) { s.noPlat[4] = true }, 2 * time.Second},
+		"only one zone has the platform": {13, 52, func(s *sim) { s.onlyZone(0) }, 2 * time.Second},
+		"one message in five lost":       {13, 52, func(s *sim) { s.loss = 0.2 }, 4 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := settled(t, 9, c.zones, c.perZone, designParts)
+			if c.fault != nil {
+				c.fault(s)
+			}
+			s.run(4*time.Second, nil)
+			s.forgetReads()
+			s.run(10*time.Second, nil)
+			quiet, quietBytes := s.reads/10, s.bytes/10/len(s.nodes)
+			s.forgetReads()
+			rev := s.publish(true, designParts)
+			took, ok := s.until(10*time.Second, func() bool { return s.everywhere(rev) })
+			require.True(t, ok)
+			require.LessOrEqual(t, took, c.bound)
+			require.Less(t, s.peak(), platformReads)
+			t.Logf("%d daemons: everywhere after %s; quiet %d reads/s and %d B/s sent by a daemon; change: %d reads, %d B sent by a daemon",
+				len(s.nodes), took, quiet, quietBytes, s.reads, s.bytes/len(s.nodes))
+		})
+	}
+}
+
+// onlyZone leaves one zone its platform.
+func (s *sim) onlyZone(zone int) {
+	for z := range s.zones {
+		s.noPlat[z] = z != zone
+	}
+}
+
+// Many VMs are replaced at once, each with nothing. If each read the whole
+// configuration for itself, the platform would refuse most, and readiness would
+// take minutes. The reads of any one second have to stay within its rate.
+func TestReadsOfARestartStorm(t *testing.T) {
+	cases := map[string]struct {
+		restarted func(*node) bool
+		blind     time.Duration
+	}{
+		"one VM":                            {func(n *node) bool { return n.id == 0 }, 0},
+		"a zone":                            {func(n *node) bool { return n.zone == 0 }, 0},
+		"the fleet":                         {func(*node) bool { return true }, 0},
+		"the fleet, peers seen after 3 s":   {func(*node) bool { return true }, 3 * time.Second},
+		"a zone, peers seen after 3 s":      {func(n *node) bool { return n.zone == 0 }, 3 * time.Second},
+		"the fleet but one zone, peers 1 s": {func(n *node) bool { return n.zone != 0 }, time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := settled(t, 10, 13, 52, designParts)
+			s.forgetReads()
+			s.blind = c.blind
+			restarted := 0
+			for _, n := range s.nodes {
+				if c.restarted(n) {
+					s.boot(n)
+					restarted++
+				}
+			}
+			took, ok := s.until(40*time.Second, s.allFresh)
+			require.True(t, ok)
+			require.Less(t, s.peak(), platformReads)
+			t.Logf("%d restarted: all ready and fresh after %s; %d reads, at most %d in a second",
+				restarted, took, s.reads, s.peak())
+		})
+	}
+}
