--- a/internal/config/near.go
+++ b/internal/config/near.go
@@ -1,11 +1,11 @@
 package config
 
 import (
-	"hash/fnv"
 	"math"
 	"sort"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/rank"
 )
 
 // near is where this daemon stands among its peers. The daemons of a zone are
@@ -37,7 +37,7 @@
 		vms = append(vms, s.cfg.Self.VM)
 	}
 	n := near{
-		ring:     owners(rankKey(s.cfg.Zone), vms, len(vms)),
+		ring:     rank.Owners(rankKey(s.cfg.Zone), vms, len(vms)),
 		contacts: map[shed.ZoneID][]shed.VM{},
 	}
 	for i, vm := range n.ring {
@@ -51,7 +51,7 @@
 			continue
 		}
 		n.zones = append(n.zones, id)
-		n.contacts[id] = owners(rankKey(id), vmsOf(peers), s.cfg.Watchers)
+		n.contacts[id] = rank.Owners(rankKey(id), vmsOf(peers), s.cfg.Watchers)
 	}
 	sort.Slice(n.zones, func(i, j int) bool { return n.zones[i] < n.zones[j] })
 	s.near = n
@@ -122,21 +122,3 @@
 }
 
 const everyZone = math.MaxInt
-
-// owners is the first n of the VMs in the order of a rendezvous hash.
-func owners(key string, of []shed.VM, n int) []shed.VM {
-	list := append([]shed.VM(nil), of...)
-	weight := func(vm shed.VM) uint64 {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(key + "|" + string(vm)))
-		return h.Sum64()
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := weight(list[i]), weight(list[j])
-		if a != b {
-			return a < b
-		}
-		return list[i] < list[j]
-	})
-	return list[:min(n, len(list))]
-}
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -21,6 +21,7 @@
 	order int
 	nodes []*node
 	byVM  map[shed.VM]*node
+	peers map[shed.ZoneID][]shed.Peer
 	// zones counts the availability zones.
 	zones int
 
@@ -101,6 +102,7 @@
 		noPlat:   map[int]bool{},
 		readings: map[int64]int{},
 		byVM:     map[shed.VM]*node{},
+		peers:    map[shed.ZoneID][]shed.Peer{},
 	}
 	if tweak != nil {
 		tweak(s)
@@ -109,6 +111,7 @@
 		n := &node{id: i, zone: i % zones, vm: shed.VM(fmt.Sprintf("10.0.%d.%d:70", i%zones, i/zones))}
 		s.nodes = append(s.nodes, n)
 		s.byVM[n.vm] = n
+		s.peers[zoneName(n.zone)] = append(s.peers[zoneName(n.zone)], shed.Peer{VM: n.vm})
 		s.tickLater(n, time.Duration(s.rng.Int64N(int64(shed.TickEvery))))
 	}
 	for _, n := range s.nodes {
@@ -141,16 +144,7 @@
 
 // view is every VM, as a membership that has not noticed any death.
 func (s *sim) view(n *node) ([]shed.Peer, map[shed.ZoneID][]shed.Peer) {
-	var zone []shed.Peer
-	others := map[shed.ZoneID][]shed.Peer{}
-	for _, m := range s.nodes {
-		if m.zone == n.zone {
-			zone = append(zone, shed.Peer{VM: m.vm})
-			continue
-		}
-		others[zoneName(m.zone)] = append(others[zoneName(m.zone)], shed.Peer{VM: m.vm})
-	}
-	return zone, others
+	return s.peers[zoneName(n.zone)], s.peers
 }
 
 var errBad = errors.New("bad rules")
