--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -31,6 +31,7 @@
 	newStatusCommand,
 	newExplainCommand,
 	newSettingsCommand,
+	newRulesCommand,
 	newMeasureCommand,
 	newVersionCommand,
 }
--- a/internal/rules/row.go
+++ b/internal/rules/row.go
@@ -86,7 +86,7 @@
 	}
 	file, err := ini.LoadSources(iniOptions, trimmed)
 	if err != nil {
-		rd.fault(n, "", "neither a section nor a rule", "write `[section]` or `key = fields ; who asked`")
+		rd.unknown(n, trimmed)
 		return
 	}
 	if sections := file.Sections(); len(sections) > 1 {
@@ -95,7 +95,7 @@
 	}
 	keys := file.Section("").Keys()
 	if len(keys) != 1 {
-		rd.fault(n, "", "neither a section nor a rule", "write `[section]` or `key = fields ; who asked`")
+		rd.unknown(n, trimmed)
 		return
 	}
 	rd.rule(n, keys[0])
@@ -136,6 +136,13 @@
 	return "", ""
 }
 
+// unknown notes a line that says nothing. Below a header gone wrong nobody knows
+// which section the next lines are for.
+func (rd *reader) unknown(n int, line []byte) {
+	rd.fault(n, "", "neither a section nor a rule", "write `[section]` or `key = fields ; who asked`")
+	rd.skip = rd.skip || line[0] == '['
+}
+
 func (rd *reader) header(n int, name string) {
 	rd.section = name
 	_, known := sections[name]
@@ -157,12 +164,12 @@
 	}
 	if asked == "" {
 		rd.fault(n, name, "nobody is named who asked for this rule", "end the line in `; who asked for it`")
-		return
 	}
 	if len(asked) > maxComment {
 		rd.fault(n, name, fmt.Sprintf("the comment has %d bytes", len(asked)), fmt.Sprintf("keep it within %d bytes", maxComment))
-		return
 	}
+	// A rule without its comment is refused but still read, so that the rules
+	// that refer to it bring no faults of their own.
 	rd.rows = append(rd.rows, row{
 		Origin:  shed.Origin{Line: n, Asked: asked},
 		section: rd.section,
