--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -57,7 +57,7 @@
 	defer stop()
 	d := &Deps{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Version: version}
 	if err := NewRoot(d).ExecuteContext(ctx); err != nil {
-		fmt.Fprintf(d.Err, "jasmineshed: %v\n", err)
+		_, _ = fmt.Fprintf(d.Err, "jasmineshed: %v\n", err)
 		return 1
 	}
 	return 0
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return fmt.Errorf("asking the daemon: %w", err)
 	}
-	defer res.Body.Close()
+	defer func() { _ = res.Body.Close() }()
 	if _, err := io.Copy(d.Out, res.Body); err != nil {
 		return fmt.Errorf("reading what the daemon says: %w", err)
 	}
--- a/internal/design/design.go
+++ b/internal/design/design.go
@@ -116,7 +116,7 @@
 
 var _ = Service("pipelines", func() {
 	Error("bad_request", Answer)
-	Error("unauthorized", Answer)
+	Error("unauthenticated", Answer)
 	Error("forbidden", Answer)
 	Error("not_found", Answer)
 	Error("outcome_unknown", Answer)
@@ -128,7 +128,7 @@
 	Error("deadline_exceeded", Answer)
 	HTTP(func() {
 		Response("bad_request", StatusBadRequest)
-		Response("unauthorized", StatusUnauthorized)
+		Response("unauthenticated", StatusUnauthorized)
 		Response("forbidden", StatusForbidden)
 		Response("not_found", StatusNotFound)
 		Response("outcome_unknown", StatusConflict)
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -1,26 +1,28 @@
 package front
 
 import (
+	"context"
 	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/gen/pipelines"
+	"jasmineshed/internal/telem"
 )
 
 // Names of the HTTP statuses; the design maps each to its number.
 const (
-	statusComplete     = "complete"
-	statusBadRequest   = "bad_request"
-	statusUnauthorized = "unauthorized"
-	statusForbidden    = "forbidden"
-	statusNotFound     = "not_found"
-	statusUnknown      = "outcome_unknown"
-	statusGone         = "gone"
-	statusTooLarge     = "too_large"
-	statusNeedsTicket  = "needs_ticket"
-	statusFailed       = "failed"
-	statusUnavailable  = "unavailable"
-	statusDeadline     = "deadline_exceeded"
+	statusComplete        = "complete"
+	statusBadRequest      = "bad_request"
+	statusUnauthenticated = "unauthenticated"
+	statusForbidden       = "forbidden"
+	statusNotFound        = "not_found"
+	statusUnknown         = "outcome_unknown"
+	statusGone            = "gone"
+	statusTooLarge        = "too_large"
+	statusNeedsTicket     = "needs_ticket"
+	statusFailed          = "failed"
+	statusUnavailable     = "unavailable"
+	statusDeadline        = "deadline_exceeded"
 )
 
 // outcomes are the names of the closed set.
@@ -38,7 +40,7 @@
 // won't help.
 var callerFaults = map[shed.Reason]string{
 	shed.ReasonUnknownPipeline:  statusNotFound,
-	shed.ReasonUnknownWorkspace: statusUnauthorized,
+	shed.ReasonUnknownWorkspace: statusUnauthenticated,
 	shed.ReasonNotAllowed:       statusForbidden,
 	shed.ReasonNeedsTicket:      statusNeedsTicket,
 	shed.ReasonTicketUnknown:    statusNotFound,
@@ -74,21 +76,24 @@
 }
 
 // newAnswer turns an answer into the design's type.
-func newAnswer(a *shed.Answer) *pipelines.Answer {
-	out := newRefusal(&a.Finish)
-	out.TraceID = text(a.Trace)
+func newAnswer(ctx context.Context, a *shed.Answer) *pipelines.Answer {
+	out := newRefusal(ctx, &a.Finish)
+	if a.Trace != "" {
+		out.TraceID = text(a.Trace)
+	}
 	out.Payload = newOutput(&a.Payload)
 	return out
 }
 
 // newRefusal is an answer without a payload.
-func newRefusal(fin *shed.Finish) *pipelines.Answer {
+func newRefusal(ctx context.Context, fin *shed.Finish) *pipelines.Answer {
 	out := &pipelines.Answer{
 		Status:    status(fin),
 		Outcome:   outcomes[fin.Outcome],
 		Reason:    text(string(fin.Reason)),
 		Message:   text(message(fin)),
 		RequestID: text(string(fin.Request)),
+		TraceID:   text(telem.TraceID(ctx)),
 		Stages:    newStages(fin.Stages),
 	}
 	if fin.Rule.Line > 0 {
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -119,8 +120,8 @@
 
 // finish ends the stream with its answer. A refusal before the first event is
 // returned, and so gets an HTTP status of its own.
-func (e *events) finish(answer *shed.Answer) error {
-	out := newAnswer(answer)
+func (e *events) finish(ctx context.Context, answer *shed.Answer) error {
+	out := newAnswer(ctx, answer)
 	data, err := json.Marshal(pipehttp.NewRunResponseBody(out))
 	if err != nil {
 		return fmt.Errorf("writing the answer: %w", err)
--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -28,7 +28,7 @@
 
 // format turns what goa says of a bad call into the one body that callers have
 // to know.
-func format(_ context.Context, err error) goahttp.Statuser {
+func format(_ context.Context, err error) goahttp.Statuser { //nolint:misspell // goa calls it so
 	var answer *pipelines.Answer
 	if errors.As(err, &answer) {
 		return newFault(answer, http.StatusInternalServerError)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,8 +44,9 @@
 
 // Front is the callers' listener as a service of the supervisor tree.
 type Front struct {
-	cfg    Config
-	server *httpd.Server
+	cfg     Config
+	handler http.Handler
+	server  *httpd.Server
 }
 
 // New builds the listener's server; nothing runs before Serve.
@@ -57,11 +58,12 @@
 		cfg.Tracer = noop.NewTracerProvider()
 	}
 	f := &Front{cfg: cfg}
+	f.handler = f.newHandler()
 	f.server = httpd.New(httpd.Config{
 		Name:     "callers",
 		Listener: cfg.Listener,
 		TLS:      cfg.TLS,
-		Handler:  f.handler(),
+		Handler:  f.handler,
 		Limits:   cfg.Limits,
 		Drain:    cfg.Drain,
 		Log:      cfg.Log,
@@ -69,7 +71,7 @@
 	return f
 }
 
-func (f *Front) handler() http.Handler {
+func (f *Front) newHandler() http.Handler {
 	mux := goahttp.NewMuxer()
 	svc := &service{serving: f.cfg.Serving, beat: f.cfg.Limits.Beat}
 	pipes := pipehttp.New(pipelines.NewEndpoints(svc), mux, newDecoder, newEncoder, f.logEncoding, format)
--- /dev/null
+++ b/internal/front/fuzz_test.go
@@ -0,0 +1,33 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Whatever stands in the path, the header and the body, the caller gets one
+// answer in JSON, and only a request that makes sense reaches Serving.
+func FuzzRun(f *testing.F) {
+	f.Add("caption", "weer", "Bearer x", `{"input":"x"}`)
+	f.Add("caption", "weer", "", `{"input":"x","max_tokens":4294967296}`)
+	f.Add("..", "a b", "Basic x", `{"input":"\ud800","budget_ms":9e99}`)
+	f.Add("%2f", "\x00", "Bearer ", "[[[[")
+	f.Add("", "", "", "\xef\xbb\xbf{}")
+	codes := map[int]bool{200: true, 400: true, 404: true, 405: true, 413: true}
+	f.Fuzz(func(t *testing.T, pipeline, workspace, token, body string) {
+		serving := finished(complete)
+		req := newCall("POST", runPath, body)
+		req.URL.Path = "/v1/pipelines/" + pipeline + "/requests"
+		req.Header.Set("X-Workspace", workspace)
+		req.Header.Set("Authorization", token)
+		w := record(newTestFront(serving, nil), req)
+		require.True(t, codes[w.Code], w.Code)
+		bodyOf(t, w)
+		require.Equal(t, w.Code == 200, len(serving.seen) == 1)
+		for _, r := range serving.seen {
+			require.Regexp(t, `^[A-Za-z0-9._-]{1,64}$`, string(r.Pipeline))
+			require.Regexp(t, `^[A-Za-z0-9._-]{1,64}$`, string(r.Workspace))
+		}
+	})
+}
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -68,7 +68,7 @@
 
 // refuse answers 503 without going through goa.
 func refuse(w http.ResponseWriter, r *http.Request, fin shed.Finish) {
-	a := newRefusal(&fin)
+	a := newRefusal(r.Context(), &fin)
 	enc := newEncoder(r.Context(), w)
 	w.Header().Set("Retry-After", strconv.Itoa(*a.RetryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -20,7 +20,7 @@
 func (s *service) Run(ctx context.Context, p *pipelines.RunPayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(s.serving.Serve(ctx, req, nil))
+	return whole(ctx, s.serving.Serve(ctx, req, nil))
 }
 
 // Stream answers with events.
@@ -29,14 +29,14 @@
 	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
 	events := newEvents(stream, s.beat)
 	answer := s.serving.Serve(ctx, req, events.update)
-	return events.finish(&answer)
+	return events.finish(ctx, &answer)
 }
 
 // Issue gives out a ticket.
 func (s *service) Issue(ctx context.Context, p *pipelines.IssuePayload) (*pipelines.Ticket, error) {
 	ticket, refusal := s.serving.Issue(ctx, newRequest(p.Workspace, p.Token, p.Pipeline))
 	if refusal != nil {
-		return nil, newRefusal(refusal)
+		return nil, newRefusal(ctx, refusal)
 	}
 	return &pipelines.Ticket{
 		RequestID:   string(ticket.ID),
@@ -49,14 +49,14 @@
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	req.ID = shed.RequestID(p.RequestID)
 	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(s.serving.Serve(ctx, req, nil))
+	return whole(ctx, s.serving.Serve(ctx, req, nil))
 }
 
 // Result answers with what a ticketed request came to.
 func (s *service) Result(ctx context.Context, p *pipelines.ResultPayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, "")
 	req.ID = shed.RequestID(p.RequestID)
-	return whole(s.serving.Result(ctx, req))
+	return whole(ctx, s.serving.Result(ctx, req))
 }
 
 // Live tells that the process answers at all.
@@ -74,8 +74,8 @@
 
 // whole gives an answer that is not complete as an error, which the design maps
 // to its HTTP status.
-func whole(answer shed.Answer) (*pipelines.Answer, error) {
-	out := newAnswer(&answer)
+func whole(ctx context.Context, answer shed.Answer) (*pipelines.Answer, error) {
+	out := newAnswer(ctx, &answer)
 	if out.Status != statusComplete {
 		return nil, out
 	}
--- a/internal/front/timed.go
+++ b/internal/front/timed.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -64,7 +65,12 @@
 }
 
 func newTimedBody(w *timedWriter, body io.ReadCloser, limits *prefs.Limits) io.ReadCloser {
+	// Nobody would read a body that isn't there, and so lift the deadline.
+	if body == http.NoBody {
+		return body
+	}
 	control := http.NewResponseController(w.ResponseWriter)
+	// A writer without deadlines, as in a test, goes without.
 	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
 	return &timedBody{
 		ReadCloser: http.MaxBytesReader(w.ResponseWriter, body, limits.BodyBytes),
@@ -74,9 +80,11 @@
 
 // Read lifts the deadline at the end of the body: net/http goes on reading the
 // connection to see the caller go, and would take a passed deadline for that.
+// After any other error the deadline stays, since net/http then tries to read
+// the rest of the body before it answers.
 func (b *timedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	return n, err
--- a/internal/gen/http/pipelines/client/encode_decode.go
+++ b/internal/gen/http/pipelines/client/encode_decode.go
@@ -74,7 +74,7 @@
 // restored after having been read.
 // DecodeRunResponse may return the following errors:
 //   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
-//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "unauthenticated" (type *pipelines.Answer): http.StatusUnauthorized
 //   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
 //   - "not_found" (type *pipelines.Answer): http.StatusNotFound
 //   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
@@ -131,18 +131,18 @@
 			return nil, NewRunBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body RunUnauthorizedResponseBody
+				body RunUnauthenticatedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("pipelines", "run", err)
 			}
-			err = ValidateRunUnauthorizedResponseBody(&body)
+			err = ValidateRunUnauthenticatedResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("pipelines", "run", err)
 			}
-			return nil, NewRunUnauthorized(&body)
+			return nil, NewRunUnauthenticated(&body)
 		case http.StatusForbidden:
 			var (
 				body RunForbiddenResponseBody
@@ -347,7 +347,7 @@
 // should be restored after having been read.
 // DecodeStreamResponse may return the following errors:
 //   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
-//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "unauthenticated" (type *pipelines.Answer): http.StatusUnauthorized
 //   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
 //   - "not_found" (type *pipelines.Answer): http.StatusNotFound
 //   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
@@ -404,18 +404,18 @@
 			return nil, NewStreamBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body StreamUnauthorizedResponseBody
+				body StreamUnauthenticatedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("pipelines", "stream", err)
 			}
-			err = ValidateStreamUnauthorizedResponseBody(&body)
+			err = ValidateStreamUnauthenticatedResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("pipelines", "stream", err)
 			}
-			return nil, NewStreamUnauthorized(&body)
+			return nil, NewStreamUnauthenticated(&body)
 		case http.StatusForbidden:
 			var (
 				body StreamForbiddenResponseBody
@@ -610,7 +610,7 @@
 // should be restored after having been read.
 // DecodeIssueResponse may return the following errors:
 //   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
-//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "unauthenticated" (type *pipelines.Answer): http.StatusUnauthorized
 //   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
 //   - "not_found" (type *pipelines.Answer): http.StatusNotFound
 //   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
@@ -667,18 +667,18 @@
 			return nil, NewIssueBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body IssueUnauthorizedResponseBody
+				body IssueUnauthenticatedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("pipelines", "issue", err)
 			}
-			err = ValidateIssueUnauthorizedResponseBody(&body)
+			err = ValidateIssueUnauthenticatedResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("pipelines", "issue", err)
 			}
-			return nil, NewIssueUnauthorized(&body)
+			return nil, NewIssueUnauthenticated(&body)
 		case http.StatusForbidden:
 			var (
 				body IssueForbiddenResponseBody
@@ -883,7 +883,7 @@
 // restored after having been read.
 // DecodeOnceResponse may return the following errors:
 //   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
-//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "unauthenticated" (type *pipelines.Answer): http.StatusUnauthorized
 //   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
 //   - "not_found" (type *pipelines.Answer): http.StatusNotFound
 //   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
@@ -940,18 +940,18 @@
 			return nil, NewOnceBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body OnceUnauthorizedResponseBody
+				body OnceUnauthenticatedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("pipelines", "once", err)
 			}
-			err = ValidateOnceUnauthorizedResponseBody(&body)
+			err = ValidateOnceUnauthenticatedResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("pipelines", "once", err)
 			}
-			return nil, NewOnceUnauthorized(&body)
+			return nil, NewOnceUnauthenticated(&body)
 		case http.StatusForbidden:
 			var (
 				body OnceForbiddenResponseBody
@@ -1152,7 +1152,7 @@
 // should be restored after having been read.
 // DecodeResultResponse may return the following errors:
 //   - "bad_request" (type *pipelines.Answer): http.StatusBadRequest
-//   - "unauthorized" (type *pipelines.Answer): http.StatusUnauthorized
+//   - "unauthenticated" (type *pipelines.Answer): http.StatusUnauthorized
 //   - "forbidden" (type *pipelines.Answer): http.StatusForbidden
 //   - "not_found" (type *pipelines.Answer): http.StatusNotFound
 //   - "outcome_unknown" (type *pipelines.Answer): http.StatusConflict
@@ -1209,18 +1209,18 @@
 			return nil, NewResultBadRequest(&body)
 		case http.StatusUnauthorized:
 			var (
-				body ResultUnauthorizedResponseBody
+				body ResultUnauthenticatedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("pipelines", "result", err)
 			}
-			err = ValidateResultUnauthorizedResponseBody(&body)
+			err = ValidateResultUnauthenticatedResponseBody(&body)
 			if err != nil {
 				return nil, goahttp.ErrValidationError("pipelines", "result", err)
 			}
-			return nil, NewResultUnauthorized(&body)
+			return nil, NewResultUnauthenticated(&body)
 		case http.StatusForbidden:
 			var (
 				body ResultForbiddenResponseBody
--- a/internal/gen/http/pipelines/client/types.go
+++ b/internal/gen/http/pipelines/client/types.go
@@ -149,9 +149,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// RunUnauthorizedResponseBody is the type of the "pipelines" service "run"
-// endpoint HTTP response body for the "unauthorized" error.
-type RunUnauthorizedResponseBody struct {
+// RunUnauthenticatedResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unauthenticated" error.
+type RunUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
@@ -378,9 +378,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// StreamUnauthorizedResponseBody is the type of the "pipelines" service
-// "stream" endpoint HTTP response body for the "unauthorized" error.
-type StreamUnauthorizedResponseBody struct {
+// StreamUnauthenticatedResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unauthenticated" error.
+type StreamUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
@@ -607,9 +607,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// IssueUnauthorizedResponseBody is the type of the "pipelines" service "issue"
-// endpoint HTTP response body for the "unauthorized" error.
-type IssueUnauthorizedResponseBody struct {
+// IssueUnauthenticatedResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "unauthenticated" error.
+type IssueUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
@@ -836,9 +836,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// OnceUnauthorizedResponseBody is the type of the "pipelines" service "once"
-// endpoint HTTP response body for the "unauthorized" error.
-type OnceUnauthorizedResponseBody struct {
+// OnceUnauthenticatedResponseBody is the type of the "pipelines" service
+// "once" endpoint HTTP response body for the "unauthenticated" error.
+type OnceUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
@@ -1065,9 +1065,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// ResultUnauthorizedResponseBody is the type of the "pipelines" service
-// "result" endpoint HTTP response body for the "unauthorized" error.
-type ResultUnauthorizedResponseBody struct {
+// ResultUnauthenticatedResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unauthenticated" error.
+type ResultUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
@@ -1424,9 +1424,9 @@
 	return v
 }
 
-// NewRunUnauthorized builds a pipelines service run endpoint unauthorized
-// error.
-func NewRunUnauthorized(body *RunUnauthorizedResponseBody) *pipelines.Answer {
+// NewRunUnauthenticated builds a pipelines service run endpoint
+// unauthenticated error.
+func NewRunUnauthenticated(body *RunUnauthenticatedResponseBody) *pipelines.Answer {
 	v := &pipelines.Answer{
 		Status:       *body.Status,
 		Outcome:      *body.Outcome,
@@ -1791,9 +1791,9 @@
 	return v
 }
 
-// NewStreamUnauthorized builds a pipelines service stream endpoint
-// unauthorized error.
-func NewStreamUnauthorized(body *StreamUnauthorizedResponseBody) *pipelines.Answer {
+// NewStreamUnauthenticated builds a pipelines service stream endpoint
+// unauthenticated error.
+func NewStreamUnauthenticated(body *StreamUnauthenticatedResponseBody) *pipelines.Answer {
 	v := &pipelines.Answer{
 		Status:       *body.Status,
 		Outcome:      *body.Outcome,
@@ -2161,9 +2161,9 @@
 	return v
 }
 
-// NewIssueUnauthorized builds a pipelines service issue endpoint unauthorized
-// error.
-func NewIssueUnauthorized(body *IssueUnauthorizedResponseBody) *pipelines.Answer {
+// NewIssueUnauthenticated builds a pipelines service issue endpoint
+// unauthenticated error.
+func NewIssueUnauthenticated(body *IssueUnauthenticatedResponseBody) *pipelines.Answer {
 	v := &pipelines.Answer{
 		Status:       *body.Status,
 		Outcome:      *body.Outcome,
@@ -2551,9 +2551,9 @@
 	return v
 }
 
-// NewOnceUnauthorized builds a pipelines service once endpoint unauthorized
-// error.
-func NewOnceUnauthorized(body *OnceUnauthorizedResponseBody) *pipelines.Answer {
+// NewOnceUnauthenticated builds a pipelines service once endpoint
+// unauthenticated error.
+func NewOnceUnauthenticated(body *OnceUnauthenticatedResponseBody) *pipelines.Answer {
 	v := &pipelines.Answer{
 		Status:       *body.Status,
 		Outcome:      *body.Outcome,
@@ -2942,9 +2942,9 @@
 	return v
 }
 
-// NewResultUnauthorized builds a pipelines service result endpoint
-// unauthorized error.
-func NewResultUnauthorized(body *ResultUnauthorizedResponseBody) *pipelines.Answer {
+// NewResultUnauthenticated builds a pipelines service result endpoint
+// unauthenticated error.
+func NewResultUnauthenticated(body *ResultUnauthenticatedResponseBody) *pipelines.Answer {
 	v := &pipelines.Answer{
 		Status:       *body.Status,
 		Outcome:      *body.Outcome,
@@ -3423,9 +3423,9 @@
 	return
 }
 
-// ValidateRunUnauthorizedResponseBody runs the validations defined on
-// run_unauthorized_response_body
-func ValidateRunUnauthorizedResponseBody(body *RunUnauthorizedResponseBody) (err error) {
+// ValidateRunUnauthenticatedResponseBody runs the validations defined on
+// run_unauthenticated_response_body
+func ValidateRunUnauthenticatedResponseBody(body *RunUnauthenticatedResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
@@ -3797,9 +3797,9 @@
 	return
 }
 
-// ValidateStreamUnauthorizedResponseBody runs the validations defined on
-// stream_unauthorized_response_body
-func ValidateStreamUnauthorizedResponseBody(body *StreamUnauthorizedResponseBody) (err error) {
+// ValidateStreamUnauthenticatedResponseBody runs the validations defined on
+// stream_unauthenticated_response_body
+func ValidateStreamUnauthenticatedResponseBody(body *StreamUnauthenticatedResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
@@ -4171,9 +4171,9 @@
 	return
 }
 
-// ValidateIssueUnauthorizedResponseBody runs the validations defined on
-// issue_unauthorized_response_body
-func ValidateIssueUnauthorizedResponseBody(body *IssueUnauthorizedResponseBody) (err error) {
+// ValidateIssueUnauthenticatedResponseBody runs the validations defined on
+// issue_unauthenticated_response_body
+func ValidateIssueUnauthenticatedResponseBody(body *IssueUnauthenticatedResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
@@ -4545,9 +4545,9 @@
 	return
 }
 
-// ValidateOnceUnauthorizedResponseBody runs the validations defined on
-// once_unauthorized_response_body
-func ValidateOnceUnauthorizedResponseBody(body *OnceUnauthorizedResponseBody) (err error) {
+// ValidateOnceUnauthenticatedResponseBody runs the validations defined on
+// once_unauthenticated_response_body
+func ValidateOnceUnauthenticatedResponseBody(body *OnceUnauthenticatedResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
@@ -4919,9 +4919,9 @@
 	return
 }
 
-// ValidateResultUnauthorizedResponseBody runs the validations defined on
-// result_unauthorized_response_body
-func ValidateResultUnauthorizedResponseBody(body *ResultUnauthorizedResponseBody) (err error) {
+// ValidateResultUnauthenticatedResponseBody runs the validations defined on
+// result_unauthenticated_response_body
+func ValidateResultUnauthenticatedResponseBody(body *ResultUnauthenticatedResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
--- a/internal/gen/http/pipelines/server/encode_decode.go
+++ b/internal/gen/http/pipelines/server/encode_decode.go
@@ -106,7 +106,7 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
-		case "unauthorized":
+		case "unauthenticated":
 			var res *pipelines.Answer
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
@@ -114,7 +114,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewRunUnauthorizedResponseBody(res)
+				body = NewRunUnauthenticatedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -334,7 +334,7 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
-		case "unauthorized":
+		case "unauthenticated":
 			var res *pipelines.Answer
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
@@ -342,7 +342,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewStreamUnauthorizedResponseBody(res)
+				body = NewStreamUnauthenticatedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -557,7 +557,7 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
-		case "unauthorized":
+		case "unauthenticated":
 			var res *pipelines.Answer
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
@@ -565,7 +565,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewIssueUnauthorizedResponseBody(res)
+				body = NewIssueUnauthenticatedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -785,7 +785,7 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
-		case "unauthorized":
+		case "unauthenticated":
 			var res *pipelines.Answer
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
@@ -793,7 +793,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewOnceUnauthorizedResponseBody(res)
+				body = NewOnceUnauthenticatedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
@@ -994,7 +994,7 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
-		case "unauthorized":
+		case "unauthenticated":
 			var res *pipelines.Answer
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
@@ -1002,7 +1002,7 @@
 			if formatter != nil {
 				body = formatter(ctx, res)
 			} else {
-				body = NewResultUnauthorizedResponseBody(res)
+				body = NewResultUnauthenticatedResponseBody(res)
 			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
--- a/internal/gen/http/pipelines/server/types.go
+++ b/internal/gen/http/pipelines/server/types.go
@@ -149,9 +149,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// RunUnauthorizedResponseBody is the type of the "pipelines" service "run"
-// endpoint HTTP response body for the "unauthorized" error.
-type RunUnauthorizedResponseBody struct {
+// RunUnauthenticatedResponseBody is the type of the "pipelines" service "run"
+// endpoint HTTP response body for the "unauthenticated" error.
+type RunUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  string `form:"status" json:"status" xml:"status"`
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
@@ -378,9 +378,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// StreamUnauthorizedResponseBody is the type of the "pipelines" service
-// "stream" endpoint HTTP response body for the "unauthorized" error.
-type StreamUnauthorizedResponseBody struct {
+// StreamUnauthenticatedResponseBody is the type of the "pipelines" service
+// "stream" endpoint HTTP response body for the "unauthenticated" error.
+type StreamUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  string `form:"status" json:"status" xml:"status"`
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
@@ -607,9 +607,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// IssueUnauthorizedResponseBody is the type of the "pipelines" service "issue"
-// endpoint HTTP response body for the "unauthorized" error.
-type IssueUnauthorizedResponseBody struct {
+// IssueUnauthenticatedResponseBody is the type of the "pipelines" service
+// "issue" endpoint HTTP response body for the "unauthenticated" error.
+type IssueUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  string `form:"status" json:"status" xml:"status"`
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
@@ -836,9 +836,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// OnceUnauthorizedResponseBody is the type of the "pipelines" service "once"
-// endpoint HTTP response body for the "unauthorized" error.
-type OnceUnauthorizedResponseBody struct {
+// OnceUnauthenticatedResponseBody is the type of the "pipelines" service
+// "once" endpoint HTTP response body for the "unauthenticated" error.
+type OnceUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  string `form:"status" json:"status" xml:"status"`
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
@@ -1065,9 +1065,9 @@
 	Payload    *OutputResponseBody  `form:"payload,omitempty" json:"payload,omitempty" xml:"payload,omitempty"`
 }
 
-// ResultUnauthorizedResponseBody is the type of the "pipelines" service
-// "result" endpoint HTTP response body for the "unauthorized" error.
-type ResultUnauthorizedResponseBody struct {
+// ResultUnauthenticatedResponseBody is the type of the "pipelines" service
+// "result" endpoint HTTP response body for the "unauthenticated" error.
+type ResultUnauthenticatedResponseBody struct {
 	// Short name of the HTTP status.
 	Status  string `form:"status" json:"status" xml:"status"`
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
@@ -1464,10 +1464,10 @@
 	return body
 }
 
-// NewRunUnauthorizedResponseBody builds the HTTP response body from the result
-// of the "run" endpoint of the "pipelines" service.
-func NewRunUnauthorizedResponseBody(res *pipelines.Answer) *RunUnauthorizedResponseBody {
-	body := &RunUnauthorizedResponseBody{
+// NewRunUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "run" endpoint of the "pipelines" service.
+func NewRunUnauthenticatedResponseBody(res *pipelines.Answer) *RunUnauthenticatedResponseBody {
+	body := &RunUnauthenticatedResponseBody{
 		Status:       res.Status,
 		Outcome:      res.Outcome,
 		Reason:       res.Reason,
@@ -1815,10 +1815,10 @@
 	return body
 }
 
-// NewStreamUnauthorizedResponseBody builds the HTTP response body from the
+// NewStreamUnauthenticatedResponseBody builds the HTTP response body from the
 // result of the "stream" endpoint of the "pipelines" service.
-func NewStreamUnauthorizedResponseBody(res *pipelines.Answer) *StreamUnauthorizedResponseBody {
-	body := &StreamUnauthorizedResponseBody{
+func NewStreamUnauthenticatedResponseBody(res *pipelines.Answer) *StreamUnauthenticatedResponseBody {
+	body := &StreamUnauthenticatedResponseBody{
 		Status:       res.Status,
 		Outcome:      res.Outcome,
 		Reason:       res.Reason,
@@ -2166,10 +2166,10 @@
 	return body
 }
 
-// NewIssueUnauthorizedResponseBody builds the HTTP response body from the
+// NewIssueUnauthenticatedResponseBody builds the HTTP response body from the
 // result of the "issue" endpoint of the "pipelines" service.
-func NewIssueUnauthorizedResponseBody(res *pipelines.Answer) *IssueUnauthorizedResponseBody {
-	body := &IssueUnauthorizedResponseBody{
+func NewIssueUnauthenticatedResponseBody(res *pipelines.Answer) *IssueUnauthenticatedResponseBody {
+	body := &IssueUnauthenticatedResponseBody{
 		Status:       res.Status,
 		Outcome:      res.Outcome,
 		Reason:       res.Reason,
@@ -2517,10 +2517,10 @@
 	return body
 }
 
-// NewOnceUnauthorizedResponseBody builds the HTTP response body from the
+// NewOnceUnauthenticatedResponseBody builds the HTTP response body from the
 // result of the "once" endpoint of the "pipelines" service.
-func NewOnceUnauthorizedResponseBody(res *pipelines.Answer) *OnceUnauthorizedResponseBody {
-	body := &OnceUnauthorizedResponseBody{
+func NewOnceUnauthenticatedResponseBody(res *pipelines.Answer) *OnceUnauthenticatedResponseBody {
+	body := &OnceUnauthenticatedResponseBody{
 		Status:       res.Status,
 		Outcome:      res.Outcome,
 		Reason:       res.Reason,
@@ -2868,10 +2868,10 @@
 	return body
 }
 
-// NewResultUnauthorizedResponseBody builds the HTTP response body from the
+// NewResultUnauthenticatedResponseBody builds the HTTP response body from the
 // result of the "result" endpoint of the "pipelines" service.
-func NewResultUnauthorizedResponseBody(res *pipelines.Answer) *ResultUnauthorizedResponseBody {
-	body := &ResultUnauthorizedResponseBody{
+func NewResultUnauthenticatedResponseBody(res *pipelines.Answer) *ResultUnauthenticatedResponseBody {
+	body := &ResultUnauthenticatedResponseBody{
 		Status:       res.Status,
 		Outcome:      res.Outcome,
 		Reason:       res.Reason,
--- a/internal/gen/pipelines/client.go
+++ b/internal/gen/pipelines/client.go
@@ -36,7 +36,7 @@
 // Run calls the "run" endpoint of the "pipelines" service.
 // Run may return the following errors:
 //   - "bad_request" (type *Answer)
-//   - "unauthorized" (type *Answer)
+//   - "unauthenticated" (type *Answer)
 //   - "forbidden" (type *Answer)
 //   - "not_found" (type *Answer)
 //   - "outcome_unknown" (type *Answer)
@@ -59,7 +59,7 @@
 // Stream calls the "stream" endpoint of the "pipelines" service.
 // Stream may return the following errors:
 //   - "bad_request" (type *Answer)
-//   - "unauthorized" (type *Answer)
+//   - "unauthenticated" (type *Answer)
 //   - "forbidden" (type *Answer)
 //   - "not_found" (type *Answer)
 //   - "outcome_unknown" (type *Answer)
@@ -82,7 +82,7 @@
 // Issue calls the "issue" endpoint of the "pipelines" service.
 // Issue may return the following errors:
 //   - "bad_request" (type *Answer)
-//   - "unauthorized" (type *Answer)
+//   - "unauthenticated" (type *Answer)
 //   - "forbidden" (type *Answer)
 //   - "not_found" (type *Answer)
 //   - "outcome_unknown" (type *Answer)
@@ -105,7 +105,7 @@
 // Once calls the "once" endpoint of the "pipelines" service.
 // Once may return the following errors:
 //   - "bad_request" (type *Answer)
-//   - "unauthorized" (type *Answer)
+//   - "unauthenticated" (type *Answer)
 //   - "forbidden" (type *Answer)
 //   - "not_found" (type *Answer)
 //   - "outcome_unknown" (type *Answer)
@@ -128,7 +128,7 @@
 // Result calls the "result" endpoint of the "pipelines" service.
 // Result may return the following errors:
 //   - "bad_request" (type *Answer)
-//   - "unauthorized" (type *Answer)
+//   - "unauthenticated" (type *Answer)
 //   - "forbidden" (type *Answer)
 //   - "not_found" (type *Answer)
 //   - "outcome_unknown" (type *Answer)
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -18,8 +18,8 @@
 	"jasmineshed/internal/prefs"
 )
 
-// Statuser tells what the daemon believes, in a form that JSON can take.
-type Statuser interface {
+// StatusSource tells what the daemon believes, in a form that JSON can take.
+type StatusSource interface {
 	Status() any
 }
 
@@ -33,7 +33,7 @@
 type Config struct {
 	// Listener takes the operators' connections; Serve closes it.
 	Listener  net.Listener
-	Statuser  Statuser
+	Status    StatusSource
 	Explainer Explainer
 	// Metrics serves the Prometheus text.
 	Metrics http.Handler
@@ -86,7 +86,7 @@
 }
 
 func (o *Oper) status(w http.ResponseWriter, _ *http.Request) {
-	o.write(w, http.StatusOK, o.cfg.Statuser.Status())
+	o.write(w, http.StatusOK, o.cfg.Status.Status())
 }
 
 // idPattern is checked before an id from outside is used.
--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode >= http.StatusMultipleChoices {
 		return refusal(res)
 	}
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer res.Body.Close()
+	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode >= http.StatusMultipleChoices {
 		return nil, refusal(res)
 	}
