--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,8 @@
 	rules *shed.Rules
 	// rulesAt is when the first rules came into force.
 	rulesAt time.Time
+	// viewSum is a hash of the view that viewChanged has told.
+	viewSum uint64
 	// alone: this daemon hears nobody, see unsure.
 	alone bool
 	// surveyed: every server of the zone has been heard of, or had its time.
@@ -276,7 +278,7 @@
 	c.flow.SetRules(rules)
 }
 
-// view tells the packages who is alive.
+// view tells the packages who is alive, and how sure that is.
 func (c *Core) view(now time.Time) {
 	v := c.member.View()
 	vms := v.VMs(c.cfg.Zone)
@@ -287,6 +289,20 @@
 	c.take(c.slots.SetView(now, vms, hash, unsure))
 	c.orders.SetKnown(now, known)
 	c.orders.SetView(now, vms, hash, unsure)
+	c.viewChanged(now, v, vms)
+	c.lookAround(now)
+}
+
+// viewChanged tells those that only want to know of changes.
+func (c *Core) viewChanged(now time.Time, v member.View, vms []shed.VM) {
+	var sum uint64
+	for _, z := range v.Zones() {
+		sum = sum*31 + v.Hash(z)
+	}
+	if sum == c.viewSum {
+		return
+	}
+	c.viewSum = sum
 	c.load.SetView(now, vms)
 	others := make(map[shed.ZoneID][]shed.Peer)
 	for _, z := range v.Zones() {
@@ -295,7 +311,6 @@
 		}
 	}
 	c.config.SetPeers(v.Zone(c.cfg.Zone), others)
-	c.lookAround(now)
 }
 
 // surveyFor bounds the wait for the first load report of every server.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,7 +230,7 @@
 	return []suture.Service{
 		front.New(caller),
 		oper.New(oper.Config{
-			Listener: n.cfg.Operators, Statuser: n.daemon, Explainer: explainer{n.daemon},
+			Listener: n.cfg.Operators, Status: n.daemon, Explainer: explainer{n.daemon},
 			Metrics: n.metrics.Handler, Limits: p.Limits, Profile: p.Listen.Profile, Log: n.log,
 		}),
 	}
