--- a/message.go
+++ b/message.go
@@ -25,6 +25,10 @@
 	Never bool `cbor:"3,keyasint,omitempty"`
 	// Ask wants a ConfigDigest back.
 	Ask bool `cbor:"4,keyasint,omitempty"`
+	// Sequence of an Ask comes back in its answer; 0 in a digest that nobody
+	// asked for. An answer can't be older than its ask, so the asker knows how
+	// old Confirmed is at the most, however long the answer was on its way.
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigPull asks a peer for its configuration, but for the parts held.
@@ -109,6 +113,10 @@
 type TicketMove struct {
 	From    Peer          `cbor:"1,keyasint"`
 	Tickets []MovedTicket `cbor:"2,keyasint"`
+	// To is the one process that may adopt the tickets. A copy that reaches a
+	// later process on the same VM must not count: the earlier one may have run
+	// some of them.
+	To Peer `cbor:"3,keyasint"`
 }
 
 // MovedTicket is one unused ticket on its way to an heir.
