--- /dev/null
+++ b/internal/load/calls.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// call is one of this daemon's calls in flight.
+type call struct {
+	server shed.ServerID
+	sent   time.Time
+	seen   bool // the server has answered in any way
+	first  bool // the first token has come
+	leapt  bool // already counted as a symptom
+}
+
+// span is a call that has ended.
+type span struct{ sent, ended time.Time }
+
+// Sent tells that this daemon sent the call to the server.
+func (b *Book) Sent(now time.Time, server shed.ServerID, id shed.Call) {
+	e := b.servers[server]
+	if e == nil || b.calls[id] != nil {
+		return
+	}
+	c := &call{server: server, sent: now}
+	b.calls[id] = c
+	e.flight = append(e.flight, c)
+	e.unseen++
+}
+
+// Unseen returns how many of this daemon's calls the server has given no sign
+// of. A server that restarted takes them as a new one: until its answer tells,
+// no more may be under way than a cold server bears.
+func (b *Book) Unseen(server shed.ServerID) int {
+	e := b.servers[server]
+	if e == nil {
+		return 0
+	}
+	return e.unseen
+}
+
+// Seen tells that the server has accepted the call, and its boot identity if
+// it gave one. A new boot means that the server restarted, long before the next
+// report would tell.
+func (b *Book) Seen(now time.Time, id shed.Call, boot string) []shed.Action {
+	c := b.calls[id]
+	if c == nil {
+		return nil
+	}
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	e.sight(c)
+	if boot == "" || e.report.Boot == "" || boot == e.report.Boot || slices.Contains(e.former, boot) {
+		return nil
+	}
+	return b.reborn(now, e, boot)
+}
+
+func (e *entry) sight(c *call) {
+	if !c.seen {
+		c.seen = true
+		e.unseen--
+	}
+}
+
+// reborn takes in a boot that no report has told of yet.
+func (b *Book) reborn(now time.Time, e *entry, boot string) []shed.Action {
+	e.forgetBoot()
+	e.report = shed.LoadReport{Boot: boot, Running: len(e.flight)}
+	e.at = now
+	out := b.turnCold(now, nil, e, 0)
+	e.told, e.toldAt = e.report, now
+	return b.send(out, map[shed.ServerID]shed.LoadReport{e.server.ID: e.report})
+}
+
+// forgetBoot remembers the present boot as a former one.
+func (e *entry) forgetBoot() {
+	e.former = append(e.former, e.report.Boot)
+	e.former = e.former[max(0, len(e.former)-formerMax):]
+}
+
+// FirstToken tells that the call's first token has come.
+func (b *Book) FirstToken(now time.Time, id shed.Call) []shed.Action {
+	c := b.calls[id]
+	if c == nil || c.first {
+		return nil
+	}
+	c.first = true
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	e.sight(c)
+	return b.firstToken(now, e, c)
+}
+
+// Ended tells how the call ended.
+func (b *Book) Ended(now time.Time, id shed.Call, end shed.CallEnd) []shed.Action {
+	c := b.calls[id]
+	if c == nil {
+		return nil
+	}
+	delete(b.calls, id)
+	e := b.servers[c.server]
+	if e == nil {
+		return nil
+	}
+	e.sight(c)
+	e.flight = slices.DeleteFunc(e.flight, func(o *call) bool { return o == c })
+	e.ended = append(e.ended, span{sent: c.sent, ended: now})
+	if len(e.ended) > endedMax {
+		e.ended = e.ended[1:]
+	}
+	switch end {
+	case shed.EndComplete:
+		e.whole.add(now.Sub(c.sent))
+		e.cold.completed++
+	case shed.EndOverloaded:
+		return b.symptom(now, nil, e)
+	case shed.EndBroken:
+		return b.suspect(now, e)
+	}
+	return nil
+}
+
+// endedMax bounds what is remembered between two reports.
+const endedMax = 512
+
--- a/internal/slots/table.go
+++ b/internal/slots/table.go
@@ -26,7 +26,8 @@
 	// one side has noticed it is noticed as ended by the other side as late.
 	Settle time.Duration
 	// LongestCall is the longest time that a call can run on a server after
-	// its arrival there. Deadlines that travel with the call enforce it.
+	// its arrival there, by any rules; see SetLongest. Deadlines that travel
+	// with the call enforce it.
 	LongestCall time.Duration
 	// Flight is the longest time from a decision to the call's arrival.
 	Flight time.Duration
@@ -75,7 +76,9 @@
 	trusted   bool
 	trustedAt time.Time
 	changed   time.Time
-	toldAt    time.Time
+	// longest is LongestCall, or more if the rules allow more.
+	longest time.Duration
+	toldAt  time.Time
 }
 
 // safeguards names what tests may switch off to see the oracle go red.
@@ -153,6 +156,7 @@
 	}
 	return &Table{
 		cfg:      cfg,
+		longest:  cfg.LongestCall,
 		lost:     map[shed.VM]time.Time{},
 		released: map[shed.VM]time.Time{},
 		heard:    map[shed.VM]uint64{},
@@ -168,7 +172,13 @@
 }
 
 // wait is how long a gained slot stays unused.
-func (t *Table) wait() time.Duration { return t.cfg.Settle + t.cfg.LongestCall }
+func (t *Table) wait() time.Duration { return t.cfg.Settle + t.longest }
+
+// SetLongest tells the longest deadline in the rules in force, if that is more
+// than LongestCall. It never gets shorter again, since calls under older rules
+// may still run. Rules reach all daemons well within Settle, and a slot's wait
+// is worked out when it is to be used, so nobody goes by too short a time.
+func (t *Table) SetLongest(d time.Duration) { t.longest = max(t.longest, d) }
 
 // SetServers tells which servers of this zone the rules name.
 func (t *Table) SetServers(now time.Time, servers []*shed.Server) []shed.Action {
@@ -341,7 +351,7 @@
 		return nil
 	}
 	if stillRuns(end) && !t.off.forgetBroken {
-		h.until = h.started.Add(t.cfg.Flight + t.cfg.LongestCall)
+		h.until = h.started.Add(t.cfg.Flight + t.longest)
 		return nil
 	}
 	t.drop(call, h)
