--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -130,4 +130,3 @@
 
 // endedMax bounds what is remembered between two reports.
 const endedMax = 512
-
--- a/internal/member/cold_test.go
+++ b/internal/member/cold_test.go
@@ -190,13 +190,38 @@
 // from the real membership, under splits, one-way cuts, freezes, deaths,
 // restarts and stops, several at a time.
 func TestColdServersUnderRealMembership(t *testing.T) {
-	used := 0
+	used, worst := 0, time.Duration(0)
 	for seed := range *seeds {
 		z := runCold(seed, weak{})
 		require.NoError(t, z.err, "seed %d: %v", seed, z.log)
 		used += z.used
+		worst = max(worst, z.recover(t, seed))
 	}
-	t.Logf("%d calls", used)
+	t.Logf("%d calls; all agree again after %s at the latest", used, worst)
+}
+
+// recover ends all faults and gives the time until everybody sees everybody
+// and relies on it: no process may stay dead for others for good.
+func (z *coldZone) recover(t *testing.T, seed uint64) time.Duration {
+	z.cut = func(_, _ *node) bool { return false }
+	for _, n := range z.nodes {
+		m, _ := n.Lookup(n.self.VM)
+		if !n.up || m.Status == shed.StatusLeaving {
+			z.start(n)
+			z.join(n)
+		}
+		n.frozen = z.now
+	}
+	took, ok := z.until(30*time.Second, func() bool {
+		for _, n := range z.nodes {
+			if !n.Confirmed(z.now) {
+				return false
+			}
+		}
+		return z.agree(zoneA)
+	})
+	require.True(t, ok, "seed %d does not heal: %v", seed, z.log)
+	return took
 }
 
 func TestColdOracleCatchesWhatIsLeftOut(t *testing.T) {
--- a/internal/member/group_test.go
+++ b/internal/member/group_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// The network loses one message in twenty. That may raise a suspicion, but the
+// suspect denies it: nobody is called dead.
+func TestLossKillsNobody(t *testing.T) {
+	for _, n := range []int{3, 20} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := converged(t, 11, n)
+			w.cut = func(_, _ *node) bool { return w.rng.IntN(20) == 0 }
+			w.run(30 * time.Minute)
+			t.Logf("suspected %d times, denied each time", w.notes[member.ReasonPeerSuspect])
+			require.Zero(t, w.notes[member.ReasonPeerDead])
+		})
+	}
+}
+
 // A caller whose ticket's home died must hear so, and cold servers must get
 // their slots back: the dead process leaves every view, and nobody else does.
 func TestDeadLeavesEveryView(t *testing.T) {
