A server known to be cold is used only after a report that counts all it runs; answers at once are not kept; the issuer's own hand-over starts the ticket

One daemon learned of the restart from its first call and used its slots at once, while the other's unseen call was on its way. An answer given at once is no longer kept, and stored refusals come from the ticket table.

--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -81,7 +81,7 @@
 func (c *Core) ticketed(now time.Time, a shed.Arrived) {
 	home := c.Locate(a.Request)
 	switch {
-	case home.Self:
+	case home.Self || c.fromIssuer(a):
 		c.start(now, a)
 	case home.Peer.VM == "" && home.Forged:
 		// Nobody ever gave out this id, so nothing ran under it.
@@ -95,6 +95,14 @@
 	}
 }
 
+// fromIssuer tells whether the process that gave out the ticket handed the
+// request over itself: it has left the ticket here, even if word of its leaving
+// has not come yet.
+func (c *Core) fromIssuer(a shed.Arrived) bool {
+	issuer, err := ticket.Home(a.Request)
+	return err == nil && a.From == issuer
+}
+
 func (c *Core) handOver(a shed.Arrived, home shed.Peer) {
 	c.away[a.Request] = true
 	c.out = append(c.out, shed.HandRequest{Request: a.Request, To: home, Deadline: a.Deadline})
@@ -106,7 +114,9 @@
 	switch v.Kind {
 	case ticket.VerdictRun:
 		c.book(now, c.flow.Handle(now, a))
-	case ticket.VerdictJoin, ticket.VerdictStored:
+	case ticket.VerdictStored:
+		c.stored(a, v.Finish)
+	case ticket.VerdictJoin:
 		c.out = append(c.out, shed.JoinRequest{Request: a.Request})
 	case ticket.VerdictMoved:
 		if a.From.VM != "" {
@@ -120,6 +130,16 @@
 	}
 }
 
+// stored gives a repeat the answer of the first one. Only a complete one has a
+// payload, which the driver kept.
+func (c *Core) stored(a shed.Arrived, f shed.Finish) {
+	if f.Outcome == shed.OutcomeComplete {
+		c.out = append(c.out, shed.JoinRequest{Request: a.Request})
+		return
+	}
+	c.out = append(c.out, f)
+}
+
 // Locate tells which process a ticket's requests run at.
 func (c *Core) Locate(id shed.RequestID) shed.Home {
 	p, err := ticket.Home(id)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -87,7 +87,7 @@
 	}
 	open, _ := c.rules.ServerOpen(s)
 	cand, known := c.load.Candidate(now, id)
-	return open && known && (!cand.Cold || c.slots.Free(now, id) > 0)
+	return open && known && (!cand.Cold || c.load.Settled(id) && c.slots.Free(now, id) > 0)
 }
 
 // placeHere looks at this zone only. not is a peer that must not get the call.
@@ -119,7 +119,7 @@
 		case !known:
 		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.Unseen(s.ID) < c.unseenShare(s):
 			room = append(room, cand)
-		case cand.Cold && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
+		case cand.Cold && c.load.Settled(s.ID) && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
 			room = append(room, cand)
 		case cand.Cold:
 			cold = append(cold, s)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -119,14 +119,30 @@
 	acts := d.cfg.Core.Handle(now, ev)
 	first := d.runs[r.id]
 	if first == nil {
-		r.join()
-		d.runs[r.id] = r
-		d.perform(acts)
-		return r, nil
+		return d.arriveFirst(r, acts), nil
 	}
 	return d.arriveAgain(first, req.Workspace, acts)
 }
 
+// arriveFirst performs what core decided about a request that is new here. One
+// that was answered at once is not kept: its answer, often a refusal, concerns
+// this arrival only, and a repeat of it may well be run.
+func (d *Daemon) arriveFirst(r *run, acts []shed.Action) *run {
+	r.join()
+	d.runs[r.id] = r
+	for _, act := range acts {
+		if _, join := act.(shed.JoinRequest); join {
+			// It ran here, but its answer is no longer kept.
+			d.endRun(r, unknown(r.id, shed.ReasonTicketExpired))
+		}
+	}
+	d.perform(acts)
+	if r.ended() {
+		delete(d.runs, r.id)
+	}
+	return r
+}
+
 // arriveAgain performs what core decided about a repeat of a request that is
 // here already. A refusal of the repeat must not end the first one's run, and a
 // repeat under another workspace's name must not see its answer.
--- a/internal/load/cold.go
+++ b/internal/load/cold.go
@@ -52,6 +52,23 @@
 	return append(out, shed.Note{Reason: ReasonTurnedWarm, Server: e.server.ID})
 }
 
+// coldGrace is how long calls that were sent before a server was known to be
+// cold may take to show in its report.
+const coldGrace = 300 * time.Millisecond
+
+// Settled tells whether a report of the server was made since it turned cold
+// and all calls sent to it as a warm one had arrived. Before that nobody knows
+// how much of what it bears is taken: other daemons' calls were sent without a
+// slot, and the first few may already be all it bears.
+func (b *Book) Settled(server shed.ServerID) bool {
+	e := b.servers[server]
+	return e != nil && e.settled(e.at)
+}
+
+func (e *entry) settled(at time.Time) bool {
+	return e.report.Boot != "" && !at.Before(e.cold.since.Add(coldGrace))
+}
+
 // need is how many calls a cold server has to complete.
 func (b *Book) need(e *entry) uint64 {
 	return uint64(b.cfg.WarmCalls * e.server.ColdBears)
@@ -60,12 +77,20 @@
 func (b *Book) turnCold(now time.Time, out []shed.Action, e *entry, done uint64) []shed.Action {
 	was := e.cold.on
 	e.cold = cold{on: true, since: now, done: done}
+	e.pollSoon(now)
 	if was {
 		return out
 	}
 	return append(out, shed.Note{Reason: ReasonTurnedCold, Server: e.server.ID})
 }
 
+// pollSoon has the server's readers poll it as soon as that settles it.
+func (e *entry) pollSoon(now time.Time) {
+	if soon := now.Add(coldGrace); soon.Before(e.nextPoll) {
+		e.nextPoll = soon
+	}
+}
+
 // level is how many calls the server can carry by now.
 func (e *entry) level() int {
 	if e.cold.on {
@@ -103,6 +128,7 @@
 		return nil
 	}
 	e.cold.on, e.cold.since = true, now
+	e.pollSoon(now)
 	return []shed.Action{
 		shed.Note{Reason: ReasonTurnedCold, Server: e.server.ID},
 		shed.PollServer{Server: e.server.ID, URL: e.server.URL},
--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -80,6 +80,10 @@
 		// Completions end the cold start; they can't wait.
 		return true
 	}
+	if e.cold.on && e.settled(e.at) && !e.settled(e.toldAt.Add(-t.Age)) {
+		// Until it is told, no other daemon may use what the server bears.
+		return true
+	}
 	change := r.Running + r.Waiting - t.Running - t.Waiting
 	return max(change, -change) >= max(1, int(b.cfg.Threshold*float64(e.server.Capacity)))
 }
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -364,8 +364,14 @@
 			r := &run{ask: ev, payload: input, results: map[shed.Call]string{}, waiters: []func(answer){reply}}
 			n.runs[ev.Request] = r
 			for _, act := range n.core.Handle(n.w.now, ev) {
+				if _, join := act.(shed.JoinRequest); join {
+					r.end(answer{at: n.w.now, outcome: shed.OutcomeUnknown, reason: shed.ReasonTicketExpired, request: ev.Request})
+				}
 				n.perform(act, life)
 			}
+			if r.final != nil && n.runs[ev.Request] == r {
+				delete(n.runs, ev.Request)
+			}
 			return
 		}
 		n.arriveAgain(first, ev, reply, life)
--- a/internal/proof/matrix_test.go
+++ b/internal/proof/matrix_test.go
@@ -4,7 +4,10 @@
 	"flag"
 	"fmt"
 	"runtime"
+	"slices"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +23,8 @@
 	cellStep  = flag.Int("step", 0, "run only the cell of this step, with -fault")
 	cellSeed  = flag.Uint64("seed", 1, "seed of the matrix")
 	perFault  = flag.Int("cells", 120, "cells for each fault")
+	tracing   = flag.String("about", "", "print what concerns a request, server or VM; with -replay")
+	replay    = flag.String("replay", "", "one cell: seed/fault@step/fault@step")
 	pairCells = flag.Int("pairs", 600, "cells with two faults")
 )
 
@@ -36,10 +41,11 @@
 	faults []fault
 }
 
+// String names the cell as -replay takes it.
 func (c cell) String() string {
-	s := fmt.Sprintf("seed %d", c.seed)
+	s := strconv.FormatUint(c.seed, 10)
 	for i, f := range c.faults {
-		s += fmt.Sprintf(", %s at step %d", f.name, c.at[i])
+		s += fmt.Sprintf("/%s@%d", f.name, c.at[i])
 	}
 	return s
 }
@@ -47,6 +53,7 @@
 // run plays the story with the cell's faults.
 func (c cell) run() *world {
 	w := fleetWorld(c.seed)
+	w.trace = *tracing
 	w.onStep = func(step int, n *node) {
 		for i, at := range c.at {
 			if at == step && n.up {
@@ -217,3 +224,23 @@
 func TestPairsOfFaults(t *testing.T) {
 	report(t, judgeCells(pairsOf(*pairCells)))
 }
+
+// TestReplay plays one cell again, as a red cell's line names it.
+func TestReplay(t *testing.T) {
+	if *replay == "" {
+		t.Skip("no -replay")
+	}
+	parts := strings.Split(*replay, "/")
+	var c cell
+	_, err := fmt.Sscan(parts[0], &c.seed)
+	require.NoError(t, err)
+	for _, p := range parts[1:] {
+		name, at, _ := strings.Cut(p, "@")
+		step, err := strconv.Atoi(at)
+		require.NoError(t, err)
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		require.GreaterOrEqual(t, i, 0, name)
+		c.faults, c.at = append(c.faults, faults[i]), append(c.at, step)
+	}
+	report(t, []verdict{judgeCell(c)})
+}
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -171,6 +171,7 @@
 	}
 	life := n.life
 	n.now(life, func() {
+		n.w.show(n, "event", ev)
 		for _, act := range n.core.Handle(n.w.now, ev) {
 			n.perform(act, life)
 		}
@@ -183,6 +184,7 @@
 		n.w.step(n)
 	}
 	n.now(life, func() {
+		n.w.show(n, "action", act)
 		switch a := act.(type) {
 		case shed.StartCall:
 			n.startCall(a)
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -1,8 +1,10 @@
 package proof
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"time"
 
 	shed "jasmineshed"
@@ -26,6 +28,7 @@
 	onStep func(step int, n *node)
 	tune   func(*core.Config)
 	reads  int
+	trace  string
 }
 
 const (
@@ -90,6 +93,16 @@
 	return nil
 }
 
+// show prints an event or action that concerns what -about names.
+func (w *world) show(n *node, what string, x any) {
+	if w.trace == "" {
+		return
+	}
+	if line := fmt.Sprintf("%T %+v", x, x); strings.Contains(line, w.trace) {
+		fmt.Printf("%12s %s %s %s\n", w.now.Sub(epoch), n.vm, what, line)
+	}
+}
+
 // step counts a moment at which the world may be interrupted.
 func (w *world) step(n *node) {
 	w.steps++
