--- a/internal/rules/build.go
+++ b/internal/rules/build.go
@@ -69,7 +69,7 @@
 	rows []row
 }
 
-func newBuilder(rev shed.Revision, faults Faults) *builder {
+func newBuilder(rev shed.Revision, rows int, faults Faults) *builder {
 	return &builder{
 		rules: &shed.Rules{
 			Revision:    rev,
@@ -83,7 +83,8 @@
 			WeightLoads: 1,
 		},
 		faults: faults,
-		first:  map[ruleName]int{},
+		first:  make(map[ruleName]int, rows),
+		rows:   make([]row, 0, rows),
 		stages: map[stageName]*shed.Stage{},
 		wants:  map[shed.PipelineID][]shed.StageID{},
 	}
@@ -140,7 +141,7 @@
 func (b *builder) pool(f *fields) {
 	p := &shed.Pool{Origin: f.row.Origin, ID: shed.PoolID(f.row.key)}
 	p.Kind = f.kind()
-	if _, there := f.values["model"]; there {
+	if f.has("model") {
 		p.Model = shed.ModelID(f.id("model"))
 	}
 	p.Unit = f.price("unit", maxUnit)
@@ -189,9 +190,8 @@
 func (b *builder) pipeline(f *fields) {
 	p := &shed.Pipeline{Origin: f.row.Origin, ID: shed.PipelineID(f.row.key)}
 	p.Deadline = f.duration("deadline", minTime, maxDeadline)
-	_, there := f.values["stages"]
 	list := f.ids("stages")
-	if !there || len(list) > maxStages {
+	if !f.has("stages") || len(list) > maxStages {
 		f.fault(fmt.Sprintf("the pipeline lists %d stages", len(list)),
 			fmt.Sprintf("write `stages first second`, with 1 to %d stages", maxStages))
 	}
@@ -215,7 +215,7 @@
 	s.Minimum = f.duration("minimum", minTime, maxDeadline)
 	// A service call that is repeated unasked may push a warning twice, so
 	// whoever writes the rule has to say that it may.
-	if _, there := f.values["idempotent"]; s.Kind == shed.KindService && !there {
+	if s.Kind == shed.KindService && !f.has("idempotent") {
 		f.fault("nothing says whether the service call may be repeated", "add `idempotent no`, or `idempotent yes` if it may")
 	}
 	s.Idempotent = f.yes("idempotent", true)
--- a/internal/rules/field.go
+++ b/internal/rules/field.go
@@ -48,28 +48,35 @@
 // them. Once all that a section knows were read, done refuses the rest.
 type fields struct {
 	row    row
-	values map[string]string
-	names  []string
+	list   []field
 	faults *Faults
 }
 
+// field is one `name value` of a row. Taken is set once it was read.
+type field struct {
+	name, value string
+	taken       bool
+}
+
+// maxUsual is how many fields a row usually has at the most.
+const maxUsual = 10
+
 func splitFields(r row, faults *Faults) *fields {
-	f := &fields{row: r, values: map[string]string{}, faults: faults}
+	f := &fields{row: r, list: make([]field, 0, maxUsual), faults: faults}
 	if strings.TrimSpace(r.value) == "" {
 		return f
 	}
-	for _, part := range strings.Split(r.value, ",") {
+	for part := range strings.SplitSeq(r.value, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), " ")
 		if name == "" {
 			f.fault("an empty field", "take out the extra comma")
 			continue
 		}
-		if _, twice := f.values[name]; twice {
+		if f.has(name) {
 			f.fault(fmt.Sprintf("field %s stands twice", name), "keep one of them")
 			continue
 		}
-		f.values[name] = strings.TrimSpace(value)
-		f.names = append(f.names, name)
+		f.list = append(f.list, field{name: name, value: strings.TrimSpace(value)})
 	}
 	return f
 }
@@ -80,22 +87,36 @@
 	})
 }
 
-// take removes a field and returns its value.
+func (f *fields) find(name string) *field {
+	for i := range f.list {
+		if f.list[i].name == name {
+			return &f.list[i]
+		}
+	}
+	return nil
+}
+
+// has tells whether the row gives the field.
+func (f *fields) has(name string) bool { return f.find(name) != nil }
+
+// take returns a field's value; done does not refuse it any more.
 func (f *fields) take(name string) (string, bool) {
-	value, ok := f.values[name]
-	delete(f.values, name)
-	if ok && value == "" {
+	found := f.find(name)
+	if found == nil {
+		return "", false
+	}
+	found.taken = true
+	if found.value == "" {
 		f.fault(fmt.Sprintf("field %s has no value", name), fmt.Sprintf("write `%s value`", name))
 		return "", false
 	}
-	return value, ok
+	return found.value, true
 }
 
 // must is take for a field that has to be there.
 func (f *fields) must(name string) (string, bool) {
-	_, there := f.values[name]
 	value, ok := f.take(name)
-	if !there {
+	if !f.has(name) {
 		f.fault(fmt.Sprintf("field %s is missing", name), fmt.Sprintf("add `%s value`", name))
 	}
 	return value, ok
@@ -103,9 +124,9 @@
 
 // done refuses the fields that nobody took.
 func (f *fields) done(known ...string) {
-	for _, name := range f.names {
-		if _, left := f.values[name]; left {
-			f.fault(fmt.Sprintf("unknown field %s", name), "use: "+strings.Join(known, ", "))
+	for _, left := range f.list {
+		if !left.taken {
+			f.fault(fmt.Sprintf("unknown field %s", left.name), "use: "+strings.Join(known, ", "))
 		}
 	}
 }
@@ -151,7 +172,7 @@
 
 // count reads a whole number within 1 and most; when 0 it has to be there.
 func (f *fields) count(name string, otherwise, most int) int {
-	if _, there := f.values[name]; !there && otherwise > 0 {
+	if !f.has(name) && otherwise > 0 {
 		return otherwise
 	}
 	value, ok := f.must(name)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -31,7 +31,7 @@
 
 func parse(text []byte, rev shed.Revision, known *memory) (*shed.Rules, Faults) {
 	rows, faults := readRows(text, known)
-	b := newBuilder(rev, faults)
+	b := newBuilder(rev, len(rows), faults)
 	for _, row := range rows {
 		b.add(row)
 	}
