--- a/internal/rules/field.go
+++ b/internal/rules/field.go
@@ -1,19 +1,46 @@
 package rules
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
 )
 
-var idPattern = regexp.MustCompile(`^[A-Za-z0-9._/-]{1,64}$`)
+const maxID = 64
 
-var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+// isID and isHash are written out, since a large file has a hundred thousand
+// of them and a regular expression took a sixth of the time to read it.
+func isID(s string) bool {
+	if len(s) == 0 || len(s) > maxID {
+		return false
+	}
+	for _, c := range []byte(s) {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case c == '.', c == '_', c == '/', c == '-':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func isHash(s string) bool {
+	if len(s) != 2*sha256.Size {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
 
 const idMend = "use 1 to 64 letters, digits, dots, dashes, underscores or slashes"
 
@@ -21,28 +48,35 @@
 // them. Once all that a section knows were read, done refuses the rest.
 type fields struct {
 	row    row
-	values map[string]string
-	names  []string
+	list   []field
 	faults *Faults
 }
 
+// field is one `name value` of a row. Taken is set once it was read.
+type field struct {
+	name, value string
+	taken       bool
+}
+
+// maxUsual is how many fields a row usually has at the most.
+const maxUsual = 10
+
 func splitFields(r row, faults *Faults) *fields {
-	f := &fields{row: r, values: map[string]string{}, faults: faults}
+	f := &fields{row: r, list: make([]field, 0, maxUsual), faults: faults}
 	if strings.TrimSpace(r.value) == "" {
 		return f
 	}
-	for _, part := range strings.Split(r.value, ",") {
+	for part := range strings.SplitSeq(r.value, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), " ")
 		if name == "" {
 			f.fault("an empty field", "take out the extra comma")
 			continue
 		}
-		if _, twice := f.values[name]; twice {
+		if f.has(name) {
 			f.fault(fmt.Sprintf("field %s stands twice", name), "keep one of them")
 			continue
 		}
-		f.values[name] = strings.TrimSpace(value)
-		f.names = append(f.names, name)
+		f.list = append(f.list, field{name: name, value: strings.TrimSpace(value)})
 	}
 	return f
 }
@@ -53,22 +87,36 @@
 	})
 }
 
-// take removes a field and returns its value.
+func (f *fields) find(name string) *field {
+	for i := range f.list {
+		if f.list[i].name == name {
+			return &f.list[i]
+		}
+	}
+	return nil
+}
+
+// has tells whether the row gives the field.
+func (f *fields) has(name string) bool { return f.find(name) != nil }
+
+// take returns a field's value; done does not refuse it any more.
 func (f *fields) take(name string) (string, bool) {
-	value, ok := f.values[name]
-	delete(f.values, name)
-	if ok && value == "" {
+	found := f.find(name)
+	if found == nil {
+		return "", false
+	}
+	found.taken = true
+	if found.value == "" {
 		f.fault(fmt.Sprintf("field %s has no value", name), fmt.Sprintf("write `%s value`", name))
 		return "", false
 	}
-	return value, ok
+	return found.value, true
 }
 
 // must is take for a field that has to be there.
 func (f *fields) must(name string) (string, bool) {
-	_, there := f.values[name]
 	value, ok := f.take(name)
-	if !there {
+	if !f.has(name) {
 		f.fault(fmt.Sprintf("field %s is missing", name), fmt.Sprintf("add `%s value`", name))
 	}
 	return value, ok
@@ -76,9 +124,9 @@
 
 // done refuses the fields that nobody took.
 func (f *fields) done(known ...string) {
-	for _, name := range f.names {
-		if _, left := f.values[name]; left {
-			f.fault(fmt.Sprintf("unknown field %s", name), "use: "+strings.Join(known, ", "))
+	for _, left := range f.list {
+		if !left.taken {
+			f.fault(fmt.Sprintf("unknown field %s", left.name), "use: "+strings.Join(known, ", "))
 		}
 	}
 }
@@ -93,7 +141,7 @@
 }
 
 func (f *fields) checkID(name, value string) string {
-	if !idPattern.MatchString(value) {
+	if !isID(value) {
 		f.fault(fmt.Sprintf("%s %q is no id", name, value), idMend)
 		return ""
 	}
@@ -124,7 +172,7 @@
 
 // count reads a whole number within 1 and most; when 0 it has to be there.
 func (f *fields) count(name string, otherwise, most int) int {
-	if _, there := f.values[name]; !there && otherwise > 0 {
+	if !f.has(name) && otherwise > 0 {
 		return otherwise
 	}
 	value, ok := f.must(name)
