--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -44,14 +44,23 @@
 		g.next.ServeHTTP(tw, r)
 		return
 	}
-	ctx, span := g.tracer.Start(telem.Extract(r.Context(), r.Header), "http "+r.Method,
-		trace.WithSpanKind(trace.SpanKindServer))
-	defer span.End()
-	r = r.WithContext(ctx)
+	r, span := g.trace(r)
 	g.pass(tw, r)
+	g.ended(tw, r, span, start)
+}
+
+// trace starts the call's span, as a part of the caller's trace if it sent one.
+func (g *guard) trace(r *http.Request) (*http.Request, trace.Span) {
+	ctx := telem.Extract(r.Context(), r.Header)
+	ctx, span := g.tracer.Start(ctx, r.Method, trace.WithSpanKind(trace.SpanKindServer))
+	return r.WithContext(ctx), span
+}
+
+func (g *guard) ended(w *timedWriter, r *http.Request, span trace.Span, start time.Time) {
 	span.SetName(spanName(r))
-	span.SetAttributes(attribute.Int("http.response.status_code", tw.code))
-	g.count.ended(r, tw, time.Since(start))
+	span.SetAttributes(attribute.Int("http.response.status_code", w.code))
+	span.End()
+	g.count.ended(r, w, time.Since(start))
 }
 
 // pass counts the call among those in flight and bounds its body.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -19,22 +19,27 @@
 // Run answers with the whole result.
 func (s *service) Run(ctx context.Context, p *pipelines.RunPayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
-	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(ctx, s.serving.Serve(ctx, req, nil))
+	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
+	return whole(ctx, s.serve(ctx, req, nil))
 }
 
 // Stream answers with events.
 func (s *service) Stream(ctx context.Context, p *pipelines.StreamPayload, stream pipelines.StreamServerStream) error {
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
-	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
+	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
 	events := newEvents(stream, s.beat)
-	answer := s.serving.Serve(ctx, req, events.update)
-	return events.finish(ctx, &answer)
+	answer := s.serve(ctx, req, events.update)
+	return events.finish(ctx, answer)
+}
+
+func (s *service) serve(ctx context.Context, req *shed.Request, update func(shed.Update)) *shed.Answer {
+	answer := s.serving.Serve(ctx, *req, update)
+	return &answer
 }
 
 // Issue gives out a ticket.
 func (s *service) Issue(ctx context.Context, p *pipelines.IssuePayload) (*pipelines.Ticket, error) {
-	ticket, refusal := s.serving.Issue(ctx, newRequest(p.Workspace, p.Token, p.Pipeline))
+	ticket, refusal := s.serving.Issue(ctx, *newRequest(p.Workspace, p.Token, p.Pipeline))
 	if refusal != nil {
 		return nil, newRefusal(ctx, refusal)
 	}
@@ -48,15 +53,16 @@
 func (s *service) Once(ctx context.Context, p *pipelines.OncePayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	req.ID = shed.RequestID(p.RequestID)
-	addWork(&req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(ctx, s.serving.Serve(ctx, req, nil))
+	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
+	return whole(ctx, s.serve(ctx, req, nil))
 }
 
 // Result answers with what a ticketed request came to.
 func (s *service) Result(ctx context.Context, p *pipelines.ResultPayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, "")
 	req.ID = shed.RequestID(p.RequestID)
-	return whole(ctx, s.serving.Result(ctx, req))
+	answer := s.serving.Result(ctx, *req)
+	return whole(ctx, &answer)
 }
 
 // Live tells that the process answers at all.
@@ -74,8 +80,8 @@
 
 // whole gives an answer that is not complete as an error, which the design maps
 // to its HTTP status.
-func whole(ctx context.Context, answer shed.Answer) (*pipelines.Answer, error) {
-	out := newAnswer(ctx, &answer)
+func whole(ctx context.Context, answer *shed.Answer) (*pipelines.Answer, error) {
+	out := newAnswer(ctx, answer)
 	if out.Status != statusComplete {
 		return nil, out
 	}
@@ -84,8 +90,8 @@
 
 const bearer = "Bearer "
 
-func newRequest(workspace string, token *string, pipeline string) shed.Request {
-	req := shed.Request{
+func newRequest(workspace string, token *string, pipeline string) *shed.Request {
+	req := &shed.Request{
 		Workspace: shed.WorkspaceID(workspace),
 		Pipeline:  shed.PipelineID(pipeline),
 	}
