--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -61,11 +61,11 @@
 
 // TLS names the files with keys and certificates.
 type TLS struct {
-	CallerCert string        `ini:"caller_cert" unit:"file" doc:"Certificate chain of the callers' listener, PEM."`
-	CallerKey  string        `ini:"caller_key" unit:"file" doc:"Its key, PEM."`
-	PeerCert   string        `ini:"peer_cert" unit:"file" doc:"Certificate chain towards peers, PEM."`
-	PeerKey    string        `ini:"peer_key" unit:"file" doc:"Its key, PEM."`
-	PeerCA     string        `ini:"peer_ca" unit:"file" doc:"Certificates that sign peers' certificates, PEM."`
+	CallerCert string        `ini:"caller_cert" unit:"file" check:"file,empty" doc:"Certificate chain of the callers' listener, PEM."`
+	CallerKey  string        `ini:"caller_key" unit:"file" check:"file,empty" doc:"Its key, PEM."`
+	PeerCert   string        `ini:"peer_cert" unit:"file" check:"file,empty" doc:"Certificate chain towards peers, PEM."`
+	PeerKey    string        `ini:"peer_key" unit:"file" check:"file,empty" doc:"Its key, PEM."`
+	PeerCA     string        `ini:"peer_ca" unit:"file" check:"file,empty" doc:"Certificates that sign peers' certificates, PEM."`
 	PeerName   string        `ini:"peer_name" unit:"name" check:"name" doc:"DNS name that the certificate of every peer carries."`
 	Reload     time.Duration `ini:"reload" unit:"duration" min:"1s" max:"24h" doc:"How often the files are looked at for a change."`
 }
@@ -73,7 +73,7 @@
 // Trace says where spans go.
 type Trace struct {
 	Exporter string  `ini:"exporter" unit:"none, file or otlp" check:"one_of=none file otlp" doc:"Where spans are sent."`
-	File     string  `ini:"file" unit:"file" doc:"File for the exporter file; JSON lines."`
+	File     string  `ini:"file" unit:"file" check:"file,empty" doc:"File for the exporter file; JSON lines."`
 	Endpoint string  `ini:"endpoint" unit:"URL" check:"url,empty" doc:"Collector for the exporter otlp, over HTTP."`
 	Ratio    float64 `ini:"ratio" unit:"0 to 1" min:"0" max:"1" doc:"Share of traces kept that start here."`
 }
--- a/internal/prefs/value.go
+++ b/internal/prefs/value.go
@@ -11,12 +11,17 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 var durationType = reflect.TypeOf(time.Duration(0))
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
+// oddCharacters mean something to INI itself; a value with one could not be
+// shown so that it reads back the same.
+var oddCharacters = regexp.MustCompile("[\\x00-\\x1f\\x7f\"'`;#\\\\]")
+
 // set writes text into the field after its checks.
 func (o *option) set(p *Prefs, text string) error {
 	f := o.field(p)
@@ -119,6 +124,9 @@
 	if text == "" && (o.empty || o.check == "") {
 		return nil
 	}
+	if oddCharacters.MatchString(text) || !utf8.ValidString(text) {
+		return fmt.Errorf("%q holds quotes, a backslash, ; # or characters that can't be printed", text)
+	}
 	name, arg, _ := strings.Cut(o.check, "=")
 	switch name {
 	case "address":
