--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -74,8 +74,8 @@
 	roundUnknown = 2
 	// relays is how many peers are asked to probe for it.
 	relays = 3
-	// contacts is how many processes of each other zone it knows.
-	contacts = 3
+	// contactsMax is how many processes of each other zone it knows.
+	contactsMax = 3
 	// gossipMax and syncMax bound the members in a message, in the normal case
 	// and to a peer whose view differs.
 	gossipMax = 5
@@ -139,7 +139,9 @@
 	// overruled: another process with a later incarnation runs on this VM.
 	overruled bool
 
+	// view and the contacts far are worked out anew if dirty.
 	view  View
+	far   []shed.VM
 	dirty bool
 }
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -56,10 +56,11 @@
 	for _, vm := range g.zonePeers() {
 		g.show(v, vm)
 	}
-	for _, vm := range g.farContacts() {
+	v.ids = g.zoneIDs()
+	g.far = g.contacts(v.ids)
+	for _, vm := range g.far {
 		g.show(v, vm)
 	}
-	v.ids = g.zoneIDs()
 	for _, z := range v.ids {
 		slices.SortFunc(v.zones[z], func(a, b shed.Peer) int { return compareVM(a.VM, b.VM) })
 		v.hash[z] = hashPeers(v.zones[z])
@@ -110,9 +111,15 @@
 	return d.Sum64()
 }
 
-// farContacts are the VMs that this process talks to in other zones. Each
-// process has others, by hash, so that no one is asked by all.
+// farContacts are the VMs that this process talks to in other zones.
 func (g *Group) farContacts() []shed.VM {
+	g.currentView()
+	return g.far
+}
+
+// contacts chooses them. Each process has others, by hash, so that no one is
+// asked by all.
+func (g *Group) contacts(zones []shed.ZoneID) []shed.VM {
 	byZone := map[shed.ZoneID][]shed.VM{}
 	for vm, e := range g.listed {
 		if e.Zone != g.cfg.Zone && !e.Leaving && g.members[vm] == nil && !g.isMute(vm) {
@@ -126,8 +133,8 @@
 		}
 	}
 	var out []shed.VM
-	for _, z := range g.zoneIDs() {
-		out = append(out, rank.Owners(string(g.self.Peer.VM), byZone[z], contacts)...)
+	for _, z := range zones {
+		out = append(out, rank.Owners(string(g.self.Peer.VM), byZone[z], contactsMax)...)
 	}
 	return out
 }
