flow: a request with a ticket runs on when its caller has gone

A connection that only went silent looks like a caller that left. The request was cancelled and its ticket used up, so the caller's repeat on another VM could be told no more than 'cancelled'. Now it runs on, bounded by its deadline.

--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -31,21 +31,28 @@
 	}
 }
 
-// callerGone cancels the request, unless a stage that must run at most once
-// may have run: then the end must become known for whoever repeats the
-// request.
+// callerGone cancels the request, unless it must run on.
 func (f *Flow) callerGone(now time.Time, id shed.RequestID) {
 	r := f.requests[id]
 	if r == nil {
 		return
 	}
-	if r.trail.Bound() && !f.off.runOnIfBound {
+	if f.runsOn(r) && !f.off.runOnIfBound {
 		r.gone = true
 		return
 	}
 	f.finish(now, r, trail.End{Cause: trail.CauseGone, Reason: shed.ReasonCallerGone})
 }
 
+// runsOn tells whether the request goes on without its caller. With a ticket
+// the caller is likely to come back by another way, as its connection may only
+// have gone silent, and a ticket starts once: cancelled, all that a repeat
+// could be told is that it was. And where a stage that must run at most once
+// may have run, its end must become known. The deadline bounds both.
+func (f *Flow) runsOn(r *request) bool {
+	return r.arrived.Ticketed || r.trail.Bound()
+}
+
 func (f *Flow) callEnded(now time.Time, e shed.CallEnded) {
 	r := f.live(e.Call, e.Server)
 	if r == nil {
@@ -101,7 +108,7 @@
 
 // recover decides what follows a call that gave no result.
 func (f *Flow) recover(now time.Time, r *request, e shed.CallEnded) {
-	if r.gone && !r.trail.Bound() {
+	if r.gone && !f.runsOn(r) {
 		f.finish(now, r, trail.End{Cause: trail.CauseGone, Reason: shed.ReasonCallerGone})
 		return
 	}
--- a/internal/flow/machine_test.go
+++ b/internal/flow/machine_test.go
@@ -113,6 +113,7 @@
 	a := arrived(shed.RequestID(fmt.Sprintf("r%d", w.next)), p)
 	a.Workspace = rapid.SampledFrom([]shed.WorkspaceID{"w1", "w2"}).Draw(w.t, "workspace")
 	a.Deadline = w.now.Add(budget)
+	a.Ticketed = rapid.Bool().Draw(w.t, "ticketed")
 	w.o.arrived(a, testRules().Pipelines[p])
 	w.handle(a)
 	if rapid.IntRange(0, 9).Draw(w.t, "twice") == 0 && w.o.requests[a.Request].finish == nil {
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -97,6 +97,21 @@
 	require.Equal(t, shed.OutcomeComplete, only[shed.Finish](acts)[0].Outcome)
 }
 
+// The caller's connection goes silent before anything was published, and it
+// comes back with the same ticket. Had the first connection's end cancelled the
+// request, the ticket would be used up and the caller be told only "cancelled".
+func TestTicketedRequestWaitsForItsCallersReturn(t *testing.T) {
+	f := newFlow(onServer("s1"))
+	a := arrived("r", "publish")
+	a.Ticketed = true
+	acts := f.Handle(start, a)
+	require.Empty(t, f.Handle(start, shed.CallerGone{Request: "r"}))
+	for range 3 {
+		acts = f.Handle(start, ended(only[shed.StartCall](acts)[0].Call, shed.EndComplete, 0))
+	}
+	require.Equal(t, shed.OutcomeComplete, only[shed.Finish](acts)[0].Outcome)
+}
+
 // The link breaks while the publication runs. It is told as unknown at once:
 // waiting could not tell more, and a repeat could publish twice.
 func TestBrokenPublicationIsUnknown(t *testing.T) {
