config: a late answer of the platform confirms nothing newer than the oldest read

Found by the state machine once platform answers could be late: go test -run StateMachine ./internal/config -rapid.seed=7 -rapid.checks=300 failed with 'calls an old revision fresh, node 1: 11, not 12' before, since answers were matched to reads one by one; passes after.

--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -23,8 +23,10 @@
 
 // reads is what the daemon knows of its reads of the platform.
 type reads struct {
-	// sent holds when each read without an answer left, oldest first.
-	sent []time.Time
+	// sent are the reads since there was last none without an answer, oldest
+	// first; at most maxReads. Answered counts the answers to them.
+	sent     []sentRead
+	answered int
 	// next is the earliest time of the next read.
 	next time.Time
 	// fails counts errors in a row.
@@ -42,28 +44,47 @@
 	alone bool
 }
 
-// wake drops the reads sent before a pause: they confirm nothing any more.
+// sentRead is a read that left.
+type sentRead struct {
+	at time.Time
+	// since is at, or zero if there was a pause after it: such a read confirms
+	// nothing, since clocks may have stood still.
+	since time.Time
+}
+
+// wake takes the worth from the reads sent before a pause.
 func (r *reads) wake(now time.Time) {
-	r.sent = nil
+	for i := range r.sent {
+		r.sent[i].since = time.Time{}
+	}
 	r.next = now
 }
 
-// answer gives the time at which the answered read left. Answers carry no
-// number, so each is taken for that of the oldest read: a wrong guess makes the
-// confirmation older than it is, never newer.
-func (r *reads) answer(now time.Time) (time.Time, bool) {
+// answer gives a time since which the answer may have been on its way.
+//
+// Answers carry no number, and a late one may come after that of a later read.
+// Were it taken for the later read's, an old revision would count as confirmed
+// just now. So every answer counts from the oldest read, until there were as
+// many answers as reads. Usually there is one read at a time, and nothing is
+// lost by it.
+func (r *reads) answer(now time.Time) (since time.Time, expected bool) {
 	r.forget(now)
 	if len(r.sent) == 0 {
 		return time.Time{}, false
 	}
-	sent := r.sent[0]
-	r.sent = r.sent[1:]
-	return sent, true
+	since = r.sent[0].since
+	r.answered++
+	if r.answered == len(r.sent) {
+		r.sent, r.answered = nil, 0
+	}
+	return since, true
 }
 
+// forget gives up on the answers once nothing was sent for so long that no
+// driver can still be waiting for one.
 func (r *reads) forget(now time.Time) {
-	for len(r.sent) > 0 && now.Sub(r.sent[0]) > readForget {
-		r.sent = r.sent[1:]
+	if n := len(r.sent); n > 0 && now.Sub(r.sent[n-1].at) > readForget {
+		r.sent, r.answered = nil, 0
 	}
 }
 
@@ -117,11 +138,11 @@
 	if s.held.rules == nil {
 		timeout = wholeTimeout
 	}
-	return now.Sub(s.reads.sent[len(s.reads.sent)-1]) < timeout
+	return now.Sub(s.reads.sent[len(s.reads.sent)-1].at) < timeout
 }
 
 func (s *State) send(now time.Time, wait time.Duration) []shed.Action {
-	s.reads.sent = append(s.reads.sent, now)
+	s.reads.sent = append(s.reads.sent, sentRead{now, now})
 	s.counts.Reads++
 	return []shed.Action{shed.ReadConfig{
 		After: max(s.held.index.Revision, s.reads.invalid),
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -37,6 +37,7 @@
 	delay    time.Duration
 	cut      map[[2]int]bool // zones that can't reach each other
 	noPlat   map[int]bool    // zones that can't reach the platform
+	late     time.Duration   // how long the platform's answers are on their way
 	reads    int
 	readings map[int64]int // reads by second
 	bytes    int
@@ -240,7 +241,7 @@
 func (s *sim) platform(n *node, a shed.ReadConfig) {
 	boots := n.boots
 	reply := func(ev shed.ConfigRead) {
-		s.after(s.latency(), func() {
+		s.after(s.latency()+s.late, func() {
 			if n.boots == boots {
 				s.give(n, ev)
 			}
@@ -276,7 +277,7 @@
 // contents counts a read for each part that the reader lacks.
 func (s *sim) contents(r revision, a shed.ReadConfig) shed.ConfigRead {
 	ev := shed.ConfigRead{Index: r.index, Parts: map[shed.PartHash][]byte{}}
-	if r.rev <= a.After {
+	if r.rev == a.After {
 		return ev
 	}
 	have := map[shed.PartHash]bool{}
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -90,7 +90,7 @@
 func (s *sim) step(t *rapid.T) {
 	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
 	zone := rapid.IntRange(0, s.zones-1).Draw(t, "zone")
-	switch rapid.IntRange(0, 11).Draw(t, "step") {
+	switch rapid.IntRange(0, 12).Draw(t, "step") {
 	case 0:
 		s.publish(true, 4)
 	case 1:
@@ -121,6 +121,8 @@
 		s.forge(n, to)
 	case 11:
 		s.corrupt = !s.corrupt
+	case 12:
+		s.late = time.Duration(rapid.IntRange(0, 6000).Draw(t, "late")) * time.Millisecond
 	}
 }
 
@@ -143,7 +145,7 @@
 	s.cut, s.noPlat = map[[2]int]bool{}, map[int]bool{}
 	s.loss, s.delay = 0, 2*time.Millisecond
 	s.setStale(false)
-	s.corrupt = false
+	s.corrupt, s.late = false, 0
 	for _, n := range s.nodes {
 		if n.paused {
 			s.wakeUp(n)
