--- a/pkg/client/repeat.go
+++ b/pkg/client/repeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
@@ -14,21 +15,22 @@
 		if err == nil || try >= c.cfg.Repeats {
 			return answer, err
 		}
-		pause, again := worthRepeating(err)
+		pause, again := worthRepeating(err, try)
 		if !again || !wait(ctx, pause) {
 			return answer, err
 		}
 	}
 }
 
-// brokenPause is the pause after a broken connection.
+// brokenPause is the pause after the first broken connection; each later one
+// doubles it.
 const brokenPause = 100 * time.Millisecond
 
 // worthRepeating tells whether a call may be made again, and after what pause.
-func worthRepeating(err error) (time.Duration, bool) {
+func worthRepeating(err error, try int) (time.Duration, bool) {
 	var broken *BrokenError
 	if errors.As(err, &broken) {
-		return brokenPause, true
+		return spread(brokenPause << min(try, maxDoublings)), true
 	}
 	var refused *AnswerError
 	if !errors.As(err, &refused) {
@@ -41,6 +43,14 @@
 	return time.Duration(a.RetryAfterMs) * time.Millisecond, true
 }
 
+// maxDoublings keeps the pause below a few seconds.
+const maxDoublings = 5
+
+// spread keeps callers that lost the same VM from coming back all at once.
+func spread(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause)
+}
+
 // wait is false if ctx ends, or would end, before the pause is over.
 func wait(ctx context.Context, pause time.Duration) bool {
 	if end, ok := ctx.Deadline(); ok && time.Until(end) <= pause {
