--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 )
@@ -16,6 +17,10 @@
 type Deps struct {
 	Out, Err io.Writer
 	In       io.Reader
+	// Terminal is true if a person watches Out.
+	Terminal bool
+	// Now is the clock.
+	Now func() time.Time
 	// Version of the program.
 	Version string
 	// SettingsPath is the flag --settings; empty for the defaults.
@@ -55,10 +60,22 @@
 func Main(version string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	d := &Deps{Out: os.Stdout, Err: os.Stderr, In: os.Stdin, Version: version}
+	d := &Deps{
+		Out:      os.Stdout,
+		Err:      os.Stderr,
+		In:       os.Stdin,
+		Terminal: isTerminal(os.Stdout),
+		Now:      time.Now,
+		Version:  version,
+	}
 	if err := NewRoot(d).ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintf(d.Err, "jasmineshed: %v\n", err)
 		return 1
 	}
 	return 0
 }
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/internal/cmds/request.go
+++ b/internal/cmds/request.go
@@ -1,11 +1,12 @@
 package cmds
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -24,7 +25,6 @@
 	work      client.Work
 	once      bool
 	quiet     bool
-	start     time.Time
 }
 
 func newRequestCommand(d *Deps) *cobra.Command {
@@ -42,7 +42,7 @@
 	f.Uint32Var(&r.work.MaxTokens, "max-tokens", 0, "bound on the tokens generated; 0 for none")
 	f.DurationVar(&r.work.Budget, "budget", 0, "time limit; 0 takes the pipeline's deadline")
 	f.BoolVar(&r.once, "once", false, "get a ticket and run the pipeline at most once")
-	f.BoolVar(&r.quiet, "quiet", false, "print only the text of the answer")
+	f.BoolVar(&r.quiet, "quiet", false, "print only the answer")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		if err := r.take(args); err != nil {
 			return err
@@ -75,16 +75,22 @@
 	if err != nil {
 		return err
 	}
-	r.start = time.Now()
-	var answer *client.Answer
-	if r.once {
-		answer, err = cl.RunOnce(c.Context(), r.work)
-	} else {
-		answer, err = cl.Stream(c.Context(), r.work, client.Events{})
+	show := newProgress(r.deps, r.quiet)
+	answer, err := r.call(c.Context(), cl, show)
+	var refused *client.AnswerError
+	if errors.As(err, &refused) {
+		show.refusal(refused.Answer)
+		return err
 	}
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(r.deps.Out, answer.Payload.Text)
-	return err
+	return show.answer(answer)
+}
+
+func (r *request) call(ctx context.Context, cl *client.Client, show *progress) (*client.Answer, error) {
+	if r.once {
+		return cl.RunOnce(ctx, r.work)
+	}
+	return cl.Stream(ctx, r.work, show.events())
 }
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -21,7 +21,7 @@
 		Use:   "settings",
 		Short: "Show or check the settings of a daemon",
 	}
-	c.AddCommand(newSettingsShowCommand(d), newSettingsCheckCommand(d))
+	c.AddCommand(newSettingsShowCommand(d), newSettingsCheckCommand(d), newSettingsDocsCommand(d))
 	return c
 }
 
@@ -54,3 +54,14 @@
 		},
 	}
 }
+
+func newSettingsDocsCommand(d *Deps) *cobra.Command {
+	return &cobra.Command{
+		Use:   "docs",
+		Short: "Print the page on all settings",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return prefs.WriteDocs(d.Out)
+		},
+	}
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
@@ -30,6 +31,9 @@
 	TLS     *tls.Config
 	Handler http.Handler
 	Limits  prefs.Limits
+	// Call bounds one whole call, body and answer, where these are short; 0 for
+	// a handler that sets its own deadlines.
+	Call time.Duration
 	// Drain bounds how long Serve waits for requests in flight at its end.
 	Drain time.Duration
 	Log   logrus.FieldLogger
@@ -48,6 +52,8 @@
 		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
 		ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
 		IdleTimeout:       cfg.Limits.IdleTimeout,
+		ReadTimeout:       cfg.Call,
+		WriteTimeout:      cfg.Call,
 		ErrorLog:          log.New(logWriter{cfg.Log}, "", 0),
 	}}
 }
@@ -76,7 +82,10 @@
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
-		return fmt.Errorf("%s listener: %w", s.cfg.Name, err)
+		// The listener can't be opened again from here; a restart would fail for
+		// ever while the VM looks alive. So the whole process stops gracefully,
+		// and the platform replaces it.
+		return fmt.Errorf("%s listener: %w: %w", s.cfg.Name, err, suture.ErrTerminateSupervisorTree)
 	})
 	g.Go(func() error {
 		select {
--- /dev/null
+++ b/internal/httpd/listen.go
@@ -0,0 +1,58 @@
+package httpd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Probes of an idle connection: with these, one whose other end is lost is
+// closed after about a quarter of a minute.
+const (
+	probeIdle  = 5 * time.Second
+	probeEvery = 3 * time.Second
+	probeCount = 3
+)
+
+// KeepAlive are the probes for connections of the system.
+var KeepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     probeIdle,
+	Interval: probeEvery,
+	Count:    probeCount,
+}
+
+// Listen opens a TCP listener at address ("ip:port"). A connection on which
+// bytes stay unacknowledged for silence is closed by the kernel.
+//
+// Without that, writes to a caller that is lost without a word go on well for
+// minutes, since the kernel keeps them to send again; the request would hold its
+// place on an engine for nobody. Probes don't help there: they are sent only
+// while nothing is unacknowledged.
+func Listen(ctx context.Context, address string, silence time.Duration) (net.Listener, error) {
+	lc := net.ListenConfig{
+		KeepAliveConfig: KeepAlive,
+		// Accepted connections inherit the option.
+		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, silence) },
+	}
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("opening a listener: %w", err)
+	}
+	return l, nil
+}
+
+func setUserTimeout(c syscall.RawConn, silence time.Duration) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -52,6 +52,9 @@
 // drainTime is how long operators' calls may last after the stop.
 const drainTime = 2 * time.Second
 
+// callTime bounds one call; a profile takes half a minute unless asked else.
+const callTime = time.Minute
+
 // New builds the listener's server; nothing runs before Serve.
 func New(cfg Config) *Oper {
 	o := &Oper{cfg: cfg}
@@ -60,6 +63,7 @@
 		Listener: cfg.Listener,
 		Handler:  o.handler(),
 		Limits:   cfg.Limits,
+		Call:     callTime,
 		Drain:    drainTime,
 		Log:      cfg.Log,
 	})
--- a/internal/prefs/prefs_test.go
+++ b/internal/prefs/prefs_test.go
@@ -80,7 +80,7 @@
 }
 
 func faultsOf(err error) []string {
-	joined, ok := err.(interface{ Unwrap() []error }) //nolint:errorlint // Join's own type is what is looked for
+	joined, ok := err.(interface{ Unwrap() []error })
 	if !ok {
 		return nil
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -68,7 +68,18 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := net.Dialer{Timeout: 2 * time.Second}
+	dialer := net.Dialer{
+		Timeout: 2 * time.Second,
+		// A whole answer may take seconds during which nothing is sent. These
+		// probes tell a slow answer from a connection that something between
+		// has lost track of.
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     5 * time.Second,
+			Interval: 3 * time.Second,
+			Count:    3,
+		},
+	}
 	return &http.Transport{
 		Proxy:                 http.ProxyFromEnvironment,
 		DialContext:           dialer.DialContext,
