--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -81,7 +81,9 @@
 	if a.Trace != "" {
 		out.TraceID = text(a.Trace)
 	}
-	out.Payload = newOutput(&a.Payload)
+	if a.Outcome == shed.OutcomeComplete {
+		out.Payload = newOutput(&a.Payload)
+	}
 	return out
 }
 
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -12,12 +12,16 @@
 // counts are the listener's metrics. Tally builds a map for each tagged scope,
 // so the scopes are kept by route and status.
 type counts struct {
-	scope  tally.Scope
-	events tally.Counter
-	mu     sync.Mutex
-	routes map[routeKey]*routeCounts
+	scope    tally.Scope
+	events   tally.Counter
+	inFlight tally.Gauge
+	mu       sync.Mutex
+	routes   map[routeKey]*routeCounts
+	answers  map[answerKey]tally.Counter
 }
 
+type answerKey struct{ outcome, reason string }
+
 type routeKey struct {
 	route string
 	code  int
@@ -34,9 +38,11 @@
 func newCounts(scope tally.Scope) *counts {
 	sub := scope.SubScope("front")
 	return &counts{
-		scope:  sub,
-		events: sub.Counter("events"),
-		routes: map[routeKey]*routeCounts{},
+		scope:    sub,
+		events:   sub.Counter("events"),
+		inFlight: sub.Gauge("in_flight"),
+		routes:   map[routeKey]*routeCounts{},
+		answers:  map[answerKey]tally.Counter{},
 	}
 }
 
@@ -61,3 +67,18 @@
 	}
 	return rc
 }
+
+// answered counts an answer by its outcome and reason, which are both from
+// closed sets.
+func (c *counts) answered(outcome, reason string) {
+	key := answerKey{outcome: outcome, reason: reason}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counter := c.answers[key]
+	if counter == nil {
+		tags := map[string]string{"outcome": outcome, "reason": reason}
+		counter = c.scope.Tagged(tags).Counter("answers")
+		c.answers[key] = counter
+	}
+	counter.Inc(1)
+}
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -127,8 +126,7 @@
 
 // finish ends the stream with its answer. A refusal before the first event is
 // returned, and so gets an HTTP status of its own.
-func (e *events) finish(ctx context.Context, answer *shed.Answer) error {
-	out := newAnswer(ctx, answer)
+func (e *events) finish(out *pipelines.Answer) error {
 	data, err := json.Marshal(pipehttp.NewRunResponseBody(out))
 	if err != nil {
 		return fmt.Errorf("writing the answer: %w", err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,13 +73,14 @@
 
 func (f *Front) newHandler() http.Handler {
 	mux := goahttp.NewMuxer()
-	svc := &service{serving: f.cfg.Serving, beat: f.cfg.Limits.Beat}
+	count := newCounts(f.cfg.Scope)
+	svc := &service{serving: f.cfg.Serving, beat: f.cfg.Limits.Beat, count: count}
 	pipes := pipehttp.New(pipelines.NewEndpoints(svc), mux, newDecoder, newEncoder, f.logEncoding, format)
 	probes := healthhttp.New(health.NewEndpoints(svc), mux, newDecoder, newEncoder, f.logEncoding, nil)
 	nowhere(mux)
 	pipehttp.Mount(mux, pipes)
 	healthhttp.Mount(mux, probes)
-	return newGuard(f.cfg, mux)
+	return newGuard(f.cfg, count, mux)
 }
 
 // nowhere answers calls without a route in the same form as all others.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
@@ -267,3 +269,21 @@
 	require.Equal(t, "0af7651916cd43dd8448eb211c80319c", span.SpanContext().TraceID().String())
 	require.Equal(t, "0af7651916cd43dd8448eb211c80319c", *bodyOf(t, w).TraceID)
 }
+
+func TestRefusalsAreCountedAndOnTheSpan(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	scope := tally.NewTestScope("", nil)
+	fin := notRun(shed.ReasonNotAllowed, 0)
+	fin.Rule = shed.Origin{Line: 12}
+	f := newTestFront(finished(fin), func(cfg *Config) {
+		cfg.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans))
+		cfg.Scope = scope
+	})
+	record(f, newCall("POST", runPath, `{"input":"x"}`))
+	counters := scope.Snapshot().Counters()
+	require.Contains(t, counters, "front.answers+outcome=not_run,reason=pipeline_not_allowed")
+	require.Contains(t, counters, "front.requests+code=403,route=POST /v1/pipelines/{pipeline}/requests")
+	require.Equal(t, 0.0, scope.Snapshot().Gauges()["front.in_flight+"].Value())
+	require.Contains(t, spans.Ended()[0].Attributes(), attribute.String("reason", "pipeline_not_allowed"))
+	require.Contains(t, spans.Ended()[0].Attributes(), attribute.Int("rule.line", 12))
+}
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	shed "jasmineshed"
@@ -22,12 +23,12 @@
 	flying atomic.Int64
 }
 
-func newGuard(cfg Config, next http.Handler) *guard {
+func newGuard(cfg Config, count *counts, next http.Handler) *guard {
 	return &guard{
 		cfg:    cfg,
 		next:   next,
 		tracer: cfg.Tracer.Tracer("jasmineshed/front"),
-		count:  newCounts(cfg.Scope),
+		count:  count,
 	}
 }
 
@@ -59,6 +60,9 @@
 func (g *guard) ended(w *timedWriter, r *http.Request, span trace.Span, start time.Time) {
 	span.SetName(spanName(r))
 	span.SetAttributes(attribute.Int("http.response.status_code", w.code))
+	if w.code >= http.StatusInternalServerError {
+		span.SetStatus(codes.Error, http.StatusText(w.code))
+	}
 	span.End()
 	g.count.ended(r, w, time.Since(start))
 }
@@ -66,18 +70,24 @@
 // pass counts the call among those in flight and bounds its body.
 func (g *guard) pass(w *timedWriter, r *http.Request) {
 	flying := g.flying.Add(1)
-	defer g.flying.Add(-1)
+	defer g.landed()
+	g.count.inFlight.Update(float64(flying))
 	if flying > int64(g.cfg.Limits.Streams) {
-		refuse(w, r, shed.Finish{Outcome: shed.OutcomeNotRun, Reason: reasonStreams})
+		g.refuse(w, r, shed.Finish{Outcome: shed.OutcomeNotRun, Reason: reasonStreams})
 		return
 	}
 	r.Body = newTimedBody(w, r.Body, &g.cfg.Limits)
 	g.next.ServeHTTP(w, r)
 }
 
+func (g *guard) landed() {
+	g.count.inFlight.Update(float64(g.flying.Add(-1)))
+}
+
 // refuse answers 503 without going through goa.
-func refuse(w http.ResponseWriter, r *http.Request, fin shed.Finish) {
+func (g *guard) refuse(w http.ResponseWriter, r *http.Request, fin shed.Finish) {
 	a := newRefusal(r.Context(), &fin)
+	g.count.answered(a.Outcome, string(fin.Reason))
 	enc := newEncoder(r.Context(), w)
 	w.Header().Set("Retry-After", strconv.Itoa(*a.RetryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -5,6 +5,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	shed "jasmineshed"
 	"jasmineshed/internal/gen/health"
 	"jasmineshed/internal/gen/pipelines"
@@ -14,13 +17,14 @@
 type service struct {
 	serving shed.Serving
 	beat    time.Duration
+	count   *counts
 }
 
 // Run answers with the whole result.
 func (s *service) Run(ctx context.Context, p *pipelines.RunPayload) (*pipelines.Answer, error) {
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(ctx, s.serve(ctx, req, nil))
+	return s.whole(ctx, s.serve(ctx, req, nil))
 }
 
 // Stream answers with events.
@@ -28,8 +32,8 @@
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
 	events := newEvents(stream, s.beat)
-	answer := s.serve(ctx, req, events.update)
-	return events.finish(ctx, answer)
+	answer := s.answer(ctx, s.serve(ctx, req, events.update))
+	return events.finish(answer)
 }
 
 func (s *service) serve(ctx context.Context, req *shed.Request, update func(shed.Update)) *shed.Answer {
@@ -41,7 +45,7 @@
 func (s *service) Issue(ctx context.Context, p *pipelines.IssuePayload) (*pipelines.Ticket, error) {
 	ticket, refusal := s.serving.Issue(ctx, *newRequest(p.Workspace, p.Token, p.Pipeline))
 	if refusal != nil {
-		return nil, newRefusal(ctx, refusal)
+		return nil, s.answer(ctx, &shed.Answer{Finish: *refusal})
 	}
 	return &pipelines.Ticket{
 		RequestID:   string(ticket.ID),
@@ -54,7 +58,7 @@
 	req := newRequest(p.Workspace, p.Token, p.Pipeline)
 	req.ID = shed.RequestID(p.RequestID)
 	addWork(req, p.Input, p.MaxTokens, p.BudgetMs)
-	return whole(ctx, s.serve(ctx, req, nil))
+	return s.whole(ctx, s.serve(ctx, req, nil))
 }
 
 // Result answers with what a ticketed request came to.
@@ -62,7 +66,7 @@
 	req := newRequest(p.Workspace, p.Token, "")
 	req.ID = shed.RequestID(p.RequestID)
 	answer := s.serving.Result(ctx, *req)
-	return whole(ctx, &answer)
+	return s.whole(ctx, &answer)
 }
 
 // Live tells that the process answers at all.
@@ -80,14 +84,27 @@
 
 // whole gives an answer that is not complete as an error, which the design maps
 // to its HTTP status.
-func whole(ctx context.Context, answer *shed.Answer) (*pipelines.Answer, error) {
-	out := newAnswer(ctx, answer)
+func (s *service) whole(ctx context.Context, answer *shed.Answer) (*pipelines.Answer, error) {
+	out := s.answer(ctx, answer)
 	if out.Status != statusComplete {
 		return nil, out
 	}
 	return out, nil
 }
 
+// answer notes how the call ended on its span and in the counts.
+func (s *service) answer(ctx context.Context, answer *shed.Answer) *pipelines.Answer {
+	out := newAnswer(ctx, answer)
+	s.count.answered(out.Outcome, string(answer.Reason))
+	trace.SpanFromContext(ctx).SetAttributes(
+		attribute.String("request", string(answer.Request)),
+		attribute.String("outcome", out.Outcome),
+		attribute.String("reason", string(answer.Reason)),
+		attribute.Int("rule.line", answer.Rule.Line),
+	)
+	return out
+}
+
 const bearer = "Bearer "
 
 func newRequest(workspace string, token *string, pipeline string) *shed.Request {
