--- a/internal/design/design.go
+++ b/internal/design/design.go
@@ -83,6 +83,10 @@
 	Required("status")
 })
 
+// requestPattern is longer: a ticket's id holds the address of its home, which
+// may be one of IPv6.
+const requestPattern = `^[A-Za-z0-9._-]{1,128}$`
+
 func credentials() {
 	Attribute("workspace", String, func() { Pattern(idPattern) })
 	Attribute("token", String, "Authorization: Bearer TOKEN")
@@ -100,7 +104,7 @@
 }
 
 func idAttribute() {
-	Attribute("request_id", String, "The ticket's id.", func() { Pattern(idPattern) })
+	Attribute("request_id", String, "The ticket's id.", func() { Pattern(requestPattern) })
 	Required("request_id")
 }
 
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -25,17 +25,6 @@
 	statusDeadline        = "deadline_exceeded"
 )
 
-// outcomes are the names of the closed set.
-var outcomes = map[shed.Outcome]string{
-	shed.OutcomeComplete:  "complete",
-	shed.OutcomeNotRun:    "not_run",
-	shed.OutcomeRefused:   "refused",
-	shed.OutcomeUnknown:   "outcome_unknown",
-	shed.OutcomeFailed:    "failed",
-	shed.OutcomeDeadline:  "deadline_exceeded",
-	shed.OutcomeCancelled: "cancelled",
-}
-
 // callerFaults are the reasons that the caller has to mend; coming back later
 // won't help.
 var callerFaults = map[shed.Reason]string{
@@ -91,7 +80,7 @@
 func newRefusal(ctx context.Context, fin *shed.Finish) *pipelines.Answer {
 	out := &pipelines.Answer{
 		Status:    status(fin),
-		Outcome:   outcomes[fin.Outcome],
+		Outcome:   fin.Outcome.String(),
 		Reason:    text(string(fin.Reason)),
 		Message:   text(message(fin)),
 		RequestID: text(string(fin.Request)),
--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -28,7 +28,7 @@
 
 // format turns what goa says of a bad call into the one body that callers have
 // to know.
-func format(_ context.Context, err error) goahttp.Statuser { //nolint:misspell // goa calls it so
+func format(_ context.Context, err error) goahttp.Statuser {
 	var answer *pipelines.Answer
 	if errors.As(err, &answer) {
 		return newFault(answer, http.StatusInternalServerError)
@@ -54,7 +54,7 @@
 func badCall(status, message string) *pipelines.Answer {
 	return &pipelines.Answer{
 		Status:  status,
-		Outcome: outcomes[shed.OutcomeNotRun],
+		Outcome: shed.OutcomeNotRun.String(),
 		Reason:  text(string(reasonBadRequest)),
 		Message: text(message),
 	}
--- a/internal/gen/http/pipelines/client/cli.go
+++ b/internal/gen/http/pipelines/client/cli.go
@@ -197,7 +197,7 @@
 	var requestID string
 	{
 		requestID = pipelinesOnceRequestID
-		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,128}$"))
 		if err != nil {
 			return nil, err
 		}
@@ -236,7 +236,7 @@
 	var requestID string
 	{
 		requestID = pipelinesResultRequestID
-		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,128}$"))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/gen/http/pipelines/server/encode_decode.go
+++ b/internal/gen/http/pipelines/server/encode_decode.go
@@ -743,7 +743,7 @@
 			params = mux.Vars(r)
 		)
 		requestID = params["request_id"]
-		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,128}$"))
 		workspace = r.Header.Get("X-Workspace")
 		if workspace == "" {
 			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
@@ -952,7 +952,7 @@
 			params = mux.Vars(r)
 		)
 		requestID = params["request_id"]
-		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,64}$"))
+		err = goa.MergeErrors(err, goa.ValidatePattern("request_id", requestID, "^[A-Za-z0-9._-]{1,128}$"))
 		workspace = r.Header.Get("X-Workspace")
 		if workspace == "" {
 			err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "header"))
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -93,8 +93,9 @@
 	o.write(w, http.StatusOK, o.cfg.Status.Status())
 }
 
-// idPattern is checked before an id from outside is used.
-var idPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+// idPattern is checked before an id from outside is used. It is that of the
+// callers' interface.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
 
 func (o *Oper) explain(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("request")
