--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -41,6 +41,9 @@
 	if !g.cfg.Serving.Ready() {
 		tw.Header().Set("Connection", "close")
 	}
+	// The body is bounded on every path: net/http reads what a handler left of
+	// it before it writes the answer, and would wait for it for good.
+	r.Body = newTimedBody(tw, r.Body, &g.cfg.Limits)
 	if isProbe(r) {
 		g.next.ServeHTTP(tw, r)
 		return
@@ -67,7 +70,7 @@
 	g.count.ended(r, w, time.Since(start))
 }
 
-// pass counts the call among those in flight and bounds its body.
+// pass counts the call among those in flight, and refuses one too many.
 func (g *guard) pass(w *timedWriter, r *http.Request) {
 	flying := g.flying.Add(1)
 	defer g.landed()
@@ -76,7 +79,6 @@
 		g.refuse(w, r, shed.Finish{Outcome: shed.OutcomeNotRun, Reason: reasonStreams})
 		return
 	}
-	r.Body = newTimedBody(w, r.Body, &g.cfg.Limits)
 	g.next.ServeHTTP(w, r)
 }
 
--- a/internal/front/wire_test.go
+++ b/internal/front/wire_test.go
@@ -65,23 +65,57 @@
 }
 
 // The caller opens a call and never sends its whole body. It gets an answer
-// after the body's time limit, so that the connection is not held for good.
+// after the body's time limit on every path, so that the connection is not held
+// for good: net/http waits for the rest of a body also where a handler has
+// answered without reading it.
 func TestBodyThatNeverEnds(t *testing.T) {
+	cases := []struct {
+		name, line string
+		streams    int
+		code       int
+	}{
+		{"run", "POST " + runPath, 1, 400},
+		{"refused as one too many", "POST " + runPath, 0, 503},
+		{"probe", "GET /readyz", 1, 200},
+		{"no such path", "POST /v2", 1, 404},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serving := finished(complete)
+				r := run(t, serving, func(cfg *Config) { cfg.Limits.Streams = tc.streams })
+				start := time.Now()
+				code := raw(t, r, tc.line+" HTTP/1.1\r\nHost: front\r\nX-Workspace: weer\r\nContent-Length: 50\r\n\r\n{")
+				require.Equal(t, tc.code, code)
+				require.Equal(t, 5*time.Second, time.Since(start))
+				require.Empty(t, serving.seen)
+			})
+		})
+	}
+}
+
+// raw writes text on a new connection and gives the status that comes back, or
+// 0 if the connection is closed without one.
+func raw(t *testing.T, r *running, text string) int {
+	conn, err := r.pipes.dial(t.Context(), "", "")
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode
+}
+
+func TestHeaderThatNeverEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		serving := finished(complete)
-		r := run(t, serving, nil)
-		conn, err := r.pipes.dial(t.Context(), "", "")
-		require.NoError(t, err)
-		_, err = io.WriteString(conn, "POST "+runPath+" HTTP/1.1\r\nHost: front\r\nX-Workspace: weer\r\nContent-Length: 50\r\n\r\n{")
-		require.NoError(t, err)
+		r := run(t, finished(complete), nil)
 		start := time.Now()
-		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		require.NoError(t, err)
-		require.Equal(t, 400, res.StatusCode)
-		require.Equal(t, 10*time.Second, time.Since(start))
-		require.NoError(t, res.Body.Close())
-		require.NoError(t, conn.Close())
-		require.Empty(t, serving.seen)
+		require.Equal(t, 0, raw(t, r, "POST "+runPath+" HTTP/1.1\r\nHost: fr"))
+		require.Equal(t, 5*time.Second, time.Since(start))
 	})
 }
 
--- a/internal/prefs/parse.go
+++ b/internal/prefs/parse.go
@@ -111,6 +111,9 @@
 	if slices.Contains(peer, "") && strings.Join(peer, "") != "" {
 		fault("tls", "peer_cert", "peer_cert, peer_key and peer_ca go together")
 	}
+	if p.Limits.BodyTimeout >= p.Limits.WriteTimeout {
+		fault("limits", "body_timeout", "has to be below write_timeout")
+	}
 	if p.Trace.Exporter == "file" && p.Trace.File == "" {
 		fault("trace", "file", "needed for the exporter file")
 	}
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -50,7 +50,7 @@
 	Connections    int           `ini:"connections" unit:"count" min:"1" max:"1000000" doc:"Most connections open at once on one listener; more wait to be accepted."`
 	Streams        int           `ini:"streams" unit:"count" min:"1" max:"1000000" doc:"Most callers' requests in flight at once; more are refused as not run."`
 	HeaderTimeout  time.Duration `ini:"header_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Longest time for reading a call's header."`
-	BodyTimeout    time.Duration `ini:"body_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Longest time for reading a call's body."`
+	BodyTimeout    time.Duration `ini:"body_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Longest time for reading a call's body; below write_timeout, so that a caller that is too slow is still told."`
 	WriteTimeout   time.Duration `ini:"write_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Longest time that one write to a caller may block."`
 	IdleTimeout    time.Duration `ini:"idle_timeout" unit:"duration" min:"10ms" max:"1h" doc:"How long an unused connection is kept."`
 	Beat           time.Duration `ini:"beat" unit:"duration" min:"10ms" max:"10m" doc:"A stream that has nothing to say sends a beat this often."`
@@ -110,7 +110,7 @@
 			Connections:    10000,
 			Streams:        8000,
 			HeaderTimeout:  5 * time.Second,
-			BodyTimeout:    10 * time.Second,
+			BodyTimeout:    5 * time.Second,
 			WriteTimeout:   10 * time.Second,
 			IdleTimeout:    2 * time.Minute,
 			Beat:           time.Second,
--- a/internal/prefs/prefs_test.go
+++ b/internal/prefs/prefs_test.go
@@ -67,6 +67,7 @@
 		{"nowhere to be reached", "[node]\npeer = 0.0.0.0:7401\n", []string{"[node] advertise: needed, since peer names no address that others can reach"}},
 		{"key without certificate", "[tls]\ncaller_key = k\n", []string{"[tls] caller_cert: caller_cert and caller_key go together"}},
 		{"peer key alone", "[tls]\npeer_key = k\n", []string{"[tls] peer_cert: peer_cert, peer_key and peer_ca go together"}},
+		{"body as slow as writes", "[limits]\nbody_timeout = 10s\n", []string{"[limits] body_timeout: has to be below write_timeout"}},
 		{"traces into no file", "[trace]\nexporter = file\n", []string{"[trace] file: needed for the exporter file"}},
 		{"traces to nowhere", "[trace]\nexporter = otlp\n", []string{"[trace] endpoint: needed for the exporter otlp"}},
 	}
--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -100,7 +101,13 @@
 	return checked(&answer)
 }
 
+// errNoOutcome is for a body that is JSON, but no answer.
+var errNoOutcome = errors.New("an answer without an outcome")
+
 func checked(a *Answer) (*Answer, error) {
+	if a.Outcome == "" {
+		return nil, &BrokenError{Sent: true, Err: errNoOutcome}
+	}
 	if a.Outcome != Complete {
 		return nil, &AnswerError{Answer: a}
 	}
@@ -126,7 +133,7 @@
 		return err
 	}
 	if answer.Outcome == "" {
-		return &BrokenError{Sent: true, Err: fmt.Errorf("%s without an answer", res.Status)}
+		return &BrokenError{Sent: true, Err: fmt.Errorf("%s: %w", res.Status, errNoOutcome)}
 	}
 	return &AnswerError{Answer: &answer}
 }
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -64,6 +64,7 @@
 		{"not run, then complete", []step{says(503, notRun), says(200, done)}, []string{a, b}, nil},
 		{"broken, then complete", []step{breaks, says(200, done)}, []string{a, b}, nil},
 		{"half an answer, then complete", []step{says(200, done[:20]), says(200, done)}, []string{a, b}, nil},
+		{"no answer at all, then complete", []step{says(200, `null`), says(200, done)}, []string{a, b}, nil},
 		{"not allowed", []step{says(403, denied)}, []string{a}, ErrNotRun},
 		{"unknown", []step{says(409, unknown)}, []string{a}, ErrUnknown},
 		{"failed", []step{says(502, `{"outcome":"failed"}`)}, []string{a}, ErrFailed},
@@ -235,3 +236,24 @@
 	require.Empty(t, req.Header.Get("Idempotency-Key"))
 	require.Equal(t, int64(len(`{"input":"x"}`)), req.ContentLength)
 }
+
+// Whatever a fleet, or what stands between, sends as a stream: only an event
+// with an answer ends it well.
+func FuzzStream(f *testing.F) {
+	f.Add(events)
+	f.Add("event: answer\ndata: " + done + "\n\n")
+	f.Add("event: answer\ndata: {\"outcome\":7}\n\n")
+	f.Add("data: {}\n\nevent: text\n\nevent: answer\r\ndata: null\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		told := false
+		s := stream{told: &told, heard: func() {}}
+		answer, err := s.read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		require.Contains(t, text, "event: answer")
+		if answer, err = checked(answer); err == nil {
+			require.Equal(t, Complete, answer.Outcome)
+		}
+	})
+}
