--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -45,6 +46,8 @@
 	OrderTimeout time.Duration
 	// OrderToken goes with each order, for servers that check who gives it.
 	OrderToken string
+	// TLS is used for https addresses; nil takes the system's roots.
+	TLS *tls.Config
 }
 
 // Engine talks to backend servers. It is safe for use by many goroutines.
@@ -91,6 +94,7 @@
 	http1.SetHTTP1(true)
 	return &http.Transport{
 		DialContext:            dialer(cfg),
+		TLSClientConfig:        cfg.TLS,
 		TLSHandshakeTimeout:    cfg.ConnectTimeout,
 		Protocols:              &http1,
 		MaxIdleConnsPerHost:    maxIdle,
--- a/internal/engine/fault_test.go
+++ b/internal/engine/fault_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -289,3 +290,48 @@
 	require.ErrorIs(t, err, engine.ErrRefused)
 	require.NoError(t, stranger.Close())
 }
+
+// The caller's deadline passes in the middle of a generation. The call ends at
+// that moment, and so does the work at the engine.
+func TestDeadlinePasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := stand.NewEngine(stand.EngineConfig{ID: "s1", TokenTime: 50 * time.Millisecond})
+		b := newBench(t, eng)
+		start := startOf(benchURL, shed.KindGenerate)
+		began := time.Now()
+		start.Deadline = began.Add(time.Second)
+		end := b.engine.Call(t.Context(), start, shed.Payload{Input: "x"}, ignore)
+		require.Equal(t, shed.EndCancelled, end.End)
+		require.Equal(t, shed.ReasonDeadline, end.Reason)
+		require.Equal(t, time.Second, time.Since(began))
+		synctest.Wait()
+		require.Zero(t, eng.Running())
+		b.close(t)
+	})
+}
+
+// A call over TLS: the handshake's bytes don't count as the call's, and a
+// connection that breaks after the request counts as one that may have run.
+func TestOverTLS(t *testing.T) {
+	eng := stand.NewEngine(stand.EngineConfig{ID: "s1"})
+	var cut atomic.Bool
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		eng.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	e := engine.New(engine.Config{TLS: s.Client().Transport.(*http.Transport).TLSClientConfig})
+	defer func() { require.NoError(t, e.Close()) }()
+	start := startOf(s.URL, shed.KindEncode)
+	end := e.Call(t.Context(), start, shed.Payload{Input: "x"}, ignore)
+	require.Equal(t, shed.EndComplete, end.End, end.Reason)
+	start.Until = time.Now().Add(-time.Second)
+	end = e.Call(t.Context(), start, shed.Payload{Input: "x"}, ignore)
+	require.Equal(t, shed.EndNotStarted, end.End)
+	start.Until = time.Time{}
+	cut.Store(true)
+	end = e.Call(t.Context(), start, shed.Payload{Input: "x"}, ignore)
+	require.Equal(t, shed.EndBroken, end.End)
+}
