--- a/internal/engine/fuzz_test.go
+++ b/internal/engine/fuzz_test.go
@@ -153,3 +153,33 @@
 	}
 	b.ReportMetric(float64(b.N*tokens)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+func TestReplyEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  shed.StageKind
+		reply string
+		want  shed.CallEnd
+	}{
+		{"vector", shed.KindEncode, `{"data":[{"embedding":[0.5]}]}`, shed.EndComplete},
+		{"no vector", shed.KindEncode, `{"data":[]}`, shed.EndBadReply},
+		{"empty vector", shed.KindEncode, `{"data":[{"embedding":[]}]}`, shed.EndBadReply},
+		{"passages", shed.KindRetrieve, `{"passages":[]}`, shed.EndComplete},
+		{"no passages", shed.KindRetrieve, `{}`, shed.EndBadReply},
+		{"ranks", shed.KindRerank, `{"results":[{"index":1},{"index":0}]}`, shed.EndComplete},
+		{"rank doubled", shed.KindRerank, `{"results":[{"index":1},{"index":1}]}`, shed.EndBadReply},
+		{"rank lost", shed.KindRerank, `{"results":[{"index":1}]}`, shed.EndBadReply},
+		{"rank of nothing", shed.KindRerank, `{"results":[{"index":2},{"index":0}]}`, shed.EndBadReply},
+		{"receipt", shed.KindService, `{"receipt":"r"}`, shed.EndComplete},
+		{"no receipt", shed.KindService, `{"receipt":""}`, shed.EndBadReply},
+		{"too large", shed.KindService, strings.Repeat(" ", maxReply+1), shed.EndBadReply},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ca := callOf(c.kind, func(shed.Frame) error { return nil })
+			ca.in.Passages = []shed.Passage{{ID: "a"}, {ID: "b"}}
+			end := ca.answer(context.Background(), strings.NewReader(c.reply))
+			require.Equal(t, c.want, end.End)
+		})
+	}
+}
