--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -89,8 +89,11 @@
 	flags.BoolVar(&cfg.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
 	flags.StringVar(&cfg.OrderToken, "order-token", "", "token that orders must carry")
 	flags.StringVar(&cfg.Model, "model", "", "model loaded at the start, model@version")
+	flags.StringVar(&cfg.Role, "role", "", "role at the start")
+	flags.Uint64Var(&cfg.Done, "done", 0, "calls completed before the start")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return serve(cmd.Context(), *addr, stand.NewEngine(cfg), Started{Kind: cmd.Use}, stdout)
+		e := stand.NewEngine(cfg)
+		return serve(cmd.Context(), *addr, withRuns(e, &e.Record), Started{Kind: cmd.Use}, stdout)
 	}
 	return cmd
 }
@@ -101,17 +104,35 @@
 	id := flags.String("id", "service", "the server's id")
 	capacity := flags.Int("capacity", 0, "calls at once; 0 means 8")
 	callTime := flags.Duration("call-time", 10*time.Millisecond, "time of a call")
+	done := flags.Uint64("done", 0, "calls completed before the start")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		s := stand.NewService(stand.ServiceConfig{
 			ID:       shed.ServerID(*id),
 			Capacity: *capacity,
 			CallTime: *callTime,
+			Done:     *done,
 		})
-		return serve(cmd.Context(), *addr, s, Started{Kind: cmd.Use}, stdout)
+		return serve(cmd.Context(), *addr, withRuns(s, &s.Record), Started{Kind: cmd.Use}, stdout)
 	}
 	return cmd
 }
 
+// PathRuns is where an engine or a service tells what it has run, as a JSON
+// array of stand.Run.
+const PathRuns = "/admin/runs"
+
+// withRuns serves the record beside the stand-in.
+func withRuns(h http.Handler, record *stand.Record) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// The caller may be gone; the record stays for the next one.
+		_ = json.NewEncoder(w).Encode(record.Runs())
+	})
+	return mux
+}
+
 // serve prints where it serves, and serves until ctx ends.
 func serve(ctx context.Context, addr string, h http.Handler, started Started, stdout io.Writer) error {
 	server, err := stand.Listen(addr, h)
--- a/internal/single/single_test.go
+++ b/internal/single/single_test.go
@@ -22,7 +22,9 @@
 	}{
 		{"platform", []string{"platform", "--vm-lag", "1s"}, wire.PathVMs},
 		{"engine", []string{"engine", "--capacity", "3"}, wire.PathLoad},
-		{"service", []string{"service"}, wire.PathLoad},
+		{"engine", []string{"engine", "--done", "7", "--role", "decode"}, PathRuns},
+		{"service", []string{"service", "--done", "7"}, wire.PathLoad},
+		{"service", []string{"service"}, PathRuns},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -282,11 +282,12 @@
 	http.Error(w, "call budget spent", http.StatusTooManyRequests)
 }
 
-// Admin serves the operators, who publish with PUT /admin/values/{key}. It
-// never stands on the daemons' listener.
+// Admin serves the operators, who publish with PUT /admin/values/{key} and list
+// the VMs with PUT /admin/vms. It never stands on the daemons' listener.
 func (p *Platform) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /admin/values/{key}", p.publishOne)
+	mux.HandleFunc("PUT /admin/vms", p.publishVMs)
 	return mux
 }
 
@@ -299,3 +300,10 @@
 	revision := p.Publish(map[string][]byte{r.PathValue("key"): data})
 	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
 }
+
+func (p *Platform) publishVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []wire.VM
+	if read(w, r, &vms) {
+		p.SetVMs(vms)
+	}
+}
--- a/internal/stand/record.go
+++ b/internal/stand/record.go
@@ -9,20 +9,20 @@
 // Run is one call that a stand-in ran.
 type Run struct {
 	// Call is the call's id as it came in.
-	Call string
+	Call string `json:"call"`
 	// Request is the id of the request that the call belongs to.
-	Request string
-	Path    string
-	Start   time.Time
+	Request string    `json:"request"`
+	Path    string    `json:"path"`
+	Start   time.Time `json:"start"`
 	// End is zero while it runs.
-	End time.Time
+	End time.Time `json:"end"`
 	// Cold: the server was cold when the call began.
-	Cold bool
+	Cold bool `json:"cold"`
 	// Whole: the run came to its end and its answer was written.
-	Whole bool
+	Whole bool `json:"whole"`
 	// Cancelled by the client's order.
-	Cancelled bool
-	Tokens    int
+	Cancelled bool `json:"cancelled"`
+	Tokens    int  `json:"tokens"`
 }
 
 // Overshoot is one time that a cold server got more than it bears.
