--- /dev/null
+++ b/internal/procs/examples_test.go
@@ -0,0 +1,69 @@
+package procs
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jasmineshed/internal/stand"
+	"jasmineshed/pkg/client"
+)
+
+const tokens = 40
+
+// Every caller of both examples gets the whole text of its own request, by
+// whatever VM it comes in. A publication that is ordered by a ticket through
+// another VM than the one that issued it, and then ordered again through a
+// third one, is answered alike each time: the ticket's home runs it once and
+// keeps the answer.
+func TestExamplesEndToEnd(t *testing.T) {
+	for _, example := range []string{"weerbeeld", "cantabrico"} {
+		t.Run(example, func(t *testing.T) {
+			f := startFleet(t, fleetConfig{example: example})
+			repeatable, once := f.pipelines()
+			require.NotEmpty(t, repeatable)
+			require.NotEmpty(t, once)
+			for i := range f.vms {
+				for _, p := range repeatable {
+					f.answersWhole(f.vms[i], p)
+				}
+				for _, p := range once {
+					f.publishesOnce(i, p)
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) answersWhole(v *vm, pipeline string) {
+	f.t.Helper()
+	input := fmt.Sprintf("%s through VM %d: wind from the west", pipeline, v.index)
+	answer, err := f.caller(-1, v).Run(f.t.Context(), client.Work{Pipeline: pipeline, Input: input, MaxTokens: tokens})
+	require.NoError(f.t, err, "%s through %s", pipeline, v.name)
+	require.Equal(f.t, stand.WholeText(input, tokens), answer.Payload.Text)
+}
+
+func (f *fleet) publishesOnce(i int, pipeline string) {
+	f.t.Helper()
+	issuer, runner, third := f.vms[i], f.vms[(i+1)%len(f.vms)], f.vms[(i+3)%len(f.vms)]
+	ctx := f.t.Context()
+	ticket, err := f.caller(-1, issuer).Ticket(ctx, pipeline)
+	require.NoError(f.t, err)
+	work := client.Work{
+		Pipeline: pipeline, MaxTokens: tokens,
+		Input: fmt.Sprintf("%s by a ticket of VM %d", pipeline, i),
+	}
+	first, err := f.caller(-1, runner).RunTicket(ctx, ticket.RequestID, work)
+	require.NoError(f.t, err, "ticket of %s through %s", issuer.name, runner.name)
+	require.Equal(f.t, stand.WholeText(work.Input, tokens), first.Payload.Text)
+	require.NotEmpty(f.t, first.Payload.Receipt)
+
+	again, err := f.caller(-1, third).RunTicket(ctx, ticket.RequestID, work)
+	require.NoError(f.t, err)
+	require.Equal(f.t, first.Payload, again.Payload)
+	result, err := f.caller(-1, third).Result(ctx, ticket.RequestID)
+	require.NoError(f.t, err)
+	require.Equal(f.t, first.Payload, result.Payload)
+	require.Equal(f.t, 1, f.published()[ticket.RequestID])
+}
--- /dev/null
+++ b/internal/procs/fleet_test.go
@@ -0,0 +1,380 @@
+package procs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+	sample "jasmineshed/examples"
+	"jasmineshed/internal/rules"
+	"jasmineshed/internal/single"
+	"jasmineshed/internal/stand"
+	"jasmineshed/internal/wire"
+	"jasmineshed/pkg/client"
+)
+
+const (
+	perZone = 2
+	anyPort = "127.0.0.1:0"
+	// longRun is what a server has completed that was up long before the fleet.
+	longRun = "100000"
+)
+
+// fleetConfig says how a fleet differs from the usual one.
+type fleetConfig struct {
+	// example names the rules file.
+	example string
+	// serverAt may put something between the daemons and a server.
+	serverAt func(id shed.ServerID, addr string) string
+	// peerAt may put something between the i-th daemon and its peers.
+	peerAt func(i int, addr string) string
+	// engine adds to the arguments of the engines' stand-ins.
+	engine []string
+}
+
+// fleet is a whole fleet of processes.
+type fleet struct {
+	t     *testing.T
+	cfg   fleetConfig
+	dir   string
+	text  string
+	rules *shed.Rules
+
+	platform     *process
+	platformAddr string
+	admin        string
+	// servers holds the address of each backend server's own process.
+	servers map[shed.ServerID]string
+	vms     []*vm
+	starts  int
+}
+
+// vm is one daemon; it keeps its addresses over a restart.
+type vm struct {
+	*process
+	index                           int
+	zone                            string
+	peer, reach, callers, operators string
+}
+
+func startFleet(t *testing.T, cfg fleetConfig) *fleet {
+	t.Helper()
+	f := &fleet{t: t, cfg: cfg, dir: t.TempDir(), servers: map[shed.ServerID]string{}}
+	f.startPlatform(anyPort)
+	f.startServers()
+	f.publish(f.text)
+	for _, z := range f.zones() {
+		for range perZone {
+			f.addVM(z)
+		}
+	}
+	f.listVMs()
+	for _, v := range f.vms {
+		f.startVM(v)
+	}
+	f.settle(f.vms...)
+	return f
+}
+
+func (f *fleet) run(kind, name string, args ...string) *process {
+	f.t.Helper()
+	f.starts++
+	log := filepath.Join(f.dir, fmt.Sprintf("%02d-%s.log", f.starts, name))
+	return start(f.t, log, kind, args...)
+}
+
+// started waits for the line in which a stand-in says where it serves.
+func started(p *process) single.Started {
+	p.t.Helper()
+	return awaitLine(p, func(s single.Started) bool { return s.Addr != "" })
+}
+
+func (f *fleet) startPlatform(addr string) {
+	f.t.Helper()
+	f.platform = f.run("standin", "platform", "platform", "--addr", addr)
+	s := started(f.platform)
+	f.platformAddr, f.admin = s.Addr, "http://"+s.Admin
+}
+
+// startServers runs a stand-in for each server of the example and puts the
+// addresses into the rules.
+func (f *fleet) startServers() {
+	f.t.Helper()
+	text, err := sample.Rules(f.cfg.example)
+	require.NoError(f.t, err)
+	first, err := rules.Compile(text, 1)
+	require.NoError(f.t, err)
+	processes := map[shed.ServerID]*process{}
+	for id, s := range first.Servers {
+		processes[id] = f.run("standin", string(id), f.serverArgs(first, s)...)
+	}
+	var urls []string
+	for id, s := range first.Servers {
+		addr := started(processes[id]).Addr
+		f.servers[id] = addr
+		if f.cfg.serverAt != nil {
+			addr = f.cfg.serverAt(id, addr)
+		}
+		urls = append(urls, s.URL+",", "http://"+addr+",")
+	}
+	f.text = strings.NewReplacer(urls...).Replace(string(text))
+	f.rules, err = rules.Compile([]byte(f.text), 1)
+	require.NoError(f.t, err)
+}
+
+func (f *fleet) serverArgs(r *shed.Rules, s *shed.Server) []string {
+	pool := r.Pools[s.Pool]
+	args := []string{"--id", string(s.ID), "--capacity", strconv.Itoa(s.Capacity), "--done", longRun}
+	if pool.Kind == shed.KindService {
+		return append([]string{"service"}, args...)
+	}
+	args = append(args,
+		"--cold-bears", strconv.Itoa(s.ColdBears), "--token-time", "2ms", "--call-time", "5ms",
+		"--cache", "256", "--checks-fence="+strconv.FormatBool(s.Fenced))
+	if m := r.Models[pool.Model]; m != nil {
+		args = append(args, "--model", string(m.ID)+"@"+m.Version, "--role", s.Role)
+	}
+	return append(append([]string{"engine"}, args...), f.cfg.engine...)
+}
+
+func (f *fleet) zones() []string {
+	var zones []string
+	for z := range f.rules.Zones {
+		zones = append(zones, string(z))
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// addVM gives a daemon that is yet to start its addresses. Peers must know
+// where it is before it can tell.
+func (f *fleet) addVM(zone string) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", anyPort)
+	require.NoError(f.t, err)
+	defer func() { _ = l.Close() }()
+	v := &vm{index: len(f.vms), zone: zone, peer: l.Addr().String(), callers: anyPort, operators: anyPort}
+	v.reach = v.peer
+	if f.cfg.peerAt != nil {
+		v.reach = f.cfg.peerAt(v.index, v.peer)
+	}
+	f.vms = append(f.vms, v)
+}
+
+// startVM starts a daemon, or starts it again at its addresses.
+func (f *fleet) startVM(v *vm) {
+	f.t.Helper()
+	settings := filepath.Join(f.dir, fmt.Sprintf("vm-%d.ini", v.index))
+	require.NoError(f.t, os.WriteFile(settings, []byte(f.settings(v)), 0o600))
+	v.process = f.run("jasmineshed", fmt.Sprintf("vm-%d", v.index), "serve", "--settings", settings)
+	type startLine struct{ Msg, Callers, Operators string }
+	line := awaitLine(v.process, func(l startLine) bool { return l.Msg == "daemon starts" })
+	v.callers = strings.TrimPrefix(line.Callers, "http://")
+	v.operators = strings.TrimPrefix(line.Operators, "http://")
+}
+
+func (f *fleet) settings(v *vm) string {
+	var seeds []string
+	for _, other := range f.vms {
+		if other != v {
+			seeds = append(seeds, other.reach)
+		}
+	}
+	return fmt.Sprintf(`[node]
+peer = %s
+advertise = %s
+zone = %s
+seeds = %s
+[listen]
+callers = %s
+operators = %s
+[platform]
+url = http://%s
+vm_poll = 1s
+[stop]
+notice = 1s
+drain = 15s
+`, v.peer, v.reach, v.zone, strings.Join(seeds, ", "), v.callers, v.operators, f.platformAddr)
+}
+
+// send makes an HTTP call; false unless it went well.
+func send(method, url string, body []byte, out any) bool {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	c := http.Client{Timeout: 5 * time.Second}
+	res, err := c.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return false
+	}
+	return out == nil || json.Unmarshal(text, out) == nil
+}
+
+// publish puts a rules file on the platform as an operator does: the parts
+// first, the index last.
+func (f *fleet) publish(text string) {
+	f.t.Helper()
+	index, parts := rules.Pack([]byte(text))
+	for hash, part := range parts {
+		require.True(f.t, send(http.MethodPut, f.admin+"/admin/values/"+rules.PartName(hash), part, nil))
+	}
+	require.True(f.t, send(http.MethodPut, f.admin+"/admin/values/"+rules.IndexKey, index, nil))
+}
+
+func (f *fleet) listVMs() {
+	f.t.Helper()
+	var list []wire.VM
+	for _, v := range f.vms {
+		list = append(list, wire.VM{VM: shed.VM(v.reach), Zone: shed.ZoneID(v.zone)})
+	}
+	body, err := json.Marshal(list)
+	require.NoError(f.t, err)
+	require.True(f.t, send(http.MethodPut, f.admin+"/admin/vms", body, nil))
+}
+
+// status is the part of a daemon's status that the tests judge.
+type status struct {
+	Ready         bool          `json:"ready"`
+	Stopping      bool          `json:"stopping"`
+	ViewConfirmed bool          `json:"view_confirmed"`
+	Configuration configuration `json:"configuration"`
+	View          []struct {
+		Peers []shed.Peer `json:"peers"`
+	} `json:"view"`
+	Servers []struct {
+		Server shed.ServerID `json:"server"`
+		Cold   bool          `json:"cold"`
+	} `json:"servers"`
+}
+
+type configuration struct {
+	Revision shed.Revision
+	Fresh    bool
+}
+
+func (v *vm) status() (status, bool) {
+	var s status
+	ok := send(http.MethodGet, "http://"+v.operators+"/status", nil, &s)
+	return s, ok
+}
+
+// ready is what the platform's balancer asks.
+func (v *vm) ready() bool {
+	return send(http.MethodGet, v.url()+"/readyz", nil, nil)
+}
+
+func (v *vm) url() string { return "http://" + v.callers }
+
+// settle waits until each daemon takes requests, sees all others and knows its
+// zone's servers as warm.
+func (f *fleet) settle(vms ...*vm) {
+	f.t.Helper()
+	for _, v := range vms {
+		var last status
+		await(f.t, func() bool {
+			s, ok := v.status()
+			last = s
+			return ok && v.ready() && s.settled(len(f.vms))
+		}, "daemon settles", "%s: %+v\n%s", v.name, &last, logOf{v.process})
+	}
+}
+
+func (s status) settled(vms int) bool {
+	seen := 0
+	for _, z := range s.View {
+		seen += len(z.Peers)
+	}
+	if !s.Ready || seen < vms {
+		return false
+	}
+	for _, server := range s.Servers {
+		if server.Cold {
+			return false
+		}
+	}
+	return true
+}
+
+// runs are those that a server has recorded.
+func (f *fleet) runs(id shed.ServerID) []stand.Run {
+	f.t.Helper()
+	var runs []stand.Run
+	require.True(f.t, send(http.MethodGet, "http://"+f.servers[id]+single.PathRuns, nil, &runs), "%s", id)
+	return runs
+}
+
+// published counts the runs of each request at all plain services.
+func (f *fleet) published() map[string]int {
+	f.t.Helper()
+	count := map[string]int{}
+	for id, s := range f.rules.Servers {
+		if f.rules.Pools[s.Pool].Kind != shed.KindService {
+			continue
+		}
+		for _, run := range f.runs(id) {
+			count[run.Request]++
+		}
+	}
+	return count
+}
+
+// caller is a client of a workspace that may use every pipeline. The first VM
+// is asked first.
+func (f *fleet) caller(repeats int, vms ...*vm) *client.Client {
+	f.t.Helper()
+	var urls []string
+	for _, v := range vms {
+		urls = append(urls, v.url())
+	}
+	workspace := f.workspace()
+	c, err := client.New(client.Config{
+		URLs: urls, Workspace: workspace, Token: sample.Token(workspace), Repeats: repeats,
+	})
+	require.NoError(f.t, err)
+	return c
+}
+
+func (f *fleet) workspace() string {
+	var open []string
+	for id, w := range f.rules.Workspaces {
+		if len(w.Pipelines) == 0 {
+			open = append(open, string(id))
+		}
+	}
+	require.NotEmpty(f.t, open)
+	sort.Strings(open)
+	return open[0]
+}
+
+// pipelines are those that may be repeated, and those that may not.
+func (f *fleet) pipelines() (repeatable, once []string) {
+	for id, p := range f.rules.Pipelines {
+		if p.Idempotent() {
+			repeatable = append(repeatable, string(id))
+		} else {
+			once = append(once, string(id))
+		}
+	}
+	sort.Strings(repeatable)
+	sort.Strings(once)
+	return repeatable, once
+}
--- /dev/null
+++ b/internal/procs/kill_test.go
@@ -0,0 +1,41 @@
+package procs
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jasmineshed/pkg/client"
+)
+
+// A VM dies under load. Callers of other VMs see nothing of it: stages that
+// were handed to the dead one are tried again elsewhere. Callers of the dead VM
+// lose their connection, ask again at another one, and get their whole answer.
+// A ticket whose home has died ends complete or as outcome_unknown, since what
+// the home had started died with it; nothing is published twice.
+func TestKilledUnderLoad(t *testing.T) {
+	f := startFleet(t, fleetConfig{example: "small"})
+	victim, others := f.vms[0], f.vms[1:]
+	l := f.load()
+	for _, v := range others {
+		l.add("others", 2, captions(f.caller(-1, v)))
+	}
+	around := append([]*vm{victim}, others...)
+	l.add("victim", 4, captions(f.caller(0, around...)))
+	l.add("tickets", 4, warnings(f.caller(0, around...)))
+	l.goOn("tickets", 20)
+	l.goOn("victim", 20)
+
+	victim.kill()
+	l.goOn("others", 100)
+	l.goOn("victim", 40)
+	l.goOn("tickets", 40)
+	ends := l.finish()
+
+	f.wholeAll("others", ends["others"])
+	f.wholeAll("victim", ends["victim"])
+	f.trueAll(ends["tickets"])
+	for _, e := range ends["tickets"] {
+		require.Contains(t, []client.Outcome{client.Complete, client.Unknown}, e.outcome(), "%s: %v", e.input, e.err)
+	}
+}
