--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -182,8 +182,10 @@
 	v.process = f.run("jasmineshed", fmt.Sprintf("vm-%d", v.index), "serve", "--settings", settings)
 	type startLine struct{ Msg, Callers, Operators string }
 	line := awaitLine(v.process, func(l startLine) bool { return l.Msg == "daemon starts" })
-	v.callers = strings.TrimPrefix(line.Callers, "http://")
-	v.operators = strings.TrimPrefix(line.Operators, "http://")
+	if v.callers == anyPort {
+		v.callers = strings.TrimPrefix(line.Callers, "http://")
+		v.operators = strings.TrimPrefix(line.Operators, "http://")
+	}
 }
 
 func (f *fleet) settings(v *vm) string {
--- a/internal/procs/load_test.go
+++ b/internal/procs/load_test.go
@@ -64,7 +64,10 @@
 func (f *fleet) load() *load {
 	ctx, stop := context.WithCancel(context.Background())
 	l := &load{f: f, ctx: ctx, stop: stop, ends: map[string][]end{}}
-	f.t.Cleanup(func() { l.finish() })
+	f.t.Cleanup(func() {
+		l.finish()
+		l.tell()
+	})
 	return l
 }
 
@@ -108,6 +111,17 @@
 	return l.ends
 }
 
+// tell logs how the requests ended.
+func (l *load) tell() {
+	for group, ends := range l.ends {
+		count := map[string]int{}
+		for _, e := range ends {
+			count[string(e.outcome())+" "+e.reason()]++
+		}
+		l.f.t.Logf("%s: %v", group, count)
+	}
+}
+
 // captions asks for captions, which may be repeated.
 func captions(c *client.Client) func(context.Context, string) end {
 	return func(ctx context.Context, input string) end {
--- /dev/null
+++ b/internal/procs/roll_test.go
@@ -0,0 +1,106 @@
+package procs
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jasmineshed/internal/stand"
+	"jasmineshed/pkg/client"
+)
+
+// Each VM in turn gets SIGTERM under load and is started again at its old
+// address. It says not ready at once, goes on serving while the balancer
+// notices, ends what it has taken in, and exits by itself. No caller that came
+// by a ready VM is cut off, and a ticket that another VM gave out is run all the
+// same.
+func TestRollingRestartUnderLoad(t *testing.T) {
+	f := startFleet(t, fleetConfig{example: "small"})
+	l := f.load()
+	b := &balancer{f: f}
+	l.add("captions", 6, b.caption)
+	l.add("warnings", 3, b.warning)
+	l.goOn("warnings", 5)
+	for _, v := range f.vms {
+		v.signal(syscall.SIGTERM)
+		v.ends()
+		f.startVM(v)
+		f.settle(f.vms...)
+		l.goOn("captions", 10)
+	}
+	ends := l.finish()
+
+	f.wholeAll("captions", ends["captions"])
+	f.trueAll(ends["warnings"])
+	for _, e := range ends["warnings"] {
+		require.NoError(t, e.err, e.input)
+		require.Equal(t, stand.WholeText(e.input, tokens), e.answer.Payload.Text)
+	}
+}
+
+// balancer sends each call to a VM that has just said that it is ready, one
+// after the other, and repeats none by itself.
+type balancer struct {
+	f    *fleet
+	next atomic.Int64
+}
+
+// errNoVM: the caller gave up before any VM was ready.
+var errNoVM = errors.New("no VM is ready")
+
+// try makes the call at one ready VM. It goes on to the next one only after
+// the answer that the call was not run since the VM stops, and that VM must say
+// by now that it isn't ready.
+func (b *balancer) try(ctx context.Context, call func(c *client.Client) error) error {
+	for ctx.Err() == nil {
+		v := b.f.vms[int(b.next.Add(1))%len(b.f.vms)]
+		if !v.ready() {
+			continue
+		}
+		err := call(b.f.caller(-1, v))
+		if !refusedByStop(err) || v.ready() {
+			return err
+		}
+	}
+	return errNoVM
+}
+
+func refusedByStop(err error) bool {
+	var refused *client.AnswerError
+	return errors.As(err, &refused) && refused.Answer.Outcome == client.NotRun && refused.Answer.Reason == "stopping"
+}
+
+func (b *balancer) caption(ctx context.Context, input string) end {
+	var e end
+	e.err = b.try(ctx, func(c *client.Client) error {
+		e = captions(c)(ctx, input)
+		return e.err
+	})
+	return e
+}
+
+// warning gets its ticket from one VM and uses it at another.
+func (b *balancer) warning(ctx context.Context, input string) end {
+	var e end
+	e.err = b.try(ctx, func(c *client.Client) error {
+		ticket, err := c.Ticket(ctx, "warning")
+		if err == nil {
+			e.ticket = ticket.RequestID
+		}
+		return err
+	})
+	if e.err != nil {
+		return e
+	}
+	work := client.Work{Pipeline: "warning", Input: input, MaxTokens: tokens}
+	e.err = b.try(ctx, func(c *client.Client) error {
+		var err error
+		e.answer, err = c.RunTicket(ctx, e.ticket, work)
+		return err
+	})
+	return e
+}
