--- a/internal/procs/roll_test.go
+++ b/internal/procs/roll_test.go
@@ -21,7 +21,7 @@
 func TestRollingRestartUnderLoad(t *testing.T) {
 	f := startFleet(t, fleetConfig{example: "small"})
 	l := f.load()
-	b := &balancer{f: f}
+	b := newBalancer(f)
 	l.add("captions", 6, b.caption)
 	l.add("warnings", 3, b.warning)
 	l.goOn("warnings", 5)
@@ -45,10 +45,19 @@
 // balancer sends each call to a VM that has just said that it is ready, one
 // after the other, and repeats none by itself.
 type balancer struct {
-	f    *fleet
+	vms  []*vm
+	to   []*client.Client
 	next atomic.Int64
 }
 
+func newBalancer(f *fleet) *balancer {
+	b := &balancer{vms: f.vms}
+	for _, v := range f.vms {
+		b.to = append(b.to, f.caller(-1, v))
+	}
+	return b
+}
+
 // errNoVM: the caller gave up before any VM was ready.
 var errNoVM = errors.New("no VM is ready")
 
@@ -57,11 +66,12 @@
 // by now that it isn't ready.
 func (b *balancer) try(ctx context.Context, call func(c *client.Client) error) error {
 	for ctx.Err() == nil {
-		v := b.f.vms[int(b.next.Add(1))%len(b.f.vms)]
+		i := int(b.next.Add(1)) % len(b.vms)
+		v := b.vms[i]
 		if !v.ready() {
 			continue
 		}
-		err := call(b.f.caller(-1, v))
+		err := call(b.to[i])
 		if !refusedByStop(err) || v.ready() {
 			return err
 		}
