--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -70,8 +70,17 @@
 	peer, reach, callers, operators string
 }
 
+// atOnce bounds how many fleets run at once, each of a good dozen processes.
+const atOnce = 3
+
+var running = make(chan struct{}, atOnce)
+
+// startFleet starts a fleet that ends with the test, which runs beside others.
 func startFleet(t *testing.T, cfg fleetConfig) *fleet {
 	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	f := &fleet{t: t, cfg: cfg, dir: t.TempDir(), servers: map[shed.ServerID]string{}}
 	f.startPlatform(anyPort)
 	f.startServers()
--- /dev/null
+++ b/internal/procs/silent_test.go
@@ -0,0 +1,77 @@
+package procs
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+)
+
+// Every open connection to the peers' listeners of zone a goes silent at one
+// moment: nothing arrives any more, and neither side is told. New connections
+// work. Zone c has no server of one kind, so its stages are under way on just
+// these connections. Its callers get whole answers within the deadline, since a
+// silent call is given up and made again by a new connection or at another zone.
+func TestSilentPeerConnections(t *testing.T) {
+	relays := map[int]*relay{}
+	f := startFleet(t, fleetConfig{
+		example: "small",
+		engine:  []string{"--call-time", "50ms"},
+		peerAt: func(i int, addr string) string {
+			if i >= perZone {
+				return addr
+			}
+			relays[i] = startRelay(t, addr)
+			return relays[i].addr()
+		},
+	})
+	f.goesSilent(f.vms[2*perZone:], func() int {
+		lost := 0
+		for _, r := range relays {
+			lost += r.lose()
+		}
+		return lost
+	})
+}
+
+// Every open connection to the one engine of a zone that drafts goes silent.
+// The streams under way on them stop in the midst of a text. The callers get
+// their whole text all the same, with nothing twice in it: the stream goes on
+// from what is there, or the stage runs again elsewhere.
+func TestSilentEngineConnections(t *testing.T) {
+	const silent = shed.ServerID("gen-c-1")
+	var engine *relay
+	f := startFleet(t, fleetConfig{
+		example: "small",
+		engine:  []string{"--token-time", "8ms"},
+		serverAt: func(id shed.ServerID, addr string) string {
+			if id != silent {
+				return addr
+			}
+			engine = startRelay(t, addr)
+			return engine.addr()
+		},
+	})
+	f.goesSilent(f.vms[2*perZone:], func() int { return engine.lose() })
+	require.NotEmpty(t, f.runs(silent))
+}
+
+// goesSilent loses connections twice under load, which comes in by the VMs.
+func (f *fleet) goesSilent(vms []*vm, lose func() int) {
+	f.t.Helper()
+	l := f.load()
+	for _, v := range vms {
+		l.add("captions", 4, captions(f.caller(-1, v)))
+		l.add("warnings", 2, warnings(f.caller(-1, v)))
+	}
+	for range 2 {
+		l.goOn("captions", 40)
+		require.Positive(f.t, lose())
+	}
+	l.goOn("captions", 100)
+	l.goOn("warnings", 30)
+	ends := l.finish()
+	f.wholeAll("captions", ends["captions"])
+	f.trueAll(ends["warnings"])
+}
