--- a/internal/config/fault_test.go
+++ b/internal/config/fault_test.go
@@ -156,3 +156,57 @@
 	require.Greater(t, s.nodes[1].state.counts.Pulls, 5)
 	t.Logf("everywhere after %s", took)
 }
+
+// A restarted daemon hears first from a neighbour that lags behind at revision
+// 1, and takes it. The other zones have revision 2, which takes a zone out, and
+// their answers are slower. The daemon must not serve by revision 1 before it
+// has heard them.
+func TestStartHearsTheOthersFirst(t *testing.T) {
+	now := time.Unix(simStart, 0)
+	s := New(Config{Self: shed.Peer{VM: "self"}, Zone: "a", Compile: simCompile})
+	s.SetPeers([]shed.Peer{{VM: "near"}}, map[shed.ZoneID][]shed.Peer{"b": {{VM: "far"}}})
+	world := &sim{now: now}
+	world.publish(true, 2)
+	world.publish(true, 2)
+	tell := func(from shed.VM, m shed.Message) {
+		s.Handle(now, shed.PeerMessage{From: shed.Peer{VM: from}, Message: m})
+	}
+	answer := func(from shed.VM, rev shed.Revision) {
+		for _, a := range append([]ask(nil), s.fresh.asks...) {
+			if a.to == from {
+				tell(from, shed.ConfigDigest{Revision: rev, Sequence: a.sequence})
+			}
+		}
+		tell(from, shed.ConfigPush{Index: world.published[rev-1].index, Parts: world.published[rev-1].parts})
+	}
+	tick := func() {
+		now = now.Add(shed.TickEvery)
+		s.Handle(now, shed.Tick{Wall: now, Mono: now.Sub(time.Unix(simStart, 0))})
+	}
+	tick()
+	answer("near", 1)
+	tick()
+	require.Equal(t, shed.Revision(1), s.Rules().Revision)
+	require.False(t, s.Ready(), "the other zone was not heard")
+	answer("far", 2)
+	tick()
+	require.Equal(t, shed.Revision(2), s.Rules().Revision)
+	require.True(t, s.Ready())
+}
+
+// All watchers freeze at once, and nobody has noticed their deaths yet. The
+// other daemons hear nothing new from them, so each has to read for itself, at
+// random times and within the platform's rate.
+func TestWatchersGone(t *testing.T) {
+	s := settled(t, 12, 13, 20, designParts)
+	for _, n := range s.nodes {
+		n.paused = n.state.near.level == 0
+	}
+	s.forgetReads()
+	rev := s.publish(true, designParts)
+	took, ok := s.until(15*time.Second, func() bool { return s.everywhere(rev) && s.allFresh() })
+	require.True(t, ok)
+	require.LessOrEqual(t, took, 9*time.Second)
+	require.Less(t, s.peak(), platformReads)
+	t.Logf("everywhere and fresh after %s; %d reads, at most %d in a second", took, s.reads, s.peak())
+}
