--- /dev/null
+++ b/internal/front/tls_test.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A client that offers HTTP/2 gets HTTP/1.1: with the former all its calls would
+// share one connection, and hang with it.
+func TestTLSWithoutHTTP2(t *testing.T) {
+	// The test server is there for its certificate only.
+	donor := httptest.NewUnstartedServer(http.NotFoundHandler())
+	donor.StartTLS()
+	defer donor.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(donor.Certificate())
+
+	r := run(t, finished(complete), func(cfg *Config) {
+		cfg.TLS = &tls.Config{Certificates: donor.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
+	})
+	transport := &http.Transport{
+		DialContext:       r.pipes.dial,
+		TLSClientConfig:   &tls.Config{RootCAs: pool, ServerName: "example.com"},
+		ForceAttemptHTTP2: true,
+	}
+	defer transport.CloseIdleConnections()
+	req := newCall("POST", runPath, `{"input":"x"}`)
+	req.URL.Scheme = "https"
+	res, err := (&http.Client{Transport: transport}).Do(req)
+	require.NoError(t, err)
+	require.Equal(t, 200, res.StatusCode)
+	require.Equal(t, 1, res.ProtoMajor)
+	require.NoError(t, res.Body.Close())
+}
