--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -90,6 +90,9 @@
 	former []string
 
 	cold cold
+	// full is when the server last refused a call for want of room; zero once a
+	// report was made after that, or fullFor has passed.
+	full time.Time
 	// told is what the zone was last told of the server, by any reader, and
 	// when; unlike is since when the present report differs enough from it.
 	told   shed.LoadReport
@@ -211,6 +214,7 @@
 	var out []shed.Action
 	for _, id := range b.order {
 		e := b.servers[id]
+		e.reopen(now)
 		if e.rank >= 0 && !now.Before(e.nextPoll) {
 			e.nextPoll = now.Add(b.cfg.PollEvery)
 			out = append(out, shed.PollServer{Server: id, URL: e.server.URL})
@@ -238,6 +242,9 @@
 	}
 	out = b.judge(now, out, e, r)
 	e.report, e.at = r, at
+	if at.After(e.full) {
+		e.full = time.Time{}
+	}
 	e.ended = slices.DeleteFunc(e.ended, func(s span) bool { return !s.ended.After(at) })
 	return out
 }
@@ -306,7 +313,7 @@
 // shows that it can carry it.
 func (b *Book) Room(server shed.ServerID) int {
 	e := b.servers[server]
-	if e == nil {
+	if e == nil || !e.full.IsZero() {
 		return 0
 	}
 	return max(0, e.level()-e.running())
--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -121,7 +121,7 @@
 		e.whole.add(now.Sub(c.sent))
 		e.cold.completed++
 	case shed.EndOverloaded:
-		return b.symptom(now, nil, e)
+		return b.overloaded(now, e)
 	case shed.EndBroken:
 		return b.suspect(now, e)
 	}
