--- a/internal/slots/table.go
+++ b/internal/slots/table.go
@@ -117,6 +117,8 @@
 	// still to come.
 	until   time.Time
 	started time.Time
+	// ended is when this daemon gave it up; zero while it hasn't.
+	ended time.Time
 }
 
 // Answer tells the kinds of Grant apart. The set is closed.
@@ -351,6 +353,7 @@
 		return nil
 	}
 	if stillRuns(end) && !t.off.forgetBroken {
+		h.ended = now
 		h.until = h.started.Add(t.cfg.Flight + t.longest)
 		return nil
 	}
@@ -358,9 +361,10 @@
 	return t.tell(now)
 }
 
-// stillRuns: the connection broke, so a cancel may not have reached the server.
+// stillRuns: the server has not told the call's end. A cancel may not have
+// reached it, nor that the connection broke.
 func stillRuns(end shed.CallEnd) bool {
-	return end == shed.EndBroken || end == shed.EndBadReply
+	return end == shed.EndBroken || end == shed.EndBadReply || end == shed.EndCancelled
 }
 
 func (t *Table) drop(call shed.Call, h *hold) {
--- a/internal/slots/view.go
+++ b/internal/slots/view.go
@@ -156,7 +156,11 @@
 		return t.release(now, ev.From.VM, m)
 	case shed.LoadDigest:
 		for id, r := range m.Reports {
-			t.report(now, id, r)
+			// A daemon that saw the server restart tells of it under sequence 0,
+			// before the server has counted anything.
+			if r.Sequence > 0 {
+				t.report(now, id, r)
+			}
 		}
 	}
 	return nil
@@ -171,6 +175,28 @@
 	}
 	e.reportAt = at
 	e.running = r.Running + r.Waiting
+	t.forgive(id, at, e.running)
+}
+
+// forgive gives back the shares of calls that were given up, but for as many as
+// the server said it runs: it counts those of them that it still has. They can
+// no longer be on their way, since the report was made Flight after their end.
+func (t *Table) forgive(id shed.ServerID, at time.Time, running int) {
+	var open []shed.Call
+	for call, h := range t.calls {
+		if h.server == id && !h.ended.IsZero() && !at.Before(h.ended) {
+			open = append(open, call)
+		}
+	}
+	if len(open) <= running {
+		return
+	}
+	slices.SortFunc(open, func(a, b shed.Call) int {
+		return t.calls[a].until.Compare(t.calls[b].until)
+	})
+	for _, call := range open[:len(open)-running] {
+		t.drop(call, t.calls[call])
+	}
 }
 
 func (t *Table) tick(now time.Time) []shed.Action {
--- a/internal/slots/world_test.go
+++ b/internal/slots/world_test.go
@@ -233,7 +233,8 @@
 		switch {
 		case known && !r.broken.IsZero() && !w.now.Before(r.broken):
 			r.told = true
-			w.act(r.by, r.by.table.Release(w.now, r.call, shed.EndBroken))
+			end := []shed.CallEnd{shed.EndBroken, shed.EndCancelled}[w.rng.IntN(2)]
+			w.act(r.by, r.by.table.Release(w.now, r.call, end))
 		case known && !w.now.Before(r.to):
 			r.told = true
 			w.act(r.by, r.by.table.Release(w.now, r.call, shed.EndComplete))
