--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,11 +11,14 @@
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	shed "jasmineshed"
 	pipehttp "jasmineshed/internal/gen/http/pipelines/server"
+	"jasmineshed/internal/ticket"
 )
 
 const (
@@ -72,7 +75,7 @@
 				require.Equal(t, tc.retryAfter, w.Header().Get("Retry-After"))
 				b := bodyOf(t, w)
 				require.Equal(t, tc.status, b.Status)
-				require.Equal(t, outcomes[tc.fin.Outcome], b.Outcome)
+				require.Equal(t, tc.fin.Outcome.String(), b.Outcome)
 				require.Equal(t, tc.retryAfter != "", b.RetryAfterMs != nil)
 			}
 		})
@@ -225,6 +228,17 @@
 	require.Equal(t, "tickets_full", *bodyOf(t, w).Reason)
 }
 
+// A ticket's id holds the address of its home. The longest must pass the check
+// of ids, or a VM with a long address could give out tickets but run none.
+func TestLongestTicketIsTaken(t *testing.T) {
+	home := shed.Peer{VM: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535", Incarnation: 1<<64 - 1}
+	id := string(ticket.ID(home, [16]byte{255}))
+	f := newTestFront(finished(complete), nil)
+	w := record(f, newCall("PUT", "/v1/requests/"+id, `{"input":"x","pipeline":"warn"}`))
+	require.Equal(t, 200, w.Code, w.Body.String())
+	require.Equal(t, 200, record(f, newCall("GET", "/v1/requests/"+id, "")).Code)
+}
+
 func TestReadiness(t *testing.T) {
 	serving := finished(complete)
 	f := newTestFront(serving, nil)
@@ -267,3 +281,21 @@
 	require.Equal(t, "0af7651916cd43dd8448eb211c80319c", span.SpanContext().TraceID().String())
 	require.Equal(t, "0af7651916cd43dd8448eb211c80319c", *bodyOf(t, w).TraceID)
 }
+
+func TestRefusalsAreCountedAndOnTheSpan(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	scope := tally.NewTestScope("", nil)
+	fin := notRun(shed.ReasonNotAllowed, 0)
+	fin.Rule = shed.Origin{Line: 12}
+	f := newTestFront(finished(fin), func(cfg *Config) {
+		cfg.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans))
+		cfg.Scope = scope
+	})
+	record(f, newCall("POST", runPath, `{"input":"x"}`))
+	counters := scope.Snapshot().Counters()
+	require.Contains(t, counters, "front.answers+outcome=not_run,reason=pipeline_not_allowed")
+	require.Contains(t, counters, "front.requests+code=403,route=POST /v1/pipelines/{pipeline}/requests")
+	require.Equal(t, 0.0, scope.Snapshot().Gauges()["front.in_flight+"].Value())
+	require.Contains(t, spans.Ended()[0].Attributes(), attribute.String("reason", "pipeline_not_allowed"))
+	require.Contains(t, spans.Ended()[0].Attributes(), attribute.Int("rule.line", 12))
+}
--- a/internal/slots/table.go
+++ b/internal/slots/table.go
@@ -361,8 +361,8 @@
 	return t.tell(now)
 }
 
-// stillRuns: the server has not told the call's end. A cancel may not have
-// reached it, nor that the connection broke.
+// stillRuns: the server has not told the call's end. It may not know yet that
+// the connection broke, and the next call could overtake a cancel.
 func stillRuns(end shed.CallEnd) bool {
 	return end == shed.EndBroken || end == shed.EndBadReply || end == shed.EndCancelled
 }
