--- a/internal/slots/table.go
+++ b/internal/slots/table.go
@@ -117,6 +117,8 @@
 	// still to come.
 	until   time.Time
 	started time.Time
+	// ended is when this daemon gave it up; zero while it hasn't.
+	ended time.Time
 }
 
 // Answer tells the kinds of Grant apart. The set is closed.
@@ -351,6 +353,7 @@
 		return nil
 	}
 	if stillRuns(end) && !t.off.forgetBroken {
+		h.ended = now
 		h.until = h.started.Add(t.cfg.Flight + t.longest)
 		return nil
 	}
@@ -358,8 +361,8 @@
 	return t.tell(now)
 }
 
-// stillRuns: the connection broke, so a cancel may not have reached the server,
-// or the call was cancelled, and the next one could overtake the cancel.
+// stillRuns: the server has not told the call's end. It may not know yet that
+// the connection broke, and the next call could overtake a cancel.
 func stillRuns(end shed.CallEnd) bool {
 	return end == shed.EndBroken || end == shed.EndBadReply || end == shed.EndCancelled
 }
