--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -93,6 +93,9 @@
 	index shed.ConfigIndex
 	// parts are exactly those of index.
 	parts map[shed.PartHash][]byte
+	// list are the hashes of parts, sorted. It goes along with reads and pulls
+	// and is never changed.
+	list []shed.PartHash
 }
 
 // New makes a State that holds no configuration.
--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"bytes"
 	"crypto/sha256"
+	"slices"
 	"sort"
 	"time"
 
@@ -161,19 +163,25 @@
 
 // have lists the parts that need not be sent again, sorted.
 func (s *State) have() []shed.PartHash {
-	list := make([]shed.PartHash, 0, len(s.held.parts)+len(s.fetch.parts))
-	for hash := range s.held.parts {
-		list = append(list, hash)
+	if len(s.fetch.parts) == 0 {
+		return s.held.list
 	}
-	for hash := range s.fetch.parts {
-		if _, twice := s.held.parts[hash]; !twice {
-			list = append(list, hash)
-		}
+	list := append(sortedHashes(s.fetch.parts), s.held.list...)
+	slices.SortFunc(list, compareHashes)
+	return slices.Compact(list)
+}
+
+func sortedHashes(parts map[shed.PartHash][]byte) []shed.PartHash {
+	list := make([]shed.PartHash, 0, len(parts))
+	for hash := range parts {
+		list = append(list, hash)
 	}
-	sort.Slice(list, func(i, j int) bool { return string(list[i][:]) < string(list[j][:]) })
+	slices.SortFunc(list, compareHashes)
 	return list
 }
 
+func compareHashes(a, b shed.PartHash) int { return bytes.Compare(a[:], b[:]) }
+
 // serve answers a pull with the revision in force.
 func (s *State) serve(now time.Time, to shed.VM, m shed.ConfigPull) []shed.Action {
 	f := &s.fetch
@@ -327,7 +335,7 @@
 // take puts a whole, compiled revision in force and tells the peers. From is
 // the peer that it came from, or "" for the platform.
 func (s *State) take(now time.Time, index shed.ConfigIndex, parts map[shed.PartHash][]byte, compiled *shed.Rules, from shed.VM) []shed.Action {
-	s.held = held{rules: compiled, index: index, parts: parts}
+	s.held = held{rules: compiled, index: index, parts: parts, list: sortedHashes(parts)}
 	s.counts.Taken++
 	if s.reads.invalid < index.Revision {
 		s.reads.invalid, s.reads.faults = 0, ""
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -11,7 +11,7 @@
 const platformReads = 2_000
 
 // designParts is about how many parts the rules have at the design size.
-const designParts = 200
+const designParts = 300
 
 // peak is the most reads in any one second.
 func (s *sim) peak() int {
--- a/internal/config/start.go
+++ b/internal/config/start.go
@@ -113,7 +113,7 @@
 }
 
 // coldAt is when a daemon without any configuration reads the whole of it from
-// the platform. At the design size that is some two hundred reads, so a restart
+// the platform. At the design size that is some three hundred reads, so a restart
 // of the fleet must not make every daemon do it at once: the zones start at
 // random times, and within a zone one daemon after the other, as long as none
 // has succeeded.
--- a/internal/rules/big_test.go
+++ b/internal/rules/big_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -99,3 +100,62 @@
 		})
 	}
 }
+
+// A change of one line has to cost readers little: the index and one part.
+func TestPackCostOfAChange(t *testing.T) {
+	for _, s := range sizes {
+		text := bigText(s)
+		index, parts := Pack(text)
+		most := 0
+		for _, part := range parts {
+			most = max(most, len(part))
+		}
+		for _, change := range []string{"zone-3 = region region-3 ;", "ws-100 = share 1,"} {
+			changed := bytes.Replace(text, []byte(change), append([]byte("; "), change...), 1)
+			require.NotEqual(t, text, changed)
+			_, now := Pack(changed)
+			fresh, bytesRead := 0, 0
+			for hash, part := range now {
+				if _, had := parts[hash]; !had {
+					fresh++
+					bytesRead += len(part)
+				}
+			}
+			require.LessOrEqual(t, fresh, 2)
+			t.Logf("%+v: %d bytes of text, %d parts of at most %d bytes, index %d bytes; a changed line: %d parts, %d bytes",
+				s, len(text), len(parts), most, len(index), fresh, bytesRead)
+		}
+		require.Less(t, most, 1_000_000)
+		require.Less(t, len(index), 1_000_000)
+	}
+}
+
+// BenchmarkHeld measures the memory that one configuration holds: its parts,
+// the compiled rules and what the compiler remembers.
+func BenchmarkHeld(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("workspaces=%d/servers=%d", s.workspaces, s.servers), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				text := bigText(s)
+				_, parts := Pack(bytes.Clone(text))
+				c := NewCompiler()
+				r, err := c.Compile(text, 1)
+				require.NoError(b, err)
+				text = nil
+				b.ReportMetric(float64(heap()-before), "B/held")
+				runtime.KeepAlive(parts)
+				runtime.KeepAlive(r)
+				runtime.KeepAlive(c)
+				runtime.KeepAlive(text)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/rules/pack.go
+++ b/internal/rules/pack.go
@@ -24,10 +24,10 @@
 // changed line moves no other part's ends; the bounds hold whatever the lines.
 const (
 	// MaxPart is the most bytes of a part: well below the platform's megabyte.
-	MaxPart = 256 << 10
+	MaxPart = 64 << 10
 	minPart = 4 << 10
 	// endOneIn: one line in so many ends a part.
-	endOneIn = 256
+	endOneIn = 64
 	// maxParts bounds what an index may list.
 	maxParts = 4096
 )
