--- a/internal/config/fault_test.go
+++ b/internal/config/fault_test.go
@@ -145,6 +145,17 @@
 	}
 }
 
+// The platform is slow, and each read ends with only some of the parts. Were
+// they thrown away, a starting fleet would read the same ones for ever.
+func TestReadInPieces(t *testing.T) {
+	s := newSim(13, 1, 2, nil)
+	s.publish(true, 40)
+	s.atOnce = 7
+	took, ok := s.until(20*time.Second, func() bool { return s.everywhere(1) })
+	require.True(t, ok)
+	t.Logf("everywhere after %s", took)
+}
+
 // A whole configuration is larger than one push may be. The puller asks for
 // the rest, part by part, and follows nothing until it has all.
 func TestPullInPieces(t *testing.T) {
@@ -210,3 +221,35 @@
 	require.Less(t, s.peak(), platformReads)
 	t.Logf("everywhere and fresh after %s; %d reads, at most %d in a second", took, s.reads, s.peak())
 }
+
+// An operator publishes a revision with a slip in it. Everybody goes on by the
+// last good one, the watchers say what is wrong, and the mended revision comes
+// into force at once.
+func TestInvalidRevision(t *testing.T) {
+	s := settled(t, 14, 3, 5, 4)
+	s.publish(false, 4)
+	var unfresh time.Duration
+	for range 100 {
+		s.run(100*time.Millisecond, func() { s.judge(t) })
+		if !s.allFresh() {
+			unfresh += 100 * time.Millisecond
+		}
+	}
+	require.True(t, s.everywhere(1))
+	require.LessOrEqual(t, unfresh, settleFor)
+	require.Equal(t, shed.Revision(2), s.watcher().state.Status(s.now).Invalid)
+	s.publish(true, 4)
+	took, ok := s.until(2*time.Second, func() bool { return s.everywhere(3) })
+	require.True(t, ok)
+	require.Zero(t, s.watcher().state.Status(s.now).Invalid)
+	t.Logf("some daemon was not fresh for %s; mended everywhere after %s", unfresh, took)
+}
+
+func (s *sim) watcher() *node {
+	for _, n := range s.nodes {
+		if n.state.Status(s.now).Watching {
+			return n
+		}
+	}
+	return nil
+}
--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -38,7 +38,7 @@
 	to    shed.VM
 	asked time.Time
 	// parts already fetched of a revision that is not whole yet. Each was
-	// checked against its hash, and the last push's index lists it.
+	// checked against its hash, and the last index to come in lists it.
 	parts map[shed.PartHash][]byte
 	// refused are the part lists that failed to compile, oldest first.
 	refused []verdict
@@ -132,7 +132,6 @@
 	}
 	s.forgetClaims(now)
 	if len(f.claims) == 0 {
-		f.parts = nil
 		return nil
 	}
 	s.sortClaims()
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -194,6 +194,9 @@
 	}
 	parts, whole := s.collect(ev.Index, ev.Parts)
 	if !whole {
+		// What came is kept, so that a slow platform that gives a few parts
+		// before each timeout still gives all of them in the end.
+		s.fetch.parts = s.apart(parts)
 		s.counts.PartialReads++
 		s.reads.next = now.Add(s.jitter(readRetry))
 		return nil
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -37,6 +37,7 @@
 	delay    time.Duration
 	cut      map[[2]int]bool // zones that can't reach each other
 	noPlat   map[int]bool    // zones that can't reach the platform
+	atOnce   int             // how many parts the platform gives in one answer; 0 for all
 	late     time.Duration   // how long the platform's answers are on their way
 	reads    int
 	readings map[int64]int // reads by second
@@ -284,8 +285,9 @@
 	for _, hash := range a.Have {
 		have[hash] = true
 	}
-	for hash, part := range r.parts {
-		if !have[hash] {
+	for _, hash := range r.index.Parts {
+		part := r.parts[hash]
+		if !have[hash] && (s.atOnce == 0 || len(ev.Parts) < s.atOnce) {
 			s.count(1)
 			ev.Parts[hash] = part
 		}
