--- a/internal/cmds/progress.go
+++ b/internal/cmds/progress.go
@@ -56,8 +56,8 @@
 
 func (p *progress) stage(s client.Stage) {
 	p.newLine()
-	p.note("%6.3f s  %s done on %s in %s, %d tokens, attempt %d",
-		p.deps.Now().Sub(p.start).Seconds(), s.Stage, s.Server, s.Zone, s.Tokens, s.Attempts)
+	p.note("%6.3f s  %s done on %s%s, %d tokens, attempt %d",
+		p.deps.Now().Sub(p.start).Seconds(), s.Stage, s.Server, after(" in ", s.Zone), s.Tokens, s.Attempts)
 }
 
 // newLine ends a line of text on the terminal.
@@ -94,9 +94,13 @@
 	_ = p.stages(a)
 }
 
-// stages prints what each stage cost, in thousandths of a server-second.
+// stages prints what each stage cost, in millionths of a server-second.
 func (p *progress) stages(a *client.Answer) error {
-	if p.quiet {
+	if p.quiet || a.RequestID == "" {
+		return nil
+	}
+	p.note("request %s%s", a.RequestID, after(", trace ", a.TraceID))
+	if len(a.Stages) == 0 {
 		return nil
 	}
 	t := tabwriter.NewWriter(p.deps.Err, 0, 0, 2, ' ', 0)
@@ -108,10 +112,17 @@
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("printing the stages: %w", err)
 	}
-	p.note("request %s, trace %s", a.RequestID, a.TraceID)
 	return nil
 }
 
+// after is text behind lead, or nothing at all if there is no text.
+func after(lead, text string) string {
+	if text == "" {
+		return ""
+	}
+	return lead + text
+}
+
 func (p *progress) print(text string) { _, _ = fmt.Fprint(p.deps.Out, text) }
 
 func (p *progress) note(format string, args ...any) {
--- a/internal/design/design.go
+++ b/internal/design/design.go
@@ -18,7 +18,7 @@
 })
 
 var StageCost = Type("StageCost", func() {
-	Description("Thousandths of a server-second.")
+	Description("Millionths of a server-second.")
 	Attribute("useful", UInt64)
 	Attribute("wasted", UInt64, "Cancelled, superseded, late and failed attempts.")
 	Required("useful", "wasted")
--- a/internal/gen/pipelines/service.go
+++ b/internal/gen/pipelines/service.go
@@ -161,7 +161,7 @@
 	Cost   *StageCost
 }
 
-// Thousandths of a server-second.
+// Millionths of a server-second.
 type StageCost struct {
 	Useful uint64
 	// Cancelled, superseded, late and failed attempts.
@@ -281,7 +281,7 @@
 
 // Error returns an error description.
 func (e *StageCost) Error() string {
-	return "Thousandths of a server-second."
+	return "Millionths of a server-second."
 }
 
 // ErrorName returns "StageCost".
