--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -8,15 +8,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
 // Config of a Client.
 type Config struct {
-	// URLs of the fleet's entry VMs or its balancer; one at least. A call that
-	// is repeated goes to the next one.
+	// URLs of the fleet's entry VMs or its balancer; one at least. Calls go to
+	// them in turn, and so do the repeats of one call.
 	URLs []string
 	// Workspace and its token.
 	Workspace, Token string
@@ -44,6 +46,8 @@
 type Client struct {
 	cfg  Config
 	http *http.Client
+	// turn counts calls, and so spreads them over the URLs.
+	turn atomic.Uint32
 }
 
 // New builds a client.
@@ -60,11 +64,14 @@
 	if cfg.Transport == nil {
 		cfg.Transport = newTransport()
 	}
-	return &Client{cfg: cfg, http: &http.Client{
+	c := &Client{cfg: cfg, http: &http.Client{
 		Transport: cfg.Transport,
 		// A redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}, nil
+	}}
+	// Many clients live for one call only, and all would start at the first URL.
+	c.turn.Store(rand.Uint32N(uint32(len(cfg.URLs))))
+	return c, nil
 }
 
 func newTransport() *http.Transport {
@@ -102,7 +109,7 @@
 
 // Run runs an idempotent pipeline and gives its whole answer.
 func (c *Client) Run(ctx context.Context, work Work) (*Answer, error) {
-	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+	return c.repeat(ctx, c.next(), func(ctx context.Context, base string) (*Answer, error) {
 		return c.whole(ctx, call{
 			method: http.MethodPost,
 			url:    base + "/v1/pipelines/" + escape(work.Pipeline) + "/requests",
@@ -113,8 +120,12 @@
 
 // Ticket gets a ticket for one run of a non-idempotent pipeline.
 func (c *Client) Ticket(ctx context.Context, pipeline string) (*Ticket, error) {
+	return c.ticket(ctx, c.next(), pipeline)
+}
+
+func (c *Client) ticket(ctx context.Context, first int, pipeline string) (*Ticket, error) {
 	var ticket Ticket
-	_, err := c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+	_, err := c.repeat(ctx, first, func(ctx context.Context, base string) (*Answer, error) {
 		return nil, c.do(ctx, call{
 			method: http.MethodPost,
 			url:    base + "/v1/tickets",
@@ -130,16 +141,22 @@
 // RunOnce gets a ticket and runs the pipeline at most once. After a broken
 // connection it asks again with the same ticket, which can't run it twice.
 func (c *Client) RunOnce(ctx context.Context, work Work) (*Answer, error) {
-	ticket, err := c.Ticket(ctx, work.Pipeline)
+	// The VM that gave out the ticket runs it too, which saves a hop.
+	first := c.next()
+	ticket, err := c.ticket(ctx, first, work.Pipeline)
 	if err != nil {
 		return nil, fmt.Errorf("getting a ticket: %w", err)
 	}
-	return c.RunTicket(ctx, ticket.RequestID, work)
+	return c.runTicket(ctx, first, ticket.RequestID, work)
 }
 
 // RunTicket is RunOnce with a ticket that the caller has got.
 func (c *Client) RunTicket(ctx context.Context, ticket string, work Work) (*Answer, error) {
-	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+	return c.runTicket(ctx, c.next(), ticket, work)
+}
+
+func (c *Client) runTicket(ctx context.Context, first int, ticket string, work Work) (*Answer, error) {
+	return c.repeat(ctx, first, func(ctx context.Context, base string) (*Answer, error) {
 		return c.whole(ctx, call{
 			method: http.MethodPut,
 			url:    base + "/v1/requests/" + escape(ticket),
@@ -150,7 +167,7 @@
 
 // Result gives the answer to a ticketed request, waiting for it if it runs.
 func (c *Client) Result(ctx context.Context, ticket string) (*Answer, error) {
-	return c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+	return c.repeat(ctx, c.next(), func(ctx context.Context, base string) (*Answer, error) {
 		return c.whole(ctx, call{
 			method: http.MethodGet,
 			url:    base + "/v1/requests/" + escape(ticket),
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -48,9 +48,22 @@
 func newTestClient(t *testing.T, rt http.RoundTripper) *Client {
 	c, err := New(Config{URLs: []string{"http://a", "http://b"}, Workspace: "weer", Token: "secret", Transport: rt})
 	require.NoError(t, err)
+	c.turn.Store(0)
 	return c
 }
 
+func TestCallsTakeTurns(t *testing.T) {
+	s := &script{steps: []func(*http.Request) (*http.Response, error){says(200, done), says(200, done), says(200, done)}}
+	c := newTestClient(t, s)
+	for range 3 {
+		_, err := c.Result(t.Context(), "t-1")
+		require.NoError(t, err)
+	}
+	require.Equal(t, []string{
+		"GET http://a/v1/requests/t-1", "GET http://b/v1/requests/t-1", "GET http://a/v1/requests/t-1",
+	}, s.calls)
+}
+
 func TestRunRepeatsOnlyWhatMayBe(t *testing.T) {
 	const a, b = "POST http://a/v1/pipelines/p/requests", "POST http://b/v1/pipelines/p/requests"
 	type step = func(*http.Request) (*http.Response, error)
--- a/pkg/client/repeat.go
+++ b/pkg/client/repeat.go
@@ -7,11 +7,20 @@
 	"time"
 )
 
+// next is the index of the URL whose turn it is.
+func (c *Client) next() int {
+	n := c.turn.Add(1) - 1
+	return int(n % uint32(len(c.cfg.URLs)))
+}
+
+// caller makes one call at one base URL.
+type caller func(ctx context.Context, base string) (*Answer, error)
+
 // repeat makes the call until it has an answer that is worth keeping, at one
-// URL after the other.
-func (c *Client) repeat(ctx context.Context, once func(ctx context.Context, base string) (*Answer, error)) (*Answer, error) {
+// URL after the other from the one with index first.
+func (c *Client) repeat(ctx context.Context, first int, once caller) (*Answer, error) {
 	for try := 0; ; try++ {
-		answer, err := once(ctx, c.cfg.URLs[try%len(c.cfg.URLs)])
+		answer, err := once(ctx, c.cfg.URLs[(first+try)%len(c.cfg.URLs)])
 		if err == nil || try >= c.cfg.Repeats {
 			return answer, err
 		}
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -30,7 +30,7 @@
 // answer. It is made again only as long as it has told nothing.
 func (c *Client) Stream(ctx context.Context, work Work, events Events) (*Answer, error) {
 	told := false
-	answer, err := c.repeat(ctx, func(ctx context.Context, base string) (*Answer, error) {
+	answer, err := c.repeat(ctx, c.next(), func(ctx context.Context, base string) (*Answer, error) {
 		answer, err := c.streamOnce(ctx, call{
 			method: http.MethodPost,
 			url:    base + "/v1/pipelines/" + escape(work.Pipeline) + "/stream",
