--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -272,12 +272,22 @@
 		}
 		return 1
 	})
+	c.slots.SetLongest(longest(rules))
 	c.load.SetServers(now, mine)
 	c.take(c.slots.SetServers(now, mine))
 	c.take(c.orders.SetRules(now, rules))
 	c.flow.SetRules(rules)
 }
 
+// longest is the longest time that the rules let any call run.
+func longest(rules *shed.Rules) time.Duration {
+	var most time.Duration
+	for _, p := range rules.Pipelines {
+		most = max(most, p.Deadline)
+	}
+	return most
+}
+
 // view tells the packages who is alive, and how sure that is.
 func (c *Core) view(now time.Time) {
 	v := c.member.View()
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/member"
 	"jasmineshed/internal/rank"
 )
 
@@ -66,6 +67,12 @@
 
 // stopTick ends the process once nothing runs any more, or time is up.
 func (c *Core) stopTick(now time.Time) {
+	if c.member.Overruled() && !c.stop.asked {
+		// A later process claims this VM's address, and peers drop all that this
+		// one says. What it runs may still end; it must start nothing.
+		c.out = append(c.out, shed.Note{Reason: member.ReasonOverruled, Peer: c.cfg.Self.VM})
+		c.stopAsked(now, shed.StopAsked{Hurry: true})
+	}
 	if !c.stop.asked || c.stop.exited {
 		return
 	}
