Room is shared among the zone's daemons, refusals by peers wait in the queue, admission counts the queues of all stages

They were in no queue: refused by peers, they backed off and came back, so admission saw no wait and let more in. And three daemons filled the same places after one report, so servers refused most of them. Also: the limit on unseen calls is lifted for 250 ms after an answer that shows the server's boot; before, calls without a stream went to a server one at a time.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -144,7 +144,7 @@
 	if Minimum(ask.Pipeline, 0) > left {
 		return g.refuse(now, ask)
 	}
-	wait := g.Wait(now, ask.Queue, ask.Waiting)
+	wait := g.waits(now, ask)
 	if wait+g.Expected(now, ask.Pipeline, 0) <= left {
 		return Verdict{OK: true}
 	}
@@ -157,10 +157,35 @@
 func (g *Gate) refuse(now time.Time, ask Ask) Verdict {
 	return Verdict{
 		Reason:     shed.ReasonWontMeetDeadline,
-		RetryAfter: g.RetryAfter(now, ask.Queue, ask.Waiting),
+		RetryAfter: g.RetryAfter(now, g.longestQueue(now, ask), ask.Waiting),
 	}
 }
 
+// waits predicts the waiting at all stages. Most often a late one is the
+// narrow place: looking at the first stage's queue alone, requests are let in,
+// go through the cheap stages, and are given up on before the dear one.
+func (g *Gate) waits(now time.Time, ask Ask) time.Duration {
+	sum := g.Wait(now, ask.Queue, ask.Waiting)
+	for i := range ask.Pipeline.Stages {
+		if key := KeyOf(&ask.Pipeline.Stages[i]); key != ask.Queue {
+			sum += g.Wait(now, key, ask.Waiting)
+		}
+	}
+	return sum
+}
+
+// longestQueue is the one that the request would wait in longest.
+func (g *Gate) longestQueue(now time.Time, ask Ask) QueueKey {
+	longest, most := ask.Queue, g.Wait(now, ask.Queue, ask.Waiting)
+	for i := range ask.Pipeline.Stages {
+		key := KeyOf(&ask.Pipeline.Stages[i])
+		if wait := g.Wait(now, key, ask.Waiting); wait > most {
+			longest, most = key, wait
+		}
+	}
+	return longest
+}
+
 // trial lets one request through per period. Without it a burst of slow stages
 // could close the gate for good: nothing admitted, hence no new sample, hence
 // still nothing admitted after the stages have mended.
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -37,6 +37,7 @@
 	}
 	if to, far := c.handed[e.Call]; far {
 		delete(c.handed, e.Call)
+		c.handedTo[to.zone]--
 		c.judge(now, to, e)
 	}
 	if c.guests[e.Call] {
@@ -56,13 +57,43 @@
 		}
 		c.shun(now, peerKey(to.vm), pause)
 		if e.Reason != shed.ReasonBroken && to.zone != c.cfg.Zone {
-			c.shun(now, zoneKey(to.zone), pause)
+			c.refused(now, to.zone, pause)
 		}
+	case shed.EndComplete:
+		delete(c.refusals, to.zone)
 	case shed.EndBroken:
 		c.shun(now, peerKey(to.vm), shunLost)
 	}
 }
 
+// refused keeps work from a zone that has no room, for longer with each refusal
+// in a row: while every zone is full, asking each other is only more work.
+func (c *Core) refused(now time.Time, z shed.ZoneID, pause time.Duration) {
+	n := c.refusals[z]
+	c.refusals[z] = min(n+1, maxRefusals)
+	c.shun(now, zoneKey(z), min(pause<<n, shunMost))
+}
+
+// zoneShunned tells whether a zone gets no call now: it refused lately, or it
+// did so last and one call that tries it again is still out. Were all that wait
+// to try at once, most would come back refused and have spent a send for it.
+func (c *Core) zoneShunned(now time.Time, z shed.ZoneID) bool {
+	if c.isShunned(now, zoneKey(z)) {
+		return true
+	}
+	return c.refusals[z] > 0 && c.handedTo[z] > 0
+}
+
+// hand books a call that goes to a peer.
+func (c *Core) hand(call shed.Call, to shed.VM) {
+	t := target{vm: to, zone: c.zoneOf(to)}
+	c.handed[call] = t
+	c.handedTo[t.zone]++
+}
+
+// maxRefusals bounds how often the pause doubles.
+const maxRefusals = 4
+
 func peerKey(vm shed.VM) string    { return "peer " + string(vm) }
 func zoneKey(z shed.ZoneID) string { return "zone " + string(z) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,10 @@
 	away map[shed.RequestID]bool
 	// shunned are peers and zones that refused work or were lost, until when.
 	shunned map[string]time.Time
+	// handedTo counts them by zone.
+	handedTo map[shed.ZoneID]int
+	// refusals counts those in a row by each other zone.
+	refusals map[shed.ZoneID]int
 	// scratch for the candidates of one placement.
 	scratch []shed.Candidate
 
@@ -134,15 +138,17 @@
 		return nil, err
 	}
 	c := &Core{
-		cfg:     cfg,
-		policy:  policy,
-		gate:    admit.New(cfg.Admit),
-		ledger:  cost.New(cost.Config{}),
-		guests:  make(map[shed.Call]bool),
-		local:   make(map[shed.Call]shed.ServerID),
-		handed:  make(map[shed.Call]target),
-		away:    make(map[shed.RequestID]bool),
-		shunned: make(map[string]time.Time),
+		cfg:      cfg,
+		policy:   policy,
+		gate:     admit.New(cfg.Admit),
+		ledger:   cost.New(cost.Config{}),
+		guests:   make(map[shed.Call]bool),
+		local:    make(map[shed.Call]shed.ServerID),
+		handed:   make(map[shed.Call]target),
+		away:     make(map[shed.RequestID]bool),
+		shunned:  make(map[string]time.Time),
+		handedTo: make(map[shed.ZoneID]int),
+		refusals: make(map[shed.ZoneID]int),
 	}
 	c.build()
 	return c, nil
@@ -379,7 +385,7 @@
 			c.bookStart(now, a)
 			started = true
 		case shed.HandStage:
-			c.handed[a.Ask.Call] = target{vm: a.To, zone: c.zoneOf(a.To)}
+			c.hand(a.Ask.Call, a.To)
 			started = true
 		case shed.Finish:
 			c.tickets.Finished(now, a.Request, a)
--- a/internal/core/guest.go
+++ b/internal/core/guest.go
@@ -99,7 +99,7 @@
 func (c *Core) passOn(now time.Time, q shed.PlaceAsk, to shed.VM) {
 	q.Hops++
 	c.guests[q.Call] = true
-	c.handed[q.Call] = target{vm: to, zone: c.cfg.Zone}
+	c.hand(q.Call, to)
 	c.out = append(c.out, shed.HandStage{
 		To:       to,
 		Ask:      q.StageAsk,
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -117,7 +117,7 @@
 		cand, known := c.load.Candidate(now, s.ID)
 		switch {
 		case !known:
-		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.Unseen(s.ID) < c.unseenShare(s):
+		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.MaySend(now, s.ID, c.unseenShare(s)):
 			room = append(room, cand)
 		case cand.Cold && c.load.Settled(s.ID) && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
 			room = append(room, cand)
@@ -183,7 +183,7 @@
 	}
 	key := fmt.Sprintf("%s/%d/%d", ask.Call.Request, ask.Call.Stage, ask.Call.Attempt)
 	for _, z := range c.farZones(ask, pool) {
-		if c.isShunned(now, zoneKey(z)) {
+		if c.zoneShunned(now, z) {
 			continue
 		}
 		for _, vm := range rank.Owners(key, c.member.View().VMs(z), farTries) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -78,7 +78,7 @@
 			require.Equal(t, shed.EndComplete, end.End, end.Reason)
 			want := in
 			c.want(&want)
-			require.Equal(t, c.kind != shed.KindService, got.frames[0].Boot == "s1-0")
+			require.Equal(t, map[bool]string{true: "-0", false: "s1-0"}[c.kind == shed.KindService], got.frames[0].Boot)
 			last := got.frames[len(got.frames)-1]
 			require.True(t, last.Last)
 			require.Equal(t, want, *last.Result)
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -163,18 +163,25 @@
 
 // retry sends the stage again, elsewhere if it can. Whatever kept two calls
 // from so much as leaving would likely keep the next ones too, so these back
-// off.
+// off. A call that a peer refused for want of room rather waits in the queue
+// with the others: backing off, it would be seen by nobody who predicts how
+// long the wait is, and requests would be let in that can't be done.
 func (f *Flow) retry(now time.Time, r *request, e shed.CallEnded) {
 	if e.Server != "" && len(r.avoid) < maxAvoid {
 		r.avoid = append(r.avoid, e.Server)
 	}
-	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 {
+	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 && !noRoom(e.Reason) {
 		f.backOff(now, r)
 		return
 	}
 	f.advance(now, r)
 }
 
+// noRoom tells whether a peer refused because its servers are full or cold.
+func noRoom(reason shed.Reason) bool {
+	return reason == shed.ReasonServersBusy || reason == shed.ReasonServerCold
+}
+
 // resume goes on with a stream that broke midway, on the server that holds it.
 // It runs nothing anew, so it is open to stages that must not run twice too,
 // and is not paid from the retry budget.
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -103,6 +103,8 @@
 	flight []*call
 	// unseen are those of flight of which the server has shown no sign yet.
 	unseen int
+	// provenAt is when an answer of the server last showed its boot.
+	provenAt time.Time
 	// ended are calls that ended after the last report.
 	ended []span
 	first ring // times to the first token
@@ -316,5 +318,24 @@
 	if e == nil || !e.full.IsZero() {
 		return 0
 	}
-	return max(0, e.level()-e.running())
+	free := e.level() - e.running()
+	since := e.sentSince()
+	if since == 0 {
+		return max(0, free)
+	}
+	return max(0, free-since*(len(b.vms)-1))
+}
+
+// sentSince counts this daemon's live calls that the last report can't show. The
+// zone's other daemons go by the same report, and will likely send as many:
+// each fills only its share of what was free, since all of them together would
+// else send the same places several times over, and most would be refused.
+func (e *entry) sentSince() int {
+	n := 0
+	for _, c := range e.flight {
+		if c.sent.After(e.at) {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -31,15 +31,21 @@
 	e.unseen++
 }
 
-// Unseen returns how many of this daemon's calls the server has given no sign
-// of. A server that restarted takes them as a new one: until its answer tells,
-// no more may be under way than a cold server bears.
-func (b *Book) Unseen(server shed.ServerID) int {
+// provenFor is how long a server's answer proves that it has not restarted
+// since: none is down and up again in less.
+const provenFor = 250 * time.Millisecond
+
+// MaySend tells whether one more call may go to a server that is held warm.
+//
+// It may have turned cold without anybody knowing. Of the calls of which it has
+// given no sign yet, this daemon has no more under way than its share of what
+// the server bears cold, unless the server has just shown which boot it is.
+func (b *Book) MaySend(now time.Time, server shed.ServerID, share int) bool {
 	e := b.servers[server]
 	if e == nil {
-		return 0
+		return false
 	}
-	return e.unseen
+	return e.unseen < share || now.Sub(e.provenAt) < provenFor
 }
 
 // Seen tells that the server has accepted the call, and its boot identity if
@@ -55,6 +61,10 @@
 		return nil
 	}
 	e.sight(c)
+	if boot == "" || boot == e.report.Boot {
+		// A server that names no boot can show no more than that it answers.
+		e.provenAt = now
+	}
 	if boot == "" || e.report.Boot == "" || boot == e.report.Boot || slices.Contains(e.former, boot) {
 		return nil
 	}
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -88,6 +87,7 @@
 		notRun(w, http.StatusServiceUnavailable, "not run")
 		return
 	}
+	w.Header().Set(wire.HeaderBoot, s.bootID())
 	// The call runs to its end also when the caller has gone, as a publication
 	// does once it is under way.
 	<-time.After(s.cfg.CallTime)
@@ -126,11 +126,14 @@
 	s.Record.end(run, time.Now(), true, false, 0)
 }
 
+// bootID never changes: a service stand-in doesn't restart.
+func (s *Service) bootID() string { return string(s.cfg.ID) + "-0" }
+
 func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	s.sequence++
 	load := wire.Load{
-		Boot:     string(s.cfg.ID) + "-" + strconv.Itoa(0),
+		Boot:     s.bootID(),
 		Sequence: s.sequence,
 		Running:  s.running,
 		Warm:     true,
