flow: a request avoids a server no longer once a peer has nothing else

Seen by procs.TestSilentEngineConnections: a caption was refused with deadline_cannot_be_met while an engine of another zone had room. gen-a-1, the only engine of zone a, refused it once as overloaded; from then on zone a answered no_server_open in each try, since the ask told it to avoid gen-a-1. flow.nowhere clears the avoided servers, but only for the own zone's answer. The new test in flow fails without the change and passes with it.

--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -168,6 +168,13 @@
 	if e.Server != "" && len(r.avoid) < maxAvoid {
 		r.avoid = append(r.avoid, e.Server)
 	}
+	// A peer with none but avoided servers says that it has none, at once, in
+	// every try. The request would be kept from a whole zone by one failure, and
+	// be refused for want of time while servers are free. As where this zone has
+	// no other server, an avoided one is better than none.
+	if e.End == shed.EndNotStarted && e.Reason == shed.ReasonNoServer {
+		r.avoid = nil
+	}
 	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 {
 		f.backOff(now, r)
 		return
--- a/internal/flow/story_test.go
+++ b/internal/flow/story_test.go
@@ -197,6 +197,24 @@
 	require.Equal(t, 1, started)
 }
 
+// A draft fails at the only server of the other zone, and the peer there then
+// has none for it. The caller is not kept from that zone until the deadline: the
+// next try may use the server again.
+func TestAvoidingEndsWhereAPeerHasNothingElse(t *testing.T) {
+	f := newFlow(func(shed.PlaceAsk) shed.Placement {
+		return shed.Placement{Kind: shed.PlacePeer, Peer: "10.0.0.2:1"}
+	})
+	first := only[shed.HandStage](f.Handle(start, arrived("r", "draft")))[0]
+	failed := ended(first.Ask.Call, shed.EndOverloaded, 0)
+	failed.Server = "s2"
+	second := only[shed.HandStage](f.Handle(start, failed))[0]
+	require.Equal(t, []shed.ServerID{"s2"}, second.Ask.Avoid)
+	f.Handle(start, shed.CallEnded{Call: second.Ask.Call, End: shed.EndNotStarted, Reason: shed.ReasonNoServer})
+	third := only[shed.HandStage](f.Handle(start.Add(time.Second), shed.Tick{}))
+	require.Len(t, third, 1)
+	require.Empty(t, third[0].Ask.Avoid)
+}
+
 // Publishing takes a second of late, and a publication comes to that stage with
 // half a second left. Started, it would be cut off by the deadline and its
 // caller told "unknown". It is refused instead, with nothing published.
