procs: a kept test result goes stale with the programs

The test only built the programs, so Go took a pass for still true after a change of a daemon: seen with a change in internal/daemon, which gave (cached). A blank import was not enough, since unused code is not linked.

--- a/internal/procs/main_test.go
+++ b/internal/procs/main_test.go
@@ -6,8 +6,16 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	"jasmineshed/internal/cmds"
+	"jasmineshed/internal/single"
 )
 
+// mains refers to the programs. Go keeps the result of a test until the linked
+// test changes, and links no code that nothing refers to: without these a change
+// of the programs would leave an old pass standing.
+var mains = map[string]any{"jasmineshed": cmds.Main, "standin": single.Main}
+
 // programs is the directory that holds the built programs.
 var programs string
 
@@ -22,7 +30,11 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", "build", "-o", dir, "jasmineshed/cmd/jasmineshed", "jasmineshed/cmd/standin")
+	args := []string{"build", "-o", dir}
+	for name := range mains {
+		args = append(args, "jasmineshed/cmd/"+name)
+	}
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "building the programs: %v\n%s", err, out)
 		return 1
