daemon: await the word of a ticket's home a little beyond the deadline

A warning that its home refuses, as nothing may publish it in time, was told as outcome_unknown to a caller that came by another VM. The home ends a waiting request at the tick after its last useful moment, and the VM in between gave up at the very deadline, before that word came. Ruled out: the publication can't have run (no service recorded it), and the home answers its own callers correctly.

--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -14,6 +14,13 @@
 // safe: the home runs a ticket once and gives repeats the same answer.
 const homeAttempts = 3
 
+// homeGrace is how long the word of a home is awaited beyond the deadline. The
+// home keeps the deadline itself, but ends a request that waits only at its
+// next tick. Without the grace its caller would be told "unknown" at the
+// deadline of a request that the home knows it never started; three ticks leave
+// one for the way back.
+const homeGrace = 3 * shed.TickEvery
+
 // Request implements peers.Handler.
 func (d *Daemon) Request(ctx context.Context, in peers.RequestCall, update func(shed.Update)) (shed.Answer, bool) {
 	if in.To != d.cfg.Self {
@@ -87,7 +94,7 @@
 		Budget: time.Until(a.Deadline),
 	}}
 	d.work.Go(func() error {
-		ctx, cancel := context.WithDeadline(r.ctx, a.Deadline)
+		ctx, cancel := context.WithDeadline(r.ctx, a.Deadline.Add(homeGrace))
 		defer cancel()
 		answer := d.askHome(ctx, msg, r.push)
 		d.mu.Lock()
--- /dev/null
+++ b/internal/procs/home_test.go
@@ -0,0 +1,68 @@
+package procs
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"jasmineshed/pkg/client"
+)
+
+// The platform is down, so zone b, which has no service that publishes, may hand
+// no publication to another zone. Warnings with tickets of zone b wait there
+// until too little time is left. Their callers, who came by other VMs, are told
+// that they were refused and so were not published. "Unknown" would make an
+// editor look at every playout; it is left to those whose word comes too late.
+func TestRefusalOfTheTicketsHomeIsTold(t *testing.T) {
+	f := startFleet(t, fleetConfig{example: "small"})
+	issuer := f.vms[perZone]
+	require.Equal(t, "b", issuer.zone)
+	f.platform.kill()
+	await(t, func() bool { return !f.anyFresh() }, "the last confirmation is too old")
+
+	var refused, unknown atomic.Int64
+	var callers errgroup.Group
+	for _, v := range f.vms {
+		if v == issuer {
+			continue
+		}
+		for i := range 4 {
+			input := fmt.Sprintf("warning %d through VM %d", i, v.index)
+			e := ordered{from: f.caller(-1, issuer), to: f.caller(-1, v)}
+			callers.Go(func() error {
+				switch end := e.warning(t.Context(), input); end.outcome() {
+				case client.Refused:
+					refused.Add(1)
+				case client.Unknown:
+					unknown.Add(1)
+				default:
+					return fmt.Errorf("%s: %w", input, end.err)
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, callers.Wait())
+	require.Empty(t, f.published())
+	t.Logf("refused %d, unknown %d", refused.Load(), unknown.Load())
+	require.Greater(t, refused.Load(), unknown.Load())
+}
+
+// ordered gets a ticket from one VM and uses it at another.
+type ordered struct {
+	from, to *client.Client
+}
+
+func (o ordered) warning(ctx context.Context, input string) end {
+	ticket, err := o.from.Ticket(ctx, "warning")
+	if err != nil {
+		return end{err: err}
+	}
+	work := client.Work{Pipeline: "warning", Input: input, MaxTokens: tokens}
+	answer, err := o.to.RunTicket(ctx, ticket.RequestID, work)
+	return end{ticket: ticket.RequestID, answer: answer, err: err}
+}
