--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -111,6 +111,10 @@
 	reason := shed.ReasonBroken
 	end := shed.EndBroken
 	cause := context.Cause(ctx)
+	if cause == nil && c.pastDeadline() {
+		// The server knows the deadline, too, and may be first to act on it.
+		cause = errDeadline
+	}
 	switch {
 	case errors.Is(err, errTooLate):
 		reason = shed.ReasonWoke
@@ -127,6 +131,10 @@
 	return c.end(end, reason)
 }
 
+func (c *call) pastDeadline() bool {
+	return !c.start.Deadline.IsZero() && !time.Now().Before(c.start.Deadline)
+}
+
 // refused ends a call that the server answered with another status than 200.
 //
 // "Not run" is what the server says outright. A bare 503 may come from
