--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -6,9 +6,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
+
+	"jasmineshed/internal/wire"
 )
 
 var (
@@ -94,6 +98,8 @@
 // sending follows one call through net/http.
 type sending struct {
 	until time.Time
+	// accepted is told of the boot that an early answer names.
+	accepted func(boot string)
 
 	mu   sync.Mutex
 	conn *conn
@@ -103,7 +109,15 @@
 
 // trace returns ctx with a hook that arms the connection that the call gets.
 func (s *sending) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: s.gotConn,
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if code == http.StatusEarlyHints && s.accepted != nil {
+				s.accepted(h.Get(wire.HeaderBoot))
+			}
+			return nil
+		},
+	})
 }
 
 // gotConn runs before the first byte of the call is written. net/http comes
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -33,6 +33,8 @@
 	in     shed.Payload
 	sink   func(shed.Frame) error
 	watch  *silence
+	// taken: the server's acceptance has been told.
+	taken bool
 	// sequence is the next frame's.
 	sequence uint32
 	tokens   shed.Tokens
@@ -52,7 +54,7 @@
 		return c.end(shed.EndNotStarted, shed.ReasonBroken)
 	}
 	c.header(ctx, req.Header)
-	send := &sending{until: c.start.Until}
+	send := &sending{until: c.start.Until, accepted: c.accepted}
 	req = req.WithContext(send.trace(req.Context()))
 	resp, err := c.transport().RoundTrip(req)
 	if err != nil {
@@ -63,9 +65,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return c.refused(resp)
 	}
-	if err := c.accepted(resp.Header.Get(wire.HeaderBoot)); err != nil {
-		return c.end(shed.EndBroken, shed.ReasonBroken)
-	}
+	c.accepted(resp.Header.Get(wire.HeaderBoot))
 	return c.answer(ctx, resp.Body)
 }
 
@@ -178,9 +178,16 @@
 	}
 }
 
-// accepted tells that the server has taken the call in.
-func (c *call) accepted(boot string) error {
-	return c.sink(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
+// accepted tells, once, that the server has taken the call in: by an early
+// answer (103) if it gives one, or with the head of its answer. It comes before
+// all frames, and nothing runs beside it: the caller of RoundTrip waits.
+func (c *call) accepted(boot string) {
+	if c.taken {
+		return
+	}
+	c.taken = true
+	// A sink that fails here fails with the next frame, too.
+	_ = c.sink(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
 }
 
 // emit hands one frame on.
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -105,6 +105,8 @@
 	unseen int
 	// provenAt is when an answer of the server last showed its boot.
 	provenAt time.Time
+	// tellsLate: the server gives no sign of a call before its end.
+	tellsLate bool
 	// ended are calls that ended after the last report.
 	ended []span
 	first ring // times to the first token
--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -12,6 +12,7 @@
 	server shed.ServerID
 	sent   time.Time
 	seen   bool // the server has answered in any way
+	told   time.Time // when it accepted the call
 	first  bool // the first token has come
 	leapt  bool // already counted as a symptom
 }
@@ -39,13 +40,15 @@
 //
 // It may have turned cold without anybody knowing. Of the calls of which it has
 // given no sign yet, this daemon has no more under way than its share of what
-// the server bears cold, unless the server has just shown which boot it is.
+// the server bears cold. A server that shows its boot only with the end of a
+// call would then get one call after the other; to such a one, calls may go for
+// as long as its last answer is fresh.
 func (b *Book) MaySend(now time.Time, server shed.ServerID, share int) bool {
 	e := b.servers[server]
 	if e == nil {
 		return false
 	}
-	return e.unseen < share || now.Sub(e.provenAt) < provenFor
+	return e.unseen < share || e.tellsLate && now.Sub(e.provenAt) < provenFor
 }
 
 // Seen tells that the server has accepted the call, and its boot identity if
@@ -61,6 +64,7 @@
 		return nil
 	}
 	e.sight(c)
+	c.told = now
 	if boot == "" || boot == e.report.Boot {
 		// A server that names no boot can show no more than that it answers.
 		e.provenAt = now
@@ -71,6 +75,17 @@
 	return b.reborn(now, e, boot)
 }
 
+// lateTelling is within what time of its end a call's acceptance tells nothing.
+const lateTelling = time.Millisecond
+
+// noteTelling learns from a call of some length whether the server tells early
+// that it has accepted one.
+func (e *entry) noteTelling(now time.Time, c *call) {
+	if now.Sub(c.sent) > 3*lateTelling {
+		e.tellsLate = c.told.IsZero() || now.Sub(c.told) < lateTelling
+	}
+}
+
 func (e *entry) sight(c *call) {
 	if !c.seen {
 		c.seen = true
@@ -130,6 +145,7 @@
 	case shed.EndComplete:
 		e.whole.add(now.Sub(c.sent))
 		e.cold.completed++
+		e.noteTelling(now, c)
 	case shed.EndOverloaded:
 		return b.overloaded(now, e)
 	case shed.EndBroken:
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -197,7 +197,9 @@
 	boot := e.bootID()
 	e.mu.Unlock()
 	if refuse == 0 {
+		// The early answer says at once that the call has been taken in.
 		w.Header().Set(wire.HeaderBoot, boot)
+		w.WriteHeader(http.StatusEarlyHints)
 		return run
 	}
 	e.refuse()
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -88,6 +88,7 @@
 		return
 	}
 	w.Header().Set(wire.HeaderBoot, s.bootID())
+	w.WriteHeader(http.StatusEarlyHints)
 	// The call runs to its end also when the caller has gone, as a publication
 	// does once it is under way.
 	<-time.After(s.cfg.CallTime)
