--- a/internal/procs/load_test.go
+++ b/internal/procs/load_test.go
@@ -1,9 +1,12 @@
 package procs
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +67,10 @@
 func (f *fleet) load() *load {
 	ctx, stop := context.WithCancel(context.Background())
 	l := &load{f: f, ctx: ctx, stop: stop, ends: map[string][]end{}}
-	f.t.Cleanup(func() { l.finish() })
+	f.t.Cleanup(func() {
+		l.finish()
+		l.tell()
+	})
 	return l
 }
 
@@ -108,6 +114,17 @@
 	return l.ends
 }
 
+// tell logs how the requests ended.
+func (l *load) tell() {
+	for group, ends := range l.ends {
+		count := map[string]int{}
+		for _, e := range ends {
+			count[string(e.outcome())+" "+e.reason()]++
+		}
+		l.f.t.Logf("%s: %v", group, count)
+	}
+}
+
 // captions asks for captions, which may be repeated.
 func captions(c *client.Client) func(context.Context, string) end {
 	return func(ctx context.Context, input string) end {
@@ -134,11 +151,32 @@
 	f.t.Helper()
 	require.NotEmpty(f.t, ends, group)
 	for _, e := range ends {
-		require.NoError(f.t, e.err, "%s of %d", e.input, len(ends))
+		if e.err != nil {
+			require.NoError(f.t, e.err, "%s of %d\n%s", e.input, len(ends), f.story(e))
+		}
 		require.Equal(f.t, stand.WholeText(e.input, tokens), e.answer.Payload.Text, e.input)
 	}
 }
 
+// story is what the daemons noted of the request.
+func (f *fleet) story(e end) string {
+	var other *client.AnswerError
+	if !errors.As(e.err, &other) {
+		return ""
+	}
+	story := fmt.Sprintf("%+v\n", other.Answer)
+	for _, v := range f.vms {
+		var notes []json.RawMessage
+		send(http.MethodGet, "http://"+v.operators+"/explain/"+other.Answer.RequestID, nil, &notes)
+		for _, n := range notes {
+			var line bytes.Buffer
+			_ = json.Compact(&line, n)
+			story += fmt.Sprintf("%s %s\n", v.name, &line)
+		}
+	}
+	return story
+}
+
 // trueAll fails unless the outcome of each ticketed request agrees with what the
 // plain services ran: complete once, unknown once at most, else never.
 func (f *fleet) trueAll(ends []end) {
