Early answers (103) name the boot of a server; daemons that don't know the zone take the least share of unseen calls

The exemption is now only for servers that show their boot with the end of a call; ours say at once that they have taken a call in.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -117,7 +117,7 @@
 		cand, known := c.load.Candidate(now, s.ID)
 		switch {
 		case !known:
-		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.MaySend(now, s.ID, c.unseenShare(s)):
+		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.MaySend(now, s.ID, c.unseenShare(now, s)):
 			room = append(room, cand)
 		case cand.Cold && c.load.Settled(s.ID) && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
 			room = append(room, cand)
@@ -147,8 +147,12 @@
 // server has given no sign. A warm server may turn cold without warning; all
 // daemons' unseen calls together are then what hits it before anyone knows, so
 // each takes its share of what the server bears cold.
-func (c *Core) unseenShare(s *shed.Server) int {
-	daemons := len(c.member.View().Zone(c.cfg.Zone))
+// A daemon that doesn't know yet who else there is takes the least.
+func (c *Core) unseenShare(now time.Time, s *shed.Server) int {
+	if !c.member.Confirmed(now) {
+		return 1
+	}
+	daemons := max(len(c.member.View().Zone(c.cfg.Zone)), len(c.member.Known()))
 	return max(1, s.ColdBears/max(1, daemons))
 }
 
--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -11,10 +11,10 @@
 type call struct {
 	server shed.ServerID
 	sent   time.Time
-	seen   bool // the server has answered in any way
+	seen   bool      // the server has answered in any way
 	told   time.Time // when it accepted the call
-	first  bool // the first token has come
-	leapt  bool // already counted as a symptom
+	first  bool      // the first token has come
+	leapt  bool      // already counted as a symptom
 }
 
 // span is a call that has ended.
@@ -81,8 +81,8 @@
 // noteTelling learns from a call of some length whether the server tells early
 // that it has accepted one.
 func (e *entry) noteTelling(now time.Time, c *call) {
-	if now.Sub(c.sent) > 3*lateTelling {
-		e.tellsLate = c.told.IsZero() || now.Sub(c.told) < lateTelling
+	if !c.told.IsZero() && now.Sub(c.sent) > 3*lateTelling {
+		e.tellsLate = now.Sub(c.told) < lateTelling
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,7 +201,7 @@
 		Zone:     shed.ZoneID(p.Node.Zone),
 		Seeds:    seeds,
 		Seed:     xxhash.Sum64String(string(n.self.VM)) ^ uint64(n.self.Incarnation),
-		Compile:  rules.Compile,
+		Compile:  rules.NewCompiler().Compile,
 		Policy:   n.cfg.Policy,
 		Notice:   p.Stop.Notice,
 		MaxDrain: p.Stop.Notice + p.Stop.Drain,
--- a/internal/stand/engine_test.go
+++ b/internal/stand/engine_test.go
@@ -17,11 +17,21 @@
 )
 
 // ask calls a handler in memory.
+// final records the final answer: a recorder would take an early answer (103)
+// for the whole one.
+type final struct{ *httptest.ResponseRecorder }
+
+func (f final) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		f.ResponseRecorder.WriteHeader(status)
+	}
+}
+
 func ask(h http.Handler, method, path, id, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set(wire.HeaderCall, id)
 	w := httptest.NewRecorder()
-	h.ServeHTTP(w, r)
+	h.ServeHTTP(final{w}, r)
 	return w
 }
 
