A repeat of a ticketed request takes nobody else's answer

The step that took in a repeat also gave up another request that waited; the driver took that refusal for the repeat's.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -131,7 +131,7 @@
 	r.join()
 	d.runs[r.id] = r
 	for _, act := range acts {
-		if _, join := act.(shed.JoinRequest); join {
+		if join, ok := act.(shed.JoinRequest); ok && join.Request == r.id {
 			// It ran here, but its answer is no longer kept.
 			d.endRun(r, unknown(r.id, shed.ReasonTicketExpired))
 		}
@@ -156,7 +156,13 @@
 		case shed.JoinRequest, shed.HandRequest:
 			refused = nil
 		case shed.Finish:
-			refused = &a
+			// The same step may have ended other requests, and, after the repeat
+			// has joined it, the first one too.
+			if a.Request == first.id && refused != nil {
+				refused = &a
+				continue
+			}
+			rest = append(rest, act)
 		default:
 			rest = append(rest, act)
 		}
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -405,8 +405,11 @@
 		case shed.JoinRequest, shed.HandRequest:
 			joined = true
 		case shed.Finish:
+			if a.Request != ev.Request || joined {
+				n.perform(act, life)
+				continue
+			}
 			reply(answer{at: n.w.now, outcome: a.Outcome, reason: a.Reason, retry: a.RetryAfter, request: a.Request})
-			return
 		default:
 			n.perform(act, life)
 		}
--- a/internal/proof/matrix_test.go
+++ b/internal/proof/matrix_test.go
@@ -56,7 +56,6 @@
 // run plays the story with the cell's faults.
 func (c cell) run() *world {
 	w := fleetWorld(c.seed)
-	w.trace = *tracing
 	w.onStep = func(step int, n *node) {
 		for i, at := range c.at {
 			if at == step && n.up {
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -41,7 +41,7 @@
 )
 
 func newWorld(seed uint64) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]string]bool{}}
+	w := &world{trace: *tracing, rng: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]string]bool{}}
 	w.now = epoch
 	w.plat = &platform{world: w}
 	return w
