--- a/ids.go
+++ b/ids.go
@@ -29,8 +29,8 @@
 
 // Peer is one process of the system.
 type Peer struct {
-	VM          VM          `cbor:"1,keyasint"`
-	Incarnation Incarnation `cbor:"2,keyasint"`
+	VM          VM          `cbor:"1,keyasint" json:"vm"`
+	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
 }
 
 // Revision orders configurations. It is the platform's own store revision,
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -5,25 +5,54 @@
 	"time"
 
 	shed "jasmineshed"
-	"jasmineshed/internal/config"
 	"jasmineshed/internal/cost"
 )
 
 // Status is what a daemon believes, and how old each belief is.
 type Status struct {
-	Peer     shed.Peer     `json:"peer"`
-	Zone     shed.ZoneID   `json:"zone"`
-	Ready    bool          `json:"ready"`
-	Stopping bool          `json:"stopping"`
-	Config   config.Status `json:"configuration"`
-	View     []ZoneStatus  `json:"view"`
+	Peer     shed.Peer    `json:"peer"`
+	Zone     shed.ZoneID  `json:"zone"`
+	Ready    bool         `json:"ready"`
+	Stopping bool         `json:"stopping"`
+	Config   ConfigStatus `json:"configuration"`
+	View     []ZoneStatus `json:"view"`
 	// ViewConfirmed: peers have confirmed the view since the last pause.
 	ViewConfirmed bool           `json:"view_confirmed"`
 	Servers       []ServerStatus `json:"servers"`
 	LiveRequests  int            `json:"live_requests"`
 	GuestCalls    int            `json:"guest_calls"`
 	Tickets       int            `json:"tickets"`
-	Cost          []cost.Line    `json:"cost"`
+	// Cost by stage since the start, in millionths of a server-second.
+	Cost []StageCost `json:"cost"`
+}
+
+// ConfigStatus is what is believed of the configuration.
+type ConfigStatus struct {
+	Revision shed.Revision `json:"revision"`
+	Ready    bool          `json:"ready"`
+	Fresh    bool          `json:"fresh"`
+	// Confirmed is how long ago the revision was known to be the newest; -1 if
+	// it never was.
+	Confirmed time.Duration `json:"confirmed_ago_ns"`
+	// Watching: this daemon reads the platform for its zone.
+	Watching bool `json:"watching"`
+	// Asked and Heard count peers at the last start or wake.
+	Asked int `json:"peers_asked"`
+	Heard int `json:"peers_heard"`
+	// Invalid is the platform's newest revision if it has faults.
+	Invalid shed.Revision `json:"invalid_revision,omitempty"`
+	Faults  string        `json:"faults,omitempty"`
+	Reads   int           `json:"platform_reads"`
+	Woke    int           `json:"woke"`
+}
+
+// StageCost is what one stage has cost.
+type StageCost struct {
+	Pipeline shed.PipelineID `json:"pipeline"`
+	Stage    shed.StageID    `json:"stage"`
+	Calls    uint64          `json:"useful_calls"`
+	Useful   shed.Cost       `json:"useful"`
+	Wasted   shed.Cost       `json:"wasted"`
 }
 
 // ZoneStatus is the view of one zone.
@@ -48,9 +77,9 @@
 func (c *Core) status(now time.Time) Status {
 	s := Status{
 		Peer: c.cfg.Self, Zone: c.cfg.Zone, Ready: c.ready, Stopping: c.stop.asked,
-		Config: c.config.Status(now), ViewConfirmed: c.member.Confirmed(now),
+		Config: c.configStatus(now), ViewConfirmed: c.member.Confirmed(now),
 		LiveRequests: c.flow.Live(), GuestCalls: len(c.guests), Tickets: c.tickets.Len(),
-		Cost: c.ledger.Snapshot(),
+		Cost: c.costs(),
 	}
 	v := c.member.View()
 	for _, z := range v.Zones() {
@@ -72,3 +101,29 @@
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].Server < s.Servers[j].Server })
 	return s
 }
+
+func (c *Core) configStatus(now time.Time) ConfigStatus {
+	from := c.config.Status(now)
+	to := ConfigStatus{
+		Revision: from.Revision, Ready: from.Ready, Fresh: from.Fresh, Confirmed: from.Confirmed,
+		Watching: from.Watching, Asked: from.Asked, Heard: from.Heard,
+		Invalid: from.Invalid, Faults: from.Faults, Reads: from.Counts.Reads, Woke: from.Counts.Woke,
+	}
+	if from.Never {
+		to.Confirmed = -1
+	}
+	return to
+}
+
+func (c *Core) costs() []StageCost {
+	lines := c.ledger.Snapshot()
+	out := make([]StageCost, len(lines))
+	for i := range lines {
+		l := &lines[i]
+		out[i] = StageCost{
+			Pipeline: l.Pipeline, Stage: l.Stage,
+			Calls: l.Calls[cost.Useful], Useful: l.Cost[cost.Useful], Wasted: l.Wasted(),
+		}
+	}
+	return out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,8 @@
 	PeerServer   peers.ServerConfig
 	// Services are run beside the daemon's own: listeners and the like.
 	Services []suture.Service
+	// Drain is how long the services may take to end after the stop.
+	Drain time.Duration
 	// KeepAnswers is how long the answer to a ticketed request is kept.
 	KeepAnswers time.Duration
 }
@@ -95,6 +97,9 @@
 	if cfg.KeepAnswers == 0 {
 		cfg.KeepAnswers = 10 * time.Minute
 	}
+	if cfg.Drain == 0 {
+		cfg.Drain = 10 * time.Second
+	}
 	base, halt := context.WithCancel(context.Background())
 	return &Daemon{
 		cfg:    cfg,
@@ -123,7 +128,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	top := suture.New("daemon", suture.Spec{EventHook: d.logSupervisor})
+	top := suture.New("daemon", suture.Spec{EventHook: d.logSupervisor, Timeout: d.cfg.Drain + time.Second})
 	srv := d.cfg.PeerServer
 	srv.Listener, srv.Handler = d.cfg.PeerListener, d
 	if srv.Log == nil {
@@ -143,6 +148,11 @@
 	cancel()
 	d.halt()
 	d.abandon()
+	if err == nil {
+		// The listeners still write the last answers; a process that ended here
+		// would cut them off.
+		err = <-ended
+	}
 	_ = d.work.Wait()
 	_ = d.cfg.Peers.Close()
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/gauge/tally.go
+++ b/internal/gauge/tally.go
@@ -102,7 +102,7 @@
 	return float64(part) / float64(whole)
 }
 
-// StageCost is the work of one stage, in thousandths of a server-second.
+// StageCost is the work of one stage, in millionths of a server-second.
 type StageCost struct {
 	Pipeline       shed.PipelineID
 	Stage          string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"jasmineshed/internal/daemon"
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/front"
+	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/oper"
 	"jasmineshed/internal/peers"
@@ -86,7 +87,7 @@
 		return err
 	}
 	n.metrics = telem.NewMetrics(n.log)
-	if err := n.listen(); err != nil {
+	if err := n.listen(ctx); err != nil {
 		return err
 	}
 	n.tracing, err = telem.NewTracing(ctx, telem.TraceConfig{
@@ -106,7 +107,7 @@
 }
 
 // listen opens the listeners that were not given.
-func (n *Node) listen() error {
+func (n *Node) listen(ctx context.Context) error {
 	for _, l := range []struct {
 		to   *net.Listener
 		addr string
@@ -118,7 +119,7 @@
 		if *l.to != nil {
 			continue
 		}
-		lis, err := net.Listen("tcp", l.addr)
+		lis, err := httpd.Listen(ctx, l.addr, n.cfg.Prefs.Limits.WriteTimeout)
 		if err != nil {
 			return err
 		}
@@ -182,6 +183,7 @@
 		Backend: n.engine, Platform: n.plat, Peers: peers.NewClient(clientCfg),
 		Log: n.log, Scope: n.metrics.Scope, Tracer: n.tracing.Tracer("jasmineshed"),
 		PeerListener: n.cfg.Peers, PeerServer: serverCfg,
+		Drain:       n.cfg.Prefs.Stop.Drain,
 		KeepAnswers: 2 * n.cfg.Prefs.Limits.TicketLifetime,
 	}
 	n.daemon = daemon.New(dcfg)
--- a/internal/rules/explain.go
+++ b/internal/rules/explain.go
@@ -111,10 +111,10 @@
 
 func (e *explainer) pool(p *shed.Pool) {
 	if p.Model == "" {
-		e.add(p.Origin, "pool %s (servers: %d) costs %g for a thousandth of a server-second", p.ID, len(p.Servers), p.Unit)
+		e.add(p.Origin, "pool %s (servers: %d) costs %g for a second of a whole server", p.ID, len(p.Servers), p.Unit)
 		return
 	}
-	e.add(p.Origin, "pool %s (servers: %d) has model %s and costs %g for a thousandth of a server-second", p.ID, len(p.Servers), p.Model, p.Unit)
+	e.add(p.Origin, "pool %s (servers: %d) has model %s and costs %g for a second of a whole server", p.ID, len(p.Servers), p.Model, p.Unit)
 	m := e.rules.Models[p.Model]
 	e.add(m.Origin, "model %s is of version %s", m.ID, m.Version)
 }
