Core: placing goes through the zone's own servers only, and counts daemons once a call

Cause: each placement went through the pool's servers of all zones and worked out the daemons that may be alive anew for each server.

--- a/internal/core/guest.go
+++ b/internal/core/guest.go
@@ -35,7 +35,7 @@
 		return
 	}
 	q := shed.PlaceAsk{StageAsk: ask, Stage: stage, Deadline: now.Add(ask.Budget)}
-	p := c.placeHere(now, q, c.rules.Pools[stage.Pool], e.From.VM)
+	p := c.placeHere(now, q, c.pools[stage.Pool], e.From.VM)
 	switch p.Kind {
 	case shed.PlaceLocal:
 		c.startGuest(now, q, p.Server)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -27,7 +28,7 @@
 	if reason := c.unsure(now); reason != shed.ReasonNone {
 		return shed.Placement{Kind: shed.PlaceWait, Reason: reason}
 	}
-	pool := c.rules.Pools[ask.Stage.Pool]
+	pool := c.pools[ask.Stage.Pool]
 	if pool == nil {
 		return shed.Placement{Kind: shed.PlaceNowhere, Reason: shed.ReasonNoServer, RetryAfter: comeBack}
 	}
@@ -91,7 +92,7 @@
 }
 
 // placeHere looks at this zone only. not is a peer that must not get the call.
-func (c *Core) placeHere(now time.Time, ask shed.PlaceAsk, pool *shed.Pool, not shed.VM) shed.Placement {
+func (c *Core) placeHere(now time.Time, ask shed.PlaceAsk, pool *pool, not shed.VM) shed.Placement {
 	nowhere := shed.Placement{Kind: shed.PlaceNowhere, Reason: shed.ReasonNoServer, RetryAfter: comeBack}
 	if !ask.Stage.MayRun(c.cfg.Zone) {
 		nowhere.Rule = ask.Stage.Origin
@@ -100,8 +101,9 @@
 	room := c.scratch[:0]
 	var cold []*shed.Server
 	open := 0
-	for _, s := range pool.Servers {
-		if s.Zone != c.cfg.Zone || slices.Contains(ask.Avoid, s.ID) {
+	sharers := c.sharers(now)
+	for _, s := range pool.here {
+		if slices.Contains(ask.Avoid, s.ID) {
 			continue
 		}
 		if c.orders.Draining(s.ID) {
@@ -117,7 +119,7 @@
 		cand, known := c.load.Candidate(now, s.ID)
 		switch {
 		case !known:
-		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.MaySend(now, s.ID, c.unseenShare(now, s)):
+		case !cand.Cold && c.load.Room(s.ID) > 0 && c.load.MaySend(now, s.ID, unseenShare(s, sharers)):
 			room = append(room, cand)
 		case cand.Cold && c.load.Settled(s.ID) && cand.Running < s.ColdBears && c.slots.Free(now, s.ID) > 0:
 			room = append(room, cand)
@@ -147,13 +149,17 @@
 // server has given no sign. A warm server may turn cold without warning; all
 // daemons' unseen calls together are then what hits it before anyone knows, so
 // each takes its share of what the server bears cold.
-// A daemon that doesn't know yet who else there is takes the least.
-func (c *Core) unseenShare(now time.Time, s *shed.Server) int {
+func unseenShare(s *shed.Server, daemons int) int {
+	return max(1, s.ColdBears/max(1, daemons))
+}
+
+// sharers is how many daemons may send to the zone's servers; all too many if
+// this one doesn't know yet who else there is, so that it takes the least.
+func (c *Core) sharers(now time.Time) int {
 	if !c.member.Confirmed(now) {
-		return 1
+		return math.MaxInt
 	}
-	daemons := max(len(c.member.View().Zone(c.cfg.Zone)), len(c.member.Known()))
-	return max(1, s.ColdBears/max(1, daemons))
+	return max(len(c.member.View().Zone(c.cfg.Zone)), len(c.member.Known()))
 }
 
 // closedBy says why the rules keep new work from the server.
@@ -181,7 +187,7 @@
 // placeFar finds a daemon of another zone. A daemon that is not sure of its
 // configuration hands nothing to other zones: it can't know whether operators
 // have taken them out.
-func (c *Core) placeFar(now time.Time, ask shed.PlaceAsk, pool *shed.Pool) (shed.Placement, bool) {
+func (c *Core) placeFar(now time.Time, ask shed.PlaceAsk, pool *pool) (shed.Placement, bool) {
 	if ask.Hops > 0 || !c.config.Fresh(now) {
 		return shed.Placement{}, false
 	}
@@ -201,19 +207,14 @@
 
 // farZones are the other zones where the rules let the stage run, those of
 // this region first, and each daemon's requests in an order of their own.
-func (c *Core) farZones(ask shed.PlaceAsk, pool *shed.Pool) []shed.ZoneID {
+func (c *Core) farZones(ask shed.PlaceAsk, pool *pool) []shed.ZoneID {
 	var near, far []shed.ZoneID
-	for _, s := range pool.Servers {
-		z := s.Zone
-		if z == c.cfg.Zone || !ask.Stage.MayRun(z) || slices.Contains(near, z) || slices.Contains(far, z) {
-			continue
-		}
-		if ok, _ := c.rules.ServerOpen(s); !ok {
-			continue
-		}
-		if c.sameRegion(z) {
+	for _, z := range pool.far {
+		switch {
+		case !ask.Stage.MayRun(z):
+		case c.sameRegion(z):
 			near = append(near, z)
-		} else {
+		default:
 			far = append(far, z)
 		}
 	}
@@ -237,6 +238,6 @@
 	return own != nil && other != nil && own.Region == other.Region
 }
 
-func (c *Core) openElsewhere(ask shed.PlaceAsk, pool *shed.Pool) bool {
+func (c *Core) openElsewhere(ask shed.PlaceAsk, pool *pool) bool {
 	return ask.Hops == 0 && len(c.farZones(ask, pool)) > 0
 }
