--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -12,6 +12,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,10 +173,7 @@
 // where it is before it can tell.
 func (f *fleet) addVM(zone string) {
 	f.t.Helper()
-	l, err := net.Listen("tcp", anyPort)
-	require.NoError(f.t, err)
-	defer func() { _ = l.Close() }()
-	v := &vm{index: len(f.vms), zone: zone, peer: l.Addr().String(), callers: anyPort, operators: anyPort}
+	v := &vm{index: len(f.vms), zone: zone, peer: keptPort(f.t), callers: keptPort(f.t), operators: keptPort(f.t)}
 	v.reach = v.peer
 	if f.cfg.peerAt != nil {
 		v.reach = f.cfg.peerAt(v.index, v.peer)
@@ -189,12 +187,31 @@
 	settings := filepath.Join(f.dir, fmt.Sprintf("vm-%d.ini", v.index))
 	require.NoError(f.t, os.WriteFile(settings, []byte(f.settings(v)), 0o600))
 	v.process = f.run("jasmineshed", fmt.Sprintf("vm-%d", v.index), "serve", "--settings", settings)
-	type startLine struct{ Msg, Callers, Operators string }
-	line := awaitLine(v.process, func(l startLine) bool { return l.Msg == "daemon starts" })
-	if v.callers == anyPort {
-		v.callers = strings.TrimPrefix(line.Callers, "http://")
-		v.operators = strings.TrimPrefix(line.Operators, "http://")
+	type startLine struct{ Msg string }
+	awaitLine(v.process, func(l startLine) bool { return l.Msg == "daemon starts" })
+}
+
+// lastPort is the port that keptPort gave out last.
+var lastPort atomic.Int32
+
+// keptPort is an address that a process can be started at, and started again
+// later. Ports from the system's own range won't do: while the process is down,
+// any outgoing connection may take one, and the process can't come back.
+func keptPort(t *testing.T) string {
+	t.Helper()
+	const first, last = 20000, 32000
+	lastPort.CompareAndSwap(0, int32(first+os.Getpid()*17%(last-first)))
+	for range last - first {
+		port := first + int(lastPort.Add(1))%(last-first)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (f *fleet) settings(v *vm) string {
