--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/member"
+)
+
+// view tells the packages who is alive, and how sure that is.
+func (c *Core) view(now time.Time) {
+	v := c.member.View()
+	vms := v.VMs(c.cfg.Zone)
+	unsure := !c.member.Confirmed(now)
+	known := c.member.Known()
+	hash := v.Hash(c.cfg.Zone)
+	c.slots.SetKnown(now, known)
+	c.take(c.slots.SetView(now, vms, hash, unsure))
+	c.orders.SetKnown(now, known)
+	c.orders.SetView(now, vms, hash, unsure)
+	c.viewChanged(now, v, vms)
+	c.lookAround(now)
+}
+
+// viewChanged tells those that only want to know of changes.
+func (c *Core) viewChanged(now time.Time, v member.View, vms []shed.VM) {
+	var sum uint64
+	for _, z := range v.Zones() {
+		sum = sum*31 + v.Hash(z)
+	}
+	if sum == c.viewSum {
+		return
+	}
+	c.viewSum = sum
+	c.load.SetView(now, vms)
+	others := make(map[shed.ZoneID][]shed.Peer)
+	for _, z := range v.Zones() {
+		if z != c.cfg.Zone {
+			others[z] = v.Zone(z)
+		}
+	}
+	c.config.SetPeers(v.Zone(c.cfg.Zone), others)
+}
+
+// surveyFor bounds the wait for the first load report of every server.
+const surveyFor = 3 * time.Second
+
+// survey looks whether every server of the zone that may have work has been
+// heard of. A daemon that took requests before would know no server that is
+// warm, and refuse what its zone could well carry.
+func (c *Core) survey(now time.Time) {
+	if c.surveyed || c.rules == nil {
+		return
+	}
+	c.surveyed = true
+	if now.Sub(c.rulesAt) > surveyFor {
+		return
+	}
+	for id, s := range c.rules.Servers {
+		open, _ := c.rules.ServerOpen(s)
+		if s.Zone != c.cfg.Zone || !open {
+			continue
+		}
+		if _, _, heard := c.load.Report(now, id); !heard {
+			c.surveyed = false
+		}
+	}
+}
+
+// tellReady tells the driver when readiness changes.
+func (c *Core) tellReady(now time.Time) {
+	c.survey(now)
+	ready := c.surveyed && !c.stop.asked && c.unsure(now) == shed.ReasonNone
+	if ready != c.ready {
+		c.ready = ready
+		c.out = append(c.out, shed.Ready{Ready: ready})
+	}
+}
