--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -23,6 +23,11 @@
 			c.take(c.load.FirstToken(now, e.Call))
 		}
 	}
+	if to, far := c.handed[e.Call]; far {
+		// It has room again; waiting for the call's end would keep all others
+		// from the zone for the length of a generation.
+		delete(c.refusals, to.zone)
+	}
 	if !c.guests[e.Call] {
 		c.book(now, c.flow.Handle(now, e))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -185,7 +185,11 @@
 	// Configuration sees every event first: it is the one that notices, by the
 	// time since the last tick, that the process was paused. A request that is
 	// handled between waking up and the next tick must already find it unready.
+	awake := c.config.Ready()
 	c.take(c.config.Handle(now, ev))
+	if awake && !c.config.Ready() {
+		c.take(c.load.Doubt(now))
+	}
 	c.adopt(now)
 	c.dispatch(now, ev)
 	c.flowOn(now)
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -167,6 +167,9 @@
 	return func(f shed.Frame) error {
 		if f.Accepted {
 			d.handle(shed.CallProgress{Call: c.id, Server: c.server, Zone: c.zone, Boot: f.Boot})
+			if c.guest != nil {
+				return c.guest.send(f)
+			}
 			return nil
 		}
 		c.tokens += f.Tokens
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -200,7 +200,7 @@
 		return b.tick(now)
 	case shed.LoadReported:
 		if e := b.servers[ev.Server]; e != nil {
-			return b.take(now, nil, e, ev.Report)
+			return b.reported(now, e, ev.Report)
 		}
 	case shed.ServerSilent:
 		if e := b.servers[ev.Server]; e != nil {
@@ -232,6 +232,22 @@
 	return out
 }
 
+// reported takes in a report that this daemon read itself. If it shows that the
+// server turned cold, the zone is told at once, whichever reader this is: this
+// daemon will use its slots soon, while others still send to a warm server.
+func (b *Book) reported(now time.Time, e *entry, r shed.LoadReport) []shed.Action {
+	warm, boot := !e.cold.on, e.report.Boot
+	out := b.take(now, nil, e, r)
+	reborn := boot != "" && boot != e.report.Boot
+	if !e.cold.on || !warm && !reborn {
+		return out
+	}
+	word := e.report
+	word.Age = now.Sub(e.at)
+	e.told, e.toldAt = word, now
+	return b.send(out, map[shed.ServerID]shed.LoadReport{e.server.ID: word})
+}
+
 // take takes in a report, unless it is older than what is known.
 func (b *Book) take(now time.Time, out []shed.Action, e *entry, r shed.LoadReport) []shed.Action {
 	at := now.Add(-r.Age)
--- a/internal/load/cold.go
+++ b/internal/load/cold.go
@@ -84,6 +84,18 @@
 	return append(out, shed.Note{Reason: ReasonTurnedCold, Server: e.server.ID})
 }
 
+// Doubt holds every server cold until a report made from now on, and asks for
+// one. A daemon that slept knows its servers as they were: one that turned cold
+// meanwhile would get this daemon's calls on top of those that others send by
+// the slots.
+func (b *Book) Doubt(now time.Time) []shed.Action {
+	var out []shed.Action
+	for _, id := range b.order {
+		out = append(out, b.suspect(now, b.servers[id])...)
+	}
+	return out
+}
+
 // pollSoon has the server's readers poll it as soon as that settles it.
 func (e *entry) pollSoon(now time.Time) {
 	if soon := now.Add(coldGrace); soon.Before(e.nextPoll) {
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -138,13 +138,13 @@
 	boot := s.bootID()
 	back(func() {
 		if !x.over {
-			n.handle(shed.CallProgress{Call: a.Call, Server: s.id, Zone: s.zone, Boot: boot})
+			n.progress(shed.CallProgress{Call: a.Call, Server: s.id, Zone: s.zone, Boot: boot})
 		}
 	})
 	w.after(s.takes/2, func() {
 		back(func() {
 			if !x.over {
-				n.handle(shed.CallProgress{Call: a.Call, Tokens: 1, Server: s.id, Zone: s.zone})
+				n.progress(shed.CallProgress{Call: a.Call, Tokens: 1, Server: s.id, Zone: s.zone})
 			}
 		})
 	})
@@ -187,6 +187,14 @@
 	})
 }
 
+// progress tells the core, and the peer that handed the call over.
+func (n *node) progress(p shed.CallProgress) {
+	n.handle(p)
+	if g := n.guests[p.Call]; g != nil && !g.over {
+		g.told(p)
+	}
+}
+
 // watchLink breaks a call whose peer gives no heartbeat for linkSilence.
 func (n *node) watchLink(to *node, x *calling, broken func()) {
 	heard := n.w.now
@@ -234,6 +242,8 @@
 	life := from.life
 	g := &guest{payload: in, end: func(e shed.CallEnded, result string) {
 		n.resend(from, life, x, func() { finish(e, result) })
+	}, told: func(p shed.CallProgress) {
+		n.resend(from, life, x, func() { from.progress(p) })
 	}}
 	n.guests[ask.Call] = g
 	x.cancel = func() { n.at(n.w.travel(), func() { n.cancelCall(ask.Call) }) }
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -57,7 +57,9 @@
 type guest struct {
 	payload string
 	// end answers the peer; at most once.
-	end  func(shed.CallEnded, string)
+	end func(shed.CallEnded, string)
+	// told passes progress on.
+	told func(shed.CallProgress)
 	over bool
 }
 
