--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -60,10 +60,7 @@
 		if e.RetryAfter > 0 {
 			pause = min(e.RetryAfter, shunMost)
 		}
-		c.shun(now, peerKey(to.vm), pause)
-		if e.Reason != shed.ReasonBroken && to.zone != c.cfg.Zone {
-			c.refused(now, to.zone, pause)
-		}
+		c.judgeRefusal(now, to, e.Reason, pause)
 	case shed.EndComplete:
 		delete(c.refusals, to.zone)
 	case shed.EndBroken:
@@ -71,6 +68,26 @@
 	}
 }
 
+// judgeRefusal tells what a call that did not start says of the peer and of its
+// zone. One that this daemon itself held back for too long, as after a pause,
+// says nothing; only what the zone's servers are the reason for concerns all of
+// the zone.
+func (c *Core) judgeRefusal(now time.Time, to target, reason shed.Reason, pause time.Duration) {
+	switch reason {
+	case shed.ReasonDeadline, shed.ReasonDuplicate, shed.ReasonTooManyHops:
+		return
+	case shed.ReasonServersBusy, shed.ReasonServerCold:
+		if to.zone != c.cfg.Zone {
+			c.refused(now, to.zone, pause)
+		}
+	case shed.ReasonZoneOut, shed.ReasonServerLeaving, shed.ReasonNoServer:
+		if to.zone != c.cfg.Zone {
+			c.shun(now, zoneKey(to.zone), pause)
+		}
+	}
+	c.shun(now, peerKey(to.vm), pause)
+}
+
 // refused keeps work from a zone that has no room, for longer with each refusal
 // in a row: while every zone is full, asking each other is only more work.
 func (c *Core) refused(now time.Time, z shed.ZoneID, pause time.Duration) {
@@ -97,7 +114,7 @@
 }
 
 // maxRefusals bounds how often the pause doubles.
-const maxRefusals = 4
+const maxRefusals = 3
 
 func peerKey(vm shed.VM) string    { return "peer " + string(vm) }
 func zoneKey(z shed.ZoneID) string { return "zone " + string(z) }
