--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -118,7 +119,7 @@
 func allowed(r *shed.Rules, id shed.PipelineID) (shed.WorkspaceID, bool) {
 	var names []string
 	for ws, w := range r.Workspaces {
-		if len(w.Pipelines) == 0 || contains(w.Pipelines, id) {
+		if len(w.Pipelines) == 0 || slices.Contains(w.Pipelines, id) {
 			names = append(names, string(ws))
 		}
 	}
@@ -129,15 +130,6 @@
 	return shed.WorkspaceID(names[0]), true
 }
 
-func contains(list []shed.PipelineID, id shed.PipelineID) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *show) request(ctx context.Context, p *shed.Pipeline) error {
 	ws, ok := allowed(s.fleet.Rules, p.ID)
 	if !ok {
--- a/internal/rules/link.go
+++ b/internal/rules/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -110,7 +111,7 @@
 	}
 	if b.rules.Pipelines[name.pipeline] == nil {
 		b.dangling(r, "pipeline", string(name.pipeline), sectionPipelines)
-	} else if !contains(b.wants[name.pipeline], s.ID) {
+	} else if !slices.Contains(b.wants[name.pipeline], s.ID) {
 		b.fault(r, fmt.Sprintf("pipeline %s does not list stage %s", name.pipeline, s.ID),
 			"add it to the pipeline's stages, or take the line out")
 	}
@@ -192,12 +193,3 @@
 	b.fault(r, fmt.Sprintf("pool %s has no server where stage %s may run", pool.ID, s.ID),
 		"add a server, or widen the stage's zones")
 }
-
-func contains[T comparable](list []T, x T) bool {
-	for _, y := range list {
-		if y == x {
-			return true
-		}
-	}
-	return false
-}
