--- /dev/null
+++ b/internal/batch/batch.go
@@ -0,0 +1,594 @@
+// Package batch decides in which calls the pieces of many requests run. It is
+// pure.
+//
+// A call to a server costs a large fixed time whatever it holds, and a server
+// runs one call at a time. If every VM sent its own small calls, the servers'
+// queues would fill with nearly empty ones. So the pieces for the servers of
+// one pool in one zone meet at one VM, which keeps one call running on each
+// server and fills the next one with the most urgent pieces.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+)
+
+const (
+	// slowShare is the weight of the newest call in a server's slowness.
+	slowShare = 0.3
+	// slowLeast and slowMost bound a server's slowness.
+	slowLeast, slowMost = 0.5, 10.0
+	// limitTimes and limitExtra give the time after which a call is given up:
+	// servers are seen to turn five times as slow and go on, while one that
+	// fell silent holds its pieces for as long.
+	limitTimes = 3
+	limitExtra = 600 * time.Millisecond
+	// shunFirst is how long a server is left alone after a call that failed; it
+	// doubles with each further one, up to shunMost.
+	shunFirst = 500 * time.Millisecond
+	shunMost  = 8 * time.Second
+	// tries is how often a piece is sent at the most; a repeat draws on the
+	// fleet's budget of repeats.
+	tries = 3
+	// roomShare of a server's room is used: sizes are approximate.
+	roomShare = 0.92
+)
+
+// JobID names what one daemon asked for at once.
+type JobID uint64
+
+// CallID names one call.
+type CallID uint64
+
+// Group is the servers of one pool in one zone.
+type Group struct {
+	Pool shed.PoolID
+	Zone shed.ZoneID
+}
+
+// Event is what the driver tells.
+type Event interface{ event() }
+
+// Asked means that pieces are wanted. The driver answers the job with Done.
+type Asked struct {
+	Job    JobID
+	Group  Group
+	Limits shed.BatchLimits
+	Pieces []shed.Piece
+}
+
+// Dropped means that nobody wants the job any more.
+type Dropped struct{ Job JobID }
+
+// CallEnded means that a call is over. Results is nil if it gave none.
+type CallEnded struct {
+	Call    CallID
+	Results []shed.PieceResult
+	// NotRun: the server said that it has not run the call, or nothing can
+	// have reached it.
+	NotRun bool
+	// Busy: the server refused since it is full.
+	Busy bool
+}
+
+// Freed means that results are given up.
+type Freed struct{ Refs []shed.ResultRef }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Asked) event()     {}
+func (Dropped) event()   {}
+func (CallEnded) event() {}
+func (Freed) event()     {}
+func (Tick) event()      {}
+
+// Action is what the driver is to do.
+type Action interface{ action() }
+
+// Send asks to run a call. The driver ends it with one CallEnded.
+type Send struct {
+	Call   CallID
+	Server shed.Listing
+	Pieces []shed.Piece
+	// Limit is the time after which the call is given up.
+	Limit time.Duration
+}
+
+// Done answers a job, with a result for each piece.
+type Done struct {
+	Job     JobID
+	Results []shed.PieceResult
+}
+
+// Free asks to give results up at the server that holds them.
+type Free struct{ Refs []shed.ResultRef }
+
+func (Send) action() {}
+func (Done) action() {}
+func (Free) action() {}
+
+// Servers gives the servers of a group that may have new work, sorted by id.
+type Servers func(Group) []shed.Listing
+
+// Batcher gathers pieces. It is not safe for concurrent use.
+type Batcher struct {
+	servers Servers
+	groups  map[Group]*group
+	jobs    map[JobID]*job
+	calls   map[CallID]*call
+	held    map[shed.ResultRef]heldResult
+	makers  map[shed.ServerID]*maker
+	nextID  CallID
+	// order holds the groups in the order of their first use.
+	order []*group
+}
+
+type group struct {
+	Group
+	limits  shed.BatchLimits
+	waiting []*piece
+}
+
+type job struct {
+	id      JobID
+	group   *group
+	results []shed.PieceResult
+	left    int
+	dropped bool
+	// aim and deadline are when the results should and must be there.
+	aim, deadline time.Time
+}
+
+type piece struct {
+	shed.Piece
+	job   *job
+	at    int // in job.results
+	tries int
+}
+
+type call struct {
+	server   shed.Listing
+	group    *group
+	pieces   []*piece
+	began    time.Time
+	expected time.Duration
+	bytes    int64
+}
+
+// maker is one server as this daemon has seen it work.
+type maker struct {
+	born int64
+	// running is the call under way; 0 if none.
+	running CallID
+	// slow is how much longer its calls take than expected.
+	slow float64
+	// shunned until then, after so many failures in a row.
+	shunned time.Time
+	fails   int
+	// bytes of results that it holds, or will once its call is done.
+	bytes int64
+}
+
+type heldResult struct {
+	server shed.ServerID
+	bytes  int64
+	until  time.Time
+}
+
+// New returns a Batcher without pieces.
+func New(servers Servers) *Batcher {
+	return &Batcher{
+		servers: servers,
+		groups:  map[Group]*group{},
+		jobs:    map[JobID]*job{},
+		calls:   map[CallID]*call{},
+		held:    map[shed.ResultRef]heldResult{},
+		makers:  map[shed.ServerID]*maker{},
+	}
+}
+
+// Handle takes one event and returns what to do.
+func (b *Batcher) Handle(now time.Time, ev Event) []Action {
+	var out []Action
+	switch ev := ev.(type) {
+	case Asked:
+		b.ask(now, ev)
+	case Dropped:
+		b.drop(ev.Job)
+	case CallEnded:
+		out = b.ended(now, out, ev)
+	case Freed:
+		out = b.free(out, ev.Refs)
+	case Tick:
+		b.expire(now)
+	}
+	for _, g := range b.order {
+		out = b.dispatch(now, out, g)
+	}
+	return out
+}
+
+func (b *Batcher) ask(now time.Time, ev Asked) {
+	g := b.groups[ev.Group]
+	if g == nil {
+		g = &group{Group: ev.Group}
+		b.groups[ev.Group] = g
+		b.order = append(b.order, g)
+	}
+	g.limits = ev.Limits
+	j := &job{id: ev.Job, group: g, results: make([]shed.PieceResult, len(ev.Pieces)), left: len(ev.Pieces)}
+	b.jobs[ev.Job] = j
+	for i, p := range ev.Pieces {
+		j.aim, j.deadline = now.Add(p.Aim), now.Add(p.Left)
+		g.waiting = append(g.waiting, &piece{Piece: p, job: j, at: i})
+	}
+}
+
+// drop forgets the job's pieces that wait; results of those that run are given
+// up when their call ends.
+func (b *Batcher) drop(id JobID) {
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	j.dropped = true
+	delete(b.jobs, id)
+	j.group.waiting = slices.DeleteFunc(j.group.waiting, func(p *piece) bool { return p.job == j })
+}
+
+func (b *Batcher) ended(now time.Time, out []Action, ev CallEnded) []Action {
+	c := b.calls[ev.Call]
+	if c == nil {
+		return out
+	}
+	delete(b.calls, ev.Call)
+	m := b.makers[c.server.ID]
+	m.running = 0
+	m.bytes -= c.bytes
+	if len(ev.Results) != len(c.pieces) {
+		b.callFailed(now, m, c, ev)
+		for _, p := range c.pieces {
+			out = b.again(out, p)
+		}
+		return out
+	}
+	m.fails = 0
+	took := float64(now.Sub(c.began)) / float64(c.expected)
+	m.slow += slowShare * (min(max(took, slowLeast), slowMost) - m.slow)
+	for i, p := range c.pieces {
+		out = b.pieceEnded(now, out, m, c, p, ev.Results[i])
+	}
+	return out
+}
+
+// callFailed leaves the server alone for a while, so that the other servers,
+// or another zone, get the pieces. One that is just full is tried again when a
+// call of somebody else may have ended.
+func (b *Batcher) callFailed(now time.Time, m *maker, c *call, ev CallEnded) {
+	if ev.Busy {
+		m.shunned = now.Add(c.expected / 2)
+		return
+	}
+	m.shunned = now.Add(min(shunFirst<<min(m.fails, 6), shunMost))
+	m.fails++
+}
+
+func (b *Batcher) pieceEnded(
+	now time.Time, out []Action, m *maker, c *call, p *piece, r shed.PieceResult,
+) []Action {
+	switch r.End {
+	case shed.PieceMade:
+		if p.job.dropped {
+			return append(out, Free{Refs: []shed.ResultRef{r.Ref}})
+		}
+		m.bytes += p.Bytes
+		b.held[r.Ref] = heldResult{server: c.server.ID, bytes: p.Bytes, until: now.Add(c.group.limits.KeepFor)}
+		return b.settle(out, p, r)
+	case shed.PieceNoRoom:
+		// The server holds more than is known here.
+		m.shunned = now.Add(c.expected / 2)
+		return b.again(out, p)
+	case shed.PieceFailed:
+		return b.again(out, p)
+	}
+	return b.settle(out, p, r)
+}
+
+// again puts a piece back to be sent once more, unless that was often enough.
+func (b *Batcher) again(out []Action, p *piece) []Action {
+	p.tries++
+	if p.job.dropped {
+		return out
+	}
+	if p.tries >= tries {
+		return b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
+	}
+	p.job.group.waiting = append(p.job.group.waiting, p)
+	return out
+}
+
+func (b *Batcher) settle(out []Action, p *piece, r shed.PieceResult) []Action {
+	j := p.job
+	if j.dropped {
+		return out
+	}
+	j.results[p.at] = r
+	j.left--
+	if j.left > 0 {
+		return out
+	}
+	delete(b.jobs, j.id)
+	return append(out, Done{Job: j.id, Results: j.results})
+}
+
+// free gives results up; those that this daemon doesn't know may have been
+// made through another one.
+func (b *Batcher) free(out []Action, refs []shed.ResultRef) []Action {
+	for _, ref := range refs {
+		b.forget(ref)
+	}
+	if len(refs) == 0 {
+		return out
+	}
+	return append(out, Free{Refs: refs})
+}
+
+func (b *Batcher) forget(ref shed.ResultRef) {
+	h, ok := b.held[ref]
+	if !ok {
+		return
+	}
+	delete(b.held, ref)
+	if m := b.makers[h.server]; m != nil {
+		m.bytes -= h.bytes
+	}
+}
+
+// expire forgets results that their servers have dropped by now.
+func (b *Batcher) expire(now time.Time) {
+	for ref, h := range b.held {
+		if now.After(h.until) {
+			b.forget(ref)
+		}
+	}
+}
+
+func (b *Batcher) maker(s shed.Listing) *maker {
+	m := b.makers[s.ID]
+	if m == nil {
+		m = &maker{born: s.Born, slow: 1}
+		b.makers[s.ID] = m
+	}
+	if m.born != s.Born {
+		// A new start holds nothing of before.
+		*m = maker{born: s.Born, slow: 1, running: m.running, bytes: b.runningBytes(m.running)}
+		for ref, h := range b.held {
+			if h.server == s.ID {
+				delete(b.held, ref)
+			}
+		}
+	}
+	return m
+}
+
+func (b *Batcher) runningBytes(id CallID) int64 {
+	if c := b.calls[id]; c != nil {
+		return c.bytes
+	}
+	return 0
+}
+
+// dispatch gives the group's waiting pieces to servers that have no call.
+func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
+	if len(g.waiting) == 0 {
+		return out
+	}
+	out = b.giveUpLate(now, out, g)
+	servers := b.servers(g.Group)
+	usable := 0
+	var idle []shed.Listing
+	for _, s := range servers {
+		m := b.maker(s)
+		if now.Before(m.shunned) {
+			continue
+		}
+		usable++
+		if m.running == 0 {
+			idle = append(idle, s)
+		}
+	}
+	if usable == 0 {
+		return b.failAll(out, g)
+	}
+	slices.SortStableFunc(idle, func(x, y shed.Listing) int {
+		return cmp.Compare(b.makers[x.ID].slow, b.makers[y.ID].slow)
+	})
+	b.sortWaiting(now, g)
+	for _, s := range idle {
+		if len(g.waiting) == 0 {
+			break
+		}
+		if b.worthWaiting(now, g, servers, s) {
+			continue
+		}
+		out = b.send(now, out, g, s)
+	}
+	return out
+}
+
+// giveUpLate answers pieces whose time would be over before a call ends: no
+// server need work on them.
+func (b *Batcher) giveUpLate(now time.Time, out []Action, g *group) []Action {
+	var keep []*piece
+	for _, p := range g.waiting {
+		if now.Add(g.limits.CallTime).After(p.job.deadline) {
+			out = b.settle(out, p, shed.PieceResult{End: shed.PieceLate})
+			continue
+		}
+		keep = append(keep, p)
+	}
+	g.waiting = keep
+	return out
+}
+
+// failAll answers all pieces when no server can make them, so that the asker
+// may try another zone at once.
+func (b *Batcher) failAll(out []Action, g *group) []Action {
+	waiting := g.waiting
+	g.waiting = nil
+	for _, p := range waiting {
+		out = b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
+	}
+	return out
+}
+
+// sortWaiting orders pieces by the time at which their results should be there.
+// Those that can't make it any more come after the others by their deadline: if
+// they went first, all would be late once there is more than can be served.
+func (b *Batcher) sortWaiting(now time.Time, g *group) {
+	soonest := now.Add(g.limits.CallTime)
+	key := func(p *piece) time.Time {
+		if p.job.aim.Before(soonest) {
+			return p.job.deadline
+		}
+		return p.job.aim
+	}
+	slices.SortStableFunc(g.waiting, func(x, y *piece) int {
+		if c := key(x).Compare(key(y)); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.job.id, y.job.id)
+	})
+}
+
+func expected(l shed.BatchLimits, pieces int) time.Duration {
+	return l.CallTime + time.Duration(pieces)*l.PieceTime
+}
+
+// worthWaiting tells whether a busy server would be done with the pieces before
+// the idle, slow server s.
+func (b *Batcher) worthWaiting(now time.Time, g *group, servers []shed.Listing, s shed.Listing) bool {
+	n := min(len(g.waiting), g.limits.Most)
+	own := scale(expected(g.limits, n), b.makers[s.ID].slow)
+	for _, other := range servers {
+		m := b.makers[other.ID]
+		if m.running == 0 || now.Before(m.shunned) || len(g.waiting) > g.limits.Most {
+			continue
+		}
+		c := b.calls[m.running]
+		left := max(c.began.Add(scale(c.expected, m.slow)).Sub(now), 0)
+		if left+scale(expected(g.limits, n), m.slow) < own {
+			return true
+		}
+	}
+	return false
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
+
+// send fills a call for the server with the most urgent pieces that it has room
+// for.
+func (b *Batcher) send(now time.Time, out []Action, g *group, s shed.Listing) []Action {
+	m := b.makers[s.ID]
+	room := int64(float64(g.limits.Room)*roomShare) - m.bytes
+	c := &call{server: s, group: g, began: now}
+	var rest []*piece
+	for _, p := range g.waiting {
+		if len(c.pieces) == g.limits.Most || p.Bytes > room-c.bytes && g.limits.Room > 0 {
+			rest = append(rest, p)
+			continue
+		}
+		c.pieces = append(c.pieces, p)
+		c.bytes += p.Bytes
+	}
+	if len(c.pieces) == 0 {
+		return out
+	}
+	g.waiting = rest
+	c.expected = expected(g.limits, len(c.pieces))
+	m.bytes += c.bytes
+	b.nextID++
+	m.running = b.nextID
+	b.calls[b.nextID] = c
+	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*scale(c.expected, max(m.slow, 1)) + limitExtra}
+	for _, p := range c.pieces {
+		piece := p.Piece
+		piece.Left = p.job.deadline.Sub(now)
+		send.Pieces = append(send.Pieces, piece)
+	}
+	return append(out, send)
+}
+
+// Wait predicts how long n more pieces of the group would take from now.
+func (b *Batcher) Wait(now time.Time, g Group, limits shed.BatchLimits, n int) time.Duration {
+	servers := b.servers(g)
+	var rate float64
+	soonest := time.Duration(-1)
+	for _, s := range servers {
+		m := b.maker(s)
+		rate += float64(limits.Most) / (float64(expected(limits, limits.Most)) * m.slow)
+		left := time.Duration(0)
+		if c := b.calls[m.running]; c != nil {
+			left = max(c.began.Add(scale(c.expected, m.slow)).Sub(now), 0)
+		}
+		left = max(left, m.shunned.Sub(now))
+		if soonest < 0 || left < soonest {
+			soonest = left
+		}
+	}
+	if rate == 0 {
+		return NoServers
+	}
+	waiting := 0
+	if gr := b.groups[g]; gr != nil {
+		waiting = len(gr.waiting)
+	}
+	queue := time.Duration(0)
+	if waiting+n > limits.Most {
+		queue = time.Duration(float64(waiting) / rate)
+	}
+	return soonest + queue + expected(limits, min(waiting+n, limits.Most))
+}
+
+// NoServers is what Wait predicts for a group without servers.
+const NoServers = time.Hour
+
+// Groups are the groups that this daemon gathers pieces for, with what waits.
+func (b *Batcher) Groups() map[Group]int {
+	out := map[Group]int{}
+	for g, gr := range b.groups {
+		out[g] = len(gr.waiting)
+	}
+	return out
+}
+
+// Busy are the groups with pieces that wait or run, in the order of their first
+// use.
+func (b *Batcher) Busy() []Group {
+	running := map[*group]bool{}
+	for _, c := range b.calls {
+		running[c.group] = true
+	}
+	var out []Group
+	for _, g := range b.order {
+		if running[g] || len(g.waiting) > 0 {
+			out = append(out, g.Group)
+		}
+	}
+	return out
+}
+
+// Limits of a group that pieces were asked of.
+func (b *Batcher) Limits(g Group) (shed.BatchLimits, bool) {
+	gr := b.groups[g]
+	if gr == nil {
+		return shed.BatchLimits{}, false
+	}
+	return gr.limits, true
+}
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -31,6 +31,7 @@
 // line here.
 var commands = []func(*Deps) *cobra.Command{
 	newServeCommand,
+	newRelayCommand,
 	newDemoCommand,
 	newRequestCommand,
 	newStatusCommand,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,20 +52,17 @@
 
 // Engine talks to backend servers. It is safe for use by many goroutines.
 type Engine struct {
-	cfg Config
-	// reuse keeps connections; fresh opens one for each call, for stages that
-	// may run only once; control is apart, so that a stuck call holds up no
-	// load report.
-	reuse   *http.Transport
-	fresh   *http.Transport
+	cfg    Config
+	sender *Sender
+	// control is apart, so that a stuck call holds up no load report.
 	control *http.Transport
 	cancels errgroup.Group
 }
 
 var _ shed.Backend = (*Engine)(nil)
 
-// New returns an Engine without connections.
-func New(cfg Config) *Engine {
+// withDefaults fills in what cfg leaves at 0.
+func (cfg Config) withDefaults() Config {
 	if cfg.ConnectTimeout == 0 {
 		cfg.ConnectTimeout = defaultConnect
 	}
@@ -78,13 +75,13 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
-	e := &Engine{
-		cfg:     cfg,
-		reuse:   transport(cfg),
-		fresh:   transport(cfg),
-		control: transport(cfg),
-	}
-	e.fresh.DisableKeepAlives = true
+	return cfg
+}
+
+// New returns an Engine without connections.
+func New(cfg Config) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{cfg: cfg, sender: NewSender(cfg), control: transport(cfg)}
 	e.cancels.SetLimit(maxCancels)
 	return e
 }
@@ -107,8 +104,7 @@
 // Close waits for the cancellations under way and closes idle connections.
 func (e *Engine) Close() error {
 	err := e.cancels.Wait()
-	e.reuse.CloseIdleConnections()
-	e.fresh.CloseIdleConnections()
+	e.sender.Close()
 	e.control.CloseIdleConnections()
 	return err
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -55,10 +55,9 @@
 	}
 	c.header(ctx, req.Header)
 	send := &sending{until: c.start.Until, accepted: c.accepted}
-	req = req.WithContext(send.trace(req.Context()))
-	resp, err := c.transport().RoundTrip(req)
+	resp, sent, err := c.engine.sender.do(req, !c.start.Stage.Idempotent, send)
 	if err != nil {
-		return c.failed(ctx, err, send.mayHaveLeft())
+		return c.failed(ctx, err, sent)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	c.watch.feed()
@@ -69,16 +68,6 @@
 	return c.answer(ctx, resp.Body)
 }
 
-// transport opens a fresh connection for what must not run twice: on a reused
-// one, the server may close it at the moment of sending, and nobody can tell
-// whether the call ran.
-func (c *call) transport() *http.Transport {
-	if c.start.Stage.Idempotent {
-		return c.engine.reuse
-	}
-	return c.engine.fresh
-}
-
 func newPost(ctx context.Context, url string, ask any) (*http.Request, error) {
 	data, err := json.Marshal(ask)
 	if err != nil {
--- a/internal/httpd/listen.go
+++ b/internal/httpd/listen.go
@@ -46,6 +46,16 @@
 	return l, nil
 }
 
+// Dialer opens TCP connections on which bytes that stay unacknowledged for
+// silence close the connection; see Listen. connect bounds the opening.
+func Dialer(connect, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         connect,
+		KeepAliveConfig: KeepAlive,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, silence) },
+	}
+}
+
 func setUserTimeout(c syscall.RawConn, silence time.Duration) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -37,6 +37,9 @@
 	return out
 }
 
+// SetSeeds replaces the VMs to try first.
+func (g *Group) SetSeeds(seeds []shed.VM) { g.cfg.Seeds = seeds }
+
 // View returns the present view.
 func (g *Group) View() View { return g.currentView() }
 
--- a/internal/peers/calls.go
+++ b/internal/peers/calls.go
@@ -63,6 +63,11 @@
 	// Request runs or fetches a ticketed request; false if To is not this
 	// process.
 	Request(ctx context.Context, call RequestCall, update func(shed.Update)) (shed.Answer, bool)
+	controller
+}
+
+// controller takes control messages.
+type controller interface {
 	// Control takes a control message. It does not block.
 	Control(from shed.Peer, msg shed.Message)
 }
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -77,6 +77,8 @@
 	SlotRelease  *shed.SlotRelease  `cbor:"7,keyasint,omitempty"`
 	LoadDigest   *shed.LoadDigest   `cbor:"8,keyasint,omitempty"`
 	TicketMove   *shed.TicketMove   `cbor:"9,keyasint,omitempty"`
+	RelayLoad    *shed.RelayLoad    `cbor:"10,keyasint,omitempty"`
+	ResultsFreed *shed.ResultsFreed `cbor:"11,keyasint,omitempty"`
 }
 
 // seal puts a control message into an envelope.
@@ -99,6 +101,10 @@
 		e.LoadDigest = &m
 	case shed.TicketMove:
 		e.TicketMove = &m
+	case shed.RelayLoad:
+		e.RelayLoad = &m
+	case shed.ResultsFreed:
+		e.ResultsFreed = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -124,6 +130,10 @@
 		return *e.LoadDigest, nil
 	case e.TicketMove != nil:
 		return *e.TicketMove, nil
+	case e.RelayLoad != nil:
+		return *e.RelayLoad, nil
+	case e.ResultsFreed != nil:
+		return *e.ResultsFreed, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- /dev/null
+++ b/internal/peers/relay.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"errors"
+
+	shed "jasmineshed"
+
+	"storj.io/drpc"
+)
+
+// The names of the calls between relaying daemons.
+const (
+	rpcPieces = "/peers/Pieces"
+	rpcItems  = "/peers/Items"
+)
+
+// PieceCall asks the daemon that gathers pieces for a pool's servers in a zone.
+type PieceCall struct {
+	From   shed.Peer    `cbor:"1,keyasint"`
+	Pool   shed.PoolID  `cbor:"2,keyasint"`
+	Zone   shed.ZoneID  `cbor:"3,keyasint"`
+	Pieces []shed.Piece `cbor:"4,keyasint"`
+}
+
+// pieceReply is one message of the far side of a PieceCall. An empty one is a
+// heartbeat. After Results nothing more comes.
+type pieceReply struct {
+	Results []shed.PieceResult `cbor:"1,keyasint,omitempty"`
+}
+
+// ItemsCall asks for the items of the store that a peer knows, if it knows more
+// than up to After.
+type ItemsCall struct {
+	After shed.Revision `cbor:"1,keyasint"`
+}
+
+// ItemsReply answers an ItemsCall; without Items, the peer knows no more.
+type ItemsReply struct {
+	Items []shed.Item   `cbor:"1,keyasint,omitempty"`
+	AsOf  shed.Revision `cbor:"2,keyasint"`
+}
+
+// RelayHandler is what a relaying daemon does for its peers.
+type RelayHandler interface {
+	controller
+	// Pieces has the pieces made and returns a result for each.
+	Pieces(ctx context.Context, call PieceCall) []shed.PieceResult
+	// Items returns what this daemon knows of the store.
+	Items(call ItemsCall) ItemsReply
+}
+
+// relayDescription lists the calls for drpc's mux.
+type relayDescription struct{}
+
+// NumMethods implements drpc.Description.
+func (relayDescription) NumMethods() int { return 3 }
+
+// Method implements drpc.Description.
+func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	switch n {
+	case 0:
+		return description{}.Method(0)
+	case 1:
+		return rpcPieces, wire, receivePieces, (func(RelayHandler, *PieceCall, drpc.Stream) error)(nil), true
+	case 2:
+		return rpcItems, wire, receiveItems,
+			(func(RelayHandler, context.Context, *ItemsCall) (*ItemsReply, error))(nil), true
+	}
+	return "", nil, nil, nil, false
+}
+
+func receivePieces(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	call, stream := in1.(*PieceCall), in2.(drpc.Stream)
+	out := &sender{stream: stream}
+	stop := out.beat(&pieceReply{})
+	defer stop()
+	return nil, out.send(&pieceReply{Results: srv.(RelayHandler).Pieces(stream.Context(), *call)})
+}
+
+func receiveItems(srv any, _ context.Context, in1, _ any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	reply := srv.(RelayHandler).Items(*in1.(*ItemsCall))
+	return &reply, nil
+}
+
+// errNoResults: the far side ended its answer without results.
+var errNoResults = errors.New("peer gave no results")
+
+// Pieces asks a peer for pieces. After an error none of them is known to be
+// made; making them again does no harm.
+func (c *Client) Pieces(ctx context.Context, to shed.VM, call PieceCall) ([]shed.PieceResult, error) {
+	call.From = c.cfg.Self
+	s, err := c.open(ctx, to, rpcPieces, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.send(&call); err != nil {
+		return nil, err
+	}
+	for {
+		var reply pieceReply
+		if err := s.recv(&reply); err != nil {
+			return nil, err
+		}
+		if len(reply.Results) == len(call.Pieces) {
+			return reply.Results, nil
+		}
+		if len(reply.Results) > 0 {
+			return nil, errNoResults
+		}
+	}
+}
+
+// Items asks a peer for what it knows of the store.
+func (c *Client) Items(ctx context.Context, to shed.VM, call ItemsCall) (ItemsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var reply ItemsReply
+	err := c.pool.Get(ctx, c.line(to), c.dial).Invoke(ctx, rpcItems, wire, &call, &reply)
+	return reply, err
+}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -22,6 +22,8 @@
 	// Listener for peers only; callers and operators never come in here.
 	Listener net.Listener
 	Handler  Handler
+	// Relay, if set, takes the calls of relaying daemons instead.
+	Relay RelayHandler
 	// TLS is the mutual TLS of peers; nil for plain TCP.
 	TLS *tls.Config
 	// Log takes errors of single connections; may be nil.
@@ -42,7 +44,7 @@
 // Serve answers until ctx ends.
 func (s *Server) Serve(ctx context.Context) error {
 	mux := drpcmux.New()
-	if err := mux.Register(s.cfg.Handler, description{}); err != nil {
+	if err := s.register(mux); err != nil {
 		return fmt.Errorf("register peer calls: %w", err)
 	}
 	lis := s.cfg.Listener
@@ -56,6 +58,13 @@
 	return srv.Serve(ctx, lis)
 }
 
+func (s *Server) register(mux *drpcmux.Mux) error {
+	if s.cfg.Relay != nil {
+		return mux.Register(s.cfg.Relay, relayDescription{})
+	}
+	return mux.Register(s.cfg.Handler, description{})
+}
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
@@ -73,7 +82,7 @@
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
 	case 0:
-		return rpcControl, wire, receiveControl, (func(Handler, context.Context, *envelope) (*received, error))(nil), true
+		return rpcControl, wire, receiveControl, (func(controller, context.Context, *envelope) (*received, error))(nil), true
 	case 1:
 		return rpcStage, wire, receiveStage, (func(Handler, *StageCall, drpc.Stream) error)(nil), true
 	case 2:
@@ -88,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	srv.(Handler).Control(e.From, msg)
+	srv.(controller).Control(e.From, msg)
 	return &received{}, nil
 }
 
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -17,6 +17,7 @@
 	Trace    Trace    `ini:"trace" doc:"Where spans go."`
 	Log      Log      `ini:"log" doc:"JSON lines on standard error."`
 	Stop     Stop     `ini:"stop" doc:"Graceful shutdown."`
+	Relay    Relay    `ini:"relay" doc:"The daemon that passes requests on unread, by the routes that lie in the platform's store (jasmineshed relay)."`
 	Faults   Faults   `ini:"faults" doc:"Faults for tests, never for a fleet that serves."`
 }
 
@@ -89,6 +90,21 @@
 	Drain  time.Duration `ini:"drain" unit:"duration" min:"1s" max:"1h" doc:"Longest time for requests in flight to end after that."`
 }
 
+// Relay sets up a daemon that passes requests on unread.
+type Relay struct {
+	Ready       string        `ini:"ready" unit:"ip:port" check:"listen" doc:"Listener for the balancer's question whether this VM takes requests: 200 or 503 on any path."`
+	Watch       time.Duration `ini:"watch" unit:"duration" min:"100ms" max:"30s" doc:"Longest time that one watch of the store waits for a change. A connection that went silent is noticed after this and read_timeout of [platform]."`
+	Connect     time.Duration `ini:"connect" unit:"duration" min:"10ms" max:"1m" doc:"Longest time for opening a connection to a backend server or to the store."`
+	Silence     time.Duration `ini:"silence" unit:"duration" min:"100ms" max:"10m" doc:"How long bytes may stay unacknowledged on a connection before it is closed."`
+	RepeatRatio float64       `ini:"repeat_ratio" unit:"0 to 1" min:"0" max:"1" doc:"Repeats that the fleet may send to a pool, as a share of the requests for it."`
+	RepeatSlack float64       `ini:"repeat_slack" unit:"count" min:"0" max:"1000000" doc:"Repeats that the fleet may send beyond that share within repeat_window."`
+	RepeatSpan  time.Duration `ini:"repeat_window" unit:"duration" min:"1s" max:"10m" doc:"The span in which repeats are counted."`
+	ColdOver    float64       `ini:"cold_over" unit:"factor" min:"1" max:"10" doc:"How far above its rate a cold server may be sent requests, by all VMs together, in any second."`
+	ColdSlack   float64       `ini:"cold_slack" unit:"count" min:"0" max:"1000" doc:"Requests beyond that in any second."`
+	Fleet       int           `ini:"fleet" unit:"count" min:"1" max:"10000" doc:"VMs that the fleet has at least; shares of rates are cut for as many until more are seen."`
+	Reload      time.Duration `ini:"reload" unit:"duration" min:"100ms" max:"1h" doc:"How often the settings file is looked at for a change; SIGHUP does so at once."`
+}
+
 // Faults are for tests. There are none to set: the section is known, so that a
 // key in it is refused by name rather than as a wrong section.
 type Faults struct{}
@@ -121,7 +137,13 @@
 		TLS:   TLS{PeerName: "peer.jasmineshed", Reload: 30 * time.Second},
 		Trace: Trace{Exporter: "none", Ratio: 0.01},
 		Log:   Log{Level: "info"},
-		Stop:  Stop{Notice: 5 * time.Second, Drain: 30 * time.Second},
+		Relay: Relay{
+			Ready: "127.0.0.1:7403", Watch: 1200 * time.Millisecond,
+			Connect: 400 * time.Millisecond, Silence: 1500 * time.Millisecond,
+			RepeatRatio: 0.2, RepeatSlack: 50, RepeatSpan: 10 * time.Second,
+			ColdOver: 1.5, ColdSlack: 5, Fleet: 9, Reload: time.Second,
+		},
+		Stop: Stop{Notice: 5 * time.Second, Drain: 30 * time.Second},
 	}
 }
 
--- /dev/null
+++ b/internal/relay/gather.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/batch"
+
+	"github.com/sirupsen/logrus"
+)
+
+// maxResults bounds the answer to a call for pieces, in bytes.
+const maxResults = 1 << 20
+
+// freeTimeout bounds a call that gives results up.
+const freeTimeout = time.Second
+
+// gather has pieces made by the group's servers and returns a result for each.
+func (r *Relay) gather(ctx context.Context, g batch.Group, pieces []shed.Piece) []shed.PieceResult {
+	done := make(chan []shed.PieceResult, 1)
+	r.mu.Lock()
+	pool := r.pool(g.Pool)
+	if pool == nil || pool.Batch == nil {
+		r.mu.Unlock()
+		return failed(len(pieces))
+	}
+	r.lastJob++
+	id := r.lastJob
+	r.jobs[id] = done
+	r.perform(r.batcher.Handle(time.Now(), batch.Asked{Job: id, Group: g, Limits: *pool.Batch, Pieces: pieces}))
+	r.mu.Unlock()
+	select {
+	case results := <-done:
+		return results
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.jobs, id)
+	r.perform(r.batcher.Handle(time.Now(), batch.Dropped{Job: id}))
+	select {
+	case results := <-done:
+		// It was done just before; nobody will use it.
+		r.perform(r.batcher.Handle(time.Now(), batch.Freed{Refs: made(results)}))
+	default:
+	}
+	return failed(len(pieces))
+}
+
+func failed(n int) []shed.PieceResult {
+	out := make([]shed.PieceResult, n)
+	for i := range out {
+		out[i].End = shed.PieceFailed
+	}
+	return out
+}
+
+// made are the results that are there.
+func made(results []shed.PieceResult) []shed.ResultRef {
+	var out []shed.ResultRef
+	for _, res := range results {
+		if res.End == shed.PieceMade {
+			out = append(out, res.Ref)
+		}
+	}
+	return out
+}
+
+func (r *Relay) pool(id shed.PoolID) *shed.RelayPool {
+	c := r.roster.Catalog()
+	if c == nil {
+		return nil
+	}
+	return c.Pools[id]
+}
+
+// perform does what batch asks. The caller holds mu.
+func (r *Relay) perform(acts []batch.Action) {
+	for _, act := range acts {
+		switch a := act.(type) {
+		case batch.Send:
+			r.work.Go(func() error {
+				r.callPieces(a)
+				return nil
+			})
+		case batch.Done:
+			if done := r.jobs[a.Job]; done != nil {
+				delete(r.jobs, a.Job)
+				done <- a.Results
+			}
+		case batch.Free:
+			for _, ref := range a.Refs {
+				addr := r.cfg.Dialect.Maker(ref)
+				r.freed[addr] = append(r.freed[addr], ref)
+			}
+		}
+	}
+}
+
+// callPieces runs one call for pieces.
+func (r *Relay) callPieces(a batch.Send) {
+	began := time.Now()
+	end, status, err := r.exchangePieces(a)
+	end.Call = a.Call
+	took := time.Since(began)
+	r.stats.pieceCall(len(a.Pieces), took)
+	entry := r.log.WithFields(logrus.Fields{
+		"server": a.Server.ID, "pool": a.Server.Pool, "zone": a.Server.Zone, "pieces": len(a.Pieces),
+		"took_ms": took.Milliseconds(), "limit_ms": a.Limit.Milliseconds(),
+	})
+	if end.Results == nil {
+		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "error": errText(err), "first": a.Pieces[0].Request}).
+			Warn("call for pieces failed")
+	} else {
+		entry.Debug("call for pieces")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(r.batcher.Handle(time.Now(), end))
+}
+
+func (r *Relay) exchangePieces(a batch.Send) (batch.CallEnded, int, error) {
+	ctx, cancel := context.WithTimeout(r.base, a.Limit)
+	defer cancel()
+	req, err := r.cfg.Dialect.RunPieces(a.Server, a.Pieces)
+	if err != nil {
+		return batch.CallEnded{NotRun: true}, 0, err
+	}
+	resp, sent, err := r.sender.Do(req.WithContext(ctx), false, time.Time{})
+	if err != nil {
+		return batch.CallEnded{NotRun: !sent}, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		reply := r.cfg.Dialect.Reply(resp)
+		return batch.CallEnded{NotRun: reply.NotRun, Busy: reply.NotRun && !reply.OtherServer}, resp.StatusCode, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResults))
+	if err != nil {
+		return batch.CallEnded{}, resp.StatusCode, err
+	}
+	results, err := r.cfg.Dialect.Results(body, len(a.Pieces))
+	return batch.CallEnded{Results: results}, resp.StatusCode, err
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// flushFreed gives results up that nobody needs any more, in one call for each
+// server. The caller holds mu.
+func (r *Relay) flushFreed() {
+	for addr, refs := range r.freed {
+		delete(r.freed, addr)
+		r.work.Go(func() error {
+			r.callFree(addr, refs)
+			return nil
+		})
+	}
+}
+
+// callFree gives results up. If that fails, the server drops them by itself a
+// few seconds later.
+func (r *Relay) callFree(addr string, refs []shed.ResultRef) {
+	ctx, cancel := context.WithTimeout(r.base, freeTimeout)
+	defer cancel()
+	req, err := r.cfg.Dialect.FreeResults(addr, refs)
+	if err == nil {
+		var resp *http.Response
+		resp, _, err = r.sender.Do(req.WithContext(ctx), false, time.Time{})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResults))
+			_ = resp.Body.Close()
+		}
+	}
+	if err != nil {
+		r.log.WithFields(logrus.Fields{"address": addr, "results": len(refs), "error": err.Error()}).Info("results not given up")
+	}
+}
--- /dev/null
+++ b/internal/relay/mesh.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/batch"
+	"jasmineshed/internal/member"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/rank"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// meshZone is the one zone that member sees: any VM may reach any server
+	// here, so each VM has to know all others, in all zones.
+	meshZone shed.ZoneID = "fleet"
+	// The relay holds no state that a wrong verdict of death could double, so it
+	// takes a peer for dead sooner than member's defaults: 2.2 s instead of 5.1.
+	probeEvery = 500 * time.Millisecond
+	ackAfter   = 300 * time.Millisecond
+	suspectFor = time.Second
+	// shunPeer is how long a peer that gave no answer gathers no pieces for this
+	// VM.
+	shunPeer = 1500 * time.Millisecond
+	// loadEvery is how often a VM tells its load to each peer, in a fleet of up
+	// to loadPeers; in a larger one less often, so that the messages a second
+	// don't grow faster than the fleet.
+	loadEvery = 100 * time.Millisecond
+	loadPeers = 12
+	// loadIdle is how often it tells it though nothing has changed.
+	loadIdle = time.Second
+	// renewedBy is added to the incarnation of a process that was overruled: its
+	// VM's clock was set back after an earlier process had started.
+	renewedBy = 30 * time.Second
+)
+
+// mesh is what the relay knows of its peers.
+type mesh struct {
+	self shed.Peer
+	// zones of peers, as they told; seen is the last sequence of each one's
+	// load, told by that process.
+	zones map[shed.VM]shed.ZoneID
+	seen  map[shed.Peer]uint64
+	// waits are what peers said of the pieces that they gather.
+	waits map[batch.Group]peerWait
+	// shunned peers gather nothing for this VM until then.
+	shunned map[shed.VM]time.Time
+	// asOf is up to which revision of the store a peer knows everything.
+	asOf map[shed.VM]shed.Revision
+
+	sequence uint64
+	placed   []shed.PromptPlaced
+	told     time.Time
+	lastBusy bool
+}
+
+type peerWait struct {
+	from shed.VM
+	wait time.Duration
+	at   time.Time
+}
+
+func (r *Relay) startMesh() {
+	r.mesh = mesh{
+		self:    shed.Peer{VM: shed.VM(r.prefs.Load().Node.Reach()), Incarnation: shed.Incarnation(time.Now().UnixNano())},
+		zones:   map[shed.VM]shed.ZoneID{},
+		seen:    map[shed.Peer]uint64{},
+		waits:   map[batch.Group]peerWait{},
+		shunned: map[shed.VM]time.Time{},
+		asOf:    map[shed.VM]shed.Revision{},
+	}
+	r.joinMesh()
+}
+
+// joinMesh starts with an empty view under the present incarnation.
+func (r *Relay) joinMesh() {
+	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self})
+	r.group = member.New(member.Config{
+		Self: r.mesh.self, Zone: meshZone, Seeds: seedVMs(r.prefs.Load()),
+		Seed:       xxhash.Sum64String(string(r.mesh.self.VM)) ^ uint64(r.mesh.self.Incarnation),
+		ProbeEvery: probeEvery, AckAfter: ackAfter, SuspectFor: suspectFor,
+	})
+}
+
+func seedVMs(p *prefs.Prefs) []shed.VM {
+	seeds := make([]shed.VM, 0, len(p.Node.Seeds))
+	for _, s := range p.Node.Seeds {
+		seeds = append(seeds, shed.VM(s))
+	}
+	return seeds
+}
+
+func (r *Relay) tickMesh(now, start time.Time) {
+	if r.stopping.Load() {
+		return
+	}
+	r.performMesh(r.group.Handle(now, shed.Tick{Wall: now, Mono: now.Sub(start)}))
+	if r.group.Overruled() {
+		r.mesh.self.Incarnation = shed.Incarnation(now.Add(renewedBy).UnixNano())
+		r.log.WithField("incarnation", r.mesh.self.Incarnation).
+			Warn("an earlier process of this VM had a later clock; joining the peers anew")
+		old := r.client
+		r.joinMesh()
+		r.work.Go(old.Close)
+	}
+	r.tellLoad(now)
+}
+
+// performMesh does what member asks. The caller holds mu.
+func (r *Relay) performMesh(acts []shed.Action) {
+	for _, act := range acts {
+		switch a := act.(type) {
+		case shed.SendPeer:
+			r.client.Send(a.To, a.Message)
+		case shed.Note:
+			r.log.WithFields(logrus.Fields{"reason": a.Reason, "peer": a.Peer}).Info("peer")
+			r.stats.beliefs.Inc(1)
+		}
+	}
+}
+
+// alive are the peers that are alive, without this one.
+func (r *Relay) alive() []shed.VM {
+	vms := r.group.View().VMs(meshZone)
+	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return vm == r.mesh.self.VM })
+}
+
+// fleetSize is how many VMs share what only the whole fleet may use up: those
+// that the settings name, or more if more were ever seen.
+func (r *Relay) fleetSize() int {
+	return max(r.prefs.Load().Relay.Fleet, len(r.group.Known())+1)
+}
+
+// tellLoad tells peers what is under way here.
+func (r *Relay) tellLoad(now time.Time) {
+	vms := r.alive()
+	every := loadEvery * time.Duration(1+len(vms)/loadPeers)
+	since := now.Sub(r.mesh.told)
+	shares, waits := r.picker.Shares(), r.ownWaits(now)
+	busy := len(shares)+len(waits)+len(r.mesh.placed) > 0
+	if since < every || !busy && !r.mesh.lastBusy && since < loadIdle {
+		return
+	}
+	r.mesh.sequence++
+	load := shed.RelayLoad{
+		Sequence: r.mesh.sequence, Zone: shed.ZoneID(r.prefs.Load().Node.Zone),
+		Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
+	}
+	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
+	for _, vm := range vms {
+		r.client.Send(vm, load)
+	}
+}
+
+// ownWaits predicts the wait in the groups that this VM gathers pieces for.
+func (r *Relay) ownWaits(now time.Time) []shed.PieceWait {
+	var out []shed.PieceWait
+	for _, g := range r.batcher.Busy() {
+		limits, _ := r.batcher.Limits(g)
+		out = append(out, shed.PieceWait{Pool: g.Pool, Zone: g.Zone, Wait: r.batcher.Wait(now, g, limits, 1)})
+	}
+	return out
+}
+
+// Control implements peers.RelayHandler.
+func (r *Relay) Control(from shed.Peer, msg shed.Message) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch m := msg.(type) {
+	case shed.Probe, shed.ProbeAck:
+		r.performMesh(r.group.Handle(now, shed.PeerMessage{From: from, Message: msg}))
+	case shed.RelayLoad:
+		r.heardLoad(now, from, m)
+	case shed.ResultsFreed:
+		r.perform(r.batcher.Handle(now, batch.Freed{Refs: m.Refs}))
+	}
+}
+
+func (r *Relay) heardLoad(now time.Time, from shed.Peer, m shed.RelayLoad) {
+	if m.Sequence <= r.mesh.seen[from] {
+		return
+	}
+	r.mesh.seen[from] = m.Sequence
+	r.mesh.zones[from.VM] = m.Zone
+	r.mesh.asOf[from.VM] = m.AsOf
+	delete(r.mesh.shunned, from.VM)
+	r.picker.PeerShares(from.VM, m.Servers)
+	for _, p := range m.Placed {
+		r.picker.Seen(now, p.Server, p.Chain)
+	}
+	for g, w := range r.mesh.waits {
+		if w.from == from.VM {
+			delete(r.mesh.waits, g)
+		}
+	}
+	for _, w := range m.Waits {
+		r.mesh.waits[batch.Group{Pool: w.Pool, Zone: w.Zone}] = peerWait{from: from.VM, wait: w.Wait, at: now}
+	}
+}
+
+// gatherer is the VM that gathers the pieces for a group: by rendezvous among
+// the live VMs of the group's zone, which reach its servers also when the zone
+// is cut off; if there is none, among all. Two VMs that see different peers may
+// name two; both then send calls, which the servers' short queues bear.
+func (r *Relay) gatherer(now time.Time, g batch.Group) shed.VM {
+	own := r.mesh.self.VM
+	all := append(r.alive(), own)
+	if r.stopping.Load() {
+		all = all[:len(all)-1]
+	}
+	all = slices.DeleteFunc(all, func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
+	var near []shed.VM
+	for _, vm := range all {
+		if r.zoneOf(vm) == g.Zone {
+			near = append(near, vm)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	vm, ok := rank.Owner(string(g.Pool)+"@"+string(g.Zone), near)
+	if !ok {
+		return own
+	}
+	return vm
+}
+
+func (r *Relay) zoneOf(vm shed.VM) shed.ZoneID {
+	if vm == r.mesh.self.VM {
+		return shed.ZoneID(r.prefs.Load().Node.Zone)
+	}
+	return r.mesh.zones[vm]
+}
+
+// Items implements peers.RelayHandler.
+func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := peers.ItemsReply{AsOf: r.roster.AsOf()}
+	if reply.AsOf > call.After {
+		reply.Items = r.roster.Items()
+	}
+	return reply
+}
+
+// Pieces implements peers.RelayHandler.
+func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) []shed.PieceResult {
+	g := batch.Group{Pool: call.Pool, Zone: call.Zone}
+	return r.gather(ctx, g, call.Pieces)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,373 @@
+// Package relay is the daemon that passes requests on unread: it finds the
+// route, has the pieces made that the request needs, chooses a server, and
+// brings the answer back whole. Decisions are taken by the pure packages
+// roster, picker, batch, member and retry; this package performs them.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/batch"
+	"jasmineshed/internal/engine"
+	"jasmineshed/internal/httpd"
+	"jasmineshed/internal/member"
+	"jasmineshed/internal/oper"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/picker"
+	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/retry"
+	"jasmineshed/internal/roster"
+	"jasmineshed/internal/telem"
+
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+// Config is what a Relay needs.
+type Config struct {
+	Prefs *prefs.Prefs
+	// Reload reads the settings again; nil if they have no file.
+	Reload  func() (*prefs.Prefs, error)
+	Store   shed.Store
+	Dialect shed.Dialect
+	// Log and Lines are the log and the writer below it, whose lines the relay
+	// writes out.
+	Log     *logrus.Logger
+	Lines   *telem.Async
+	Metrics *telem.Metrics
+	Tracing *telem.Tracing
+	// Listeners, opened by Listen.
+	Listeners Listeners
+	// Dial opens connections to backend servers; nil means TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Listeners are what a Relay listens on.
+type Listeners struct {
+	Callers, Ready, Peers, Operators net.Listener
+}
+
+// Listen opens the listeners that the settings name.
+func Listen(ctx context.Context, p *prefs.Prefs) (Listeners, error) {
+	var l Listeners
+	for _, one := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&l.Callers, p.Listen.Callers},
+		{&l.Ready, p.Relay.Ready},
+		{&l.Peers, p.Node.Peer},
+		{&l.Operators, p.Listen.Operators},
+	} {
+		lis, err := httpd.Listen(ctx, one.addr, p.Limits.WriteTimeout)
+		if err != nil {
+			l.Close()
+			return Listeners{}, err
+		}
+		*one.to = lis
+	}
+	return l, nil
+}
+
+// Close closes the listeners that were opened.
+func (l Listeners) Close() {
+	for _, one := range []net.Listener{l.Callers, l.Ready, l.Peers, l.Operators} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// Relay is one relaying daemon.
+type Relay struct {
+	cfg    Config
+	log    *logrus.Entry
+	stats  stats
+	tracer trace.Tracer
+	sender *engine.Sender
+	client *peers.Client
+	// base is the context of work that belongs to no request.
+	base context.Context
+	halt context.CancelFunc
+	// work holds the goroutines that perform actions.
+	work errgroup.Group
+
+	// prefs are the settings in force.
+	prefs    atomic.Pointer[prefs.Prefs]
+	stopping atomic.Bool
+	// open counts requests being answered.
+	open atomic.Int64
+
+	// mu guards what follows: all decisions are taken under it, none of them
+	// blocks.
+	mu      sync.Mutex
+	roster  *roster.Roster
+	picker  *picker.Picker
+	batcher *batch.Batcher
+	repeats map[shed.PoolID]*retry.Budget
+	group   *member.Group
+	mesh    mesh
+	jobs    map[batch.JobID]chan []shed.PieceResult
+	lastJob batch.JobID
+	// freed are results to be given up, by the address of their maker.
+	freed map[string][]shed.ResultRef
+	// relist: the store's history is gone, so all of it is to be read. Used by
+	// followStore only.
+	relist bool
+	// turn counts requests, to share out splits of routes.
+	turn uint64
+}
+
+// New puts a Relay together; Run runs it.
+func New(cfg Config) *Relay {
+	if cfg.Dial == nil {
+		cfg.Dial = httpd.Dialer(cfg.Prefs.Relay.Connect, cfg.Prefs.Relay.Silence).DialContext
+	}
+	base, halt := context.WithCancel(context.Background())
+	r := &Relay{
+		cfg:     cfg,
+		log:     logrus.NewEntry(cfg.Log),
+		stats:   newStats(cfg.Metrics.Scope),
+		tracer:  cfg.Tracing.Tracer("jasmineshed/relay"),
+		sender:  engine.NewSender(engine.Config{Dial: cfg.Dial, ConnectTimeout: cfg.Prefs.Relay.Connect}),
+		base:    base,
+		halt:    halt,
+		roster:  roster.New(roster.Config{}),
+		picker:  picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
+		repeats: map[shed.PoolID]*retry.Budget{},
+		jobs:    map[batch.JobID]chan []shed.PieceResult{},
+		freed:   map[string][]shed.ResultRef{},
+	}
+	r.prefs.Store(cfg.Prefs)
+	r.batcher = batch.New(r.listings)
+	r.startMesh()
+	return r
+}
+
+// listings gives batch the servers of a group.
+func (r *Relay) listings(g batch.Group) []shed.Listing {
+	var out []shed.Listing
+	for _, s := range r.roster.Open(g.Pool) {
+		if s.Zone == g.Zone {
+			out = append(out, s.Listing)
+		}
+	}
+	return out
+}
+
+// ErrFailed is returned by Run when the daemon ended though nobody asked.
+var ErrFailed = errors.New("relay failed")
+
+// stopSlack is kept of the time that a stop may take, for the last answers to
+// leave.
+const stopSlack = 700 * time.Millisecond
+
+// Run serves until ctx ends or a graceful stop is done.
+func (r *Relay) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	top := suture.New("relay", suture.Spec{
+		EventHook: telem.SupervisorHook(r.log), Timeout: r.prefs.Load().Stop.Drain,
+	})
+	for _, s := range r.services() {
+		top.Add(s)
+	}
+	top.Add(service{"stop", func(ctx context.Context) error { return r.awaitStop(ctx, cancel) }})
+	r.log.WithFields(logrus.Fields{
+		"vm": r.mesh.self.VM, "zone": r.prefs.Load().Node.Zone, "incarnation": r.mesh.self.Incarnation,
+		"seeds": r.prefs.Load().Node.Seeds,
+	}).Info("relay starts")
+	err := top.Serve(ctx)
+	r.halt()
+	_ = r.work.Wait()
+	_ = r.client.Close()
+	r.sender.Close()
+	r.log.WithField("dropped_lines", r.cfg.Lines.Dropped()).Info("relay ends")
+	r.cfg.Lines.Flush()
+	if r.stopping.Load() || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrFailed, err)
+}
+
+// service is a function as a service of the supervisor tree.
+type service struct {
+	name string
+	run  func(context.Context) error
+}
+
+// String names the service in the supervisor's log.
+func (s service) String() string { return s.name }
+
+// Serve runs the function.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+func (r *Relay) services() []suture.Service {
+	p, l := r.prefs.Load(), r.cfg.Listeners
+	return []suture.Service{
+		r.cfg.Lines,
+		httpd.New(httpd.Config{
+			Name: "callers", Listener: l.Callers, Handler: http.HandlerFunc(r.serve),
+			Limits: p.Limits, Drain: stopSlack, Log: r.log,
+		}),
+		httpd.New(httpd.Config{
+			Name: "ready", Listener: l.Ready, Handler: http.HandlerFunc(r.serveReady),
+			Limits: p.Limits, Call: p.Limits.WriteTimeout, Drain: stopSlack, Log: r.log,
+		}),
+		peers.NewServer(peers.ServerConfig{
+			Listener: l.Peers, Relay: r,
+			Log: func(err error) { r.log.WithError(err).Debug("peer connection ended") },
+		}),
+		oper.New(oper.Config{
+			Listener: l.Operators, Status: r, Explainer: nothingKept{},
+			Metrics: r.cfg.Metrics.Handler, Limits: p.Limits, Profile: p.Listen.Profile, Log: r.log,
+		}),
+		service{"store", r.followStore},
+		service{"tick", r.tickAlways},
+		service{"settings", r.followSettings},
+	}
+}
+
+// nothingKept answers operators that ask for a request: the log tells.
+type nothingKept struct{}
+
+// Explain implements oper.Explainer.
+func (nothingKept) Explain(shed.RequestID) (any, bool) { return nil, false }
+
+// noticeTime is how long the balancer may take to see that this VM isn't ready:
+// two questions, one a second, and a margin. Until then new connections come,
+// and each request on them is served.
+const noticeTime = 2500 * time.Millisecond
+
+// Stop begins a graceful stop: not ready, but serving until nothing is open.
+func (r *Relay) Stop() {
+	if r.stopping.Swap(true) {
+		return
+	}
+	r.log.WithField("open", r.open.Load()).Info("stop asked for; not ready from now on")
+	r.mu.Lock()
+	r.performMesh(r.group.Leave(shed.Peer{}))
+	r.mu.Unlock()
+}
+
+// awaitStop ends the daemon once a stop was asked for and all requests are
+// answered, or the time for it is over.
+func (r *Relay) awaitStop(ctx context.Context, end context.CancelFunc) error {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	var asked time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			if !r.stopping.Load() {
+				continue
+			}
+			if asked.IsZero() {
+				asked = now
+			}
+			spent := now.Sub(asked)
+			idle := r.open.Load() == 0 && spent >= noticeTime
+			if idle || spent >= r.prefs.Load().Stop.Drain-stopSlack {
+				r.log.WithFields(logrus.Fields{"open": r.open.Load(), "spent_ms": spent.Milliseconds()}).Info("stop: listeners close")
+				end()
+				return suture.ErrTerminateSupervisorTree
+			}
+		}
+	}
+}
+
+// serveReady answers the balancer.
+func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (r *Relay) ready() bool {
+	if r.stopping.Load() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.Catalog() != nil
+}
+
+// Status implements oper.StatusSource.
+func (r *Relay) Status() any {
+	ready := r.ready()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	out := Status{
+		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
+		Stopping: r.stopping.Load(), Open: r.open.Load(), AsOf: r.roster.AsOf(),
+		Peers: r.alive(), Servers: r.picker.Shares(), Gathers: map[string]int{},
+	}
+	if c := r.roster.Catalog(); c != nil {
+		out.Version = c.Version
+	}
+	if at := r.roster.Contact(); !at.IsZero() {
+		out.StoreAgeMS = now.Sub(at).Milliseconds()
+	}
+	for g, waiting := range r.batcher.Groups() {
+		out.Gathers[string(g.Pool)+"@"+string(g.Zone)] = waiting
+	}
+	return out
+}
+
+// Status is what a relay believes.
+type Status struct {
+	VM       shed.VM       `json:"vm"`
+	Zone     shed.ZoneID   `json:"zone"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	Open     int64         `json:"open"`
+	Version  string        `json:"version"`
+	AsOf     shed.Revision `json:"as_of"`
+	// StoreAgeMS is how long ago the store last answered.
+	StoreAgeMS int64                              `json:"store_age_ms"`
+	Peers      []shed.VM                          `json:"peers"`
+	Servers    map[shed.ServerID]shed.ServerShare `json:"servers"`
+	// Gathers are the pieces that wait here, by pool@zone.
+	Gathers map[string]int `json:"gathers"`
+}
+
+// tickEvery is the period of the pure packages' ticks.
+const tickEvery = shed.TickEvery
+
+func (r *Relay) tickAlways(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	start := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			r.tick(time.Now(), start)
+		}
+	}
+}
+
+func (r *Relay) tick(now, start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tellChanges(r.roster.Tick(now))
+	r.perform(r.batcher.Handle(now, batch.Tick{}))
+	r.tickMesh(now, start)
+	r.flushFreed()
+}
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,243 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/picker"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// maxAnswer bounds an answer that is no stream, in bytes; it is held whole
+	// before it is passed on.
+	maxAnswer = 16 << 20
+	// sendWithin is the longest that a decision to send may be old when the
+	// first byte leaves: after it, the process was paused, and what it knew of
+	// the server may no longer hold.
+	sendWithin = time.Second
+)
+
+// outcome is how one attempt ended.
+type outcome struct {
+	// done: the caller has the whole answer.
+	done bool
+	// sent: a byte of the request may have left; mayHaveRun: it may have run.
+	sent, mayHaveRun bool
+	reason           shed.Reason
+}
+
+// output is the way back to the caller.
+type output struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// started: a part of the answer may have left.
+	started bool
+	// lastEvent is the id of the last event passed on.
+	lastEvent string
+}
+
+// attempt sends the request to the chosen server and passes the answer on.
+func (r *Relay) attempt(ctx context.Context, out *output, j *job, choice picker.Choice, want picker.Want) outcome {
+	began := time.Now()
+	ctx, span := r.tracer.Start(ctx, "send")
+	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j.server = choice.Server.ID
+	a := &attempt{relay: r, job: j, out: out, choice: choice, began: began, cancel: cancel}
+	v := a.run(ctx)
+	if v.sent {
+		j.sends++
+	}
+	j.mayHaveRun = j.mayHaveRun || v.mayHaveRun
+	end := picker.End{Failed: a.failed, Forgotten: ctx.Err() != nil && !a.failed}
+	if v.done && !j.route.Streaming {
+		end.Took = time.Since(began)
+	}
+	r.mu.Lock()
+	a.hasBegun()
+	r.picker.Ended(time.Now(), choice, end)
+	r.mu.Unlock()
+	if !v.done {
+		j.avoid = append(j.avoid, choice.Server.ID)
+		r.stats.attemptFailed(v.reason)
+		r.log.WithFields(logrus.Fields{
+			"request": j.ask.ID, "server": choice.Server.ID, "zone": choice.Server.Zone, "reason": v.reason,
+			"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": j.sends, "status": a.status,
+			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
+			"cold": choice.Server.Cold(began), "error": errText(a.err), "of": r.mesh.self.VM,
+		}).Info("attempt failed")
+	}
+	_ = want
+	return v
+}
+
+// attempt is one request to one server.
+type attempt struct {
+	relay  *Relay
+	job    *job
+	out    *output
+	choice picker.Choice
+	began  time.Time
+	cancel context.CancelFunc
+	// begun: the picker knows that the first event has come.
+	begun bool
+	// silent: the attempt was ended since no event came.
+	silent atomic.Bool
+	// failed: the server is to blame.
+	failed bool
+	status int
+	err    error
+}
+
+func (a *attempt) run(ctx context.Context) outcome {
+	j := a.job
+	hop := shed.Hop{
+		Server: a.choice.Server.Listing, Left: time.Until(j.deadline) - answerSlack,
+		Workspace: j.workspace, Urgency: j.rank, Resume: j.ask.Resume, Inputs: j.inputs,
+	}
+	if a.out.lastEvent != "" {
+		hop.Resume = a.out.lastEvent
+	}
+	if !j.route.Streaming {
+		hop.Urgency = -1
+	}
+	req, err := a.relay.cfg.Dialect.Forward(&j.ask, hop)
+	if err != nil {
+		a.err = err
+		return outcome{reason: reasonBadHead}
+	}
+	if len(j.body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(j.body)), int64(len(j.body))
+	} else if j.ask.Method != http.MethodGet && j.ask.Method != http.MethodHead {
+		req.Body = http.NoBody
+	}
+	once := !j.route.Repeatable && !j.route.Resumable
+	resp, sent, err := a.relay.sender.Do(req.WithContext(ctx), once, a.began.Add(sendWithin))
+	if err != nil {
+		a.err, a.failed = err, ctx.Err() == nil
+		if !sent {
+			return outcome{reason: reasonNotSent}
+		}
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return a.answer(ctx, resp)
+}
+
+// answer looks at the head of an answer and passes it on.
+func (a *attempt) answer(ctx context.Context, resp *http.Response) outcome {
+	j := a.job
+	a.status = resp.StatusCode
+	reply := a.relay.cfg.Dialect.Reply(resp)
+	if reply.ID != j.ask.ID {
+		// A second answer to an earlier request on this connection, or bytes
+		// that are no answer: they belong to nobody.
+		a.failed = true
+		return outcome{sent: true, mayHaveRun: true, reason: reasonOtherAnswer}
+	}
+	if reply.Cold > 0 {
+		a.relay.mu.Lock()
+		a.relay.roster.TurnedCold(time.Now(), a.choice.Server.ID, reply.Cold)
+		a.relay.mu.Unlock()
+	}
+	if reply.NotRun {
+		a.failed = reply.OtherServer
+		reason := reasonServerFull
+		switch {
+		case reply.OtherServer:
+			reason = shed.ReasonServerLeaving
+		case reply.InputsGone:
+			reason = reasonInputsGone
+		}
+		return outcome{sent: true, reason: reason}
+	}
+	if !reply.Sealed {
+		a.failed = true
+		return outcome{sent: true, mayHaveRun: true, reason: reasonUnsealed}
+	}
+	if j.route.Streaming && resp.StatusCode == http.StatusOK {
+		return a.stream(ctx, resp)
+	}
+	return a.whole(ctx, resp)
+}
+
+// whole passes on an answer that is no stream, once it is all here.
+func (a *attempt) whole(ctx context.Context, resp *http.Response) outcome {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		a.err, a.failed = err, ctx.Err() == nil
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
+	}
+	if a.out.started {
+		// The server would not go on with the stream.
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
+	}
+	if resp.StatusCode >= http.StatusInternalServerError && a.job.route.Repeatable && a.job.sends+1 < a.job.route.MostSends &&
+		a.relay.othersOpen(a.job, a.choice) {
+		a.failed = true
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
+	}
+	copyHead(a.out.w.Header(), resp.Header)
+	a.out.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	a.out.started = true
+	a.out.w.WriteHeader(resp.StatusCode)
+	if _, err := a.out.w.Write(body); err != nil {
+		a.err = err
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonCallerGone}
+	}
+	return outcome{done: true, sent: true, mayHaveRun: true}
+}
+
+// othersOpen tells whether another server could try.
+func (r *Relay) othersOpen(j *job, c picker.Choice) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.roster.Open(j.pool.ID) {
+		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) {
+			return r.budget(j.pool.ID).Left(time.Now()) > 0
+		}
+	}
+	return false
+}
+
+// hopHeaders of an answer concern the server's connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// copyHead passes the head of an answer on. What net/http would add by itself
+// is kept out.
+func copyHead(to, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(hopHeaders, name) {
+			to[name] = values
+		}
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := to[name]; !ok {
+			to[name] = nil
+		}
+	}
+}
+
+// hasBegun tells the picker, once, that the prompt is read or given up. The
+// caller holds mu.
+func (a *attempt) hasBegun() {
+	if !a.begun {
+		a.begun = true
+		a.relay.picker.Began(a.choice)
+	}
+}
+
+var errSilent = errors.New("no event in time")
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	shed "jasmineshed"
+)
+
+const (
+	// maxEvent bounds one event of a stream, in bytes.
+	maxEvent = 1 << 20
+	// firstSilence is how long the first event of a stream that may be resumed
+	// may stay out once the server has answered.
+	firstSilence = 2500 * time.Millisecond
+	// midSilence is how long a later event may stay out: callers give a stream up
+	// after two seconds at the soonest, and another server needs a while to
+	// read the prompt.
+	midSilence = 1300 * time.Millisecond
+)
+
+// stream passes a stream of events on, each event whole as it arrives. The
+// head goes out with the first event: until then another server's answer can
+// still take its place.
+func (a *attempt) stream(ctx context.Context, resp *http.Response) outcome {
+	broken := outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
+	silent := a.watch(firstSilence)
+	defer silent.Stop()
+	events := bufio.NewReader(resp.Body)
+	for {
+		event, err := readEvent(events)
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(event) == 0 && a.out.started {
+				return outcome{done: true, sent: true, mayHaveRun: true}
+			}
+			a.err = err
+			a.failed = ctx.Err() == nil
+			if a.silent.Load() {
+				a.err, a.failed, broken.reason = errSilent, true, shed.ReasonSilent
+			}
+			return broken
+		}
+		silent.Reset(midSilence)
+		if err := a.passOn(resp, event); err != nil {
+			a.err = err
+			return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonCallerGone}
+		}
+	}
+}
+
+// watch ends the attempt if it isn't reset in time, where the stream may go on
+// at another server.
+func (a *attempt) watch(limit time.Duration) *time.Timer {
+	t := time.AfterFunc(limit, func() {
+		if a.job.route.Resumable {
+			a.silent.Store(true)
+			a.cancel()
+		}
+	})
+	return t
+}
+
+func (a *attempt) passOn(resp *http.Response, event []byte) error {
+	if !a.begun {
+		a.relay.mu.Lock()
+		a.hasBegun()
+		a.relay.mu.Unlock()
+	}
+	if !a.out.started {
+		copyHead(a.out.w.Header(), resp.Header)
+		a.out.w.WriteHeader(resp.StatusCode)
+		a.out.started = true
+		a.job.firstByte = time.Since(a.job.began)
+		a.relay.giveUp(a.job)
+	}
+	if _, err := a.out.w.Write(event); err != nil {
+		return err
+	}
+	if id := a.relay.cfg.Dialect.EventID(event); id != "" {
+		a.out.lastEvent = id
+	}
+	a.job.events++
+	return a.out.control.Flush()
+}
+
+// readEvent reads up to and with the empty line that ends an event. At the
+// stream's end it returns io.EOF with what is left of a broken event.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return event, err
+		}
+		if len(event) > maxEvent {
+			return event, errEventTooBig
+		}
+		ended := bytes.Equal(line, []byte("\n")) || bytes.Equal(line, []byte("\r\n"))
+		if ended && len(event) > len(line) {
+			return event, nil
+		}
+	}
+}
+
+var errEventTooBig = errors.New("event too big")
--- a/message.go
+++ b/message.go
@@ -127,6 +127,50 @@
 	Left      time.Duration `cbor:"4,keyasint"`
 }
 
+// RelayLoad tells peers what the sender has under way: on backend servers, and
+// waiting for pieces. It replaces what the sender told before.
+type RelayLoad struct {
+	// Sequence grows with each one of a process; an older one is dropped.
+	Sequence uint64                   `cbor:"1,keyasint"`
+	Servers  map[ServerID]ServerShare `cbor:"2,keyasint,omitempty"`
+	Waits    []PieceWait              `cbor:"3,keyasint,omitempty"`
+	// Placed are the prompts placed since the last one.
+	Placed []PromptPlaced `cbor:"4,keyasint,omitempty"`
+	// AsOf is up to which revision of the store the sender knows everything.
+	AsOf Revision `cbor:"5,keyasint,omitempty"`
+	// Zone of the sender's VM.
+	Zone ZoneID `cbor:"6,keyasint,omitempty"`
+}
+
+// ServerShare is what one daemon has on one server.
+type ServerShare struct {
+	Running int `cbor:"1,keyasint"`
+	// Reading are the prompt tokens of requests whose first event is still out.
+	Reading Tokens `cbor:"2,keyasint,omitempty"`
+}
+
+// PieceWait is how long a piece would take at the sender, which gathers the
+// pieces for the pool's servers in the zone.
+type PieceWait struct {
+	Pool PoolID        `cbor:"1,keyasint"`
+	Zone ZoneID        `cbor:"2,keyasint"`
+	Wait time.Duration `cbor:"3,keyasint"`
+}
+
+// PromptPlaced says that a server reads a prompt; Chain are the hashes of its
+// shared parts.
+type PromptPlaced struct {
+	Server ServerID `cbor:"1,keyasint"`
+	Chain  []uint64 `cbor:"2,keyasint"`
+}
+
+// ResultsFreed gives results of pieces up at the VM that had them made.
+type ResultsFreed struct {
+	Refs []ResultRef `cbor:"1,keyasint"`
+}
+
+func (RelayLoad) message()    {}
+func (ResultsFreed) message() {}
 func (ConfigDigest) message() {}
 func (ConfigPull) message()   {}
 func (ConfigPush) message()   {}
