Relay: one VM gathers the pieces for a pool over all zones

Now one gatherer for each pool, results that are heavy made near the chosen server, calls in doubt doubled, pieces that no room was found for don't count as tries.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -3,9 +3,9 @@
 //
 // A call to a server costs a large fixed time whatever it holds, and a server
 // runs one call at a time. If every VM sent its own small calls, the servers'
-// queues would fill with nearly empty ones. So the pieces for the servers of
-// one pool in one zone meet at one VM, which keeps one call running on each
-// server and fills the next one with the most urgent pieces.
+// queues would fill with nearly empty ones. So the pieces for one pool meet at
+// one VM, which keeps one call running on each server and fills the next one
+// with the most urgent pieces.
 package batch
 
 import (
@@ -22,14 +22,21 @@
 	// slowLeast and slowMost bound a server's slowness.
 	slowLeast, slowMost = 0.5, 10.0
 	// limitTimes and limitExtra give the time after which a call is given up:
-	// servers are seen to turn five times as slow and go on, while one that
-	// fell silent holds its pieces for as long.
-	limitTimes = 3
-	limitExtra = 600 * time.Millisecond
+	// servers are seen to turn five times as slow and go on.
+	limitTimes = 6
+	limitExtra = 300 * time.Millisecond
+	// doubtTimes and doubtExtra give the time after which a call's pieces are
+	// sent to another server too, and the first server gets no others: it may
+	// be slow, or silent for good.
+	doubtTimes = 2
+	doubtExtra = 100 * time.Millisecond
+	// nearBonus is how much sooner a piece counts as due at a server of the zone
+	// where its result is wanted.
+	nearBonus = 100 * time.Millisecond
 	// shunFirst is how long a server is left alone after a call that failed; it
 	// doubles with each further one, up to shunMost.
 	shunFirst = 500 * time.Millisecond
-	shunMost  = 8 * time.Second
+	shunMost  = 2 * time.Second
 	// tries is how often a piece is sent at the most; a repeat draws on the
 	// fleet's budget of repeats.
 	tries = 3
@@ -43,19 +50,13 @@
 // CallID names one call.
 type CallID uint64
 
-// Group is the servers of one pool in one zone.
-type Group struct {
-	Pool shed.PoolID
-	Zone shed.ZoneID
-}
-
 // Event is what the driver tells.
 type Event interface{ event() }
 
 // Asked means that pieces are wanted. The driver answers the job with Done.
 type Asked struct {
 	Job    JobID
-	Group  Group
+	Pool   shed.PoolID
 	Limits shed.BatchLimits
 	Pieces []shed.Piece
 }
@@ -77,6 +78,9 @@
 // Freed means that results are given up.
 type Freed struct{ Refs []shed.ResultRef }
 
+// FreeEnded means that the servers have been told, and have room again.
+type FreeEnded struct{ Refs []shed.ResultRef }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -84,6 +88,7 @@
 func (Dropped) event()   {}
 func (CallEnded) event() {}
 func (Freed) event()     {}
+func (FreeEnded) event() {}
 func (Tick) event()      {}
 
 // Action is what the driver is to do.
@@ -111,13 +116,13 @@
 func (Done) action() {}
 func (Free) action() {}
 
-// Servers gives the servers of a group that may have new work, sorted by id.
-type Servers func(Group) []shed.Listing
+// Servers gives the servers of a pool that may have new work, sorted by id.
+type Servers func(shed.PoolID) []shed.Listing
 
 // Batcher gathers pieces. It is not safe for concurrent use.
 type Batcher struct {
 	servers Servers
-	groups  map[Group]*group
+	groups  map[shed.PoolID]*group
 	jobs    map[JobID]*job
 	calls   map[CallID]*call
 	held    map[shed.ResultRef]heldResult
@@ -127,8 +132,9 @@
 	order []*group
 }
 
+// group is what is gathered for one pool.
 type group struct {
-	Group
+	pool    shed.PoolID
 	limits  shed.BatchLimits
 	waiting []*piece
 }
@@ -148,6 +154,9 @@
 	job   *job
 	at    int // in job.results
 	tries int
+	// out is how many calls have it; above 1 once one of them is in doubt.
+	out     int
+	settled bool
 }
 
 type call struct {
@@ -157,6 +166,10 @@
 	began    time.Time
 	expected time.Duration
 	bytes    int64
+	// limit and doubt are when it is given up, and when its pieces go to another
+	// server too.
+	doubt   time.Time
+	doubted bool
 }
 
 // maker is one server as this daemon has seen it work.
@@ -183,7 +196,7 @@
 func New(servers Servers) *Batcher {
 	return &Batcher{
 		servers: servers,
-		groups:  map[Group]*group{},
+		groups:  map[shed.PoolID]*group{},
 		jobs:    map[JobID]*job{},
 		calls:   map[CallID]*call{},
 		held:    map[shed.ResultRef]heldResult{},
@@ -203,8 +216,13 @@
 		out = b.ended(now, out, ev)
 	case Freed:
 		out = b.free(out, ev.Refs)
+	case FreeEnded:
+		for _, ref := range ev.Refs {
+			b.forget(ref)
+		}
 	case Tick:
 		b.expire(now)
+		b.doubt(now)
 	}
 	for _, g := range b.order {
 		out = b.dispatch(now, out, g)
@@ -213,10 +231,10 @@
 }
 
 func (b *Batcher) ask(now time.Time, ev Asked) {
-	g := b.groups[ev.Group]
+	g := b.groups[ev.Pool]
 	if g == nil {
-		g = &group{Group: ev.Group}
-		b.groups[ev.Group] = g
+		g = &group{pool: ev.Pool}
+		b.groups[ev.Pool] = g
 		b.order = append(b.order, g)
 	}
 	g.limits = ev.Limits
@@ -252,6 +270,8 @@
 	if len(ev.Results) != len(c.pieces) {
 		b.callFailed(now, m, c, ev)
 		for _, p := range c.pieces {
+			p.out--
+			p.tries++
 			out = b.again(out, p)
 		}
 		return out
@@ -280,28 +300,34 @@
 func (b *Batcher) pieceEnded(
 	now time.Time, out []Action, m *maker, c *call, p *piece, r shed.PieceResult,
 ) []Action {
+	p.out--
 	switch r.End {
 	case shed.PieceMade:
-		if p.job.dropped {
-			return append(out, Free{Refs: []shed.ResultRef{r.Ref}})
-		}
 		m.bytes += p.Bytes
 		b.held[r.Ref] = heldResult{server: c.server.ID, bytes: p.Bytes, until: now.Add(c.group.limits.KeepFor)}
+		if p.settled || p.job.dropped {
+			return append(out, Free{Refs: []shed.ResultRef{r.Ref}})
+		}
 		return b.settle(out, p, r)
 	case shed.PieceNoRoom:
-		// The server holds more than is known here.
+		// The server holds more than is known here; its room comes back as
+		// results are given up or lapse.
 		m.shunned = now.Add(c.expected / 2)
 		return b.again(out, p)
 	case shed.PieceFailed:
+		p.tries++
 		return b.again(out, p)
 	}
+	if p.out > 0 {
+		return out
+	}
 	return b.settle(out, p, r)
 }
 
-// again puts a piece back to be sent once more, unless that was often enough.
+// again puts a piece back to be sent once more, unless that was often enough or
+// another call still has it.
 func (b *Batcher) again(out []Action, p *piece) []Action {
-	p.tries++
-	if p.job.dropped {
+	if p.job.dropped || p.settled || p.out > 0 {
 		return out
 	}
 	if p.tries >= tries {
@@ -311,11 +337,33 @@
 	return out
 }
 
+// doubt looks for calls that take much longer than their server usually does.
+// Their pieces go to another server too, the result that comes first counts,
+// and the other one is given up: a server that fell silent would else hold up
+// requests until the call's limit.
+func (b *Batcher) doubt(now time.Time) {
+	for _, g := range b.order {
+		for _, s := range b.servers(g.pool) {
+			c := b.calls[b.maker(s).running]
+			if c == nil || c.doubted || now.Before(c.doubt) {
+				continue
+			}
+			c.doubted = true
+			for _, p := range c.pieces {
+				if !p.settled && !p.job.dropped {
+					g.waiting = append(g.waiting, p)
+				}
+			}
+		}
+	}
+}
+
 func (b *Batcher) settle(out []Action, p *piece, r shed.PieceResult) []Action {
 	j := p.job
-	if j.dropped {
+	if j.dropped || p.settled {
 		return out
 	}
+	p.settled = true
 	j.results[p.at] = r
 	j.left--
 	if j.left > 0 {
@@ -326,11 +374,9 @@
 }
 
 // free gives results up; those that this daemon doesn't know may have been
-// made through another one.
+// made through another one. Their room counts as taken until the server was
+// told.
 func (b *Batcher) free(out []Action, refs []shed.ResultRef) []Action {
-	for _, ref := range refs {
-		b.forget(ref)
-	}
 	if len(refs) == 0 {
 		return out
 	}
@@ -388,12 +434,13 @@
 		return out
 	}
 	out = b.giveUpLate(now, out, g)
-	servers := b.servers(g.Group)
+	servers := b.servers(g.pool)
 	usable := 0
 	var idle []shed.Listing
 	for _, s := range servers {
 		m := b.maker(s)
 		if now.Before(m.shunned) {
+			usable += b.soon(now, m)
 			continue
 		}
 		usable++
@@ -407,11 +454,11 @@
 	slices.SortStableFunc(idle, func(x, y shed.Listing) int {
 		return cmp.Compare(b.makers[x.ID].slow, b.makers[y.ID].slow)
 	})
-	b.sortWaiting(now, g)
 	for _, s := range idle {
 		if len(g.waiting) == 0 {
 			break
 		}
+		b.sortWaiting(now, g, s.Zone)
 		if b.worthWaiting(now, g, servers, s) {
 			continue
 		}
@@ -420,12 +467,23 @@
 	return out
 }
 
+// soon is 1 if the server is left alone for a moment only, since it was full.
+func (b *Batcher) soon(now time.Time, m *maker) int {
+	if m.fails == 0 || m.shunned.Sub(now) < shunFirst/2 {
+		return 1
+	}
+	return 0
+}
+
 // giveUpLate answers pieces whose time would be over before a call ends: no
 // server need work on them.
 func (b *Batcher) giveUpLate(now time.Time, out []Action, g *group) []Action {
 	var keep []*piece
 	for _, p := range g.waiting {
-		if now.Add(g.limits.CallTime).After(p.job.deadline) {
+		if p.settled || p.job.dropped {
+			continue
+		}
+		if p.out == 0 && now.Add(g.limits.CallTime).After(p.job.deadline) {
 			out = b.settle(out, p, shed.PieceResult{End: shed.PieceLate})
 			continue
 		}
@@ -449,13 +507,18 @@
 // sortWaiting orders pieces by the time at which their results should be there.
 // Those that can't make it any more come after the others by their deadline: if
 // they went first, all would be late once there is more than can be served.
-func (b *Batcher) sortWaiting(now time.Time, g *group) {
+// Results are wanted near the server that will fetch them.
+func (b *Batcher) sortWaiting(now time.Time, g *group, zone shed.ZoneID) {
 	soonest := now.Add(g.limits.CallTime)
 	key := func(p *piece) time.Time {
-		if p.job.aim.Before(soonest) {
-			return p.job.deadline
+		due := p.job.aim
+		if due.Before(soonest) {
+			due = p.job.deadline
 		}
-		return p.job.aim
+		if p.Near == zone {
+			due = due.Add(-nearBonus)
+		}
+		return due
 	}
 	slices.SortStableFunc(g.waiting, func(x, y *piece) int {
 		if c := key(x).Compare(key(y)); c != 0 {
@@ -500,6 +563,9 @@
 	c := &call{server: s, group: g, began: now}
 	var rest []*piece
 	for _, p := range g.waiting {
+		if p.settled {
+			continue
+		}
 		if len(c.pieces) == g.limits.Most || p.Bytes > room-c.bytes && g.limits.Room > 0 {
 			rest = append(rest, p)
 			continue
@@ -516,8 +582,10 @@
 	b.nextID++
 	m.running = b.nextID
 	b.calls[b.nextID] = c
-	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*scale(c.expected, max(m.slow, 1)) + limitExtra}
+	c.doubt = now.Add(doubtTimes*scale(c.expected, max(m.slow, 1)) + doubtExtra)
+	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*c.expected + limitExtra}
 	for _, p := range c.pieces {
+		p.out++
 		piece := p.Piece
 		piece.Left = p.job.deadline.Sub(now)
 		send.Pieces = append(send.Pieces, piece)
@@ -525,9 +593,9 @@
 	return append(out, send)
 }
 
-// Wait predicts how long n more pieces of the group would take from now.
-func (b *Batcher) Wait(now time.Time, g Group, limits shed.BatchLimits, n int) time.Duration {
-	servers := b.servers(g)
+// Wait predicts how long n more pieces of the pool would take from now.
+func (b *Batcher) Wait(now time.Time, pool shed.PoolID, limits shed.BatchLimits, n int) time.Duration {
+	servers := b.servers(pool)
 	var rate float64
 	soonest := time.Duration(-1)
 	for _, s := range servers {
@@ -546,7 +614,7 @@
 		return NoServers
 	}
 	waiting := 0
-	if gr := b.groups[g]; gr != nil {
+	if gr := b.groups[pool]; gr != nil {
 		waiting = len(gr.waiting)
 	}
 	queue := time.Duration(0)
@@ -556,39 +624,29 @@
 	return soonest + queue + expected(limits, min(waiting+n, limits.Most))
 }
 
-// NoServers is what Wait predicts for a group without servers.
+// NoServers is what Wait predicts for a pool without servers.
 const NoServers = time.Hour
 
-// Groups are the groups that this daemon gathers pieces for, with what waits.
-func (b *Batcher) Groups() map[Group]int {
-	out := map[Group]int{}
-	for g, gr := range b.groups {
-		out[g] = len(gr.waiting)
-	}
-	return out
-}
-
-// Busy are the groups with pieces that wait or run, in the order of their first
+// Busy are the pools with pieces that wait or run, in the order of their first
 // use.
-func (b *Batcher) Busy() []Group {
+func (b *Batcher) Busy() []shed.PoolID {
 	running := map[*group]bool{}
 	for _, c := range b.calls {
 		running[c.group] = true
 	}
-	var out []Group
+	var out []shed.PoolID
 	for _, g := range b.order {
 		if running[g] || len(g.waiting) > 0 {
-			out = append(out, g.Group)
+			out = append(out, g.pool)
 		}
 	}
 	return out
 }
 
-// Limits of a group that pieces were asked of.
-func (b *Batcher) Limits(g Group) (shed.BatchLimits, bool) {
-	gr := b.groups[g]
-	if gr == nil {
-		return shed.BatchLimits{}, false
+// Waiting is how many pieces of a pool wait here.
+func (b *Batcher) Waiting(pool shed.PoolID) int {
+	if g := b.groups[pool]; g != nil {
+		return len(g.waiting)
 	}
-	return gr.limits, true
+	return 0
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -15,12 +15,11 @@
 	rpcItems  = "/peers/Items"
 )
 
-// PieceCall asks the daemon that gathers pieces for a pool's servers in a zone.
+// PieceCall asks the daemon that gathers the pieces for a pool.
 type PieceCall struct {
 	From   shed.Peer    `cbor:"1,keyasint"`
 	Pool   shed.PoolID  `cbor:"2,keyasint"`
-	Zone   shed.ZoneID  `cbor:"3,keyasint"`
-	Pieces []shed.Piece `cbor:"4,keyasint"`
+	Pieces []shed.Piece `cbor:"3,keyasint"`
 }
 
 // pieceReply is one message of the far side of a PieceCall. An empty one is a
--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -18,11 +18,11 @@
 // freeTimeout bounds a call that gives results up.
 const freeTimeout = time.Second
 
-// gather has pieces made by the group's servers and returns a result for each.
-func (r *Relay) gather(ctx context.Context, g batch.Group, pieces []shed.Piece) []shed.PieceResult {
+// gather has pieces made by the pool's servers and returns a result for each.
+func (r *Relay) gather(ctx context.Context, poolID shed.PoolID, pieces []shed.Piece) []shed.PieceResult {
 	done := make(chan []shed.PieceResult, 1)
 	r.mu.Lock()
-	pool := r.pool(g.Pool)
+	pool := r.pool(poolID)
 	if pool == nil || pool.Batch == nil {
 		r.mu.Unlock()
 		return failed(len(pieces))
@@ -30,7 +30,7 @@
 	r.lastJob++
 	id := r.lastJob
 	r.jobs[id] = done
-	r.perform(r.batcher.Handle(time.Now(), batch.Asked{Job: id, Group: g, Limits: *pool.Batch, Pieces: pieces}))
+	r.perform(r.batcher.Handle(time.Now(), batch.Asked{Job: id, Pool: poolID, Limits: *pool.Batch, Pieces: pieces}))
 	r.mu.Unlock()
 	select {
 	case results := <-done:
@@ -96,6 +96,7 @@
 				addr := r.cfg.Dialect.Maker(ref)
 				r.freed[addr] = append(r.freed[addr], ref)
 			}
+			r.flushFreed()
 		}
 	}
 }
@@ -153,20 +154,29 @@
 	return err.Error()
 }
 
-// flushFreed gives results up that nobody needs any more, in one call for each
-// server. The caller holds mu.
+// flushFreed gives results up that nobody needs any more. While one call to a
+// server is under way, others gather. The caller holds mu.
 func (r *Relay) flushFreed() {
 	for addr, refs := range r.freed {
+		if r.freeing[addr] {
+			continue
+		}
 		delete(r.freed, addr)
+		r.freeing[addr] = true
 		r.work.Go(func() error {
 			r.callFree(addr, refs)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			delete(r.freeing, addr)
+			r.perform(r.batcher.Handle(time.Now(), batch.FreeEnded{Refs: refs}))
+			r.flushFreed()
 			return nil
 		})
 	}
 }
 
 // callFree gives results up. If that fails, the server drops them by itself a
-// few seconds later.
+// few seconds later, and until then refuses pieces that it has no room for.
 func (r *Relay) callFree(addr string, refs []shed.ResultRef) {
 	ctx, cancel := context.WithTimeout(r.base, freeTimeout)
 	defer cancel()
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -43,12 +43,10 @@
 // mesh is what the relay knows of its peers.
 type mesh struct {
 	self shed.Peer
-	// zones of peers, as they told; seen is the last sequence of each one's
-	// load, told by that process.
-	zones map[shed.VM]shed.ZoneID
-	seen  map[shed.Peer]uint64
+	// seen is the last sequence of each process's load.
+	seen map[shed.Peer]uint64
 	// waits are what peers said of the pieces that they gather.
-	waits map[batch.Group]peerWait
+	waits map[shed.PoolID]peerWait
 	// shunned peers gather nothing for this VM until then.
 	shunned map[shed.VM]time.Time
 	// asOf is up to which revision of the store a peer knows everything.
@@ -69,9 +67,8 @@
 func (r *Relay) startMesh() {
 	r.mesh = mesh{
 		self:    shed.Peer{VM: shed.VM(r.prefs.Load().Node.Reach()), Incarnation: shed.Incarnation(time.Now().UnixNano())},
-		zones:   map[shed.VM]shed.ZoneID{},
 		seen:    map[shed.Peer]uint64{},
-		waits:   map[batch.Group]peerWait{},
+		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
 		asOf:    map[shed.VM]shed.Revision{},
 	}
@@ -149,8 +146,7 @@
 	}
 	r.mesh.sequence++
 	load := shed.RelayLoad{
-		Sequence: r.mesh.sequence, Zone: shed.ZoneID(r.prefs.Load().Node.Zone),
-		Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
+		Sequence: r.mesh.sequence, Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
@@ -158,12 +154,13 @@
 	}
 }
 
-// ownWaits predicts the wait in the groups that this VM gathers pieces for.
+// ownWaits predicts the wait in the pools that this VM gathers pieces for.
 func (r *Relay) ownWaits(now time.Time) []shed.PieceWait {
 	var out []shed.PieceWait
-	for _, g := range r.batcher.Busy() {
-		limits, _ := r.batcher.Limits(g)
-		out = append(out, shed.PieceWait{Pool: g.Pool, Zone: g.Zone, Wait: r.batcher.Wait(now, g, limits, 1)})
+	for _, id := range r.batcher.Busy() {
+		if pool := r.pool(id); pool != nil && pool.Batch != nil {
+			out = append(out, shed.PieceWait{Pool: id, Wait: r.batcher.Wait(now, id, *pool.Batch, 1)})
+		}
 	}
 	return out
 }
@@ -188,57 +185,39 @@
 		return
 	}
 	r.mesh.seen[from] = m.Sequence
-	r.mesh.zones[from.VM] = m.Zone
 	r.mesh.asOf[from.VM] = m.AsOf
 	delete(r.mesh.shunned, from.VM)
 	r.picker.PeerShares(from.VM, m.Servers)
 	for _, p := range m.Placed {
 		r.picker.Seen(now, p.Server, p.Chain)
 	}
-	for g, w := range r.mesh.waits {
+	for pool, w := range r.mesh.waits {
 		if w.from == from.VM {
-			delete(r.mesh.waits, g)
+			delete(r.mesh.waits, pool)
 		}
 	}
 	for _, w := range m.Waits {
-		r.mesh.waits[batch.Group{Pool: w.Pool, Zone: w.Zone}] = peerWait{from: from.VM, wait: w.Wait, at: now}
+		r.mesh.waits[w.Pool] = peerWait{from: from.VM, wait: w.Wait, at: now}
 	}
 }
 
-// gatherer is the VM that gathers the pieces for a group: by rendezvous among
-// the live VMs of the group's zone, which reach its servers also when the zone
-// is cut off; if there is none, among all. Two VMs that see different peers may
+// gatherer is the VM that gathers the pieces for a pool, by rendezvous among the
+// live VMs. Two VMs that see different peers, as when a zone is cut off, may
 // name two; both then send calls, which the servers' short queues bear.
-func (r *Relay) gatherer(now time.Time, g batch.Group) shed.VM {
+func (r *Relay) gatherer(now time.Time, pool shed.PoolID) shed.VM {
 	own := r.mesh.self.VM
-	all := append(r.alive(), own)
-	if r.stopping.Load() {
-		all = all[:len(all)-1]
+	all := r.alive()
+	if !r.stopping.Load() {
+		all = append(all, own)
 	}
 	all = slices.DeleteFunc(all, func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
-	var near []shed.VM
-	for _, vm := range all {
-		if r.zoneOf(vm) == g.Zone {
-			near = append(near, vm)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	vm, ok := rank.Owner(string(g.Pool)+"@"+string(g.Zone), near)
+	vm, ok := rank.Owner(string(pool), all)
 	if !ok {
 		return own
 	}
 	return vm
 }
 
-func (r *Relay) zoneOf(vm shed.VM) shed.ZoneID {
-	if vm == r.mesh.self.VM {
-		return shed.ZoneID(r.prefs.Load().Node.Zone)
-	}
-	return r.mesh.zones[vm]
-}
-
 // Items implements peers.RelayHandler.
 func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
 	r.mu.Lock()
@@ -252,6 +231,5 @@
 
 // Pieces implements peers.RelayHandler.
 func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) []shed.PieceResult {
-	g := batch.Group{Pool: call.Pool, Zone: call.Zone}
-	return r.gather(ctx, g, call.Pieces)
+	return r.gather(ctx, call.Pool, call.Pieces)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,8 +119,10 @@
 	mesh    mesh
 	jobs    map[batch.JobID]chan []shed.PieceResult
 	lastJob batch.JobID
-	// freed are results to be given up, by the address of their maker.
-	freed map[string][]shed.ResultRef
+	// freed are results to be given up, by the address of their maker; freeing
+	// are the makers that are being told of some.
+	freed   map[string][]shed.ResultRef
+	freeing map[string]bool
 	// relist: the store's history is gone, so all of it is to be read. Used by
 	// followStore only.
 	relist bool
@@ -147,6 +149,7 @@
 		repeats: map[shed.PoolID]*retry.Budget{},
 		jobs:    map[batch.JobID]chan []shed.PieceResult{},
 		freed:   map[string][]shed.ResultRef{},
+		freeing: map[string]bool{},
 	}
 	r.prefs.Store(cfg.Prefs)
 	r.batcher = batch.New(r.listings)
@@ -154,13 +157,12 @@
 	return r
 }
 
-// listings gives batch the servers of a group.
-func (r *Relay) listings(g batch.Group) []shed.Listing {
-	var out []shed.Listing
-	for _, s := range r.roster.Open(g.Pool) {
-		if s.Zone == g.Zone {
-			out = append(out, s.Listing)
-		}
+// listings gives batch the servers of a pool.
+func (r *Relay) listings(pool shed.PoolID) []shed.Listing {
+	open := r.roster.Open(pool)
+	out := make([]shed.Listing, len(open))
+	for i, s := range open {
+		out[i] = s.Listing
 	}
 	return out
 }
@@ -315,7 +317,7 @@
 	out := Status{
 		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
 		Stopping: r.stopping.Load(), Open: r.open.Load(), AsOf: r.roster.AsOf(),
-		Peers: r.alive(), Servers: r.picker.Shares(), Gathers: map[string]int{},
+		Peers: r.alive(), Servers: r.picker.Shares(), Gathers: map[shed.PoolID]int{},
 	}
 	if c := r.roster.Catalog(); c != nil {
 		out.Version = c.Version
@@ -323,8 +325,8 @@
 	if at := r.roster.Contact(); !at.IsZero() {
 		out.StoreAgeMS = now.Sub(at).Milliseconds()
 	}
-	for g, waiting := range r.batcher.Groups() {
-		out.Gathers[string(g.Pool)+"@"+string(g.Zone)] = waiting
+	for _, pool := range r.batcher.Busy() {
+		out.Gathers[pool] = r.batcher.Waiting(pool)
 	}
 	return out
 }
@@ -342,8 +344,8 @@
 	StoreAgeMS int64                              `json:"store_age_ms"`
 	Peers      []shed.VM                          `json:"peers"`
 	Servers    map[shed.ServerID]shed.ServerShare `json:"servers"`
-	// Gathers are the pieces that wait here, by pool@zone.
-	Gathers map[string]int `json:"gathers"`
+	// Gathers are the pieces that wait here, by pool.
+	Gathers map[shed.PoolID]int `json:"gathers"`
 }
 
 // tickEvery is the period of the pure packages' ticks.
@@ -369,5 +371,4 @@
 	r.tellChanges(r.roster.Tick(now))
 	r.perform(r.batcher.Handle(now, batch.Tick{}))
 	r.tickMesh(now, start)
-	r.flushFreed()
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -337,16 +337,17 @@
 	}
 }
 
-// zoneCost is what it costs to fetch a heavy result from another zone: the
-// users pay for it about as much as for a tenth of a second's delay.
-const zoneCost = 100 * time.Millisecond
+// zoneCost is what it costs in the choice to fetch a heavy result from another
+// zone: users price 3 MB between zones about as high as a tenth of reading a
+// large shared prefix again, which takes a quarter of a second.
+const zoneCost = 25 * time.Millisecond
 
 func (r *Relay) want(j *job) picker.Want {
 	w := picker.Want{
 		Prompt: j.ask.Prompt, Input: j.ask.Input, Engine: j.pool.Engine != nil, Avoid: j.avoid,
 	}
 	if j.heavy {
-		w.Zone, w.ZoneCost = j.zone, zoneCost
+		w.Zone, w.ZoneCost = j.zone, time.Duration(max(len(j.inputs), 1))*zoneCost
 	}
 	if j.pool.ColdRate > 0 {
 		w.ColdRate = j.pool.ColdRate / float64(r.fleetSize())
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -17,8 +17,6 @@
 const (
 	// heavyBytes is the size from which results are kept within a zone.
 	heavyBytes = 500_000
-	// otherZone is what it costs if a step can't be made in the request's zone.
-	otherZone = 20 * time.Millisecond
 	// sendShare is the part of a request's time that its steps may not use: the
 	// server needs it for the request itself.
 	sendShare = 0.1
@@ -64,7 +62,7 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	wait := r.chooseZone(j, p)
+	wait := r.plan(j, p)
 	left := time.Until(j.deadline)
 	if wait > left-time.Duration(sendShare*float64(left)) {
 		r.log.WithFields(logrus.Fields{
@@ -117,6 +115,31 @@
 		}
 	}
 	r.free(j, give)
+	r.lieIn(j, p, made)
+}
+
+// lieIn sets the zone where most of the request's heavy inputs lie.
+func (r *Relay) lieIn(j *job, p plan, made [][]shed.ResultRef) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := map[shed.ZoneID]int{}
+	for i, s := range p.steps {
+		if s.ResultBytes < heavyBytes || !p.last(i) {
+			continue
+		}
+		for _, ref := range made[i] {
+			addr := r.cfg.Dialect.Maker(ref)
+			for _, server := range r.roster.Open(s.Pool) {
+				if server.Addr != addr {
+					continue
+				}
+				count[server.Zone]++
+				if count[server.Zone] > count[j.zone] {
+					j.zone = server.Zone
+				}
+			}
+		}
+	}
 }
 
 func (r *Relay) stepRefusal(ctx context.Context, j *job, err error) *refusal {
@@ -141,6 +164,11 @@
 	s := p.steps[at]
 	pieces := make([]shed.Piece, p.pieces[at])
 	now := time.Now()
+	after := r.timeAfter(p, at)
+	near := shed.ZoneID("")
+	if s.ResultBytes >= heavyBytes {
+		near = j.zone
+	}
 	var inputs []shed.ResultRef
 	for _, before := range s.After {
 		if i := p.at(before); i >= 0 {
@@ -150,49 +178,24 @@
 	for n := range pieces {
 		pieces[n] = shed.Piece{
 			Request: j.ask.ID, Step: s.Index, Number: n, Inputs: inputs, Bytes: s.ResultBytes,
-			Left: j.deadline.Sub(now), Aim: r.stepAim(j, p, at).Sub(now),
+			Left: j.deadline.Sub(now) - after, Aim: j.aim.Sub(now) - after, Near: near,
 		}
 		if len(inputs) == 0 {
 			pieces[n].Key = j.ask.PieceKey
 		}
 	}
 	refs := make([]shed.ResultRef, len(pieces))
-	open := make([]int, len(pieces))
-	for i := range open {
-		open[i] = i
-	}
-	var tried []shed.ZoneID
-	for {
-		zone := r.stepZone(j, s, tried)
-		if zone == "" {
-			return r.unmade(j, refs, shed.PieceFailed)
+	end := shed.PieceMade
+	for n, res := range r.askPieces(ctx, s.Pool, pieces) {
+		refs[n] = res.Ref
+		if res.End != shed.PieceMade {
+			end = res.End
 		}
-		tried = append(tried, zone)
-		asked := make([]shed.Piece, len(open))
-		for i, n := range open {
-			asked[i] = pieces[n]
-		}
-		results := r.askPieces(ctx, batch.Group{Pool: s.Pool, Zone: zone}, asked)
-		var again []int
-		for i, n := range open {
-			switch results[i].End {
-			case shed.PieceMade:
-				refs[n] = results[i].Ref
-			case shed.PieceLate, shed.PieceInputsGone:
-				return r.unmade(j, refs, results[i].End)
-			default:
-				again = append(again, n)
-			}
-		}
-		if len(again) == 0 {
-			return refs, nil
-		}
-		if ctx.Err() != nil {
-			_, _ = r.unmade(j, refs, shed.PieceFailed)
-			return nil, ctx.Err()
-		}
-		open = again
 	}
+	if end != shed.PieceMade {
+		return r.unmade(j, refs, end)
+	}
+	return refs, ctx.Err()
 }
 
 // unmade gives up what was made of a step that failed.
@@ -201,97 +204,79 @@
 	return nil, stepError{end}
 }
 
-// stepAim is when the step should be done: the request's aim, less what follows
-// takes at least. So an earlier step of a long chain goes before a last one.
-func (r *Relay) stepAim(j *job, p plan, at int) time.Time {
-	aim := j.aim.Add(-serverTime)
-	next := p.steps[at].Index
+// timeAfter is the least time that a request takes after one of its steps. By
+// it, the first step of a long chain is due before the last one, and pieces are
+// not made for a request that can't be in time any more.
+func (r *Relay) timeAfter(p plan, at int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restOf(p, at) + serverTime
+}
+
+// restOf is the least time of the steps after one, along the longest path.
+func (r *Relay) restOf(p plan, at int) time.Duration {
+	var longest time.Duration
 	for i := at + 1; i < len(p.steps); i++ {
-		if slices.Contains(p.steps[i].After, next) {
-			r.mu.Lock()
-			pool := r.pool(p.steps[i].Pool)
-			r.mu.Unlock()
-			if pool != nil && pool.Batch != nil {
-				aim = aim.Add(-pool.Batch.CallTime - time.Duration(p.pieces[i])*pool.Batch.PieceTime)
-			}
-			next = p.steps[i].Index
+		pool := r.pool(p.steps[i].Pool)
+		if slices.Contains(p.steps[i].After, p.steps[at].Index) && pool != nil && pool.Batch != nil {
+			longest = max(longest, leastTime(pool.Batch, p.pieces[i])+r.restOf(p, i))
 		}
 	}
-	return aim
+	return longest
+}
+
+// leastTime is the shortest time in which a server makes so many pieces.
+func leastTime(l *shed.BatchLimits, pieces int) time.Duration {
+	return l.CallTime + time.Duration(min(pieces, l.Most))*l.PieceTime
 }
 
 // serverTime is about what a server takes from the request to its first event.
 const serverTime = 100 * time.Millisecond
 
-// askPieces has pieces made by the servers of a group, through the VM that
-// gathers them. If that VM doesn't answer, this one gathers by itself.
-func (r *Relay) askPieces(ctx context.Context, g batch.Group, pieces []shed.Piece) []shed.PieceResult {
+// askPieces has pieces made by the servers of a pool, through the VM that
+// gathers them. If that VM doesn't answer, another one does; at last this one
+// by itself.
+func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) []shed.PieceResult {
 	for range 2 {
 		r.mu.Lock()
-		vm, client := r.gatherer(time.Now(), g), r.client
+		vm, client := r.gatherer(time.Now(), pool), r.client
 		r.mu.Unlock()
 		if vm == r.mesh.self.VM {
-			return r.gather(ctx, g, pieces)
+			return r.gather(ctx, pool, pieces)
 		}
-		results, err := client.Pieces(ctx, vm, peers.PieceCall{Pool: g.Pool, Zone: g.Zone, Pieces: pieces})
+		results, err := client.Pieces(ctx, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
 		if err == nil {
 			return results
 		}
 		if ctx.Err() != nil {
 			return failed(len(pieces))
 		}
-		r.log.WithFields(logrus.Fields{"peer": vm, "pool": g.Pool, "zone": g.Zone, "error": err.Error()}).
+		r.log.WithFields(logrus.Fields{"request": pieces[0].Request, "peer": vm, "pool": pool, "error": err.Error()}).
 			Info("peer that gathers pieces gives no answer")
 		r.mu.Lock()
 		r.mesh.shunned[vm] = time.Now().Add(shunPeer)
 		r.mu.Unlock()
 	}
-	return r.gather(ctx, g, pieces)
+	return r.gather(ctx, pool, pieces)
 }
 
-// chooseZone chooses where the request's pieces are made, together with where
-// the server is that will need them, and predicts how long the pieces take.
-func (r *Relay) chooseZone(j *job, p plan) time.Duration {
+// plan chooses near which server the pieces are best made, and predicts how
+// long they take.
+func (r *Relay) plan(j *job, p plan) time.Duration {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, s := range p.steps {
 		j.heavy = j.heavy || p.last(i) && s.ResultBytes >= heavyBytes
 	}
-	servers := r.roster.Open(j.pool.ID)
-	best, bestWait := time.Duration(-1), time.Duration(0)
-	for _, zone := range r.zones(p) {
-		wait := r.pathWait(now, p, zone)
-		want := r.want(j)
-		want.Zone, want.ZoneCost = zone, 0
-		if j.heavy {
-			want.ZoneCost = zoneCost
-		}
-		choice := r.picker.Pick(now, want, servers)
-		cost := wait + choice.Cost
-		if best < 0 || cost < best {
-			best, bestWait, j.zone = cost, wait, zone
-		}
-	}
-	return bestWait
-}
-
-// zones are those with servers for the plan's first step, sorted; its own first
-// among equals.
-func (r *Relay) zones(p plan) []shed.ZoneID {
-	var out []shed.ZoneID
-	for _, s := range p.steps {
-		for _, server := range r.roster.Open(s.Pool) {
-			out = append(out, server.Zone)
-		}
+	if choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID)); choice.Server != nil {
+		j.zone = choice.Server.Zone
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return r.pathWait(now, p)
 }
 
-// pathWait predicts how long the plan's steps take in a zone, along the longest
-// path.
-func (r *Relay) pathWait(now time.Time, p plan, zone shed.ZoneID) time.Duration {
+// pathWait predicts how long the plan's steps take, along the longest path.
+func (r *Relay) pathWait(now time.Time, p plan) time.Duration {
 	ends := make([]time.Duration, len(p.steps))
 	var longest time.Duration
 	for i, s := range p.steps {
@@ -301,74 +286,28 @@
 				start = max(start, ends[at])
 			}
 		}
-		ends[i] = start + r.stepWait(now, s.Pool, zone, p.pieces[i], start)
+		ends[i] = start + r.poolWait(now, s.Pool, p.pieces[i], start)
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
-// stepWait predicts how long pieces of a pool take in a zone from start on, or
-// in the best other one if the zone has no server.
-func (r *Relay) stepWait(now time.Time, id shed.PoolID, zone shed.ZoneID, pieces int, start time.Duration) time.Duration {
+// poolWait predicts how long pieces of a pool take from start on: by this VM's
+// own queue, or by what the gatherer told, less what has passed since.
+func (r *Relay) poolWait(now time.Time, id shed.PoolID, pieces int, start time.Duration) time.Duration {
 	pool := r.pool(id)
-	if pool == nil || pool.Batch == nil {
+	if pool == nil || pool.Batch == nil || len(r.roster.Open(id)) == 0 {
 		return batch.NoServers
 	}
-	least := batch.NoServers
-	for _, s := range r.roster.Open(id) {
-		wait := r.groupWait(now, batch.Group{Pool: id, Zone: s.Zone}, pool.Batch, pieces, start)
-		if s.Zone != zone {
-			wait += otherZone
-			if least != batch.NoServers {
-				continue
-			}
-		} else {
-			return wait
-		}
-		least = min(least, wait)
+	least := leastTime(pool.Batch, pieces)
+	if r.gatherer(now, id) == r.mesh.self.VM {
+		return max(r.batcher.Wait(now, id, *pool.Batch, pieces)-start, least)
 	}
-	return least
-}
-
-// groupWait predicts how long pieces of a group take: by this VM's own queue, or
-// by what its gatherer told, less what has passed since.
-func (r *Relay) groupWait(now time.Time, g batch.Group, l *shed.BatchLimits, pieces int, start time.Duration) time.Duration {
-	least := l.CallTime + time.Duration(pieces)*l.PieceTime
-	if r.gatherer(now, g) == r.mesh.self.VM {
-		return max(r.batcher.Wait(now, g, *l, pieces)-start, least)
-	}
-	w, ok := r.mesh.waits[g]
+	w, ok := r.mesh.waits[id]
 	if !ok {
 		return least
 	}
-	return max(w.wait+time.Duration(pieces)*l.PieceTime-now.Sub(w.at)-start, least)
-}
-
-// stepZone is where a step is made: in the request's zone, or the least busy
-// other one that wasn't tried; empty if there is none.
-func (r *Relay) stepZone(j *job, s shed.RouteStep, tried []shed.ZoneID) shed.ZoneID {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	pool := r.pool(s.Pool)
-	if pool == nil || pool.Batch == nil {
-		return ""
-	}
-	var best shed.ZoneID
-	var least time.Duration
-	for _, server := range r.roster.Open(s.Pool) {
-		if slices.Contains(tried, server.Zone) {
-			continue
-		}
-		if server.Zone == j.zone {
-			return j.zone
-		}
-		wait := r.groupWait(now, batch.Group{Pool: s.Pool, Zone: server.Zone}, pool.Batch, 1, 0)
-		if best == "" || wait < least {
-			best, least = server.Zone, wait
-		}
-	}
-	return best
+	return max(w.wait+time.Duration(pieces)*pool.Batch.PieceTime-now.Sub(w.at)-start, least)
 }
 
 // giveUp gives the request's inputs up: its server has fetched them, or it
@@ -408,7 +347,7 @@
 	for _, s := range j.route.Steps {
 		for _, server := range r.roster.Open(s.Pool) {
 			if server.Addr == addr {
-				return r.gatherer(now, batch.Group{Pool: s.Pool, Zone: server.Zone})
+				return r.gatherer(now, s.Pool)
 			}
 		}
 	}
--- a/message.go
+++ b/message.go
@@ -138,8 +138,6 @@
 	Placed []PromptPlaced `cbor:"4,keyasint,omitempty"`
 	// AsOf is up to which revision of the store the sender knows everything.
 	AsOf Revision `cbor:"5,keyasint,omitempty"`
-	// Zone of the sender's VM.
-	Zone ZoneID `cbor:"6,keyasint,omitempty"`
 }
 
 // ServerShare is what one daemon has on one server.
@@ -150,11 +148,10 @@
 }
 
 // PieceWait is how long a piece would take at the sender, which gathers the
-// pieces for the pool's servers in the zone.
+// pieces for the pool.
 type PieceWait struct {
 	Pool PoolID        `cbor:"1,keyasint"`
-	Zone ZoneID        `cbor:"2,keyasint"`
-	Wait time.Duration `cbor:"3,keyasint"`
+	Wait time.Duration `cbor:"2,keyasint"`
 }
 
 // PromptPlaced says that a server reads a prompt; Chain are the hashes of its
--- a/relay.go
+++ b/relay.go
@@ -270,6 +270,8 @@
 	// which it should be there; durations, since clocks of VMs differ.
 	Left time.Duration `cbor:"7,keyasint"`
 	Aim  time.Duration `cbor:"8,keyasint"`
+	// Near is the zone where the result is wanted; empty if it doesn't matter.
+	Near ZoneID `cbor:"9,keyasint,omitempty"`
 }
 
 // PieceEnd is how a piece ended. The set is closed.
