--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -147,6 +147,17 @@
 	dropped bool
 	// aim and deadline are when the results should and must be there.
 	aim, deadline time.Time
+	// near is the zone where all its results are wanted, once one piece has
+	// been sent there.
+	near shed.ZoneID
+}
+
+// wanted is the zone where the piece's result is wanted; empty if in any.
+func (p *piece) wanted() shed.ZoneID {
+	if p.Near != "" {
+		return p.Near
+	}
+	return p.job.near
 }
 
 type piece struct {
@@ -462,7 +473,7 @@
 		if b.worthWaiting(now, g, servers, s) {
 			continue
 		}
-		out = b.send(now, out, g, s)
+		out = b.send(now, out, g, servers, s)
 	}
 	return out
 }
@@ -515,7 +526,7 @@
 		if due.Before(soonest) {
 			due = p.job.deadline
 		}
-		if p.Near == zone {
+		if p.wanted() == zone {
 			due = due.Add(-nearBonus)
 		}
 		return due
@@ -557,21 +568,25 @@
 
 // send fills a call for the server with the most urgent pieces that it has room
 // for.
-func (b *Batcher) send(now time.Time, out []Action, g *group, s shed.Listing) []Action {
+func (b *Batcher) send(now time.Time, out []Action, g *group, servers []shed.Listing, s shed.Listing) []Action {
 	m := b.makers[s.ID]
 	room := int64(float64(g.limits.Room)*roomShare) - m.bytes
 	c := &call{server: s, group: g, began: now}
+	near := b.nearTimes(now, g, servers)
 	var rest []*piece
 	for _, p := range g.waiting {
 		if p.settled {
 			continue
 		}
-		if len(c.pieces) == g.limits.Most || p.Bytes > room-c.bytes && g.limits.Room > 0 {
+		if len(c.pieces) == g.limits.Most || !mayMake(p, s, near) || p.Bytes > room-c.bytes && g.limits.Room > 0 {
 			rest = append(rest, p)
 			continue
 		}
 		c.pieces = append(c.pieces, p)
 		c.bytes += p.Bytes
+		if p.Together && p.Near == "" {
+			p.job.near = s.Zone
+		}
 	}
 	if len(c.pieces) == 0 {
 		return out
@@ -593,6 +608,41 @@
 	return append(out, send)
 }
 
+// nearTimes is when a full call could be done in each zone.
+func (b *Batcher) nearTimes(now time.Time, g *group, servers []shed.Listing) map[shed.ZoneID]time.Time {
+	out := map[shed.ZoneID]time.Time{}
+	for _, s := range servers {
+		m := b.maker(s)
+		if now.Before(m.shunned) {
+			continue
+		}
+		done := now
+		if c := b.calls[m.running]; c != nil {
+			done = c.began.Add(scale(c.expected, m.slow))
+			if done.Before(now) {
+				done = now
+			}
+		}
+		done = done.Add(scale(expected(g.limits, g.limits.Most), m.slow))
+		if old, ok := out[s.Zone]; !ok || done.Before(old) {
+			out[s.Zone] = done
+		}
+	}
+	return out
+}
+
+// mayMake keeps pieces whose results are wanted in one zone from servers of the
+// others, as long as a server there will be in time: fetching large results from
+// another zone is what users pay most for.
+func mayMake(p *piece, s shed.Listing, near map[shed.ZoneID]time.Time) bool {
+	zone := p.wanted()
+	if zone == "" || zone == s.Zone {
+		return true
+	}
+	done, ok := near[zone]
+	return !ok || done.After(p.job.aim)
+}
+
 // Wait predicts how long n more pieces of the pool would take from now.
 func (b *Batcher) Wait(now time.Time, pool shed.PoolID, limits shed.BatchLimits, n int) time.Duration {
 	servers := b.servers(pool)
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -118,26 +118,14 @@
 	r.lieIn(j, p, made)
 }
 
-// lieIn sets the zone where most of the request's heavy inputs lie.
+// lieIn sets the zone where the request's heavy inputs lie.
 func (r *Relay) lieIn(j *job, p plan, made [][]shed.ResultRef) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	count := map[shed.ZoneID]int{}
 	for i, s := range p.steps {
 		if s.ResultBytes < heavyBytes || !p.last(i) {
 			continue
 		}
-		for _, ref := range made[i] {
-			addr := r.cfg.Dialect.Maker(ref)
-			for _, server := range r.roster.Open(s.Pool) {
-				if server.Addr != addr {
-					continue
-				}
-				count[server.Zone]++
-				if count[server.Zone] > count[j.zone] {
-					j.zone = server.Zone
-				}
-			}
+		if zone := r.zoneOf(s.Pool, made[i]); zone != "" {
+			j.zone = zone
 		}
 	}
 }
@@ -165,10 +153,7 @@
 	pieces := make([]shed.Piece, p.pieces[at])
 	now := time.Now()
 	after := r.timeAfter(p, at)
-	near := shed.ZoneID("")
-	if s.ResultBytes >= heavyBytes {
-		near = j.zone
-	}
+	near := r.nearZone(j, p, at, made)
 	var inputs []shed.ResultRef
 	for _, before := range s.After {
 		if i := p.at(before); i >= 0 {
@@ -178,7 +163,8 @@
 	for n := range pieces {
 		pieces[n] = shed.Piece{
 			Request: j.ask.ID, Step: s.Index, Number: n, Inputs: inputs, Bytes: s.ResultBytes,
-			Left: j.deadline.Sub(now) - after, Aim: j.aim.Sub(now) - after, Near: near,
+			Left: j.deadline.Sub(now) - after, Aim: j.aim.Sub(now) - after,
+			Near: near, Together: p.fetched(at) >= heavyBytes,
 		}
 		if len(inputs) == 0 {
 			pieces[n].Key = j.ask.PieceKey
@@ -198,6 +184,56 @@
 	return refs, ctx.Err()
 }
 
+// fetched is how many bytes of a step's results the pieces of other steps fetch:
+// each of them fetches all.
+func (p plan) fetched(at int) int64 {
+	var bytes int64
+	for i, s := range p.steps {
+		if slices.Contains(s.After, p.steps[at].Index) {
+			bytes += p.steps[at].ResultBytes * int64(p.pieces[at]) * int64(p.pieces[i])
+		}
+	}
+	return bytes
+}
+
+// nearZone is where the pieces of a step are best made: where their inputs lie,
+// if these are large, or where the server is that fetches large results; empty
+// if it doesn't matter.
+func (r *Relay) nearZone(j *job, p plan, at int, made [][]shed.ResultRef) shed.ZoneID {
+	s := p.steps[at]
+	if p.last(at) && s.ResultBytes >= heavyBytes {
+		return j.zone
+	}
+	for _, before := range s.After {
+		i := p.at(before)
+		if i >= 0 && p.fetched(i) >= heavyBytes {
+			return r.zoneOf(p.steps[i].Pool, made[i])
+		}
+	}
+	return ""
+}
+
+// zoneOf is the zone where most of a pool's results lie; empty if none is known.
+func (r *Relay) zoneOf(pool shed.PoolID, refs []shed.ResultRef) shed.ZoneID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := map[shed.ZoneID]int{}
+	most := shed.ZoneID("")
+	for _, ref := range refs {
+		addr := r.cfg.Dialect.Maker(ref)
+		for _, server := range r.roster.Open(pool) {
+			if server.Addr != addr {
+				continue
+			}
+			count[server.Zone]++
+			if count[server.Zone] > count[most] {
+				most = server.Zone
+			}
+		}
+	}
+	return most
+}
+
 // unmade gives up what was made of a step that failed.
 func (r *Relay) unmade(j *job, refs []shed.ResultRef, end shed.PieceEnd) ([]shed.ResultRef, error) {
 	r.free(j, slices.DeleteFunc(refs, func(ref shed.ResultRef) bool { return ref == "" }))
--- a/relay.go
+++ b/relay.go
@@ -272,6 +272,8 @@
 	Aim  time.Duration `cbor:"8,keyasint"`
 	// Near is the zone where the result is wanted; empty if it doesn't matter.
 	Near ZoneID `cbor:"9,keyasint,omitempty"`
+	// Together: all pieces of the step are wanted in one zone, whichever it is.
+	Together bool `cbor:"10,keyasint,omitempty"`
 }
 
 // PieceEnd is how a piece ended. The set is closed.
