--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -195,6 +195,26 @@
 	fails   int
 	// bytes of results that it holds, or will once its call is done.
 	bytes int64
+	// unseen are results that it may hold though nobody here knows them: of
+	// calls whose answer was lost, or made through another VM.
+	unseen []unseenBytes
+	// doubted calls are out while the server got another one.
+	doubted int
+}
+
+type unseenBytes struct {
+	bytes int64
+	until time.Time
+}
+
+// taken is how much of the server's room is taken.
+func (m *maker) taken(now time.Time) int64 {
+	m.unseen = slices.DeleteFunc(m.unseen, func(u unseenBytes) bool { return now.After(u.until) })
+	all := m.bytes
+	for _, u := range m.unseen {
+		all += u.bytes
+	}
+	return all
 }
 
 type heldResult struct {
@@ -276,13 +296,20 @@
 	}
 	delete(b.calls, ev.Call)
 	m := b.makers[c.server.ID]
-	m.running = 0
+	if m.running == ev.Call {
+		m.running = 0
+	}
+	if c.doubted {
+		m.doubted--
+	}
 	m.bytes -= c.bytes
 	if len(ev.Results) != len(c.pieces) {
 		b.callFailed(now, m, c, ev)
 		for _, p := range c.pieces {
 			p.out--
-			p.tries++
+			if !ev.NotRun {
+				p.tries++
+			}
 			out = b.again(out, p)
 		}
 		return out
@@ -304,6 +331,13 @@
 		m.shunned = now.Add(c.expected / 2)
 		return
 	}
+	if !ev.NotRun {
+		m.unseen = append(m.unseen, unseenBytes{bytes: c.bytes, until: now.Add(c.group.limits.KeepFor)})
+	}
+	if c.doubted && m.fails == 0 {
+		// The server answered a later call: it lives, only this answer was lost.
+		return
+	}
 	m.shunned = now.Add(min(shunFirst<<min(m.fails, 6), shunMost))
 	m.fails++
 }
@@ -321,9 +355,8 @@
 		}
 		return b.settle(out, p, r)
 	case shed.PieceNoRoom:
-		// The server holds more than is known here; its room comes back as
-		// results are given up or lapse.
-		m.shunned = now.Add(c.expected / 2)
+		// The server holds more than is known here, so it gets less for a while.
+		m.unseen = append(m.unseen, unseenBytes{bytes: p.Bytes, until: now.Add(c.group.limits.KeepFor / 4)})
 		return b.again(out, p)
 	case shed.PieceFailed:
 		p.tries++
@@ -352,6 +385,8 @@
 // Their pieces go to another server too, the result that comes first counts,
 // and the other one is given up: a server that fell silent would else hold up
 // requests until the call's limit.
+// The server gets one more call on another connection: if only the answer was
+// lost, it has long been idle.
 func (b *Batcher) doubt(now time.Time) {
 	for _, g := range b.order {
 		for _, s := range b.servers(g.pool) {
@@ -360,6 +395,7 @@
 				continue
 			}
 			c.doubted = true
+			b.mayLive(s)
 			for _, p := range c.pieces {
 				if !p.settled && !p.job.dropped {
 					g.waiting = append(g.waiting, p)
@@ -478,6 +514,14 @@
 	return out
 }
 
+// mayLive lets a server have a call beside the one in doubt.
+func (b *Batcher) mayLive(s shed.Listing) {
+	m := b.makers[s.ID]
+	if m.doubted++; m.doubted == 1 {
+		m.running = 0
+	}
+}
+
 // soon is 1 if the server is left alone for a moment only, since it was full.
 func (b *Batcher) soon(now time.Time, m *maker) int {
 	if m.fails == 0 || m.shunned.Sub(now) < shunFirst/2 {
@@ -570,7 +614,7 @@
 // for.
 func (b *Batcher) send(now time.Time, out []Action, g *group, servers []shed.Listing, s shed.Listing) []Action {
 	m := b.makers[s.ID]
-	room := int64(float64(g.limits.Room)*roomShare) - m.bytes
+	room := int64(float64(g.limits.Room)*roomShare) - m.taken(now)
 	c := &call{server: s, group: g, began: now}
 	near := b.nearTimes(now, g, servers)
 	var rest []*piece
@@ -643,12 +687,18 @@
 	return !ok || done.After(p.job.aim)
 }
 
-// Wait predicts how long n more pieces of the pool would take from now.
-func (b *Batcher) Wait(now time.Time, pool shed.PoolID, limits shed.BatchLimits, n int) time.Duration {
-	servers := b.servers(pool)
+// Forecast predicts, from now, how long one more piece of the pool would take.
+type Forecast struct {
+	// Timely is the time if it goes before those that can't be in time any
+	// more, Last if it goes after all others.
+	Timely, Last time.Duration
+}
+
+// Wait predicts how long one more piece of the pool would take.
+func (b *Batcher) Wait(now time.Time, pool shed.PoolID, limits shed.BatchLimits) Forecast {
 	var rate float64
 	soonest := time.Duration(-1)
-	for _, s := range servers {
+	for _, s := range b.servers(pool) {
 		m := b.maker(s)
 		rate += float64(limits.Most) / (float64(expected(limits, limits.Most)) * m.slow)
 		left := time.Duration(0)
@@ -661,17 +711,36 @@
 		}
 	}
 	if rate == 0 {
-		return NoServers
+		return Forecast{Timely: NoServers, Last: NoServers}
 	}
-	waiting := 0
-	if gr := b.groups[pool]; gr != nil {
-		waiting = len(gr.waiting)
+	timely, all := b.backlog(now, pool, limits)
+	wait := func(n int) time.Duration {
+		queue := time.Duration(0)
+		if n >= limits.Most {
+			queue = time.Duration(float64(n) / rate)
+		}
+		return soonest + queue + expected(limits, min(n+1, limits.Most))
 	}
-	queue := time.Duration(0)
-	if waiting+n > limits.Most {
-		queue = time.Duration(float64(waiting) / rate)
+	return Forecast{Timely: wait(timely), Last: wait(all)}
+}
+
+// backlog counts the pieces that wait: those that can be in time, and all.
+func (b *Batcher) backlog(now time.Time, pool shed.PoolID, limits shed.BatchLimits) (timely, all int) {
+	g := b.groups[pool]
+	if g == nil {
+		return 0, 0
+	}
+	soonest := now.Add(limits.CallTime)
+	for _, p := range g.waiting {
+		if p.settled {
+			continue
+		}
+		all++
+		if !p.job.aim.Before(soonest) {
+			timely++
+		}
 	}
-	return soonest + queue + expected(limits, min(waiting+n, limits.Most))
+	return timely, all
 }
 
 // NoServers is what Wait predicts for a pool without servers.
--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -15,8 +15,13 @@
 // maxResults bounds the answer to a call for pieces, in bytes.
 const maxResults = 1 << 20
 
-// freeTimeout bounds a call that gives results up.
-const freeTimeout = time.Second
+const (
+	// freeTimeout bounds a call that gives results up, which takes milliseconds.
+	freeTimeout = 400 * time.Millisecond
+	// freesAtOnce bounds such calls to one server: one whose answer was lost must
+	// not hold up the next.
+	freesAtOnce = 4
+)
 
 // gather has pieces made by the pool's servers and returns a result for each.
 func (r *Relay) gather(ctx context.Context, poolID shed.PoolID, pieces []shed.Piece) []shed.PieceResult {
@@ -116,13 +121,31 @@
 		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "error": errText(err), "first": a.Pieces[0].Request}).
 			Warn("call for pieces failed")
 	} else {
-		entry.Debug("call for pieces")
+		tellResults(entry, end.Results)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.perform(r.batcher.Handle(time.Now(), end))
 }
 
+// tellResults logs a call that was answered; in full only if pieces were not
+// made, since there are many.
+func tellResults(entry *logrus.Entry, results []shed.PieceResult) {
+	count := map[shed.PieceEnd]int{}
+	for _, res := range results {
+		count[res.End]++
+	}
+	entry = entry.WithFields(logrus.Fields{
+		"late": count[shed.PieceLate], "inputs_gone": count[shed.PieceInputsGone],
+		"no_room": count[shed.PieceNoRoom], "failed": count[shed.PieceFailed],
+	})
+	if count[shed.PieceMade] == len(results) {
+		entry.Debug("call for pieces")
+		return
+	}
+	entry.Info("pieces not made")
+}
+
 func (r *Relay) exchangePieces(a batch.Send) (batch.CallEnded, int, error) {
 	ctx, cancel := context.WithTimeout(r.base, a.Limit)
 	defer cancel()
@@ -154,20 +177,22 @@
 	return err.Error()
 }
 
-// flushFreed gives results up that nobody needs any more. While one call to a
-// server is under way, others gather. The caller holds mu.
+// flushFreed gives results up that nobody needs any more. While some calls to a
+// server are under way, others gather. The caller holds mu.
 func (r *Relay) flushFreed() {
 	for addr, refs := range r.freed {
-		if r.freeing[addr] {
+		if r.freeing[addr] >= freesAtOnce {
 			continue
 		}
 		delete(r.freed, addr)
-		r.freeing[addr] = true
+		r.freeing[addr]++
 		r.work.Go(func() error {
 			r.callFree(addr, refs)
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			delete(r.freeing, addr)
+			if r.freeing[addr]--; r.freeing[addr] == 0 {
+				delete(r.freeing, addr)
+			}
 			r.perform(r.batcher.Handle(time.Now(), batch.FreeEnded{Refs: refs}))
 			r.flushFreed()
 			return nil
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -60,8 +60,8 @@
 
 type peerWait struct {
 	from shed.VM
-	wait time.Duration
-	at   time.Time
+	batch.Forecast
+	at time.Time
 }
 
 func (r *Relay) startMesh() {
@@ -159,7 +159,8 @@
 	var out []shed.PieceWait
 	for _, id := range r.batcher.Busy() {
 		if pool := r.pool(id); pool != nil && pool.Batch != nil {
-			out = append(out, shed.PieceWait{Pool: id, Wait: r.batcher.Wait(now, id, *pool.Batch, 1)})
+			f := r.batcher.Wait(now, id, *pool.Batch)
+			out = append(out, shed.PieceWait{Pool: id, Timely: f.Timely, Last: f.Last})
 		}
 	}
 	return out
@@ -197,7 +198,9 @@
 		}
 	}
 	for _, w := range m.Waits {
-		r.mesh.waits[w.Pool] = peerWait{from: from.VM, wait: w.Wait, at: now}
+		r.mesh.waits[w.Pool] = peerWait{
+			from: from.VM, at: now, Forecast: batch.Forecast{Timely: w.Timely, Last: w.Last},
+		}
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,9 +120,9 @@
 	jobs    map[batch.JobID]chan []shed.PieceResult
 	lastJob batch.JobID
 	// freed are results to be given up, by the address of their maker; freeing
-	// are the makers that are being told of some.
+	// counts the calls that tell a maker of some.
 	freed   map[string][]shed.ResultRef
-	freeing map[string]bool
+	freeing map[string]int
 	// relist: the store's history is gone, so all of it is to be read. Used by
 	// followStore only.
 	relist bool
@@ -149,7 +149,7 @@
 		repeats: map[shed.PoolID]*retry.Budget{},
 		jobs:    map[batch.JobID]chan []shed.PieceResult{},
 		freed:   map[string][]shed.ResultRef{},
-		freeing: map[string]bool{},
+		freeing: map[string]int{},
 	}
 	r.prefs.Store(cfg.Prefs)
 	r.batcher = batch.New(r.listings)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -159,6 +159,7 @@
 			reason = shed.ReasonServerLeaving
 		case reply.InputsGone:
 			reason = reasonInputsGone
+			a.relay.giveUp(j)
 		}
 		return outcome{sent: true, reason: reason}
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -47,10 +47,16 @@
 	sends      int
 	mayHaveRun bool
 	avoid      []shed.ServerID
-	// inputs are the results that the request needs, zone is where they lie.
+	// ready: the request's pieces are made, and not given up yet; inputs are
+	// the results that it needs, zone is where they lie.
+	ready  bool
 	inputs []shed.ResultRef
-	zone   shed.ZoneID
-	heavy  bool
+	// gatherers tells through which VM each result was made: it counts the room
+	// at the makers, so it has to hear when the result is given up. Guarded by
+	// Relay.mu.
+	gatherers map[shed.ResultRef]shed.VM
+	zone      shed.ZoneID
+	heavy     bool
 
 	// what the log tells of it
 	server    shed.ServerID
@@ -225,16 +231,15 @@
 func (r *Relay) run(ctx context.Context, w http.ResponseWriter, j *job) *refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	if len(j.route.Steps) > 0 {
-		no := r.prepare(ctx, j)
-		defer r.giveUp(j)
-		if no != nil {
-			return no
-		}
-		j.prepared = time.Since(j.began)
-	}
+	defer r.giveUp(j)
 	out := &output{w: w, control: http.NewResponseController(w)}
 	for {
+		if len(j.route.Steps) > 0 && !j.ready {
+			if no := r.prepare(ctx, j); no != nil {
+				return r.given(out, r.known(j, no))
+			}
+			j.ready, j.prepared = true, time.Since(j.began)
+		}
 		choice, want, no := r.choose(ctx, j)
 		if no != nil {
 			return r.given(out, no)
@@ -258,6 +263,15 @@
 	return no
 }
 
+// known corrects a refusal before the request was sent: it may have been sent
+// before.
+func (r *Relay) known(j *job, no *refusal) *refusal {
+	if j.mayHaveRun && no.status == http.StatusServiceUnavailable {
+		return &refusal{status: http.StatusBadGateway, reason: no.reason}
+	}
+	return no
+}
+
 // verdict is the final answer after the last attempt v.
 func (r *Relay) verdict(ctx context.Context, j *job, v outcome) *refusal {
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -17,9 +18,13 @@
 const (
 	// heavyBytes is the size from which results are kept within a zone.
 	heavyBytes = 500_000
-	// sendShare is the part of a request's time that its steps may not use: the
-	// server needs it for the request itself.
-	sendShare = 0.1
+	// lateShare is the part of a request's time within which its pieces have to
+	// be foreseen if they can't be in time for its aim: forecasts of long queues
+	// are short, since what comes meanwhile goes first.
+	lateShare = 0.4
+	// mostBack is the longest that a caller is told to stay away; callers wait
+	// a third of their time at the most.
+	mostBack = 1500 * time.Millisecond
 )
 
 // plan is what a request's steps come to.
@@ -62,14 +67,24 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	wait := r.plan(j, p)
-	left := time.Until(j.deadline)
-	if wait > left-time.Duration(sendShare*float64(left)) {
-		r.log.WithFields(logrus.Fields{
-			"request": j.ask.ID, "wait_ms": wait.Milliseconds(), "left_ms": left.Milliseconds(), "zone": j.zone,
-		}).Info("pieces would be late")
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, after: comeBack}
+	if no := r.admitSteps(j, r.plan(j, p)); no != nil {
+		return no
 	}
+	err := r.makeAll(ctx, j, p)
+	var end stepError
+	if errors.As(err, &end) && end.end == shed.PieceInputsGone && time.Now().Before(j.aim) {
+		// A server left or died with the results; there is time to make them anew.
+		err = r.makeAll(ctx, j, p)
+	}
+	if err == nil {
+		return nil
+	}
+	return r.stepRefusal(ctx, j, err)
+}
+
+// makeAll has the pieces of all steps made, each step as soon as those that it
+// needs are done.
+func (r *Relay) makeAll(ctx context.Context, j *job, p plan) error {
 	made := make([][]shed.ResultRef, len(p.steps))
 	done := make([]chan struct{}, len(p.steps))
 	for i := range done {
@@ -97,10 +112,25 @@
 	}
 	err := g.Wait()
 	r.sortResults(j, p, made, err != nil)
-	if err == nil {
+	return err
+}
+
+// admitSteps refuses at once what would be late, unless the servers will have
+// time for it before its deadline: what is let in beyond what can be served
+// makes all of it late, and most of that work is done in vain. A caller that is
+// refused is told when what is waiting now will be done.
+func (r *Relay) admitSteps(j *job, f batch.Forecast) *refusal {
+	now := time.Now()
+	toAim, toEnd := j.aim.Sub(now), j.deadline.Sub(now)
+	if f.Timely+serverTime <= toAim || f.Last+serverTime <= time.Duration(lateShare*float64(toEnd)) {
 		return nil
 	}
-	return r.stepRefusal(ctx, j, err)
+	after := min(max(f.Timely+serverTime-toAim, comeBack), mostBack)
+	r.log.WithFields(logrus.Fields{
+		"request": j.ask.ID, "timely_ms": f.Timely.Milliseconds(), "last_ms": f.Last.Milliseconds(),
+		"to_aim_ms": toAim.Milliseconds(), "to_end_ms": toEnd.Milliseconds(), "after_ms": after.Milliseconds(),
+	}).Info("pieces would be late")
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, after: after}
 }
 
 // sortResults keeps the results that the request itself needs, and gives the
@@ -132,7 +162,8 @@
 
 func (r *Relay) stepRefusal(ctx context.Context, j *job, err error) *refusal {
 	no := &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesNone, after: comeBack}
-	if end, ok := err.(stepError); ok && end.end == shed.PieceLate { //nolint:errorlint // made here
+	var end stepError
+	if errors.As(err, &end) && end.end == shed.PieceLate {
 		no.reason = reasonPiecesLate
 	}
 	if ctx.Err() != nil && !time.Now().Before(j.deadline) {
@@ -172,7 +203,9 @@
 	}
 	refs := make([]shed.ResultRef, len(pieces))
 	end := shed.PieceMade
-	for n, res := range r.askPieces(ctx, s.Pool, pieces) {
+	results, vm := r.askPieces(ctx, s.Pool, pieces)
+	r.madeBy(j, results, vm)
+	for n, res := range results {
 		refs[n] = res.Ref
 		if res.End != shed.PieceMade {
 			end = res.End
@@ -272,20 +305,21 @@
 // askPieces has pieces made by the servers of a pool, through the VM that
 // gathers them. If that VM doesn't answer, another one does; at last this one
 // by itself.
-func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) []shed.PieceResult {
+func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) ([]shed.PieceResult, shed.VM) {
+	own := r.mesh.self.VM
 	for range 2 {
 		r.mu.Lock()
 		vm, client := r.gatherer(time.Now(), pool), r.client
 		r.mu.Unlock()
-		if vm == r.mesh.self.VM {
-			return r.gather(ctx, pool, pieces)
+		if vm == own {
+			break
 		}
 		results, err := client.Pieces(ctx, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
 		if err == nil {
-			return results
+			return results, vm
 		}
 		if ctx.Err() != nil {
-			return failed(len(pieces))
+			return failed(len(pieces)), vm
 		}
 		r.log.WithFields(logrus.Fields{"request": pieces[0].Request, "peer": vm, "pool": pool, "error": err.Error()}).
 			Info("peer that gathers pieces gives no answer")
@@ -293,12 +327,24 @@
 		r.mesh.shunned[vm] = time.Now().Add(shunPeer)
 		r.mu.Unlock()
 	}
-	return r.gather(ctx, pool, pieces)
+	return r.gather(ctx, pool, pieces), own
+}
+
+// madeBy remembers through which VM results were made.
+func (r *Relay) madeBy(j *job, results []shed.PieceResult, vm shed.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.gatherers == nil {
+		j.gatherers = map[shed.ResultRef]shed.VM{}
+	}
+	for _, ref := range made(results) {
+		j.gatherers[ref] = vm
+	}
 }
 
 // plan chooses near which server the pieces are best made, and predicts how
 // long they take.
-func (r *Relay) plan(j *job, p plan) time.Duration {
+func (r *Relay) plan(j *job, p plan) batch.Forecast {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -312,45 +358,49 @@
 }
 
 // pathWait predicts how long the plan's steps take, along the longest path.
-func (r *Relay) pathWait(now time.Time, p plan) time.Duration {
-	ends := make([]time.Duration, len(p.steps))
-	var longest time.Duration
+func (r *Relay) pathWait(now time.Time, p plan) batch.Forecast {
+	ends := make([]batch.Forecast, len(p.steps))
+	var longest batch.Forecast
 	for i, s := range p.steps {
-		var start time.Duration
+		var start batch.Forecast
 		for _, before := range s.After {
 			if at := p.at(before); at >= 0 {
-				start = max(start, ends[at])
+				start.Timely, start.Last = max(start.Timely, ends[at].Timely), max(start.Last, ends[at].Last)
 			}
 		}
-		ends[i] = start + r.poolWait(now, s.Pool, p.pieces[i], start)
-		longest = max(longest, ends[i])
+		ends[i] = r.poolWait(now, s.Pool, p.pieces[i], start)
+		longest.Timely, longest.Last = max(longest.Timely, ends[i].Timely), max(longest.Last, ends[i].Last)
 	}
 	return longest
 }
 
-// poolWait predicts how long pieces of a pool take from start on: by this VM's
-// own queue, or by what the gatherer told, less what has passed since.
-func (r *Relay) poolWait(now time.Time, id shed.PoolID, pieces int, start time.Duration) time.Duration {
+// poolWait predicts when pieces of a pool that are wanted from start on are
+// done: by this VM's own queue, or by what the gatherer told, less what has
+// passed since.
+func (r *Relay) poolWait(now time.Time, id shed.PoolID, pieces int, start batch.Forecast) batch.Forecast {
 	pool := r.pool(id)
 	if pool == nil || pool.Batch == nil || len(r.roster.Open(id)) == 0 {
-		return batch.NoServers
+		return batch.Forecast{Timely: batch.NoServers, Last: batch.NoServers}
 	}
-	least := leastTime(pool.Batch, pieces)
+	var f batch.Forecast
+	age := time.Duration(0)
 	if r.gatherer(now, id) == r.mesh.self.VM {
-		return max(r.batcher.Wait(now, id, *pool.Batch, pieces)-start, least)
+		f = r.batcher.Wait(now, id, *pool.Batch)
+	} else if w, ok := r.mesh.waits[id]; ok {
+		f, age = w.Forecast, now.Sub(w.at)
 	}
-	w, ok := r.mesh.waits[id]
-	if !ok {
-		return least
+	least, more := leastTime(pool.Batch, pieces), time.Duration(pieces-1)*pool.Batch.PieceTime
+	return batch.Forecast{
+		Timely: max(f.Timely+more-age, start.Timely+least),
+		Last:   max(f.Last+more-age, start.Last+least),
 	}
-	return max(w.wait+time.Duration(pieces)*pool.Batch.PieceTime-now.Sub(w.at)-start, least)
 }
 
 // giveUp gives the request's inputs up: its server has fetched them, or it
 // ended.
 func (r *Relay) giveUp(j *job) {
 	refs := j.inputs
-	j.inputs = nil
+	j.inputs, j.ready = nil, false
 	r.free(j, refs)
 }
 
@@ -363,12 +413,12 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := make(map[shed.VM][]shed.ResultRef)
+	by := make(map[shed.VM][]shed.ResultRef)
 	for _, ref := range refs {
-		vm := r.gathererOf(now, j, ref)
-		own[vm] = append(own[vm], ref)
+		vm := j.gatherers[ref]
+		by[vm] = append(by[vm], ref)
 	}
-	for vm, refs := range own {
+	for vm, refs := range by {
 		if vm == r.mesh.self.VM {
 			r.perform(r.batcher.Handle(now, batch.Freed{Refs: refs}))
 			continue
@@ -376,16 +426,3 @@
 		r.client.Send(vm, shed.ResultsFreed{Refs: refs})
 	}
 }
-
-// gathererOf is the VM that gathers for the server that holds the result.
-func (r *Relay) gathererOf(now time.Time, j *job, ref shed.ResultRef) shed.VM {
-	addr := r.cfg.Dialect.Maker(ref)
-	for _, s := range j.route.Steps {
-		for _, server := range r.roster.Open(s.Pool) {
-			if server.Addr == addr {
-				return r.gatherer(now, s.Pool)
-			}
-		}
-	}
-	return r.mesh.self.VM
-}
--- a/message.go
+++ b/message.go
@@ -150,8 +150,11 @@
 // PieceWait is how long a piece would take at the sender, which gathers the
 // pieces for the pool.
 type PieceWait struct {
-	Pool PoolID        `cbor:"1,keyasint"`
-	Wait time.Duration `cbor:"2,keyasint"`
+	Pool PoolID `cbor:"1,keyasint"`
+	// Timely is the time if the piece goes before those that can't be in time
+	// any more, Last if it goes after all others.
+	Timely time.Duration `cbor:"2,keyasint"`
+	Last   time.Duration `cbor:"3,keyasint"`
 }
 
 // PromptPlaced says that a server reads a prompt; Chain are the hashes of its
