Relay: VMs agree sooner on who gathers, and tell what servers hold for them

Now a VM gathers only once it has settled for 0.7 s, a peer that misses three load messages gathers nothing, and what servers hold is told along.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -81,15 +81,26 @@
 // FreeEnded means that the servers have been told, and have room again.
 type FreeEnded struct{ Refs []shed.ResultRef }
 
+// HeldElsewhere means that another VM told what servers hold for it. A VM that
+// begins to gather knows by it which room is taken: without it, a third of the
+// pieces found none for the seconds after a gatherer was stopped.
+type HeldElsewhere struct {
+	From shed.VM
+	Held map[shed.ServerID]int64
+	// Keep is how long servers keep results.
+	Keep time.Duration
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
-func (Asked) event()     {}
-func (Dropped) event()   {}
-func (CallEnded) event() {}
-func (Freed) event()     {}
-func (FreeEnded) event() {}
-func (Tick) event()      {}
+func (Asked) event()         {}
+func (Dropped) event()       {}
+func (CallEnded) event()     {}
+func (Freed) event()         {}
+func (FreeEnded) event()     {}
+func (HeldElsewhere) event() {}
+func (Tick) event()          {}
 
 // Action is what the driver is to do.
 type Action interface{ action() }
@@ -200,6 +211,14 @@
 	unseen []unseenBytes
 	// doubted calls are out while the server got another one.
 	doubted int
+	// others is what it holds for other VMs that gather or did so lately.
+	others map[shed.VM]heldElsewhere
+}
+
+type heldElsewhere struct {
+	bytes int64
+	at    time.Time
+	keep  time.Duration
 }
 
 type unseenBytes struct {
@@ -214,6 +233,11 @@
 	for _, u := range m.unseen {
 		all += u.bytes
 	}
+	for _, o := range m.others {
+		// What was held then lapses, or is given up, within keep.
+		left := 1 - float64(now.Sub(o.at))/float64(o.keep)
+		all += int64(float64(o.bytes) * max(left, 0))
+	}
 	return all
 }
 
@@ -247,6 +271,8 @@
 		out = b.ended(now, out, ev)
 	case Freed:
 		out = b.free(out, ev.Refs)
+	case HeldElsewhere:
+		b.heldElsewhere(now, ev)
 	case FreeEnded:
 		for _, ref := range ev.Refs {
 			b.forget(ref)
@@ -356,7 +382,7 @@
 		return b.settle(out, p, r)
 	case shed.PieceNoRoom:
 		// The server holds more than is known here, so it gets less for a while.
-		m.unseen = append(m.unseen, unseenBytes{bytes: p.Bytes, until: now.Add(c.group.limits.KeepFor / 4)})
+		m.unseen = append(m.unseen, unseenBytes{bytes: p.Bytes, until: now.Add(c.group.limits.KeepFor / 2)})
 		return b.again(out, p)
 	case shed.PieceFailed:
 		p.tries++
@@ -441,6 +467,31 @@
 	}
 }
 
+func (b *Batcher) heldElsewhere(now time.Time, ev HeldElsewhere) {
+	for id, bytes := range ev.Held {
+		m := b.makers[id]
+		if m == nil {
+			m = &maker{slow: 1}
+			b.makers[id] = m
+		}
+		if m.others == nil {
+			m.others = map[shed.VM]heldElsewhere{}
+		}
+		m.others[ev.From] = heldElsewhere{bytes: bytes, at: now, keep: ev.Keep}
+	}
+}
+
+// Held are the bytes that servers hold for this VM.
+func (b *Batcher) Held() map[shed.ServerID]int64 {
+	out := map[shed.ServerID]int64{}
+	for id, m := range b.makers {
+		if m.bytes > 0 {
+			out[id] = m.bytes
+		}
+	}
+	return out
+}
+
 // expire forgets results that their servers have dropped by now.
 func (b *Batcher) expire(now time.Time) {
 	for ref, h := range b.held {
@@ -456,6 +507,9 @@
 		m = &maker{born: s.Born, slow: 1}
 		b.makers[s.ID] = m
 	}
+	if m.born == 0 {
+		m.born = s.Born
+	}
 	if m.born != s.Born {
 		// A new start holds nothing of before.
 		*m = maker{born: s.Born, slow: 1, running: m.running, bytes: b.runningBytes(m.running)}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -34,7 +34,18 @@
 	loadEvery = 100 * time.Millisecond
 	loadPeers = 12
 	// loadIdle is how often it tells it though nothing has changed.
-	loadIdle = time.Second
+	loadIdle = 300 * time.Millisecond
+	// loadMissed is how many of these may be missing before a peer gathers no
+	// pieces for this VM. By member alone, the VMs disagreed for two to four
+	// seconds after several had died at once; up to eight then gathered for the
+	// same servers and found them full.
+	loadMissed = 3
+	// settleFor is how long a new process gathers nothing and tells no load, so
+	// that it knows its peers first: a second gatherer for a pool knows nothing
+	// of the calls and the room of the first one.
+	settleFor = 700 * time.Millisecond
+	// settlePoll is how often a request looks whether somebody gathers by now.
+	settlePoll = 50 * time.Millisecond
 	// renewedBy is added to the incarnation of a process that was overruled: its
 	// VM's clock was set back after an earlier process had started.
 	renewedBy = 30 * time.Second
@@ -43,8 +54,12 @@
 // mesh is what the relay knows of its peers.
 type mesh struct {
 	self shed.Peer
-	// seen is the last sequence of each process's load.
-	seen map[shed.Peer]uint64
+	// started is when this process started.
+	started time.Time
+	// seen is the last sequence of each process's load, heard is when a VM last
+	// told its load.
+	seen  map[shed.Peer]uint64
+	heard map[shed.VM]time.Time
 	// waits are what peers said of the pieces that they gather.
 	waits map[shed.PoolID]peerWait
 	// shunned peers gather nothing for this VM until then.
@@ -67,7 +82,9 @@
 func (r *Relay) startMesh() {
 	r.mesh = mesh{
 		self:    shed.Peer{VM: shed.VM(r.prefs.Load().Node.Reach()), Incarnation: shed.Incarnation(time.Now().UnixNano())},
+		started: time.Now(),
 		seen:    map[shed.Peer]uint64{},
+		heard:   map[shed.VM]time.Time{},
 		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
 		asOf:    map[shed.VM]shed.Revision{},
@@ -136,17 +153,20 @@
 
 // tellLoad tells peers what is under way here.
 func (r *Relay) tellLoad(now time.Time) {
+	if now.Sub(r.mesh.started) < settleFor {
+		return
+	}
 	vms := r.alive()
-	every := loadEvery * time.Duration(1+len(vms)/loadPeers)
+	every := loadPeriod(len(vms))
 	since := now.Sub(r.mesh.told)
 	shares, waits := r.picker.Shares(), r.ownWaits(now)
 	busy := len(shares)+len(waits)+len(r.mesh.placed) > 0
-	if since < every || !busy && !r.mesh.lastBusy && since < loadIdle {
+	if since < every || !busy && !r.mesh.lastBusy && since < max(loadIdle, every) {
 		return
 	}
 	r.mesh.sequence++
 	load := shed.RelayLoad{
-		Sequence: r.mesh.sequence, Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
+		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
@@ -154,6 +174,11 @@
 	}
 }
 
+// loadPeriod is how often a VM with so many peers tells its load.
+func loadPeriod(peers int) time.Duration {
+	return loadEvery * time.Duration(1+peers/loadPeers)
+}
+
 // ownWaits predicts the wait in the pools that this VM gathers pieces for.
 func (r *Relay) ownWaits(now time.Time) []shed.PieceWait {
 	var out []shed.PieceWait
@@ -185,10 +210,11 @@
 	if m.Sequence <= r.mesh.seen[from] {
 		return
 	}
-	r.mesh.seen[from] = m.Sequence
+	r.mesh.seen[from], r.mesh.heard[from.VM] = m.Sequence, now
 	r.mesh.asOf[from.VM] = m.AsOf
 	delete(r.mesh.shunned, from.VM)
 	r.picker.PeerShares(from.VM, m.Servers)
+	r.heardHeld(now, from.VM, m.Held)
 	for _, p := range m.Placed {
 		r.picker.Seen(now, p.Server, p.Chain)
 	}
@@ -204,21 +230,39 @@
 	}
 }
 
+func (r *Relay) heardHeld(now time.Time, from shed.VM, held map[shed.ServerID]int64) {
+	if len(held) == 0 {
+		return
+	}
+	keep := time.Duration(0)
+	if c := r.roster.Catalog(); c != nil {
+		for _, p := range c.Pools {
+			if p.Batch != nil {
+				keep = max(keep, p.Batch.KeepFor)
+			}
+		}
+	}
+	if keep > 0 {
+		r.perform(r.batcher.Handle(now, batch.HeldElsewhere{From: from, Held: held, Keep: keep}))
+	}
+}
+
 // gatherer is the VM that gathers the pieces for a pool, by rendezvous among the
 // live VMs. Two VMs that see different peers, as when a zone is cut off, may
-// name two; both then send calls, which the servers' short queues bear.
-func (r *Relay) gatherer(now time.Time, pool shed.PoolID) shed.VM {
-	own := r.mesh.self.VM
-	all := r.alive()
-	if !r.stopping.Load() {
-		all = append(all, own)
-	}
-	all = slices.DeleteFunc(all, func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
-	vm, ok := rank.Owner(string(pool), all)
-	if !ok {
-		return own
-	}
-	return vm
+// name two; both then send calls, which the servers' short queues bear. It is
+// false as long as this process is new and knows no peer.
+func (r *Relay) gatherer(now time.Time, pool shed.PoolID) (shed.VM, bool) {
+	vms := r.alive()
+	silence := loadMissed * max(loadIdle, loadPeriod(len(vms)))
+	// A VM that stops is told no load any more.
+	stopping := r.stopping.Load()
+	vms = slices.DeleteFunc(vms, func(vm shed.VM) bool {
+		return now.Before(r.mesh.shunned[vm]) || !stopping && now.Sub(r.mesh.heard[vm]) > silence
+	})
+	if now.Sub(r.mesh.started) >= settleFor && (!stopping || len(vms) == 0) {
+		vms = append(vms, r.mesh.self.VM)
+	}
+	return rank.Owner(string(pool), vms)
 }
 
 // Items implements peers.RelayHandler.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -344,10 +344,7 @@
 			}
 			return choice, want, r.verdict(ctx, j, outcome{reason: reason})
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(coldPoll):
-		}
+		wait(ctx, coldPoll)
 	}
 }
 
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -303,23 +303,27 @@
 const serverTime = 100 * time.Millisecond
 
 // askPieces has pieces made by the servers of a pool, through the VM that
-// gathers them. If that VM doesn't answer, another one does; at last this one
-// by itself.
+// gathers them. If that VM doesn't answer, the next one does.
 func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) ([]shed.PieceResult, shed.VM) {
 	own := r.mesh.self.VM
-	for range 2 {
+	for ctx.Err() == nil {
 		r.mu.Lock()
-		vm, client := r.gatherer(time.Now(), pool), r.client
+		vm, ok := r.gatherer(time.Now(), pool)
+		client := r.client
 		r.mu.Unlock()
+		if !ok {
+			wait(ctx, settlePoll)
+			continue
+		}
 		if vm == own {
-			break
+			return r.gather(ctx, pool, pieces), own
 		}
 		results, err := client.Pieces(ctx, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
 		if err == nil {
 			return results, vm
 		}
 		if ctx.Err() != nil {
-			return failed(len(pieces)), vm
+			break
 		}
 		r.log.WithFields(logrus.Fields{"request": pieces[0].Request, "peer": vm, "pool": pool, "error": err.Error()}).
 			Info("peer that gathers pieces gives no answer")
@@ -327,7 +331,17 @@
 		r.mesh.shunned[vm] = time.Now().Add(shunPeer)
 		r.mu.Unlock()
 	}
-	return r.gather(ctx, pool, pieces), own
+	return failed(len(pieces)), own
+}
+
+// wait waits for a time or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
 }
 
 // madeBy remembers through which VM results were made.
@@ -384,7 +398,7 @@
 	}
 	var f batch.Forecast
 	age := time.Duration(0)
-	if r.gatherer(now, id) == r.mesh.self.VM {
+	if vm, _ := r.gatherer(now, id); vm == r.mesh.self.VM {
 		f = r.batcher.Wait(now, id, *pool.Batch)
 	} else if w, ok := r.mesh.waits[id]; ok {
 		f, age = w.Forecast, now.Sub(w.at)
--- a/message.go
+++ b/message.go
@@ -138,6 +138,9 @@
 	Placed []PromptPlaced `cbor:"4,keyasint,omitempty"`
 	// AsOf is up to which revision of the store the sender knows everything.
 	AsOf Revision `cbor:"5,keyasint,omitempty"`
+	// Held are the bytes of results that servers hold for the sender, which
+	// gathers pieces.
+	Held map[ServerID]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ServerShare is what one daemon has on one server.
