--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -40,6 +40,9 @@
 	// tries is how often a piece is sent at the most; a repeat draws on the
 	// fleet's budget of repeats.
 	tries = 3
+	// crowdedFrom is the wait for all pieces from which those that would be late
+	// anyway are given up: about two full calls.
+	crowdedFrom = 700 * time.Millisecond
 	// roomShare of a server's room is used: sizes are approximate.
 	roomShare = 0.92
 )
@@ -588,11 +591,12 @@
 // server need work on them.
 func (b *Batcher) giveUpLate(now time.Time, out []Action, g *group) []Action {
 	var keep []*piece
+	crowded := b.Wait(now, g.pool, g.limits).Last > crowdedFrom
 	for _, p := range g.waiting {
 		if p.settled || p.job.dropped {
 			continue
 		}
-		if p.out == 0 && now.Add(g.limits.CallTime).After(p.job.deadline) {
+		if p.out == 0 && b.hopeless(now, g, p, crowded) {
 			out = b.settle(out, p, shed.PieceResult{End: shed.PieceLate})
 			continue
 		}
@@ -602,6 +606,14 @@
 	return out
 }
 
+// hopeless tells whether the piece is not worth waiting for any more: its time
+// would be over before a call ends, or it would be late while others wait that
+// need not be. Then its caller is better told at once.
+func (b *Batcher) hopeless(now time.Time, g *group, p *piece, crowded bool) bool {
+	soonest := now.Add(g.limits.CallTime)
+	return soonest.After(p.job.deadline) || crowded && soonest.After(p.job.aim)
+}
+
 // failAll answers all pieces when no server can make them, so that the asker
 // may try another zone at once.
 func (b *Batcher) failAll(out []Action, g *group) []Action {
