--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -94,6 +94,11 @@
 	Keep time.Duration
 }
 
+// Stopped means that this VM gathers no more: what waits goes back to those who
+// asked, what runs is ended. Else two VMs would gather for the same servers
+// until the last piece that waits is made, with twice the calls.
+type Stopped struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -103,6 +108,7 @@
 func (Freed) event()         {}
 func (FreeEnded) event()     {}
 func (HeldElsewhere) event() {}
+func (Stopped) event()       {}
 func (Tick) event()          {}
 
 // Action is what the driver is to do.
@@ -274,6 +280,8 @@
 		out = b.ended(now, out, ev)
 	case Freed:
 		out = b.free(out, ev.Refs)
+	case Stopped:
+		out = b.moveAll(out)
 	case HeldElsewhere:
 		b.heldElsewhere(now, ev)
 	case FreeEnded:
@@ -495,6 +503,20 @@
 	return out
 }
 
+// moveAll answers all pieces that wait.
+func (b *Batcher) moveAll(out []Action) []Action {
+	for _, g := range b.order {
+		waiting := g.waiting
+		g.waiting = nil
+		for _, p := range waiting {
+			if p.out == 0 {
+				out = b.settle(out, p, shed.PieceResult{End: shed.PieceMoved})
+			}
+		}
+	}
+	return out
+}
+
 // expire forgets results that their servers have dropped by now.
 func (b *Batcher) expire(now time.Time) {
 	for ref, h := range b.held {
--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -55,10 +55,13 @@
 	return failed(len(pieces))
 }
 
-func failed(n int) []shed.PieceResult {
+func failed(n int) []shed.PieceResult { return all(n, shed.PieceFailed) }
+
+// all are n results that ended alike.
+func all(n int, end shed.PieceEnd) []shed.PieceResult {
 	out := make([]shed.PieceResult, n)
 	for i := range out {
-		out[i].End = shed.PieceFailed
+		out[i].End = end
 	}
 	return out
 }
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -278,5 +278,8 @@
 
 // Pieces implements peers.RelayHandler.
 func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) []shed.PieceResult {
+	if r.stopping.Load() {
+		return all(len(call.Pieces), shed.PieceMoved)
+	}
 	return r.gather(ctx, call.Pool, call.Pieces)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -259,6 +259,9 @@
 	r.log.WithField("open", r.open.Load()).Info("stop asked for; not ready from now on")
 	r.mu.Lock()
 	r.performMesh(r.group.Leave(shed.Peer{}))
+	if len(r.alive()) > 0 {
+		r.perform(r.batcher.Handle(time.Now(), batch.Stopped{}))
+	}
 	r.mu.Unlock()
 }
 
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -18,10 +18,12 @@
 const (
 	// heavyBytes is the size from which results are kept within a zone.
 	heavyBytes = 500_000
-	// lateShare is the part of a request's time within which its pieces have to
-	// be foreseen if they can't be in time for its aim: forecasts of long queues
-	// are short, since what comes meanwhile goes first.
-	lateShare = 0.4
+	// growth is by how much a forecast is exceeded when load rises: queues grow
+	// while the request is on its way.
+	growth = 1.15
+	// lateWait is the longest wait in queues with which a request is let in that
+	// can't be in time for its aim.
+	lateWait = 700 * time.Millisecond
 	// mostBack is the longest that a caller is told to stay away; callers wait
 	// a third of their time at the most.
 	mostBack = 1500 * time.Millisecond
@@ -67,7 +69,8 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	if no := r.admitSteps(j, r.plan(j, p)); no != nil {
+	forecast, least := r.plan(j, p)
+	if no := r.admitSteps(j, forecast, least); no != nil {
 		return no
 	}
 	err := r.makeAll(ctx, j, p)
@@ -119,13 +122,14 @@
 // time for it before its deadline: what is let in beyond what can be served
 // makes all of it late, and most of that work is done in vain. A caller that is
 // refused is told when what is waiting now will be done.
-func (r *Relay) admitSteps(j *job, f batch.Forecast) *refusal {
+func (r *Relay) admitSteps(j *job, f batch.Forecast, least time.Duration) *refusal {
 	now := time.Now()
 	toAim, toEnd := j.aim.Sub(now), j.deadline.Sub(now)
-	if f.Timely+serverTime <= toAim || f.Last+serverTime <= time.Duration(lateShare*float64(toEnd)) {
+	foreseen := time.Duration(growth*float64(f.Timely)) + serverTime
+	if foreseen <= toAim || f.Last <= least+lateWait && f.Last+serverTime <= toEnd {
 		return nil
 	}
-	after := min(max(f.Timely+serverTime-toAim, comeBack), mostBack)
+	after := min(max(foreseen-toAim, comeBack), mostBack)
 	r.log.WithFields(logrus.Fields{
 		"request": j.ask.ID, "timely_ms": f.Timely.Milliseconds(), "last_ms": f.Last.Milliseconds(),
 		"to_aim_ms": toAim.Milliseconds(), "to_end_ms": toEnd.Milliseconds(), "after_ms": after.Milliseconds(),
@@ -203,9 +207,7 @@
 	}
 	refs := make([]shed.ResultRef, len(pieces))
 	end := shed.PieceMade
-	results, vm := r.askPieces(ctx, s.Pool, pieces)
-	r.madeBy(j, results, vm)
-	for n, res := range results {
+	for n, res := range r.askAll(ctx, j, s.Pool, pieces) {
 		refs[n] = res.Ref
 		if res.End != shed.PieceMade {
 			end = res.End
@@ -302,6 +304,39 @@
 // serverTime is about what a server takes from the request to its first event.
 const serverTime = 100 * time.Millisecond
 
+// askAll has pieces made, also if the VM that gathers them stops meanwhile.
+func (r *Relay) askAll(ctx context.Context, j *job, pool shed.PoolID, pieces []shed.Piece) []shed.PieceResult {
+	out := all(len(pieces), shed.PieceMoved)
+	for ctx.Err() == nil {
+		var open []int
+		var asked []shed.Piece
+		for i, res := range out {
+			if res.End == shed.PieceMoved {
+				open, asked = append(open, i), append(asked, pieces[i])
+			}
+		}
+		if len(open) == 0 {
+			return out
+		}
+		results, vm := r.askPieces(ctx, pool, asked)
+		r.madeBy(j, results, vm)
+		for i, n := range open {
+			out[n] = results[i]
+		}
+		if slices.ContainsFunc(results, func(res shed.PieceResult) bool { return res.End == shed.PieceMoved }) {
+			r.shunPeer(vm)
+		}
+	}
+	return out
+}
+
+// shunPeer keeps pieces from a VM that doesn't gather just now.
+func (r *Relay) shunPeer(vm shed.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mesh.shunned[vm] = time.Now().Add(shunPeer)
+}
+
 // askPieces has pieces made by the servers of a pool, through the VM that
 // gathers them. If that VM doesn't answer, the next one does.
 func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) ([]shed.PieceResult, shed.VM) {
@@ -327,9 +362,7 @@
 		}
 		r.log.WithFields(logrus.Fields{"request": pieces[0].Request, "peer": vm, "pool": pool, "error": err.Error()}).
 			Info("peer that gathers pieces gives no answer")
-		r.mu.Lock()
-		r.mesh.shunned[vm] = time.Now().Add(shunPeer)
-		r.mu.Unlock()
+		r.shunPeer(vm)
 	}
 	return failed(len(pieces)), own
 }
@@ -357,8 +390,8 @@
 }
 
 // plan chooses near which server the pieces are best made, and predicts how
-// long they take.
-func (r *Relay) plan(j *job, p plan) batch.Forecast {
+// long they take, and would take at least.
+func (r *Relay) plan(j *job, p plan) (f batch.Forecast, least time.Duration) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -368,7 +401,18 @@
 	if choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID)); choice.Server != nil {
 		j.zone = choice.Server.Zone
 	}
-	return r.pathWait(now, p)
+	return r.pathWait(now, p), r.leastPath(p)
+}
+
+// leastPath is how long the plan's steps take if nothing waits.
+func (r *Relay) leastPath(p plan) time.Duration {
+	var longest time.Duration
+	for i, s := range p.steps {
+		if pool := r.pool(s.Pool); pool != nil && pool.Batch != nil {
+			longest = max(longest, leastTime(pool.Batch, p.pieces[i])+r.restOf(p, i))
+		}
+	}
+	return longest
 }
 
 // pathWait predicts how long the plan's steps take, along the longest path.
--- a/relay.go
+++ b/relay.go
@@ -291,6 +291,8 @@
 	PieceNoRoom
 	// PieceFailed: no server made it.
 	PieceFailed
+	// PieceMoved: the VM that was asked gathers no more; ask another one.
+	PieceMoved
 )
 
 // PieceResult answers a Piece.
