--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -121,6 +121,8 @@
 	Pieces []shed.Piece
 	// Limit is the time after which the call is given up.
 	Limit time.Duration
+	// Left is how many pieces go on waiting.
+	Left int
 }
 
 // Done answers a job, with a result for each piece.
@@ -704,13 +706,13 @@
 	m := b.makers[s.ID]
 	room := int64(float64(g.limits.Room)*roomShare) - m.taken(now)
 	c := &call{server: s, group: g, began: now}
-	near := b.nearTimes(now, g, servers)
+	near := b.nearness(now, g, servers)
 	var rest []*piece
 	for _, p := range g.waiting {
 		if p.settled {
 			continue
 		}
-		if len(c.pieces) == g.limits.Most || !mayMake(p, s, near) || p.Bytes > room-c.bytes && g.limits.Room > 0 {
+		if len(c.pieces) == g.limits.Most || !near.mayMake(p, s) || p.Bytes > room-c.bytes && g.limits.Room > 0 {
 			rest = append(rest, p)
 			continue
 		}
@@ -730,7 +732,7 @@
 	m.running = b.nextID
 	b.calls[b.nextID] = c
 	c.doubt = now.Add(doubtTimes*scale(c.expected, max(m.slow, 1)) + doubtExtra)
-	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*c.expected + limitExtra}
+	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*c.expected + limitExtra, Left: len(rest)}
 	for _, p := range c.pieces {
 		p.out++
 		piece := p.Piece
@@ -740,9 +742,17 @@
 	return append(out, send)
 }
 
-// nearTimes is when a full call could be done in each zone.
-func (b *Batcher) nearTimes(now time.Time, g *group, servers []shed.Listing) map[shed.ZoneID]time.Time {
-	out := map[shed.ZoneID]time.Time{}
+// nearness tells, while one call is filled, whether the servers of a zone will
+// take the pieces that are wanted there.
+type nearness struct {
+	// done is when a call that is not sent yet could be done in a zone, room
+	// is how many more pieces the zone's next calls have room for.
+	done map[shed.ZoneID]time.Time
+	room map[shed.ZoneID]int
+}
+
+func (b *Batcher) nearness(now time.Time, g *group, servers []shed.Listing) nearness {
+	n := nearness{done: map[shed.ZoneID]time.Time{}, room: map[shed.ZoneID]int{}}
 	for _, s := range servers {
 		m := b.maker(s)
 		if now.Before(m.shunned) {
@@ -750,29 +760,39 @@
 		}
 		done := now
 		if c := b.calls[m.running]; c != nil {
-			done = c.began.Add(scale(c.expected, m.slow))
-			if done.Before(now) {
-				done = now
-			}
+			done = later(now, c.began.Add(scale(c.expected, m.slow)))
 		}
 		done = done.Add(scale(expected(g.limits, g.limits.Most), m.slow))
-		if old, ok := out[s.Zone]; !ok || done.Before(old) {
-			out[s.Zone] = done
+		if old, ok := n.done[s.Zone]; !ok || done.Before(old) {
+			n.done[s.Zone] = done
 		}
+		n.room[s.Zone] += g.limits.Most
 	}
-	return out
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // mayMake keeps pieces whose results are wanted in one zone from servers of the
-// others, as long as a server there will be in time: fetching large results from
-// another zone is what users pay most for.
-func mayMake(p *piece, s shed.Listing, near map[shed.ZoneID]time.Time) bool {
+// others, as long as the next calls there have room for them and will be in
+// time: fetching large results from another zone is what users pay most for. A
+// piece that is kept back takes its place in those calls.
+func (n nearness) mayMake(p *piece, s shed.Listing) bool {
 	zone := p.wanted()
 	if zone == "" || zone == s.Zone {
 		return true
 	}
-	done, ok := near[zone]
-	return !ok || done.After(p.job.aim)
+	done, ok := n.done[zone]
+	if !ok || done.After(p.job.aim) || n.room[zone] <= 0 {
+		return true
+	}
+	n.room[zone]--
+	return false
 }
 
 // Forecast predicts, from now, how long one more piece of the pool would take.
--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -117,7 +117,7 @@
 	took := time.Since(began)
 	r.stats.pieceCall(len(a.Pieces), took)
 	entry := r.log.WithFields(logrus.Fields{
-		"server": a.Server.ID, "pool": a.Server.Pool, "zone": a.Server.Zone, "pieces": len(a.Pieces),
+		"server": a.Server.ID, "pool": a.Server.Pool, "zone": a.Server.Zone, "pieces": len(a.Pieces), "left": a.Left,
 		"took_ms": took.Milliseconds(), "limit_ms": a.Limit.Milliseconds(),
 	})
 	if end.Results == nil {
