--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	shed "jasmineshed"
@@ -93,6 +94,7 @@
 	for i := range done {
 		done[i] = make(chan struct{})
 	}
+	uses := newUses(p)
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range p.steps {
 		g.Go(func() error {
@@ -107,10 +109,12 @@
 			}
 			var err error
 			made[i], err = r.step(ctx, j, p, i, made)
-			if err == nil {
-				close(done[i])
+			if err != nil {
+				return err
 			}
-			return err
+			close(done[i])
+			r.free(j, uses.over(p, i, made))
+			return nil
 		})
 	}
 	err := g.Wait()
@@ -118,6 +122,44 @@
 	return err
 }
 
+// uses counts the steps that still need the results of each step.
+type uses struct {
+	mu   sync.Mutex
+	left []int
+}
+
+func newUses(p plan) *uses {
+	u := &uses{left: make([]int, len(p.steps))}
+	for _, s := range p.steps {
+		for _, before := range s.After {
+			if at := p.at(before); at >= 0 {
+				u.left[at]++
+			}
+		}
+	}
+	return u
+}
+
+// over returns the results that nobody needs any more now that a step is done,
+// and takes them out of made. Servers have room for few results: kept until all
+// steps were done, they held up the steps of other requests.
+func (u *uses) over(p plan, done int, made [][]shed.ResultRef) []shed.ResultRef {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []shed.ResultRef
+	for _, before := range p.steps[done].After {
+		at := p.at(before)
+		if at < 0 {
+			continue
+		}
+		if u.left[at]--; u.left[at] == 0 {
+			out = append(out, made[at]...)
+			made[at] = nil
+		}
+	}
+	return out
+}
+
 // admitSteps refuses at once what would be late, unless the servers will have
 // time for it before its deadline: what is let in beyond what can be served
 // makes all of it late, and most of that work is done in vain. A caller that is
