--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -30,6 +30,11 @@
 	// farCost is what a hop to another zone costs in the choice: the round trip
 	// of 2 to 3 ms, and the bytes between zones, which users pay for.
 	farCost = 6 * time.Millisecond
+	// againCost is what each token of a shared part that the server would have
+	// to read adds in the choice, up to againMost, beside the time: users pay
+	// for parts that are read again, and the reading delays all others there.
+	againCost = 30 * time.Microsecond
+	againMost = 80 * time.Millisecond
 	// runCost is what each request that runs on an engine adds to the first
 	// token's delay: its share of the batch step and of prompts being read.
 	runCost = 4 * time.Millisecond
@@ -170,8 +175,10 @@
 	}
 	c := Choice{Server: s}
 	if w.Engine {
-		c.Missing = st.missing(now, w, chain)
+		var again shed.Tokens
+		c.Missing, again = st.missing(now, w, chain)
 		c.Cost = p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runCost
+		c.Cost += min(time.Duration(again)*againCost, againMost)
 		c.Cost += homeCost(s, chain, p.readTime(c.Missing))
 	} else {
 		took := st.took
@@ -230,22 +237,26 @@
 	return out
 }
 
-// missing is how many tokens the server would have to read.
-func (st *state) missing(now time.Time, w *Want, chain []uint64) shed.Tokens {
-	left := w.Input
+// missing is how many tokens the server would have to read, and how many of
+// them belong to parts that requests share.
+func (st *state) missing(now time.Time, w *Want, chain []uint64) (left, again shed.Tokens) {
+	left = w.Input
 	var all shed.Tokens
 	for _, part := range w.Prompt {
 		all += part.Tokens
 	}
 	left = max(left, all)
+	known := true
 	for i, h := range chain {
 		at, ok := st.prefixes[h]
-		if !ok || now.Sub(at) > keepPrefix {
-			break
+		known = known && ok && now.Sub(at) <= keepPrefix
+		if known {
+			left -= min(left, w.Prompt[i].Tokens)
+		} else {
+			again += w.Prompt[i].Tokens
 		}
-		left -= min(left, w.Prompt[i].Tokens)
 	}
-	return left
+	return left, again
 }
 
 func (st *state) faultsNow(now time.Time) float64 {
