--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -139,7 +139,7 @@
 		Log:   Log{Level: "info"},
 		Relay: Relay{
 			Ready: "127.0.0.1:7403", Watch: 1200 * time.Millisecond,
-			Connect: 400 * time.Millisecond, Silence: 1500 * time.Millisecond,
+			Connect: 200 * time.Millisecond, Silence: 1500 * time.Millisecond,
 			RepeatRatio: 0.2, RepeatSlack: 50, RepeatSpan: 10 * time.Second,
 			ColdOver: 1.5, ColdSlack: 5, Fleet: 9, Reload: time.Second,
 		},
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -71,8 +71,10 @@
 		return nil
 	}
 	forecast, least := r.plan(j, p)
-	if no := r.admitSteps(j, forecast, least); no != nil {
-		return no
+	if j.sends == 0 {
+		if no := r.admitSteps(j, forecast, least); no != nil {
+			return no
+		}
 	}
 	err := r.makeAll(ctx, j, p)
 	var end stepError
@@ -240,7 +242,7 @@
 	for n := range pieces {
 		pieces[n] = shed.Piece{
 			Request: j.ask.ID, Step: s.Index, Number: n, Inputs: inputs, Bytes: s.ResultBytes,
-			Left: j.deadline.Sub(now) - after, Aim: j.aim.Sub(now) - after,
+			Left: j.deadline.Sub(now) - after, Aim: r.aimOf(j, now) - after,
 			Near: near, Together: p.fetched(at) >= heavyBytes,
 		}
 		if len(inputs) == 0 {
@@ -261,6 +263,19 @@
 	return refs, ctx.Err()
 }
 
+// aimOf is the time in which the request should be answered. One that broke off
+// and is sent again goes before all others: its caller has a part of the answer
+// and gives up soon.
+func (r *Relay) aimOf(j *job, now time.Time) time.Duration {
+	if j.sends > 0 {
+		return max(j.aim.Sub(now), againAim)
+	}
+	return j.aim.Sub(now)
+}
+
+// againAim is the aim of a request that is sent again.
+const againAim = 800 * time.Millisecond
+
 // fetched is how many bytes of a step's results the pieces of other steps fetch:
 // each of them fetches all.
 func (p plan) fetched(at int) int64 {
