Relay: three VMs watch the store and tell the others

Now three watch, pass changes on at once, and load messages carry revision, hash and age, by which a VM that missed something reads it from a peer, or the store itself after 1.3 s without fresh word.

--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -79,6 +79,7 @@
 	TicketMove   *shed.TicketMove   `cbor:"9,keyasint,omitempty"`
 	RelayLoad    *shed.RelayLoad    `cbor:"10,keyasint,omitempty"`
 	ResultsFreed *shed.ResultsFreed `cbor:"11,keyasint,omitempty"`
+	StoreNews    *shed.StoreNews    `cbor:"12,keyasint,omitempty"`
 }
 
 // seal puts a control message into an envelope.
@@ -105,6 +106,8 @@
 		e.RelayLoad = &m
 	case shed.ResultsFreed:
 		e.ResultsFreed = &m
+	case shed.StoreNews:
+		e.StoreNews = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -134,6 +137,8 @@
 		return *e.RelayLoad, nil
 	case e.ResultsFreed != nil:
 		return *e.ResultsFreed, nil
+	case e.StoreNews != nil:
+		return *e.StoreNews, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -28,13 +28,13 @@
 	Results []shed.PieceResult `cbor:"1,keyasint,omitempty"`
 }
 
-// ItemsCall asks for the items of the store that a peer knows, if it knows more
-// than up to After.
+// ItemsCall asks for what a peer knows to have changed in the store after a
+// revision; for all items if that is 0.
 type ItemsCall struct {
 	After shed.Revision `cbor:"1,keyasint"`
 }
 
-// ItemsReply answers an ItemsCall; without Items, the peer knows no more.
+// ItemsReply answers an ItemsCall.
 type ItemsReply struct {
 	Items []shed.Item   `cbor:"1,keyasint,omitempty"`
 	AsOf  shed.Revision `cbor:"2,keyasint"`
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -64,8 +64,10 @@
 	waits map[shed.PoolID]peerWait
 	// shunned peers gather nothing for this VM until then.
 	shunned map[shed.VM]time.Time
-	// asOf is up to which revision of the store a peer knows everything.
-	asOf map[shed.VM]shed.Revision
+	// store is what each VM last told of what it knows of the store.
+	store map[shed.VM]storeWord
+	// pulling: what a peer knows more of the store is being read.
+	pulling bool
 
 	sequence uint64
 	placed   []shed.PromptPlaced
@@ -87,7 +89,7 @@
 		heard:   map[shed.VM]time.Time{},
 		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
-		asOf:    map[shed.VM]shed.Revision{},
+		store:   map[shed.VM]storeWord{},
 	}
 	r.joinMesh()
 }
@@ -166,7 +168,8 @@
 	}
 	r.mesh.sequence++
 	load := shed.RelayLoad{
-		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed, AsOf: r.roster.AsOf(),
+		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed,
+		AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
@@ -201,6 +204,8 @@
 		r.performMesh(r.group.Handle(now, shed.PeerMessage{From: from, Message: msg}))
 	case shed.RelayLoad:
 		r.heardLoad(now, from, m)
+	case shed.StoreNews:
+		r.heardNews(m)
 	case shed.ResultsFreed:
 		r.perform(r.batcher.Handle(now, batch.Freed{Refs: m.Refs}))
 	}
@@ -211,7 +216,7 @@
 		return
 	}
 	r.mesh.seen[from], r.mesh.heard[from.VM] = m.Sequence, now
-	r.mesh.asOf[from.VM] = m.AsOf
+	r.heardStore(now, from.VM, m)
 	delete(r.mesh.shunned, from.VM)
 	r.picker.PeerShares(from.VM, m.Servers)
 	r.heardHeld(now, from.VM, m.Held)
@@ -252,28 +257,31 @@
 // name two; both then send calls, which the servers' short queues bear. It is
 // false as long as this process is new and knows no peer.
 func (r *Relay) gatherer(now time.Time, pool shed.PoolID) (shed.VM, bool) {
+	vms := slices.DeleteFunc(r.present(now), func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
+	return rank.Owner(string(pool), vms)
+}
+
+// present are the VMs that are there by their load messages, this one among
+// them once it has settled.
+func (r *Relay) present(now time.Time) []shed.VM {
 	vms := r.alive()
 	silence := loadMissed * max(loadIdle, loadPeriod(len(vms)))
 	// A VM that stops is told no load any more.
 	stopping := r.stopping.Load()
 	vms = slices.DeleteFunc(vms, func(vm shed.VM) bool {
-		return now.Before(r.mesh.shunned[vm]) || !stopping && now.Sub(r.mesh.heard[vm]) > silence
+		return !stopping && now.Sub(r.mesh.heard[vm]) > silence
 	})
 	if now.Sub(r.mesh.started) >= settleFor && (!stopping || len(vms) == 0) {
 		vms = append(vms, r.mesh.self.VM)
 	}
-	return rank.Owner(string(pool), vms)
+	return vms
 }
 
 // Items implements peers.RelayHandler.
 func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply := peers.ItemsReply{AsOf: r.roster.AsOf()}
-	if reply.AsOf > call.After {
-		reply.Items = r.roster.Items()
-	}
-	return reply
+	return peers.ItemsReply{AsOf: r.roster.AsOf(), Items: r.roster.Since(call.After)}
 }
 
 // Pieces implements peers.RelayHandler.
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -7,6 +7,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/peers"
+	"jasmineshed/internal/rank"
 	"jasmineshed/internal/roster"
 
 	"github.com/sirupsen/logrus"
@@ -18,36 +19,77 @@
 	storeRetry = 250 * time.Millisecond
 	// peerAsk is how often a VM that doesn't reach the store asks a peer.
 	peerAsk = 400 * time.Millisecond
+	// watchers is how many VMs watch the store; they tell the others. Each call
+	// to the store is paid for, and its rate is shared by all. Three, since one
+	// may be turned away by the store and one be restarted at the same time.
+	watchers = 3
+	// staleAfter is how old the store's last answer may be, to this VM or to one
+	// that told it, before this VM reads the store by itself. Changes have to be
+	// in force within two seconds.
+	staleAfter = 1300 * time.Millisecond
+	// idlePoll is how often a VM that doesn't watch looks whether it should.
+	idlePoll = 100 * time.Millisecond
+	// watchesBy is how old the store's last answer to a VM may be for it to count
+	// as one that watches.
+	watchesBy = 2 * time.Second
 )
 
-// followStore keeps the roster up to date by watching the store; while the
-// store gives no answer, by asking a peer.
+// storeWord is what a VM told of what it knows of the store.
+type storeWord struct {
+	asOf   shed.Revision
+	digest uint64
+	// contact is when the store last answered it.
+	contact time.Time
+}
+
+// followStore keeps the roster up to date: by watching the store, if this is
+// one of the VMs that do, or nobody's word of it is new enough; else by what
+// those VMs tell.
 func (r *Relay) followStore(ctx context.Context) error {
 	var lastAsk time.Time
 	for ctx.Err() == nil {
-		err := r.readStore(ctx)
-		if err == nil {
+		if !r.watches(time.Now()) {
+			wait(ctx, idlePoll)
 			continue
 		}
-		if ctx.Err() != nil {
-			break
+		err := r.readStore(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
 		}
 		r.mu.Lock()
 		r.tellChanges(r.roster.StoreFailed(time.Now()))
 		r.mu.Unlock()
 		r.stats.storeFailures.Inc(1)
-		if !errors.Is(err, shed.ErrHistoryGone) && time.Since(lastAsk) >= peerAsk {
+		if time.Since(lastAsk) >= peerAsk {
 			lastAsk = time.Now()
 			r.askPeer(ctx, err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(storeRetry):
-		}
+		wait(ctx, storeRetry)
 	}
 	return ctx.Err()
 }
 
+// watches tells whether this VM reads the store now.
+func (r *Relay) watches(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.roster.Catalog() == nil || now.Sub(r.roster.Contact()) > staleAfter {
+		return true
+	}
+	var vms []shed.VM
+	for _, vm := range r.present(now) {
+		if vm == r.mesh.self.VM || now.Sub(r.mesh.store[vm].contact) < watchesBy {
+			vms = append(vms, vm)
+		}
+	}
+	for _, vm := range rank.Owners("store", vms, watchers) {
+		if vm == r.mesh.self.VM {
+			return true
+		}
+	}
+	return false
+}
+
 // readStore makes one call to the store: a list if nothing is known or the
 // history is gone, else a watch.
 func (r *Relay) readStore(ctx context.Context) error {
@@ -77,50 +119,132 @@
 	return nil
 }
 
+// learn takes in what the store or a peer said, and passes on what is new.
 func (r *Relay) learn(from roster.Source, items []shed.Item, asOf shed.Revision, whole bool) {
 	l := roster.Learned{Source: from, AsOf: asOf, Whole: whole}
 	for _, item := range items {
-		if !r.cfg.Store.Owns(item.Key) {
-			continue
+		if r.cfg.Store.Owns(item.Key) {
+			l.Items = append(l.Items, r.read(item))
 		}
-		e := roster.Entry{Item: item}
-		if !item.Gone {
-			fact, err := r.cfg.Store.Read(item)
-			if err != nil {
-				r.log.WithField("key", item.Key).WithError(err).Warn("item of the store is not used")
-			} else {
-				e.Fact = fact
-			}
-		}
-		l.Items = append(l.Items, e)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.roster.AsOf()
 	r.tellChanges(r.roster.Learn(time.Now(), l))
 	r.picker.Keep(r.roster.MaySend)
+	if from == roster.FromStore && len(l.Items) > 0 && before > 0 {
+		r.passOn(before)
+	}
 }
 
-// askPeer asks the peer that knows most of the store.
-func (r *Relay) askPeer(ctx context.Context, why error) {
-	r.mu.Lock()
-	after, client := r.roster.AsOf(), r.client
-	vm, asOf := shed.VM(""), shed.Revision(0)
-	for _, peer := range r.alive() {
-		if known := r.mesh.asOf[peer]; vm == "" || known > asOf {
-			vm, asOf = peer, known
+func (r *Relay) read(item shed.Item) roster.Entry {
+	e := roster.Entry{Item: item}
+	if item.Gone {
+		return e
+	}
+	fact, err := r.cfg.Store.Read(item)
+	if err != nil {
+		r.log.WithField("key", item.Key).WithError(err).Warn("item of the store is not used")
+		return e
+	}
+	e.Fact = fact
+	return e
+}
+
+// passOn tells peers what has changed since before: each one is told by one of
+// the VMs that watch. Who misses it learns of it by the next load message. The
+// caller holds mu.
+func (r *Relay) passOn(before shed.Revision) {
+	news := shed.StoreNews{After: before, AsOf: r.roster.AsOf(), Items: r.roster.Since(before)}
+	now := time.Now()
+	var vms []shed.VM
+	for _, vm := range r.present(now) {
+		if vm == r.mesh.self.VM || now.Sub(r.mesh.store[vm].contact) < watchesBy {
+			vms = append(vms, vm)
 		}
 	}
-	r.mu.Unlock()
-	if vm == "" || asOf <= after && after > 0 {
+	by := rank.Owners("store", vms, watchers)
+	for _, vm := range r.alive() {
+		if teller, ok := rank.Owner(string(vm), by); ok && teller == r.mesh.self.VM {
+			r.client.Send(vm, news)
+		}
+	}
+}
+
+// heardNews takes in what a peer passes on. The caller holds mu.
+func (r *Relay) heardNews(m shed.StoreNews) {
+	if m.AsOf <= r.roster.AsOf() || m.After > r.roster.AsOf() {
 		return
 	}
+	r.work.Go(func() error {
+		r.learn(roster.FromPeer, m.Items, m.AsOf, false)
+		return nil
+	})
+}
+
+// heardStore compares what a peer knows of the store with what this VM knows.
+// The caller holds mu.
+func (r *Relay) heardStore(now time.Time, from shed.VM, m shed.RelayLoad) {
+	word := storeWord{asOf: m.AsOf, digest: m.Digest, contact: now.Add(-m.Confirmed)}
+	r.mesh.store[from] = word
+	own := r.roster.AsOf()
+	switch {
+	case word.asOf < own || word.contact.Before(r.roster.Contact()):
+	case word.asOf == own && word.digest == r.roster.Digest():
+		r.roster.Confirmed(word.contact)
+	case !r.mesh.pulling:
+		r.mesh.pulling = true
+		r.work.Go(func() error {
+			defer r.pulled()
+			r.pull(r.base, from, own, word)
+			return nil
+		})
+	}
+}
+
+func (r *Relay) pulled() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mesh.pulling = false
+}
+
+// pull reads from a peer what it knows more: what has changed since, or all of
+// it if a deletion was missed.
+func (r *Relay) pull(ctx context.Context, vm shed.VM, own shed.Revision, word storeWord) {
+	after := own
+	if word.asOf == own {
+		after = 0
+	}
+	r.mu.Lock()
+	client := r.client
+	r.mu.Unlock()
 	reply, err := client.Items(ctx, vm, peers.ItemsCall{After: after})
-	if err != nil || len(reply.Items) == 0 {
+	if err != nil {
+		r.log.WithField("peer", vm).WithError(err).Info("items of the store not read from a peer")
+		return
+	}
+	r.learn(roster.FromPeer, reply.Items, reply.AsOf, after == 0)
+}
+
+// askPeer reads all from the peer that knows most of the store, since the store
+// gives no answer and nothing is known.
+func (r *Relay) askPeer(ctx context.Context, why error) {
+	r.mu.Lock()
+	own := r.roster.AsOf()
+	best := shed.VM("")
+	var word storeWord
+	for _, vm := range r.alive() {
+		if w := r.mesh.store[vm]; best == "" || w.asOf > word.asOf {
+			best, word = vm, w
+		}
+	}
+	r.mu.Unlock()
+	if best == "" || own > 0 && word.asOf <= own {
 		return
 	}
-	r.log.WithFields(logrus.Fields{"peer": vm, "as_of": reply.AsOf, "store_error": why.Error()}).
-		Info("store gives no answer; items taken from a peer")
-	r.learn(roster.FromPeer, reply.Items, reply.AsOf, true)
+	r.log.WithFields(logrus.Fields{"peer": best, "as_of": word.asOf, "store_error": why.Error()}).
+		Info("store gives no answer; reading from a peer")
+	r.pull(ctx, best, own, word)
 }
 
 // tellChanges logs what the roster believes anew. The caller holds mu.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,10 +5,13 @@
 package roster
 
 import (
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	shed "jasmineshed"
 )
 
@@ -112,8 +115,10 @@
 	// deleted holds the revision of deletions, so that an older item from a
 	// peer doesn't come back.
 	deleted map[string]shed.Revision
-	// asOf is the revision up to which the items are whole.
-	asOf shed.Revision
+	// asOf is the revision up to which the items are whole; digest is a hash of
+	// them.
+	asOf   shed.Revision
+	digest uint64
 
 	catalog    *shed.Catalog
 	catalogRev shed.Revision
@@ -152,7 +157,7 @@
 	}
 	for _, e := range l.Items {
 		if e.Gone {
-			out = r.remove(now, out, e.Key, e.Revision)
+			out = r.remove(now, out, l.Source, e.Key, e.Revision)
 		} else {
 			out = r.put(now, out, e)
 		}
@@ -253,13 +258,13 @@
 
 // remove takes an item away. An entry of a server that vanished while the store
 // was away is kept for a grace: the store drops entries that were not renewed,
-// though it was itself that could not be reached.
-func (r *Roster) remove(now time.Time, out []Change, key string, rev shed.Revision) []Change {
+// though it was itself that could not be reached. A peer has waited already.
+func (r *Roster) remove(now time.Time, out []Change, from Source, key string, rev shed.Revision) []Change {
 	old := r.items[key]
 	if old == nil || rev != 0 && rev < old.Revision {
 		return out
 	}
-	if l, ok := old.Fact.(shed.Listing); ok && !l.Leaving && now.Before(r.backAt.Add(r.cfg.LapseGrace)) {
+	if l, ok := old.Fact.(shed.Listing); ok && from == FromStore && !l.Leaving && now.Before(r.backAt.Add(r.cfg.LapseGrace)) {
 		if old.lapsedAt.IsZero() {
 			old.lapsedAt = now
 			out = append(out, Change{What: ServerLapsed, Key: key, Revision: rev, Server: l.ID, Zone: l.Zone})
@@ -318,7 +323,7 @@
 	}
 	for _, key := range r.keys() {
 		if !have[key] && r.items[key].Revision <= l.AsOf {
-			out = r.remove(now, out, key, 0)
+			out = r.remove(now, out, l.Source, key, 0)
 		}
 	}
 	return out
@@ -360,6 +365,7 @@
 
 // rebuild works out what the items say.
 func (r *Roster) rebuild() {
+	r.digest = r.digestItems()
 	clear(r.closed)
 	r.pools = map[shed.PoolID][]*Server{}
 	for _, key := range r.keys() {
@@ -380,7 +386,8 @@
 // AsOf is the revision up to which everything is known.
 func (r *Roster) AsOf() shed.Revision { return r.asOf }
 
-// Contact tells when the store last answered; zero if it never did.
+// Contact tells when the store last answered this daemon, or a peer that knew no
+// more; zero if it never did.
 func (r *Roster) Contact() time.Time { return r.contact }
 
 // Open returns the pool's servers that may have new work, sorted by id.
@@ -400,18 +407,57 @@
 	return s != nil && !s.Leaving && !r.closed[s.Zone]
 }
 
-// Items returns all items as they lie in the store, for a peer that doesn't
-// reach it, sorted by key.
-func (r *Roster) Items() []shed.Item {
-	out := make([]shed.Item, 0, len(r.items))
+// Since returns what has changed after a revision, for a peer that doesn't read
+// the store by itself: items sorted by key, then deletions. All of it if after
+// is 0.
+func (r *Roster) Since(after shed.Revision) []shed.Item {
+	var out []shed.Item
 	for _, key := range r.keys() {
-		if h := r.items[key]; h.lapsedAt.IsZero() {
+		if h := r.items[key]; h.Revision > after {
 			out = append(out, h.Item)
 		}
 	}
+	if after == 0 {
+		return out
+	}
+	gone := make([]string, 0, len(r.deleted))
+	for key, rev := range r.deleted {
+		if rev > after && r.items[key] == nil {
+			gone = append(gone, key)
+		}
+	}
+	slices.Sort(gone)
+	for _, key := range gone {
+		out = append(out, shed.Item{Key: key, Revision: r.deleted[key], Gone: true})
+	}
 	return out
 }
 
+// Digest is a hash of all items that are held, the same on all daemons that hold
+// the same.
+func (r *Roster) Digest() uint64 { return r.digest }
+
+func (r *Roster) digestItems() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var num [8]byte
+	for _, key := range r.keys() {
+		// A write to a digest can't fail.
+		_, _ = d.WriteString(key)
+		binary.LittleEndian.PutUint64(num[:], uint64(r.items[key].Revision))
+		_, _ = d.Write(num[:])
+	}
+	return d.Sum64()
+}
+
+// Confirmed notes that the store answered a peer at that time, and that this
+// daemon knows all that the peer knows of it.
+func (r *Roster) Confirmed(at time.Time) {
+	if at.After(r.contact) {
+		r.contact = at
+	}
+}
+
 // Route finds the route of a request: that of its host with the longest prefix.
 func Route(c *shed.Catalog, host, target string) *shed.Route {
 	path, _, _ := strings.Cut(target, "?")
--- a/message.go
+++ b/message.go
@@ -136,8 +136,12 @@
 	Waits    []PieceWait              `cbor:"3,keyasint,omitempty"`
 	// Placed are the prompts placed since the last one.
 	Placed []PromptPlaced `cbor:"4,keyasint,omitempty"`
-	// AsOf is up to which revision of the store the sender knows everything.
-	AsOf Revision `cbor:"5,keyasint,omitempty"`
+	// AsOf is up to which revision of the store the sender knows everything,
+	// Digest a hash of what it holds of it, Confirmed how long ago the store
+	// answered, to the sender or to a peer of its that knew no more.
+	AsOf      Revision      `cbor:"5,keyasint,omitempty"`
+	Digest    uint64        `cbor:"7,keyasint,omitempty"`
+	Confirmed time.Duration `cbor:"8,keyasint,omitempty"`
 	// Held are the bytes of results that servers hold for the sender, which
 	// gathers pieces.
 	Held map[ServerID]int64 `cbor:"6,keyasint,omitempty"`
@@ -172,6 +176,14 @@
 	Refs []ResultRef `cbor:"1,keyasint"`
 }
 
+// StoreNews passes on what has changed in the platform's store after a revision.
+type StoreNews struct {
+	After Revision `cbor:"1,keyasint"`
+	AsOf  Revision `cbor:"2,keyasint"`
+	Items []Item   `cbor:"3,keyasint"`
+}
+
+func (StoreNews) message()    {}
 func (RelayLoad) message()    {}
 func (ResultsFreed) message() {}
 func (ConfigDigest) message() {}
