--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -580,7 +580,11 @@
 		return b.failAll(out, g)
 	}
 	slices.SortStableFunc(idle, func(x, y shed.Listing) int {
-		return cmp.Compare(b.makers[x.ID].slow, b.makers[y.ID].slow)
+		mx, my := b.makers[x.ID], b.makers[y.ID]
+		if c := cmp.Compare(mx.doubted, my.doubted); c != 0 {
+			return c
+		}
+		return cmp.Compare(mx.slow, my.slow)
 	})
 	for _, s := range idle {
 		if len(g.waiting) == 0 {
@@ -634,7 +638,7 @@
 // would be over before a call ends, or it would be late while others wait that
 // need not be. Then its caller is better told at once.
 func (b *Batcher) hopeless(now time.Time, g *group, p *piece, crowded bool) bool {
-	soonest := now.Add(g.limits.CallTime)
+	soonest := g.soonest(now)
 	return soonest.After(p.job.deadline) || crowded && soonest.After(p.job.aim)
 }
 
@@ -654,7 +658,7 @@
 // they went first, all would be late once there is more than can be served.
 // Results are wanted near the server that will fetch them.
 func (b *Batcher) sortWaiting(now time.Time, g *group, zone shed.ZoneID) {
-	soonest := now.Add(g.limits.CallTime)
+	soonest := g.soonest(now)
 	key := func(p *piece) time.Time {
 		due := p.job.aim
 		if due.Before(soonest) {
@@ -673,6 +677,11 @@
 	})
 }
 
+// soonest is when a call that is sent now could be done.
+func (g *group) soonest(now time.Time) time.Time {
+	return now.Add(expected(g.limits, min(len(g.waiting), g.limits.Most)))
+}
+
 func expected(l shed.BatchLimits, pieces int) time.Duration {
 	return l.CallTime + time.Duration(pieces)*l.PieceTime
 }
@@ -821,7 +830,7 @@
 	if rate == 0 {
 		return Forecast{Timely: NoServers, Last: NoServers}
 	}
-	timely, all := b.backlog(now, pool, limits)
+	timely, all := b.backlog(now, pool)
 	wait := func(n int) time.Duration {
 		queue := time.Duration(0)
 		if n >= limits.Most {
@@ -833,12 +842,12 @@
 }
 
 // backlog counts the pieces that wait: those that can be in time, and all.
-func (b *Batcher) backlog(now time.Time, pool shed.PoolID, limits shed.BatchLimits) (timely, all int) {
+func (b *Batcher) backlog(now time.Time, pool shed.PoolID) (timely, all int) {
 	g := b.groups[pool]
 	if g == nil {
 		return 0, 0
 	}
-	soonest := now.Add(limits.CallTime)
+	soonest := g.soonest(now)
 	for _, p := range g.waiting {
 		if p.settled {
 			continue
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -15,7 +15,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"jasmineshed/internal/prefs"
@@ -61,7 +60,7 @@
 // listener adds the connection limit and TLS. The limit comes first, so that a
 // connection counts from its handshake on.
 func (s *Server) listener() net.Listener {
-	l := netutil.LimitListener(s.cfg.Listener, s.cfg.Limits.Connections)
+	var l net.Listener = newLimitListener(s.cfg.Listener, s.cfg.Limits.Connections)
 	if s.cfg.TLS == nil {
 		return l
 	}
--- /dev/null
+++ b/internal/httpd/limit.go
@@ -0,0 +1,67 @@
+package httpd
+
+import (
+	"errors"
+	"net"
+	"sync"
+)
+
+// limitListener bounds the connections that are open at once; more wait to be
+// accepted.
+//
+// The ready-made one of golang.org/x/net hides CloseWrite. Without that, net/http
+// can't half-close a connection after it has refused a header or body that it
+// did not read to its end, and the caller gets a reset in place of the refusal.
+type limitListener struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newLimitListener(l net.Listener, most int) *limitListener {
+	return &limitListener{Listener: l, places: make(chan struct{}, most), closed: make(chan struct{})}
+}
+
+// Accept waits for a free place, then for a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &limitedConn{Conn: c, free: func() { <-l.places }}, nil
+}
+
+// Close also ends the wait for a place.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// limitedConn gives its place back once.
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+// Close closes the connection and frees its place.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.free)
+	return err
+}
+
+// CloseWrite closes the sending side, where the connection can do so.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -38,7 +38,7 @@
 	// runCost is what each request that runs on an engine adds to the first
 	// token's delay: its share of the batch step and of prompts being read.
 	runCost = 4 * time.Millisecond
-	// usualTime is taken for a plain call on a server not called yet.
+	// usualTime is taken for a plain call while no server was called yet.
 	usualTime = 30 * time.Millisecond
 	// timeShare is the weight of the newest sample in a server's mean time.
 	timeShare = 0.2
@@ -139,6 +139,7 @@
 func (p *Picker) Pick(now time.Time, w Want, from []*roster.Server) Choice {
 	var best Choice
 	chain := chains(w.Prompt)
+	usual := p.usual(from)
 	held := false
 	for _, s := range from {
 		if avoided(w.Avoid, s.ID) {
@@ -148,7 +149,7 @@
 			held = true
 			continue
 		}
-		c := p.cost(now, &w, s, chain)
+		c := p.cost(now, &w, s, chain, usual)
 		if best.Server == nil || c.Cost < best.Cost {
 			best = c
 		}
@@ -157,6 +158,21 @@
 	return best
 }
 
+// usual is the time taken for a server not called yet: that of the fastest one,
+// so that a new or reopened server is tried.
+func (p *Picker) usual(from []*roster.Server) time.Duration {
+	least := time.Duration(0)
+	for _, s := range from {
+		if took := p.state(s).took; took > 0 && (least == 0 || took < least) {
+			least = took
+		}
+	}
+	if least == 0 {
+		return usualTime
+	}
+	return least
+}
+
 func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
 	for _, a := range avoid {
 		if a == id {
@@ -166,7 +182,7 @@
 	return false
 }
 
-func (p *Picker) cost(now time.Time, w *Want, s *roster.Server, chain []uint64) Choice {
+func (p *Picker) cost(now time.Time, w *Want, s *roster.Server, chain []uint64, usual time.Duration) Choice {
 	st := p.state(s)
 	running, reading := st.own, st.reading
 	for _, share := range st.peers {
@@ -183,7 +199,7 @@
 	} else {
 		took := st.took
 		if took == 0 {
-			took = usualTime
+			took = usual
 		}
 		c.Cost = took + took*time.Duration(running)/time.Duration(max(s.Slots, 1))
 		if running >= s.Slots && s.Slots > 0 {
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,161 @@
+package picker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/picker"
+	"jasmineshed/internal/roster"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func servers(n int, change func(i int, s *roster.Server)) []*roster.Server {
+	var out []*roster.Server
+	for i := range n {
+		s := &roster.Server{Listing: shed.Listing{
+			ID: shed.ServerID(fmt.Sprintf("s%02d", i)), Zone: shed.ZoneID(string(rune('a' + i%3))), Slots: 64, Born: 1,
+		}}
+		if change != nil {
+			change(i, s)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func prompt(shared string, own int) picker.Want {
+	return picker.Want{Engine: true, Prompt: []shed.PromptPart{
+		{ID: shared, Tokens: 13000}, {ID: fmt.Sprint("own", own), Tokens: 3000},
+	}}
+}
+
+// Two VMs that have told each other nothing yet place the first requests with a
+// prefix. They meet on one server, so that the prefix is read once.
+func TestPrefixMeetsOnOneServer(t *testing.T) {
+	from := servers(12, nil)
+	one, two := picker.New(picker.Config{Zone: "a"}), picker.New(picker.Config{Zone: "a"})
+	for i := range 40 {
+		w := prompt(fmt.Sprint("shared", i), i)
+		require.Equal(t, one.Pick(start, w, from).Server.ID, two.Pick(start, w, from).Server.ID)
+	}
+}
+
+func TestPrefixStaysUnlessItsServerIsCrowded(t *testing.T) {
+	from := servers(12, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	home := p.Pick(start, prompt("x", 0), from)
+	p.Placed(start, prompt("x", 0), home)
+	require.Equal(t, shed.Tokens(16000), home.Missing)
+	p.Began(home)
+	next := p.Pick(start, prompt("x", 1), from)
+	require.Equal(t, home.Server.ID, next.Server.ID)
+	require.Equal(t, shed.Tokens(3000), next.Missing)
+	// Peers have so many prompts waiting there that reading the prefix
+	// elsewhere is sooner done.
+	p.PeerShares("vm2", map[shed.ServerID]shed.ServerShare{home.Server.ID: {Running: 40, Reading: 40000}})
+	require.NotEqual(t, home.Server.ID, p.Pick(start, prompt("x", 2), from).Server.ID)
+	p.PeerShares("vm2", nil)
+	require.Equal(t, home.Server.ID, p.Pick(start, prompt("x", 2), from).Server.ID)
+}
+
+// A peer placed the prefix; this VM was told and follows it.
+func TestPrefixSeenByAPeer(t *testing.T) {
+	from := servers(12, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	p.Pick(start, prompt("x", 0), from)
+	other := from[7]
+	p.Seen(start, other.ID, picker.Chains(prompt("x", 0).Prompt))
+	require.Equal(t, other.ID, p.Pick(start, prompt("x", 1), from).Server.ID)
+}
+
+// All VMs send to one cold server as fast as their shares let them, in the worst
+// second at the worst phase. Together they stay below what it bears.
+func TestColdServerGetsItsRate(t *testing.T) {
+	const vms, rate, most = 9, 8.8, 8.8*1.5 + 5
+	cold := servers(1, func(_ int, s *roster.Server) { s.ColdUntil = start.Add(time.Hour) })
+	var sent []time.Time
+	for vm := range vms {
+		p := picker.New(picker.Config{Zone: "a"})
+		w := picker.Want{Engine: true, ColdRate: rate / vms}
+		for ms := 0; ms < 5000; ms += 5 {
+			now := start.Add(time.Duration(ms+vm) * time.Millisecond)
+			c := p.Pick(now, w, cold)
+			require.Equal(t, c.Server == nil, c.Cold)
+			if c.Server != nil {
+				p.Placed(now, w, c)
+				sent = append(sent, now)
+			}
+		}
+	}
+	for _, from := range sent {
+		n := 0
+		for _, at := range sent {
+			if !at.Before(from) && at.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), most)
+	}
+	require.Greater(t, len(sent), 30, "and it is used")
+}
+
+// A warm server's share counts too: it may turn cold without a word, and then
+// what it got in the second before counts.
+func TestTurnedColdUnseen(t *testing.T) {
+	from := servers(1, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	w := picker.Want{Engine: true, ColdRate: 1}
+	p.Placed(start, w, p.Pick(start, w, from))
+	from[0].ColdUntil = start.Add(3 * time.Second)
+	require.True(t, p.Pick(start.Add(100*time.Millisecond), w, from).Cold)
+	require.NotNil(t, p.Pick(start.Add(1100*time.Millisecond), w, from).Server)
+}
+
+// A server answers with failures though its health check is good. It gets less
+// work for a while, and is tried again later.
+func TestFailingServerIsAvoided(t *testing.T) {
+	from := servers(2, func(_ int, s *roster.Server) { s.Zone, s.Slots = "a", 6 })
+	p := picker.New(picker.Config{Zone: "a"})
+	first := p.Pick(start, picker.Want{}, from)
+	p.Placed(start, picker.Want{}, first)
+	p.Ended(start, first, picker.End{Failed: true})
+	require.NotEqual(t, first.Server.ID, p.Pick(start, picker.Want{}, from).Server.ID)
+	require.Equal(t, first.Server.ID, p.Pick(start.Add(time.Minute), picker.Want{}, from).Server.ID)
+}
+
+func TestAvoided(t *testing.T) {
+	from := servers(2, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	w := picker.Want{Avoid: []shed.ServerID{"s00"}}
+	require.Equal(t, shed.ServerID("s01"), p.Pick(start, w, from).Server.ID)
+	w.Avoid = append(w.Avoid, "s01")
+	require.Nil(t, p.Pick(start, w, from).Server)
+}
+
+// A server starts again under its id: it has read nothing.
+func TestNewStartKnowsNothing(t *testing.T) {
+	from := servers(1, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	c := p.Pick(start, prompt("x", 0), from)
+	p.Placed(start, prompt("x", 0), c)
+	require.Equal(t, shed.Tokens(3000), p.Pick(start, prompt("x", 1), from).Missing)
+	from[0].Born = 2
+	require.Equal(t, shed.Tokens(16000), p.Pick(start, prompt("x", 1), from).Missing)
+}
+
+// Large inputs lie in zone b: a server there is taken unless reading the prompt
+// again costs more.
+func TestInputsPullTheirZone(t *testing.T) {
+	from := servers(3, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	w := picker.Want{Engine: true, Zone: "b", ZoneCost: 100 * time.Millisecond}
+	require.Equal(t, shed.ZoneID("b"), p.Pick(start, w, from).Server.Zone)
+	w.Prompt = prompt("x", 0).Prompt
+	p.Seen(start, "s02", picker.Chains(w.Prompt))
+	require.Equal(t, shed.ServerID("s02"), p.Pick(start, w, from).Server.ID)
+}
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -131,7 +131,7 @@
 	defer r.mu.Unlock()
 	before := r.roster.AsOf()
 	r.tellChanges(r.roster.Learn(time.Now(), l))
-	r.picker.Keep(r.roster.MaySend)
+	r.picker.Keep(r.roster.Listed)
 	if from == roster.FromStore && len(l.Items) > 0 && before > 0 {
 		r.passOn(before)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -401,6 +401,9 @@
 	return out
 }
 
+// Listed tells whether the server is known, open or not.
+func (r *Roster) Listed(id shed.ServerID) bool { return r.servers[id] != nil }
+
 // MaySend tells whether the server may still have new work.
 func (r *Roster) MaySend(id shed.ServerID) bool {
 	s := r.servers[id]
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,218 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/roster"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func server(id string, rev shed.Revision, change func(*shed.Listing)) roster.Entry {
+	l := shed.Listing{ID: shed.ServerID(id), Pool: "lm", Addr: id + ":1", Zone: "a", Born: 1}
+	if change != nil {
+		change(&l)
+	}
+	return roster.Entry{Item: shed.Item{Key: "s/" + id, Revision: rev}, Fact: l}
+}
+
+func gone(id string, rev shed.Revision) roster.Entry {
+	return roster.Entry{Item: shed.Item{Key: "s/" + id, Revision: rev, Gone: true}}
+}
+
+func closed(zone shed.ZoneID, rev shed.Revision, isGone bool) roster.Entry {
+	e := roster.Entry{Item: shed.Item{Key: "z/" + string(zone), Revision: rev, Gone: isGone}}
+	if !isGone {
+		e.Fact = shed.ZoneClosed{Zone: zone}
+	}
+	return e
+}
+
+func catalog(version string, rev shed.Revision) roster.Entry {
+	return roster.Entry{Item: shed.Item{Key: "c", Revision: rev}, Fact: &shed.Catalog{
+		Version: version, Pools: map[shed.PoolID]*shed.RelayPool{"lm": {ID: "lm", ColdFor: 3 * time.Second, ColdRate: 8}},
+	}}
+}
+
+func store(asOf shed.Revision, entries ...roster.Entry) roster.Learned {
+	return roster.Learned{Source: roster.FromStore, AsOf: asOf, Items: entries}
+}
+
+// healthy is a roster whose store has answered for a while.
+func healthy(entries ...roster.Entry) (*roster.Roster, time.Time) {
+	r := roster.New(roster.Config{})
+	l := store(10, entries...)
+	l.Whole = true
+	r.Learn(start, l)
+	now := start
+	for range 5 {
+		now = now.Add(time.Second)
+		r.Learn(now, store(10))
+		r.Tick(now)
+	}
+	return r, now
+}
+
+func open(r *roster.Roster) []shed.ServerID {
+	var out []shed.ServerID
+	for _, s := range r.Open("lm") {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func TestLeavingServersGetNoNewWork(t *testing.T) {
+	r, now := healthy(catalog("1", 1), server("x", 2, nil), server("y", 3, nil))
+	require.Equal(t, []shed.ServerID{"x", "y"}, open(r))
+	r.Learn(now, store(11, server("x", 11, func(l *shed.Listing) { l.Leaving = true })))
+	require.Equal(t, []shed.ServerID{"y"}, open(r))
+	r.Learn(now, store(12, gone("y", 12)))
+	require.Empty(t, open(r))
+	require.False(t, r.MaySend("y"))
+}
+
+// The store was away for so long that servers could not renew their entries.
+// They vanish at its return and are back a moment later. Callers must be served
+// meanwhile; a server that stays away is dropped after the grace.
+func TestEntriesThatLapseInAnOutage(t *testing.T) {
+	r, now := healthy(catalog("1", 1), server("x", 2, nil), server("y", 3, nil))
+	for range 4 {
+		now = now.Add(time.Second)
+		r.StoreFailed(now)
+	}
+	r.Learn(now, store(13, gone("x", 12), gone("y", 13)))
+	require.Equal(t, []shed.ServerID{"x", "y"}, open(r))
+	now = now.Add(time.Second)
+	r.Learn(now, store(14, server("x", 14, nil)))
+	r.Tick(now)
+	require.Equal(t, []shed.ServerID{"x", "y"}, open(r))
+	now = now.Add(1300 * time.Millisecond)
+	r.Learn(now, store(14))
+	r.Tick(now)
+	require.Equal(t, []shed.ServerID{"x"}, open(r))
+}
+
+// One call to the store failed, as when a watch is cut. No entry can have lapsed
+// in so short a time: a deletion counts at once, else new work would go to a
+// server that has left for longer than allowed.
+func TestShortGapGivesNoGrace(t *testing.T) {
+	r, now := healthy(catalog("1", 1), server("x", 2, nil))
+	now = now.Add(1800 * time.Millisecond)
+	r.StoreFailed(now)
+	r.Learn(now, store(11, gone("x", 11)))
+	require.Empty(t, open(r))
+}
+
+// Operators take a zone out and back. Its servers had no work for a while and
+// may have turned cold: full load at once would fell them.
+func TestReopenedZoneIsCold(t *testing.T) {
+	r, now := healthy(catalog("1", 1), server("x", 2, nil))
+	r.Learn(now, store(11, closed("a", 11, false)))
+	require.Empty(t, open(r))
+	now = now.Add(10 * time.Second)
+	r.Learn(now, store(12, closed("a", 12, true)))
+	require.Equal(t, []shed.ServerID{"x"}, open(r))
+	require.True(t, r.Open("lm")[0].Cold(now.Add(2900*time.Millisecond)))
+	require.False(t, r.Open("lm")[0].Cold(now.Add(3*time.Second)))
+}
+
+func TestNewServerIsColdForAsLongAsItSays(t *testing.T) {
+	r, now := healthy(catalog("1", 1))
+	r.Learn(now, store(11, server("x", 11, func(l *shed.Listing) { l.Cold = time.Second })))
+	require.True(t, r.Open("lm")[0].Cold(now))
+	r.TurnedCold(now, "x", 2*time.Second)
+	require.True(t, r.Open("lm")[0].Cold(now.Add(1900*time.Millisecond)))
+}
+
+// Another writer spoils an entry, and the configuration. The entry names no
+// server any more; the last configuration that could be read stays in force.
+func TestUnreadableItems(t *testing.T) {
+	r, now := healthy(catalog("1", 1), server("x", 2, nil), server("y", 3, nil))
+	r.Learn(now, store(12,
+		roster.Entry{Item: shed.Item{Key: "s/x", Revision: 11}}, roster.Entry{Item: shed.Item{Key: "c", Revision: 12}}))
+	require.Equal(t, []shed.ServerID{"y"}, open(r))
+	require.Equal(t, "1", r.Catalog().Version)
+}
+
+// A peer that lags tells of a server that is deleted, and of an old
+// configuration. Neither may come back.
+func TestNeverOlder(t *testing.T) {
+	r, now := healthy(catalog("2", 5), server("x", 2, nil))
+	r.Learn(now, store(11, gone("x", 11)))
+	r.Learn(now, roster.Learned{
+		Source: roster.FromPeer, AsOf: 10, Whole: true, Items: []roster.Entry{catalog("1", 1), server("x", 2, nil)},
+	})
+	require.Empty(t, open(r))
+	require.Equal(t, "2", r.Catalog().Version)
+	require.Equal(t, shed.Revision(11), r.AsOf())
+}
+
+func TestRoute(t *testing.T) {
+	c := &shed.Catalog{Routes: []shed.Route{
+		{ID: "short", Host: "h", Prefix: "/a/"}, {ID: "long", Host: "h", Prefix: "/a/b/"}, {ID: "other", Host: "g", Prefix: "/a/"},
+	}}
+	for target, want := range map[string]shed.RouteID{
+		"/a/x": "short", "/a/b/x": "long", "/a/b/": "long", "/a/b?/a/b/": "short", "/a/bc": "short", "/b/": "",
+	} {
+		got := roster.Route(c, "h", target)
+		if want == "" {
+			require.Nil(t, got, target)
+			continue
+		}
+		require.Equal(t, want, got.ID, target)
+	}
+	require.Nil(t, roster.Route(c, "nowhere", "/a/x"))
+}
+
+// One VM watches the store, the other hears it from the first, with messages
+// lost: by the changes since what it has, and all of it when hashes differ. In
+// the end both hold the same.
+func TestPeersAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		first, second := roster.New(roster.Config{}), roster.New(roster.Config{})
+		now, rev := start, shed.Revision(1)
+		facts := map[string]shed.Fact{}
+		entries := func(items []shed.Item) []roster.Entry {
+			var out []roster.Entry
+			for _, it := range items {
+				out = append(out, roster.Entry{Item: it, Fact: facts[fmt.Sprint(it.Key, it.Revision)]})
+			}
+			return out
+		}
+		for range rapid.IntRange(1, 40).Draw(rt, "changes") {
+			now = now.Add(300 * time.Millisecond)
+			rev++
+			id := fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "server"))
+			e := server(id, rev, nil)
+			if rapid.Bool().Draw(rt, "gone") {
+				e = gone(id, rev)
+			}
+			facts[fmt.Sprint(e.Key, e.Revision)] = e.Fact
+			before := first.AsOf()
+			first.Learn(now, store(rev, e))
+			first.Tick(now)
+			if rapid.Bool().Draw(rt, "arrives") && before > 0 && second.AsOf() >= before {
+				second.Learn(now, roster.Learned{Source: roster.FromPeer, AsOf: rev, Items: entries(first.Since(before))})
+			}
+		}
+		now = now.Add(10 * time.Second)
+		first.Learn(now, store(rev))
+		now = now.Add(3 * time.Second)
+		first.Learn(now, store(rev))
+		first.Tick(now)
+		if second.AsOf() > 0 && second.AsOf() < first.AsOf() {
+			second.Learn(now, roster.Learned{Source: roster.FromPeer, AsOf: rev, Items: entries(first.Since(second.AsOf()))})
+		}
+		if second.Digest() != first.Digest() {
+			second.Learn(now, roster.Learned{Source: roster.FromPeer, AsOf: rev, Whole: true, Items: entries(first.Since(0))})
+		}
+		require.Equal(rt, open(first), open(second))
+		require.Equal(rt, first.Digest(), second.Digest())
+	})
+}
