--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,8 @@
 
 	// guests are the calls that run here for a peer.
 	guests map[shed.Call]bool
+	// waiting are those among them that wait for a place, oldest first.
+	waiting []waitingGuest
 	// local are the calls under way on servers of this zone.
 	local map[shed.Call]shed.ServerID
 	// handed are the calls under way at peers, with where.
@@ -192,6 +194,7 @@
 	}
 	c.adopt(now)
 	c.dispatch(now, ev)
+	c.guestsOn(now)
 	c.flowOn(now)
 	return c.out
 }
--- a/internal/core/guest.go
+++ b/internal/core/guest.go
@@ -13,8 +13,24 @@
 	guestSilence = 2 * time.Second
 	// guestComeBack is when a peer that was refused may ask again.
 	guestComeBack = 200 * time.Millisecond
+	// guestWait is the longest that a stage call of a peer waits for a place:
+	// about as long as a short call, so that each one meets some freed place.
+	guestWait = 400 * time.Millisecond
+	// maxWaiting bounds the stage calls of peers that wait.
+	maxWaiting = 64
 )
 
+// waitingGuest is a stage call of a peer that waits for a place.
+//
+// Were it refused at once, each freed place would go to a request of this zone
+// that waits here, since the peer can only ask now and then. Requests of a zone
+// whose own servers are leaving then waited for another zone until their
+// deadlines, though both others served all of theirs.
+type waitingGuest struct {
+	event shed.StageAsked
+	until time.Time
+}
+
 // stageAsked places a stage call that a peer handed over: under this daemon's
 // own rules, at once or not at all, and one attempt at the most.
 func (c *Core) stageAsked(now time.Time, e shed.StageAsked) {
@@ -34,17 +50,67 @@
 		c.refuseStage(ask.Call, shed.ReasonTooManyHops, 0)
 		return
 	}
+	w := waitingGuest{event: e, until: now.Add(min(guestWait, ask.Budget/4))}
+	p := c.placeGuest(now, w, stage)
+	if p.Kind == shed.PlaceWait && len(c.waiting) < maxWaiting {
+		c.guests[ask.Call] = true
+		c.waiting = append(c.waiting, w)
+		return
+	}
+	c.refuseGuest(w, p)
+}
+
+// placeGuest starts the guest's call, or passes it on, if that can be done now.
+func (c *Core) placeGuest(now time.Time, w waitingGuest, stage shed.Stage) shed.Placement {
+	ask := w.event.Ask
+	ask.Budget -= now.Sub(w.until.Add(-min(guestWait, ask.Budget/4)))
 	q := shed.PlaceAsk{StageAsk: ask, Stage: stage, Deadline: now.Add(ask.Budget)}
-	p := c.placeHere(now, q, c.pools[stage.Pool], e.From.VM)
+	p := c.placeHere(now, q, c.pools[stage.Pool], w.event.From.VM)
 	switch p.Kind {
 	case shed.PlaceLocal:
 		c.startGuest(now, q, p.Server)
 	case shed.PlacePeer:
 		c.passOn(now, q, p.Peer)
-	default:
-		c.out = append(c.out, shed.Note{Reason: p.Reason, Request: ask.Call.Request, Zone: c.cfg.Zone, Rule: p.Rule})
-		c.refuseStage(ask.Call, p.Reason, guestComeBack)
 	}
+	return p
+}
+
+// refuseGuest answers a guest that was not placed.
+func (c *Core) refuseGuest(w waitingGuest, p shed.Placement) {
+	if p.Kind == shed.PlaceLocal || p.Kind == shed.PlacePeer {
+		return
+	}
+	call := w.event.Ask.Call
+	delete(c.guests, call)
+	c.out = append(c.out, shed.Note{Reason: p.Reason, Request: call.Request, Zone: c.cfg.Zone, Rule: p.Rule})
+	c.refuseStage(call, p.Reason, guestComeBack)
+}
+
+// guestsOn offers places that may have freed to the guests that wait, the first
+// one first, and refuses those that have waited for too long. At most one is
+// started, so that the requests of this zone have their turn, too.
+func (c *Core) guestsOn(now time.Time) {
+	started := false
+	keep := c.waiting[:0]
+	for _, w := range c.waiting {
+		stage, reason := c.stageOf(now, w.event.Ask)
+		p := shed.Placement{Kind: shed.PlaceNowhere, Reason: reason}
+		if reason == shed.ReasonNone {
+			p = shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+			if !started {
+				p = c.placeGuest(now, w, stage)
+			}
+		}
+		switch {
+		case p.Kind == shed.PlaceLocal || p.Kind == shed.PlacePeer:
+			started = true
+		case p.Kind == shed.PlaceWait && now.Before(w.until) && !c.stop.refuses(now):
+			keep = append(keep, w)
+		default:
+			c.refuseGuest(w, p)
+		}
+	}
+	c.waiting = keep
 }
 
 // stageOf finds the stage in the rules in force here, which may be older or
