--- /dev/null
+++ b/internal/batch/dispatch.go
@@ -0,0 +1,241 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// dispatch gives the group's waiting pieces to servers that have no call.
+func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
+	if len(g.waiting) == 0 {
+		return out
+	}
+	out = b.giveUpLate(now, out, g)
+	servers := b.servers(g.pool)
+	usable := 0
+	var idle []shed.Listing
+	for _, s := range servers {
+		m := b.maker(s)
+		if now.Before(m.shunned) {
+			usable += b.soon(now, m)
+			continue
+		}
+		usable++
+		if m.running == 0 {
+			idle = append(idle, s)
+		}
+	}
+	if usable == 0 {
+		return b.failAll(out, g)
+	}
+	slices.SortStableFunc(idle, func(x, y shed.Listing) int {
+		mx, my := b.makers[x.ID], b.makers[y.ID]
+		if c := cmp.Compare(mx.doubted, my.doubted); c != 0 {
+			return c
+		}
+		return cmp.Compare(mx.slow, my.slow)
+	})
+	for _, s := range idle {
+		if len(g.waiting) == 0 {
+			break
+		}
+		b.sortWaiting(now, g, s.Zone)
+		if b.worthWaiting(now, g, servers, s) {
+			continue
+		}
+		out = b.send(now, out, g, servers, s)
+	}
+	return out
+}
+
+// giveUpLate answers pieces whose time would be over before a call ends: no
+// server need work on them.
+func (b *Batcher) giveUpLate(now time.Time, out []Action, g *group) []Action {
+	var keep []*piece
+	crowded := b.Wait(now, g.pool, g.limits).Last > crowdedFrom
+	for _, p := range g.waiting {
+		if p.settled || p.job.dropped {
+			continue
+		}
+		if p.out == 0 && b.hopeless(now, g, p, crowded) {
+			out = b.settle(out, p, shed.PieceResult{End: shed.PieceLate})
+			continue
+		}
+		keep = append(keep, p)
+	}
+	g.waiting = keep
+	return out
+}
+
+// hopeless tells whether the piece is not worth waiting for any more: its time
+// would be over before a call ends, or it would be late while others wait that
+// need not be. Then its caller is better told at once.
+func (b *Batcher) hopeless(now time.Time, g *group, p *piece, crowded bool) bool {
+	soonest := g.soonest(now)
+	return soonest.After(p.job.deadline) || crowded && soonest.After(p.job.aim)
+}
+
+// failAll answers all pieces when no server can make them, so that the asker
+// may try another zone at once.
+func (b *Batcher) failAll(out []Action, g *group) []Action {
+	waiting := g.waiting
+	g.waiting = nil
+	for _, p := range waiting {
+		out = b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
+	}
+	return out
+}
+
+// sortWaiting orders pieces by the time at which their results should be there.
+// Those that can't make it any more come after the others by their deadline: if
+// they went first, all would be late once there is more than can be served.
+// Results are wanted near the server that will fetch them.
+func (b *Batcher) sortWaiting(now time.Time, g *group, zone shed.ZoneID) {
+	soonest := g.soonest(now)
+	key := func(p *piece) time.Time {
+		due := p.job.aim
+		if due.Before(soonest) {
+			due = p.job.deadline
+		}
+		if p.wanted() == zone {
+			due = due.Add(-nearBonus)
+		}
+		return due
+	}
+	slices.SortStableFunc(g.waiting, func(x, y *piece) int {
+		if c := key(x).Compare(key(y)); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.job.id, y.job.id)
+	})
+}
+
+// soonest is when a call that is sent now could be done.
+func (g *group) soonest(now time.Time) time.Time {
+	return now.Add(expected(g.limits, min(len(g.waiting), g.limits.Most)))
+}
+
+func expected(l shed.BatchLimits, pieces int) time.Duration {
+	return l.CallTime + time.Duration(pieces)*l.PieceTime
+}
+
+// worthWaiting tells whether a busy server would be done with the pieces before
+// the idle, slow server s.
+func (b *Batcher) worthWaiting(now time.Time, g *group, servers []shed.Listing, s shed.Listing) bool {
+	n := min(len(g.waiting), g.limits.Most)
+	own := scale(expected(g.limits, n), b.makers[s.ID].slow)
+	for _, other := range servers {
+		m := b.makers[other.ID]
+		if m.running == 0 || now.Before(m.shunned) || len(g.waiting) > g.limits.Most {
+			continue
+		}
+		c := b.calls[m.running]
+		left := max(c.began.Add(scale(c.expected, m.slow)).Sub(now), 0)
+		if left+scale(expected(g.limits, n), m.slow) < own {
+			return true
+		}
+	}
+	return false
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
+
+// send fills a call for the server with the most urgent pieces that it has room
+// for.
+func (b *Batcher) send(now time.Time, out []Action, g *group, servers []shed.Listing, s shed.Listing) []Action {
+	m := b.makers[s.ID]
+	room := int64(float64(g.limits.Room)*roomShare) - m.taken(now)
+	c := &call{server: s, group: g, began: now}
+	near := b.nearness(now, g, servers)
+	var rest []*piece
+	for _, p := range g.waiting {
+		if p.settled {
+			continue
+		}
+		if len(c.pieces) == g.limits.Most || !near.mayMake(p, s) || p.Bytes > room-c.bytes && g.limits.Room > 0 {
+			rest = append(rest, p)
+			continue
+		}
+		c.pieces = append(c.pieces, p)
+		c.bytes += p.Bytes
+		if p.Together && p.Near == "" {
+			p.job.near = s.Zone
+		}
+	}
+	if len(c.pieces) == 0 {
+		return out
+	}
+	g.waiting = rest
+	c.expected = expected(g.limits, len(c.pieces))
+	m.bytes += c.bytes
+	b.nextID++
+	m.running = b.nextID
+	b.calls[b.nextID] = c
+	c.doubt = now.Add(doubtTimes*scale(c.expected, max(m.slow, 1)) + doubtExtra)
+	send := Send{Call: b.nextID, Server: s, Limit: limitTimes*c.expected + limitExtra, Left: len(rest)}
+	for _, p := range c.pieces {
+		p.out++
+		piece := p.Piece
+		piece.Left = p.job.deadline.Sub(now)
+		send.Pieces = append(send.Pieces, piece)
+	}
+	return append(out, send)
+}
+
+// nearness tells, while one call is filled, whether the servers of a zone will
+// take the pieces that are wanted there.
+type nearness struct {
+	// done is when a call that is not sent yet could be done in a zone, room
+	// is how many more pieces the zone's next calls have room for.
+	done map[shed.ZoneID]time.Time
+	room map[shed.ZoneID]int
+}
+
+func (b *Batcher) nearness(now time.Time, g *group, servers []shed.Listing) nearness {
+	n := nearness{done: map[shed.ZoneID]time.Time{}, room: map[shed.ZoneID]int{}}
+	for _, s := range servers {
+		m := b.maker(s)
+		if now.Before(m.shunned) {
+			continue
+		}
+		done := now
+		if c := b.calls[m.running]; c != nil {
+			done = later(now, c.began.Add(scale(c.expected, m.slow)))
+		}
+		done = done.Add(scale(expected(g.limits, g.limits.Most), m.slow))
+		if old, ok := n.done[s.Zone]; !ok || done.Before(old) {
+			n.done[s.Zone] = done
+		}
+		n.room[s.Zone] += g.limits.Most
+	}
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// mayMake keeps pieces whose results are wanted in one zone from servers of the
+// others, as long as the next calls there have room for them and will be in
+// time: fetching large results from another zone is what users pay most for. A
+// piece that is kept back takes its place in those calls.
+func (n nearness) mayMake(p *piece, s shed.Listing) bool {
+	zone := p.wanted()
+	if zone == "" || zone == s.Zone {
+		return true
+	}
+	done, ok := n.done[zone]
+	if !ok || done.After(p.job.aim) || n.room[zone] <= 0 {
+		return true
+	}
+	n.room[zone]--
+	return false
+}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	shed "jasmineshed"
 
@@ -20,6 +21,37 @@
 	From   shed.Peer    `cbor:"1,keyasint"`
 	Pool   shed.PoolID  `cbor:"2,keyasint"`
 	Pieces []shed.Piece `cbor:"3,keyasint"`
+	// Inputs of all the pieces, in place of one list in each: a step's pieces
+	// need the same, and together the lists are most of the bytes.
+	Inputs []shed.ResultRef `cbor:"4,keyasint,omitempty"`
+}
+
+// pack moves inputs that all pieces have out of them.
+func (c PieceCall) pack() PieceCall {
+	if len(c.Pieces) == 0 || len(c.Pieces[0].Inputs) == 0 {
+		return c
+	}
+	inputs := c.Pieces[0].Inputs
+	pieces := slices.Clone(c.Pieces)
+	for i := range pieces {
+		if !slices.Equal(pieces[i].Inputs, inputs) {
+			return c
+		}
+		pieces[i].Inputs = nil
+	}
+	c.Pieces, c.Inputs = pieces, inputs
+	return c
+}
+
+// unpack undoes pack.
+func (c PieceCall) unpack() PieceCall {
+	if len(c.Inputs) == 0 {
+		return c
+	}
+	for i := range c.Pieces {
+		c.Pieces[i].Inputs = c.Inputs
+	}
+	return c
 }
 
 // pieceReply is one message of the far side of a PieceCall. An empty one is a
@@ -74,7 +106,7 @@
 	out := &sender{stream: stream}
 	stop := out.beat(&pieceReply{})
 	defer stop()
-	return nil, out.send(&pieceReply{Results: srv.(RelayHandler).Pieces(stream.Context(), *call)})
+	return nil, out.send(&pieceReply{Results: srv.(RelayHandler).Pieces(stream.Context(), call.unpack())})
 }
 
 func receiveItems(srv any, _ context.Context, in1, _ any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
@@ -94,7 +126,8 @@
 		return nil, err
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
+	packed := call.pack()
+	if err := s.send(&packed); err != nil {
 		return nil, err
 	}
 	for {
--- /dev/null
+++ b/internal/relay/finish.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	shed "jasmineshed"
+
+	"github.com/sirupsen/logrus"
+)
+
+// refusal is a final answer of the relay's own.
+type refusal struct {
+	status int
+	reason shed.Reason
+	// after is when the caller may come back; 0 if it should not.
+	after time.Duration
+}
+
+// given returns the refusal, unless a part of the answer has already left: that
+// can only be broken off, so that it doesn't look whole.
+func (r *Relay) given(out *output, no *refusal) *refusal {
+	if out.started {
+		return &refusal{reason: no.reason}
+	}
+	return no
+}
+
+// known corrects a refusal before the request was sent: it may have been sent
+// before.
+func (r *Relay) known(j *job, no *refusal) *refusal {
+	if j.mayHaveRun && no.status == http.StatusServiceUnavailable {
+		return &refusal{status: http.StatusBadGateway, reason: no.reason}
+	}
+	return no
+}
+
+// verdict is the final answer after the last attempt v.
+func (r *Relay) verdict(ctx context.Context, j *job, v outcome) *refusal {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case !j.mayHaveRun && late:
+		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonDeadline}
+	case !j.mayHaveRun:
+		return &refusal{status: http.StatusServiceUnavailable, reason: v.reason, after: comeBack}
+	case late:
+		return &refusal{status: http.StatusGatewayTimeout, reason: shed.ReasonDeadline}
+	}
+	return &refusal{status: http.StatusBadGateway, reason: v.reason}
+}
+
+// finish writes the refusal, if there is one, and the request's line in the log.
+func (r *Relay) finish(ctx context.Context, w http.ResponseWriter, j *job, no *refusal) {
+	took := time.Since(j.began)
+	fields := logrus.Fields{
+		"request": j.ask.ID, "took_ms": took.Milliseconds(), "sends": j.sends, "version": j.version,
+	}
+	if j.route != nil {
+		fields["route"], fields["pool"] = j.route.ID, j.route.Split[0].Pool
+	}
+	if j.server != "" {
+		fields["server"] = j.server
+	}
+	if len(j.ask.Pieces) > 0 {
+		fields["pieces"], fields["prepared_ms"], fields["zone"] = j.ask.Pieces, j.prepared.Milliseconds(), j.zone
+	}
+	if j.route != nil && j.route.Streaming {
+		fields["first_ms"], fields["events"] = j.firstByte.Milliseconds(), j.events
+	}
+	if no == nil {
+		r.stats.ended(j, reasonServed, took)
+		r.log.WithFields(fields).Info("served")
+		return
+	}
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		no.reason = shed.ReasonCallerGone
+	}
+	fields["status"], fields["reason"], fields["may_have_run"] = no.status, no.reason, j.mayHaveRun
+	r.stats.ended(j, no.reason, took)
+	r.log.WithFields(fields).Info("not served")
+	if no.status == 0 {
+		// The caller must see that the answer was broken off.
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(w, no)
+}
+
+func writeRefusal(w http.ResponseWriter, no *refusal) {
+	h := w.Header()
+	if no.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(no.after.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := string(no.reason) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(no.status)
+	_, _ = io.WriteString(w, body)
+}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -64,6 +64,8 @@
 	waits map[shed.PoolID]peerWait
 	// shunned peers gather nothing for this VM until then.
 	shunned map[shed.VM]time.Time
+	// power is how strong each VM is.
+	power map[shed.VM]float64
 	// store is what each VM last told of what it knows of the store.
 	store map[shed.VM]storeWord
 	// pulling: what a peer knows more of the store is being read.
@@ -89,6 +91,7 @@
 		heard:   map[shed.VM]time.Time{},
 		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
+		power:   map[shed.VM]float64{},
 		store:   map[shed.VM]storeWord{},
 	}
 	r.joinMesh()
@@ -169,7 +172,8 @@
 	r.mesh.sequence++
 	load := shed.RelayLoad{
 		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed,
-		AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
+		Power: r.prefs.Load().Relay.Power,
+		AsOf:  r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
@@ -216,6 +220,7 @@
 		return
 	}
 	r.mesh.seen[from], r.mesh.heard[from.VM] = m.Sequence, now
+	r.mesh.power[from.VM] = m.Power
 	r.heardStore(now, from.VM, m)
 	delete(r.mesh.shunned, from.VM)
 	r.picker.PeerShares(from.VM, m.Servers)
@@ -258,7 +263,24 @@
 // false as long as this process is new and knows no peer.
 func (r *Relay) gatherer(now time.Time, pool shed.PoolID) (shed.VM, bool) {
 	vms := slices.DeleteFunc(r.present(now), func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
-	return rank.Owner(string(pool), vms)
+	return rank.Owner(string(pool), r.strong(vms))
+}
+
+// strong are the VMs that do work for all others: those with at least half the
+// power of the strongest. What is gathered for one pool of a large fleet fills a
+// link of 10 Mbit/s, which most VMs there have.
+func (r *Relay) strong(vms []shed.VM) []shed.VM {
+	power := func(vm shed.VM) float64 {
+		if vm == r.mesh.self.VM {
+			return r.prefs.Load().Relay.Power
+		}
+		return r.mesh.power[vm]
+	}
+	most := 0.0
+	for _, vm := range vms {
+		most = max(most, power(vm))
+	}
+	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return power(vm) < most/2 })
 }
 
 // present are the VMs that are there by their load messages, this one among
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/picker"
-	"jasmineshed/internal/retry"
-	"jasmineshed/internal/roster"
 
-	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/attribute"
 )
 
@@ -65,14 +59,6 @@
 	events    int
 }
 
-// refusal is a final answer of the relay's own.
-type refusal struct {
-	status int
-	reason shed.Reason
-	// after is when the caller may come back; 0 if it should not.
-	after time.Duration
-}
-
 // Reasons of the relay's own answers, beside those of the root package.
 const (
 	reasonBadHead     shed.Reason = "bad_request_head"
@@ -107,126 +93,6 @@
 	r.finish(ctx, w, j, no)
 }
 
-// take reads a request and finds out what it is. Its body is read whole before
-// anything is sent on: what is passed on is then always the whole request, and
-// can be sent to a second server.
-func (r *Relay) take(req *http.Request) (*job, *refusal) {
-	j := &job{began: time.Now()}
-	ask, err := r.cfg.Dialect.Ask(req)
-	if err != nil {
-		r.log.WithError(err).Info("request head refused")
-		return j, &refusal{status: http.StatusBadRequest, reason: reasonBadHead}
-	}
-	j.ask = ask
-	if no := r.admit(j); no != nil {
-		return j, no
-	}
-	limit := r.bodyLimit()
-	if req.ContentLength > limit {
-		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
-	}
-	j.body, err = io.ReadAll(io.LimitReader(req.Body, limit+1))
-	if err != nil {
-		return j, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
-	}
-	if int64(len(j.body)) > limit {
-		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
-	}
-	return j, nil
-}
-
-func (r *Relay) bodyLimit() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if c := r.roster.Catalog(); c != nil && c.Limits.BodyBytes > 0 {
-		return c.Limits.BodyBytes
-	}
-	return defaultBody
-}
-
-// admit finds the request's route, workspace and time.
-func (r *Relay) admit(j *job) *refusal {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.roster.Catalog()
-	if c == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, after: comeBack}
-	}
-	j.version = c.Version
-	j.route = roster.Route(c, j.ask.Host, j.ask.Target)
-	if j.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
-	}
-	j.rank = j.route.Rank
-	if len(c.Keys) > 0 {
-		ws, ok := c.Keys[j.ask.Key]
-		if !ok && !j.route.Public {
-			return &refusal{status: http.StatusUnauthorized, reason: reasonBadKey}
-		}
-		j.workspace = ws
-		if rank, ok := c.Ranks[ws]; ok {
-			j.rank = rank
-		}
-	}
-	j.pool = c.Pools[r.share(j.route)]
-	if j.pool == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoServer, after: comeBack}
-	}
-	wait := j.route.Timeout
-	if j.ask.Wait > 0 && (wait == 0 || j.ask.Wait < wait) {
-		wait = j.ask.Wait
-	}
-	if wait == 0 {
-		wait = defaultTimeout
-	}
-	j.deadline = j.began.Add(wait)
-	j.aim = j.began.Add(min(j.route.Target, wait))
-	r.budget(j.pool.ID).Succeeded(j.began)
-	return nil
-}
-
-// share picks a pool by the weights of the route's split, in turn.
-func (r *Relay) share(route *shed.Route) shed.PoolID {
-	total := 0
-	for _, s := range route.Split {
-		total += s.Weight
-	}
-	if total == 0 {
-		return route.Split[0].Pool
-	}
-	r.turn++
-	// A stride that is coprime to the usual total of 100 spreads the turns.
-	at := int(r.turn * 37 % uint64(total))
-	for _, s := range route.Split {
-		if at < s.Weight {
-			return s.Pool
-		}
-		at -= s.Weight
-	}
-	return route.Split[len(route.Split)-1].Pool
-}
-
-// repeatShare is the part of the fleet's budget of repeats that is used: VMs
-// that start or are not seen yet have a share too.
-const repeatShare = 0.6
-
-// budget is this VM's share of the fleet's budget of repeats to a pool: over
-// any window, all VMs together stay below ratio x requests + slack.
-func (r *Relay) budget(pool shed.PoolID) *retry.Budget {
-	b := r.repeats[pool]
-	if b == nil {
-		p := r.prefs.Load().Relay
-		slack := repeatShare * p.RepeatSlack / float64(r.fleetSize())
-		b = retry.New(retry.Config{
-			Share: repeatShare * p.RepeatRatio,
-			Burst: max(slack/2, 1),
-			Floor: slack / 2 / p.RepeatSpan.Seconds(),
-		})
-		r.repeats[pool] = b
-	}
-	return b
-}
-
 // run serves the request; a refusal is its final answer if nothing was written.
 func (r *Relay) run(ctx context.Context, w http.ResponseWriter, j *job) *refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
@@ -254,38 +120,6 @@
 	}
 }
 
-// given returns the refusal, unless a part of the answer has already left: that
-// can only be broken off, so that it doesn't look whole.
-func (r *Relay) given(out *output, no *refusal) *refusal {
-	if out.started {
-		return &refusal{reason: no.reason}
-	}
-	return no
-}
-
-// known corrects a refusal before the request was sent: it may have been sent
-// before.
-func (r *Relay) known(j *job, no *refusal) *refusal {
-	if j.mayHaveRun && no.status == http.StatusServiceUnavailable {
-		return &refusal{status: http.StatusBadGateway, reason: no.reason}
-	}
-	return no
-}
-
-// verdict is the final answer after the last attempt v.
-func (r *Relay) verdict(ctx context.Context, j *job, v outcome) *refusal {
-	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	switch {
-	case !j.mayHaveRun && late:
-		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonDeadline}
-	case !j.mayHaveRun:
-		return &refusal{status: http.StatusServiceUnavailable, reason: v.reason, after: comeBack}
-	case late:
-		return &refusal{status: http.StatusGatewayTimeout, reason: shed.ReasonDeadline}
-	}
-	return &refusal{status: http.StatusBadGateway, reason: v.reason}
-}
-
 // mayRepeat tells whether the request may be sent to another server after v.
 func (r *Relay) mayRepeat(j *job, v outcome) bool {
 	if v.sent && j.sends >= j.route.MostSends {
@@ -374,51 +208,3 @@
 		r.mesh.placed = append(r.mesh.placed, shed.PromptPlaced{Server: c.Server.ID, Chain: chain})
 	}
 }
-
-// finish writes the refusal, if there is one, and the request's line in the log.
-func (r *Relay) finish(ctx context.Context, w http.ResponseWriter, j *job, no *refusal) {
-	took := time.Since(j.began)
-	fields := logrus.Fields{
-		"request": j.ask.ID, "took_ms": took.Milliseconds(), "sends": j.sends, "version": j.version,
-	}
-	if j.route != nil {
-		fields["route"], fields["pool"] = j.route.ID, j.route.Split[0].Pool
-	}
-	if j.server != "" {
-		fields["server"] = j.server
-	}
-	if len(j.ask.Pieces) > 0 {
-		fields["pieces"], fields["prepared_ms"], fields["zone"] = j.ask.Pieces, j.prepared.Milliseconds(), j.zone
-	}
-	if j.route != nil && j.route.Streaming {
-		fields["first_ms"], fields["events"] = j.firstByte.Milliseconds(), j.events
-	}
-	if no == nil {
-		r.stats.ended(j, reasonServed, took)
-		r.log.WithFields(fields).Info("served")
-		return
-	}
-	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		no.reason = shed.ReasonCallerGone
-	}
-	fields["status"], fields["reason"], fields["may_have_run"] = no.status, no.reason, j.mayHaveRun
-	r.stats.ended(j, no.reason, took)
-	r.log.WithFields(fields).Info("not served")
-	if no.status == 0 {
-		// The caller must see that the answer was broken off.
-		panic(http.ErrAbortHandler)
-	}
-	writeRefusal(w, no)
-}
-
-func writeRefusal(w http.ResponseWriter, no *refusal) {
-	h := w.Header()
-	if no.after > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(no.after.Seconds(), 'f', 2, 64))
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	body := string(no.reason) + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(no.status)
-	_, _ = io.WriteString(w, body)
-}
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -76,18 +77,15 @@
 	if r.roster.Catalog() == nil || now.Sub(r.roster.Contact()) > staleAfter {
 		return true
 	}
-	var vms []shed.VM
-	for _, vm := range r.present(now) {
-		if vm == r.mesh.self.VM || now.Sub(r.mesh.store[vm].contact) < watchesBy {
-			vms = append(vms, vm)
-		}
-	}
-	for _, vm := range rank.Owners("store", vms, watchers) {
-		if vm == r.mesh.self.VM {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.watchers(now), r.mesh.self.VM)
+}
+
+// watchers are the VMs that watch the store for all.
+func (r *Relay) watchers(now time.Time) []shed.VM {
+	vms := slices.DeleteFunc(r.present(now), func(vm shed.VM) bool {
+		return vm != r.mesh.self.VM && now.Sub(r.mesh.store[vm].contact) >= watchesBy
+	})
+	return rank.Owners("store", r.strong(vms), watchers)
 }
 
 // readStore makes one call to the store: a list if nothing is known or the
@@ -156,14 +154,7 @@
 // caller holds mu.
 func (r *Relay) passOn(before shed.Revision) {
 	news := shed.StoreNews{After: before, AsOf: r.roster.AsOf(), Items: r.roster.Since(before)}
-	now := time.Now()
-	var vms []shed.VM
-	for _, vm := range r.present(now) {
-		if vm == r.mesh.self.VM || now.Sub(r.mesh.store[vm].contact) < watchesBy {
-			vms = append(vms, vm)
-		}
-	}
-	by := rank.Owners("store", vms, watchers)
+	by := r.watchers(time.Now())
 	for _, vm := range r.alive() {
 		if teller, ok := rank.Owner(string(vm), by); ok && teller == r.mesh.self.VM {
 			r.client.Send(vm, news)
--- /dev/null
+++ b/internal/relay/take.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/retry"
+	"jasmineshed/internal/roster"
+)
+
+// take reads a request and finds out what it is. Its body is read whole before
+// anything is sent on: what is passed on is then always the whole request, and
+// can be sent to a second server.
+func (r *Relay) take(req *http.Request) (*job, *refusal) {
+	j := &job{began: time.Now()}
+	ask, err := r.cfg.Dialect.Ask(req)
+	if err != nil {
+		r.log.WithError(err).Info("request head refused")
+		return j, &refusal{status: http.StatusBadRequest, reason: reasonBadHead}
+	}
+	j.ask = ask
+	if no := r.admit(j); no != nil {
+		return j, no
+	}
+	limit := r.bodyLimit()
+	if req.ContentLength > limit {
+		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	}
+	j.body, err = io.ReadAll(io.LimitReader(req.Body, limit+1))
+	if err != nil {
+		return j, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
+	}
+	if int64(len(j.body)) > limit {
+		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	}
+	return j, nil
+}
+
+func (r *Relay) bodyLimit() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.roster.Catalog(); c != nil && c.Limits.BodyBytes > 0 {
+		return c.Limits.BodyBytes
+	}
+	return defaultBody
+}
+
+// admit finds the request's route, workspace and time.
+func (r *Relay) admit(j *job) *refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.roster.Catalog()
+	if c == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, after: comeBack}
+	}
+	j.version = c.Version
+	j.route = roster.Route(c, j.ask.Host, j.ask.Target)
+	if j.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	j.rank = j.route.Rank
+	if len(c.Keys) > 0 {
+		ws, ok := c.Keys[j.ask.Key]
+		if !ok && !j.route.Public {
+			return &refusal{status: http.StatusUnauthorized, reason: reasonBadKey}
+		}
+		j.workspace = ws
+		if rank, ok := c.Ranks[ws]; ok {
+			j.rank = rank
+		}
+	}
+	j.pool = c.Pools[r.share(j.route)]
+	if j.pool == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoServer, after: comeBack}
+	}
+	wait := j.route.Timeout
+	if j.ask.Wait > 0 && (wait == 0 || j.ask.Wait < wait) {
+		wait = j.ask.Wait
+	}
+	if wait == 0 {
+		wait = defaultTimeout
+	}
+	j.deadline = j.began.Add(wait)
+	j.aim = j.began.Add(min(j.route.Target, wait))
+	r.budget(j.pool.ID).Succeeded(j.began)
+	return nil
+}
+
+// share picks a pool by the weights of the route's split, in turn.
+func (r *Relay) share(route *shed.Route) shed.PoolID {
+	total := 0
+	for _, s := range route.Split {
+		total += s.Weight
+	}
+	if total == 0 {
+		return route.Split[0].Pool
+	}
+	r.turn++
+	// A stride that is coprime to the usual total of 100 spreads the turns.
+	at := int(r.turn * 37 % uint64(total))
+	for _, s := range route.Split {
+		if at < s.Weight {
+			return s.Pool
+		}
+		at -= s.Weight
+	}
+	return route.Split[len(route.Split)-1].Pool
+}
+
+// repeatShare is the part of the fleet's budget of repeats that is used: VMs
+// that start or are not seen yet have a share too.
+const repeatShare = 0.6
+
+// budget is this VM's share of the fleet's budget of repeats to a pool: over
+// any window, all VMs together stay below ratio x requests + slack.
+func (r *Relay) budget(pool shed.PoolID) *retry.Budget {
+	b := r.repeats[pool]
+	if b == nil {
+		p := r.prefs.Load().Relay
+		slack := repeatShare * p.RepeatSlack / float64(r.fleetSize())
+		b = retry.New(retry.Config{
+			Share: repeatShare * p.RepeatRatio,
+			Burst: max(slack/2, 1),
+			Floor: slack / 2 / p.RepeatSpan.Seconds(),
+		})
+		r.repeats[pool] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/roster/share.go
@@ -0,0 +1,62 @@
+package roster
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	shed "jasmineshed"
+)
+
+// Since returns what has changed after a revision, for a peer that doesn't read
+// the store by itself: items sorted by key, then deletions. All of it if after
+// is 0.
+func (r *Roster) Since(after shed.Revision) []shed.Item {
+	var out []shed.Item
+	for _, key := range r.keys() {
+		if h := r.items[key]; h.Revision > after {
+			out = append(out, h.Item)
+		}
+	}
+	if after == 0 {
+		return out
+	}
+	gone := make([]string, 0, len(r.deleted))
+	for key, rev := range r.deleted {
+		if rev > after && r.items[key] == nil {
+			gone = append(gone, key)
+		}
+	}
+	slices.Sort(gone)
+	for _, key := range gone {
+		out = append(out, shed.Item{Key: key, Revision: r.deleted[key], Gone: true})
+	}
+	return out
+}
+
+// Digest is a hash of all items that are held, the same on all daemons that hold
+// the same.
+func (r *Roster) Digest() uint64 { return r.digest }
+
+func (r *Roster) digestItems() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var num [8]byte
+	for _, key := range r.keys() {
+		// A write to a digest can't fail.
+		_, _ = d.WriteString(key)
+		binary.LittleEndian.PutUint64(num[:], uint64(r.items[key].Revision))
+		_, _ = d.Write(num[:])
+	}
+	return d.Sum64()
+}
+
+// Confirmed notes that the store answered a peer at that time, and that this
+// daemon knows all that the peer knows of it.
+func (r *Roster) Confirmed(at time.Time) {
+	if at.After(r.contact) {
+		r.contact = at
+	}
+}
--- a/message.go
+++ b/message.go
@@ -142,6 +142,8 @@
 	AsOf      Revision      `cbor:"5,keyasint,omitempty"`
 	Digest    uint64        `cbor:"7,keyasint,omitempty"`
 	Confirmed time.Duration `cbor:"8,keyasint,omitempty"`
+	// Power is how strong the sender's VM is, by its settings.
+	Power float64 `cbor:"9,keyasint,omitempty"`
 	// Held are the bytes of results that servers hold for the sender, which
 	// gathers pieces.
 	Held map[ServerID]int64 `cbor:"6,keyasint,omitempty"`
