--- a/internal/picker/pace.go
+++ b/internal/picker/pace.go
@@ -11,10 +11,9 @@
 // that holds one request.
 //
 // A cold server bears a rate from all VMs together, in or out of touch. With no
-// shared state, each daemon takes the rate divided by the number of VMs that
-// there may be. A bucket of one lets a VM send two requests in the worst second,
-// so n VMs send at most n more than the rate, which is within the rate's slack
-// for up to about ten VMs.
+// shared state, each daemon takes the rate divided by the number of VMs that may
+// send to it. A bucket of one lets a VM send one request more than its share in
+// the worst second, so there may be as many VMs as the rate has slack.
 type pace struct {
 	last   time.Time
 	tokens float64
@@ -33,6 +32,11 @@
 	return b
 }
 
+// mayCold tells whether the cold server may have one more request from here.
+func (p *Picker) mayCold(now time.Time, w *Want, s *roster.Server) bool {
+	return (w.MayCold == nil || w.MayCold(s.ID)) && p.coldRoom(now, s, w.ColdRate)
+}
+
 // coldRoom tells whether the cold server may have one more request.
 func (p *Picker) coldRoom(now time.Time, s *roster.Server, rate float64) bool {
 	return p.paceOf(now, s.ID, rate).tokens >= 1
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -83,6 +83,9 @@
 	// ColdRate is how many requests a second a cold server may get from this
 	// daemon; 0 if the pool's servers are never cold.
 	ColdRate float64
+	// MayCold tells whether this daemon may send to a server that is cold; nil
+	// if to any.
+	MayCold func(shed.ServerID) bool
 }
 
 // Choice is a chosen server and why.
@@ -107,7 +110,7 @@
 		if avoided(w.Avoid, s.ID) {
 			continue
 		}
-		if s.Cold(now) && w.ColdRate > 0 && !p.coldRoom(now, s, w.ColdRate) {
+		if s.Cold(now) && w.ColdRate > 0 && !p.mayCold(now, &w, s) {
 			held = true
 			continue
 		}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -76,14 +76,24 @@
 // All VMs send to one cold server as fast as their shares let them, in the worst
 // second at the worst phase. Together they stay below what it bears.
 func TestColdServerGetsItsRate(t *testing.T) {
-	const vms, rate, most = 9, 8.8, 8.8*1.5 + 5
+	for _, vms := range []int{1, 5, 9, 78} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) { coldRate(t, vms) })
+	}
+}
+
+// coldRate lets vms VMs send, of which at most sharers may.
+func coldRate(t *testing.T, vms int) {
+	const rate, most, sharers = 8.8, 8.8*1.5 + 5, 9
 	cold := servers(1, func(_ int, s *roster.Server) { s.ColdUntil = start.Add(time.Hour) })
 	var sent []time.Time
 	for vm := range vms {
 		p := picker.New(picker.Config{Zone: "a"})
-		w := picker.Want{Engine: true, ColdRate: rate / vms}
+		w := picker.Want{
+			Engine: true, ColdRate: rate / float64(min(vms, sharers)),
+			MayCold: func(shed.ServerID) bool { return vm < sharers },
+		}
 		for ms := 0; ms < 5000; ms += 5 {
-			now := start.Add(time.Duration(ms+vm) * time.Millisecond)
+			now := start.Add(time.Duration(ms+vm%5) * time.Millisecond)
 			c := p.Pick(now, w, cold)
 			require.Equal(t, c.Server == nil, c.Cold)
 			if c.Server != nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -47,7 +47,7 @@
 }
 
 // attempt sends the request to the chosen server and passes the answer on.
-func (r *Relay) attempt(ctx context.Context, out *output, j *job, choice picker.Choice, want picker.Want) outcome {
+func (r *Relay) attempt(ctx context.Context, out *output, j *job, choice picker.Choice) outcome {
 	began := time.Now()
 	ctx, span := r.tracer.Start(ctx, "send")
 	defer span.End()
@@ -75,10 +75,10 @@
 			"request": j.ask.ID, "server": choice.Server.ID, "zone": choice.Server.Zone, "reason": v.reason,
 			"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": j.sends, "status": a.status,
 			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
-			"cold": choice.Server.Cold(began), "error": errText(a.err), "of": r.mesh.self.VM,
+			"cold": choice.Server.Cold(began), "error": errText(a.err),
 		}).Info("attempt failed")
 	}
-	_ = want
+
 	return v
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/picker"
+	"jasmineshed/internal/rank"
 
 	"go.opentelemetry.io/otel/attribute"
 )
@@ -106,11 +108,11 @@
 			}
 			j.ready, j.prepared = true, time.Since(j.began)
 		}
-		choice, want, no := r.choose(ctx, j)
+		choice, no := r.choose(ctx, j)
 		if no != nil {
 			return r.given(out, no)
 		}
-		v := r.attempt(ctx, out, j, choice, want)
+		v := r.attempt(ctx, out, j, choice)
 		if v.done {
 			return nil
 		}
@@ -150,7 +152,7 @@
 )
 
 // choose picks the server for the next attempt.
-func (r *Relay) choose(ctx context.Context, j *job) (picker.Choice, picker.Want, *refusal) {
+func (r *Relay) choose(ctx context.Context, j *job) (picker.Choice, *refusal) {
 	began := time.Now()
 	for {
 		now := time.Now()
@@ -169,14 +171,14 @@
 		}
 		r.mu.Unlock()
 		if choice.Server != nil {
-			return choice, want, nil
+			return choice, nil
 		}
 		if !choice.Cold || now.Sub(began) > coldWait || now.Add(coldPoll).After(j.deadline) {
 			reason := shed.ReasonNoServer
 			if choice.Cold {
 				reason = shed.ReasonServerCold
 			}
-			return choice, want, r.verdict(ctx, j, outcome{reason: reason})
+			return choice, r.verdict(ctx, j, outcome{reason: reason})
 		}
 		wait(ctx, coldPoll)
 	}
@@ -195,11 +197,32 @@
 		w.Zone, w.ZoneCost = j.zone, time.Duration(max(len(j.inputs), 1))*zoneCost
 	}
 	if j.pool.ColdRate > 0 {
-		w.ColdRate = j.pool.ColdRate / float64(r.fleetSize())
+		sharers := min(r.fleetSize(), r.coldSharers(j.pool.ColdRate))
+		w.ColdRate = j.pool.ColdRate / float64(sharers)
+		w.MayCold = func(id shed.ServerID) bool { return r.sharesCold(id, sharers) }
 	}
 	return w
 }
 
+// coldSharers is how many VMs may send to one cold server. Each may send one
+// request more than its share in the worst second, and all together no more than
+// the settings allow above the rate.
+func (r *Relay) coldSharers(rate float64) int {
+	p := r.prefs.Load().Relay
+	return max(int(rate*(p.ColdOver-1)+p.ColdSlack), 1)
+}
+
+// sharesCold tells whether this VM is one of those that may send to a cold
+// server: by rendezvous, if there are more VMs than may.
+func (r *Relay) sharesCold(id shed.ServerID, sharers int) bool {
+	vms := r.alive()
+	if len(vms) < sharers {
+		return true
+	}
+	vms = append(vms, r.mesh.self.VM)
+	return slices.Contains(rank.Owners("cold "+string(id), vms, sharers), r.mesh.self.VM)
+}
+
 func (r *Relay) notePlaced(j *job, c picker.Choice) {
 	if j.pool.Engine == nil {
 		return
