Relay: a VM that stops takes no connection once the balancer could know

Cause: where most VMs of a zone stop at once the balancer goes on sending to them; requests that came 6 s into a stop were cut off at its end. Ruled out: streams that outlast the grace (they were young).

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -79,6 +79,10 @@
 		defer close(ended)
 		err := s.http.Serve(s.listener())
 		if errors.Is(err, http.ErrServerClosed) {
+			if ctx.Err() == nil {
+				// It was shut; the supervisor must not open it again.
+				return suture.ErrDoNotRestart
+			}
 			return nil
 		}
 		// The listener can't be opened again from here; a restart would fail for
@@ -97,11 +101,9 @@
 	return g.Wait()
 }
 
-// drain lets requests in flight end, up to the limit. Their contexts do not
-// come from Serve's, so the end of that one cuts off none of them.
-func (s *Server) drain() error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Drain)
-	defer cancel()
+// Shut takes no more connections and waits for the requests in flight, until ctx
+// ends; then it cuts them off. Serve returns.
+func (s *Server) Shut(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err == nil {
 		return nil
 	}
@@ -112,6 +114,14 @@
 	return nil
 }
 
+// drain lets requests in flight end, up to the limit. Their contexts do not
+// come from Serve's, so the end of that one cuts off none of them.
+func (s *Server) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Drain)
+	defer cancel()
+	return s.Shut(ctx)
+}
+
 // logWriter takes the lines of net/http's own log.
 type logWriter struct{ log logrus.FieldLogger }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,7 @@
 	log    *logrus.Entry
 	stats  stats
 	tracer trace.Tracer
+	front  *httpd.Server
 	sender *engine.Sender
 	client *peers.Client
 	// base is the context of work that belongs to no request.
@@ -152,6 +153,10 @@
 		freeing: map[string]int{},
 	}
 	r.prefs.Store(cfg.Prefs)
+	r.front = httpd.New(httpd.Config{
+		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
+		Limits: cfg.Prefs.Limits, Drain: stopSlack, Log: r.log,
+	})
 	r.batcher = batch.New(r.listings)
 	r.startMesh()
 	return r
@@ -170,9 +175,8 @@
 // ErrFailed is returned by Run when the daemon ended though nobody asked.
 var ErrFailed = errors.New("relay failed")
 
-// stopSlack is kept of the time that a stop may take, for the last answers to
-// leave.
-const stopSlack = 700 * time.Millisecond
+// stopSlack is kept of the time that a stop may take, for the process to end.
+const stopSlack = time.Second
 
 // Run serves until ctx ends or a graceful stop is done.
 func (r *Relay) Run(ctx context.Context) error {
@@ -218,10 +222,7 @@
 	p, l := r.prefs.Load(), r.cfg.Listeners
 	return []suture.Service{
 		r.cfg.Lines,
-		httpd.New(httpd.Config{
-			Name: "callers", Listener: l.Callers, Handler: http.HandlerFunc(r.serve),
-			Limits: p.Limits, Drain: stopSlack, Log: r.log,
-		}),
+		r.front,
 		httpd.New(httpd.Config{
 			Name: "ready", Listener: l.Ready, Handler: http.HandlerFunc(r.serveReady),
 			Limits: p.Limits, Call: p.Limits.WriteTimeout, Drain: stopSlack, Log: r.log,
@@ -248,7 +249,9 @@
 
 // noticeTime is how long the balancer may take to see that this VM isn't ready:
 // two questions, one a second, and a margin. Until then new connections come,
-// and each request on them is served.
+// and each request on them is served. After it none is taken: where most VMs of
+// a zone stop at once, the balancer goes on sending, and what came late was cut
+// off at the end of the time for the stop.
 const noticeTime = 2500 * time.Millisecond
 
 // Stop begins a graceful stop: not ready, but serving until nothing is open.
@@ -268,31 +271,27 @@
 // awaitStop ends the daemon once a stop was asked for and all requests are
 // answered, or the time for it is over.
 func (r *Relay) awaitStop(ctx context.Context, end context.CancelFunc) error {
-	tick := time.NewTicker(50 * time.Millisecond)
-	defer tick.Stop()
-	var asked time.Time
-	for {
-		select {
-		case <-ctx.Done():
+	for !r.stopping.Load() {
+		if wait(ctx, stopPoll); ctx.Err() != nil {
 			return ctx.Err()
-		case now := <-tick.C:
-			if !r.stopping.Load() {
-				continue
-			}
-			if asked.IsZero() {
-				asked = now
-			}
-			spent := now.Sub(asked)
-			idle := r.open.Load() == 0 && spent >= noticeTime
-			if idle || spent >= r.prefs.Load().Stop.Drain-stopSlack {
-				r.log.WithFields(logrus.Fields{"open": r.open.Load(), "spent_ms": spent.Milliseconds()}).Info("stop: listeners close")
-				end()
-				return suture.ErrTerminateSupervisorTree
-			}
 		}
 	}
+	asked := time.Now()
+	wait(ctx, noticeTime)
+	r.log.WithField("open", r.open.Load()).Info("stop: listener closes")
+	shut, cancel := context.WithDeadline(ctx, asked.Add(r.prefs.Load().Stop.Drain-stopSlack))
+	defer cancel()
+	err := r.front.Shut(shut)
+	r.log.WithFields(logrus.Fields{
+		"open": r.open.Load(), "spent_ms": time.Since(asked).Milliseconds(), "error": errText(err),
+	}).Info("stop: requests are answered, or cut off")
+	end()
+	return suture.ErrTerminateSupervisorTree
 }
 
+// stopPoll is how often the daemon looks whether it was asked to stop.
+const stopPoll = 50 * time.Millisecond
+
 // serveReady answers the balancer.
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !r.ready() {
