--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,9 @@
 	// prefs are the settings in force.
 	prefs    atomic.Pointer[prefs.Prefs]
 	stopping atomic.Bool
+	// hurried is closed once a stop is to hurry.
+	hurried   chan struct{}
+	hurryOnce sync.Once
 	// open counts requests being answered.
 	open atomic.Int64
 
@@ -144,6 +147,7 @@
 		tracer:  cfg.Tracing.Tracer("jasmineshed/relay"),
 		sender:  engine.NewSender(engine.Config{Dial: cfg.Dial, ConnectTimeout: cfg.Prefs.Relay.Connect}),
 		base:    base,
+		hurried: make(chan struct{}),
 		halt:    halt,
 		roster:  roster.New(roster.Config{}),
 		picker:  picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
@@ -254,8 +258,12 @@
 // off at the end of the time for the stop.
 const noticeTime = 2500 * time.Millisecond
 
-// Stop begins a graceful stop: not ready, but serving until nothing is open.
-func (r *Relay) Stop() {
+// Stop begins a graceful stop: not ready, but serving until nothing is open. With
+// hurry, requests in flight are cut off.
+func (r *Relay) Stop(hurry bool) {
+	if hurry {
+		r.hurryOnce.Do(func() { close(r.hurried) })
+	}
 	if r.stopping.Swap(true) {
 		return
 	}
@@ -277,11 +285,19 @@
 		}
 	}
 	asked := time.Now()
-	wait(ctx, noticeTime)
-	r.log.WithField("open", r.open.Load()).Info("stop: listener closes")
-	shut, cancel := context.WithDeadline(ctx, asked.Add(r.prefs.Load().Stop.Drain-stopSlack))
+	slow, cancel := context.WithDeadline(ctx, asked.Add(r.prefs.Load().Stop.Drain-stopSlack))
 	defer cancel()
-	err := r.front.Shut(shut)
+	r.work.Go(func() error {
+		select {
+		case <-r.hurried:
+			cancel()
+		case <-slow.Done():
+		}
+		return nil
+	})
+	wait(slow, noticeTime)
+	r.log.WithField("open", r.open.Load()).Info("stop: listener closes")
+	err := r.front.Shut(slow)
 	r.log.WithFields(logrus.Fields{
 		"open": r.open.Load(), "spent_ms": time.Since(asked).Milliseconds(), "error": errText(err),
 	}).Info("stop: requests are answered, or cut off")
