Picker: peers' shares are summed as they are told

Choosing among 140 servers with 65 peers known: 191 µs -> 17 µs (BenchmarkPick). Who is present is remembered for 20 ms.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -57,6 +57,9 @@
 	cfg     Config
 	servers map[shed.ServerID]*state
 	pace    map[shed.ServerID]*pace
+	// told is what each peer last said, so that a choice need not look at each
+	// peer for each server.
+	told map[shed.VM]map[shed.ServerID]shed.ServerShare
 }
 
 // New returns a Picker that knows of no load.
@@ -64,7 +67,10 @@
 	if cfg.ReadRate == 0 {
 		cfg.ReadRate = DefaultReadRate
 	}
-	return &Picker{cfg: cfg, servers: map[shed.ServerID]*state{}, pace: map[shed.ServerID]*pace{}}
+	return &Picker{
+		cfg: cfg, servers: map[shed.ServerID]*state{}, pace: map[shed.ServerID]*pace{},
+		told: map[shed.VM]map[shed.ServerID]shed.ServerShare{},
+	}
 }
 
 // Want is what is to be placed.
@@ -149,11 +155,7 @@
 
 func (p *Picker) cost(now time.Time, w *Want, s *roster.Server, chain []uint64, usual time.Duration) Choice {
 	st := p.state(s)
-	running, reading := st.own, st.reading
-	for _, share := range st.peers {
-		running += share.Running
-		reading += share.Reading
-	}
+	running, reading := st.own+st.peers.Running, st.reading+st.peers.Reading
 	c := Choice{Server: s}
 	if w.Engine {
 		var again shed.Tokens
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -169,3 +169,45 @@
 	p.Seen(start, "s02", picker.Chains(w.Prompt))
 	require.Equal(t, shed.ServerID("s02"), p.Pick(start, w, from).Server.ID)
 }
+
+// Peers tell their shares in any order, forget servers, and die. What is left is
+// what the living said last.
+func TestPeerSharesAddUp(t *testing.T) {
+	from := servers(2, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	w := picker.Want{Engine: true}
+	p.Pick(start, w, from)
+	busy := map[shed.ServerID]shed.ServerShare{"s00": {Running: 50, Reading: 9000}}
+	for range 3 {
+		p.PeerShares("vm2", busy)
+		p.PeerShares("vm3", busy)
+	}
+	require.Equal(t, shed.ServerID("s01"), p.Pick(start, w, from).Server.ID)
+	p.PeerShares("vm2", nil)
+	require.Equal(t, shed.ServerID("s01"), p.Pick(start, w, from).Server.ID)
+	p.PeerGone("vm3")
+	require.Equal(t, shed.ServerID("s00"), p.Pick(start, w, from).Server.ID)
+	p.PeerGone("vm3")
+	require.Equal(t, shed.ServerID("s00"), p.Pick(start, w, from).Server.ID)
+}
+
+// BenchmarkPick chooses among 140 engines with 65 peers' shares known. Adding the
+// shares up at each choice took 191 µs; sums kept as peers tell them take 17 µs.
+//
+//	go test ./internal/picker -run xxx -bench Pick
+func BenchmarkPick(b *testing.B) {
+	from := servers(140, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	w := prompt("x", 0)
+	p.Pick(start, w, from)
+	for vm := range 65 {
+		shares := map[shed.ServerID]shed.ServerShare{}
+		for _, s := range from {
+			shares[s.ID] = shed.ServerShare{Running: 1, Reading: 100}
+		}
+		p.PeerShares(shed.VM(fmt.Sprint("vm", vm)), shares)
+	}
+	for b.Loop() {
+		p.Pick(start, w, from)
+	}
+}
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -16,8 +16,8 @@
 	// those whose first event is still out.
 	own     int
 	reading shed.Tokens
-	// peers is the same of the other daemons, as they last said.
-	peers map[shed.VM]shed.ServerShare
+	// peers is the sum of what the other daemons last said that they have on it.
+	peers shed.ServerShare
 	// took is the mean time of a plain call.
 	took time.Duration
 	// faults is the share of recent calls that failed, as of faultAt.
@@ -32,11 +32,11 @@
 	st := p.servers[s.ID]
 	if st == nil || st.born != s.Born {
 		// A new start holds and knows nothing of before.
-		own := 0
+		next := &state{born: s.Born, prefixes: map[uint64]time.Time{}}
 		if st != nil {
-			own = st.own
+			next.own, next.peers = st.own, st.peers
 		}
-		st = &state{born: s.Born, own: own, peers: map[shed.VM]shed.ServerShare{}, prefixes: map[uint64]time.Time{}}
+		st = next
 		p.servers[s.ID] = st
 	}
 	return st
@@ -174,14 +174,27 @@
 // PeerShares takes in what a peer has on the servers; it replaces what the peer
 // said before.
 func (p *Picker) PeerShares(from shed.VM, shares map[shed.ServerID]shed.ServerShare) {
-	for id, st := range p.servers {
-		share, ok := shares[id]
-		if ok {
-			st.peers[from] = share
-		} else {
-			delete(st.peers, from)
+	for id, old := range p.told[from] {
+		if st := p.servers[id]; st != nil {
+			st.peers.Running -= old.Running
+			st.peers.Reading -= min(st.peers.Reading, old.Reading)
+		}
+	}
+	kept := make(map[shed.ServerID]shed.ServerShare, len(shares))
+	for id, share := range shares {
+		if st := p.servers[id]; st != nil {
+			st.peers.Running += share.Running
+			st.peers.Reading += share.Reading
+			kept[id] = share
 		}
 	}
+	p.told[from] = kept
+}
+
+// PeerGone forgets what a peer said.
+func (p *Picker) PeerGone(vm shed.VM) {
+	p.PeerShares(vm, nil)
+	delete(p.told, vm)
 }
 
 // Keep forgets servers that are no longer listed and have nothing of this
@@ -191,6 +204,9 @@
 		if st.own == 0 && !listed(id) {
 			delete(p.servers, id)
 			delete(p.pace, id)
+			for _, shares := range p.told {
+				delete(shares, id)
+			}
 		}
 	}
 }
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -64,6 +64,9 @@
 	waits map[shed.PoolID]peerWait
 	// shunned peers gather nothing for this VM until then.
 	shunned map[shed.VM]time.Time
+	// present are the VMs that are there, as of presentAt.
+	present   []shed.VM
+	presentAt time.Time
 	// power is how strong each VM is.
 	power map[shed.VM]float64
 	// store is what each VM last told of what it knows of the store.
@@ -139,6 +142,10 @@
 			r.client.Send(a.To, a.Message)
 		case shed.Note:
 			r.log.WithFields(logrus.Fields{"reason": a.Reason, "peer": a.Peer}).Info("peer")
+			if a.Reason == member.ReasonPeerDead {
+				// What a dead process had on servers is over.
+				r.picker.PeerGone(a.Peer)
+			}
 			r.stats.beliefs.Inc(1)
 		}
 	}
@@ -283,9 +290,20 @@
 	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return power(vm) < most/2 })
 }
 
+// presentFor is how long the VMs that are there are remembered: each request asks
+// several times, and the answer costs a look at every VM.
+const presentFor = 20 * time.Millisecond
+
 // present are the VMs that are there by their load messages, this one among
-// them once it has settled.
+// them once it has settled. The slice is the caller's.
 func (r *Relay) present(now time.Time) []shed.VM {
+	if now.Sub(r.mesh.presentAt) > presentFor {
+		r.mesh.present, r.mesh.presentAt = r.lookAround(now), now
+	}
+	return slices.Clone(r.mesh.present)
+}
+
+func (r *Relay) lookAround(now time.Time) []shed.VM {
 	vms := r.alive()
 	silence := loadMissed * max(loadIdle, loadPeriod(len(vms)))
 	// A VM that stops is told no load any more.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -270,6 +270,7 @@
 	r.log.WithField("open", r.open.Load()).Info("stop asked for; not ready from now on")
 	r.mu.Lock()
 	r.performMesh(r.group.Leave(shed.Peer{}))
+	r.mesh.presentAt = time.Time{}
 	if len(r.alive()) > 0 {
 		r.perform(r.batcher.Handle(time.Now(), batch.Stopped{}))
 	}
