Relay: steps are due by what the request's own server will take

Cause: each step left 100 ms for the server, though reading a large prompt takes 300 to 600; such requests met their steps' times and were late all the same. Now the picker's forecast for the chosen server counts.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -97,8 +97,11 @@
 // Choice is a chosen server and why.
 type Choice struct {
 	Server *roster.Server
-	// Cost is the predicted time to the first token or the answer.
+	// Cost is the predicted time to the first token or the answer, and what else
+	// speaks against the server as a time.
 	Cost time.Duration
+	// Time is the same without what is added for what users pay.
+	Time time.Duration
 	// Missing are the tokens of the prompt that the server has to read.
 	Missing shed.Tokens
 	// Cold: all servers that could serve are cold and have had their share.
@@ -160,7 +163,8 @@
 	if w.Engine {
 		var again shed.Tokens
 		c.Missing, again = st.missing(now, w, chain)
-		c.Cost = p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runCost
+		c.Time = p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runCost
+		c.Cost = c.Time
 		c.Cost += min(time.Duration(again)*againCost, againMost)
 		c.Cost += homeCost(s, chain, p.readTime(c.Missing))
 	} else {
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -57,10 +57,10 @@
 // timeAfter is the least time that a request takes after one of its steps. By
 // it, the first step of a long chain is due before the last one, and pieces are
 // not made for a request that can't be in time any more.
-func (r *Relay) timeAfter(p plan, at int) time.Duration {
+func (r *Relay) timeAfter(j *job, p plan, at int) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.restOf(p, at) + serverTime
+	return r.restOf(p, at) + j.answerTime
 }
 
 // restOf is the least time of the steps after one, along the longest path.
@@ -91,6 +91,7 @@
 	}
 	if choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID)); choice.Server != nil {
 		j.zone = choice.Server.Zone
+		j.answerTime = serverTime + min(choice.Time, mostReading)
 	}
 	return r.pathWait(now, p), r.leastPath(p)
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -53,6 +53,8 @@
 	gatherers map[shed.ResultRef]shed.VM
 	zone      shed.ZoneID
 	heavy     bool
+	// answerTime is what its server is foreseen to take to the first event.
+	answerTime time.Duration
 
 	// what the log tells of it
 	server    shed.ServerID
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -134,8 +134,8 @@
 func (r *Relay) admitSteps(j *job, f batch.Forecast, least time.Duration) *refusal {
 	now := time.Now()
 	toAim, toEnd := j.aim.Sub(now), j.deadline.Sub(now)
-	foreseen := time.Duration(growth*float64(f.Timely)) + serverTime
-	if foreseen <= toAim || f.Last <= least+lateWait && f.Last+serverTime <= toEnd {
+	foreseen := time.Duration(growth*float64(f.Timely)) + j.answerTime
+	if foreseen <= toAim || f.Last <= least+lateWait && f.Last+j.answerTime <= toEnd {
 		return nil
 	}
 	after := min(max(foreseen-toAim, comeBack), mostBack)
@@ -196,7 +196,7 @@
 	s := p.steps[at]
 	pieces := make([]shed.Piece, p.pieces[at])
 	now := time.Now()
-	after := r.timeAfter(p, at)
+	after := r.timeAfter(j, p, at)
 	near := r.nearZone(j, p, at, made)
 	var inputs []shed.ResultRef
 	for _, before := range s.After {
@@ -285,5 +285,11 @@
 	return nil, stepError{end}
 }
 
-// serverTime is about what a server takes from the request to its first event.
-const serverTime = 100 * time.Millisecond
+const (
+	// serverTime is about what a server takes from the request to its first event
+	// beside reading its prompt.
+	serverTime = 40 * time.Millisecond
+	// mostReading bounds the time foreseen for reading a prompt: a request with a
+	// very long one must not have all its steps due at once.
+	mostReading = 600 * time.Millisecond
+)
