--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -79,6 +79,7 @@
 	waiting []*piece
 }
 
+// job is what one daemon asked for at once.
 type job struct {
 	id      JobID
 	group   *group
@@ -100,6 +101,7 @@
 	return p.job.near
 }
 
+// piece is one piece of a job until it is settled.
 type piece struct {
 	shed.Piece
 	job   *job
@@ -110,6 +112,7 @@
 	settled bool
 }
 
+// call is one call that a server runs.
 type call struct {
 	server   shed.Listing
 	group    *group
@@ -117,8 +120,7 @@
 	began    time.Time
 	expected time.Duration
 	bytes    int64
-	// limit and doubt are when it is given up, and when its pieces go to another
-	// server too.
+	// doubt is when its pieces go to another server too; doubted: they have.
 	doubt   time.Time
 	doubted bool
 }
--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -42,7 +42,7 @@
 func (r *Relay) shunPeer(vm shed.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mesh.shunned[vm] = time.Now().Add(shunPeer)
+	r.mesh.shunned[vm] = time.Now().Add(shunPeerFor)
 }
 
 // askPieces has pieces made by the servers of a pool, through the VM that
--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -152,6 +152,8 @@
 func (r *Relay) exchangePieces(a batch.Send) (batch.CallEnded, int, error) {
 	ctx, cancel := context.WithTimeout(r.base, a.Limit)
 	defer cancel()
+	ctx, span := r.tracer.Start(ctx, "call for pieces")
+	defer span.End()
 	req, err := r.cfg.Dialect.RunPieces(a.Server, a.Pieces)
 	if err != nil {
 		return batch.CallEnded{NotRun: true}, 0, err
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -25,9 +25,9 @@
 	probeEvery = 500 * time.Millisecond
 	ackAfter   = 300 * time.Millisecond
 	suspectFor = time.Second
-	// shunPeer is how long a peer that gave no answer gathers no pieces for this
+	// shunPeerFor is how long a peer that gave no answer gathers no pieces for this
 	// VM.
-	shunPeer = 1500 * time.Millisecond
+	shunPeerFor = 1500 * time.Millisecond
 	// loadEvery is how often a VM tells its load to each peer, in a fleet of up
 	// to loadPeers; in a larger one less often, so that the messages a second
 	// don't grow faster than the fleet.
