--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -77,6 +77,8 @@
 	controller
 	// Pieces has the pieces made and returns a result for each.
 	Pieces(ctx context.Context, call PieceCall) []shed.PieceResult
+	// Unwanted gives up results that did not reach the daemon that asked.
+	Unwanted(results []shed.PieceResult)
 	// Items returns what this daemon knows of the store.
 	Items(call ItemsCall) ItemsReply
 }
@@ -106,7 +108,12 @@
 	out := &sender{stream: stream}
 	stop := out.beat(&pieceReply{})
 	defer stop()
-	return nil, out.send(&pieceReply{Results: srv.(RelayHandler).Pieces(stream.Context(), call.unpack())})
+	results := srv.(RelayHandler).Pieces(stream.Context(), call.unpack())
+	err := out.send(&pieceReply{Results: results})
+	if err != nil {
+		srv.(RelayHandler).Unwanted(results)
+	}
+	return nil, err
 }
 
 func receiveItems(srv any, _ context.Context, in1, _ any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
--- /dev/null
+++ b/internal/peers/relay_test.go
@@ -0,0 +1,92 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/peers"
+)
+
+// BenchmarkRelayLoad gives the bytes of one load message, by the servers on which
+// its sender has requests and the prompts that it has placed since the last one.
+//
+//	go test ./internal/peers -run xxx -bench RelayLoad -benchtime 100x
+func BenchmarkRelayLoad(b *testing.B) {
+	for _, n := range []int{0, 3, 30} {
+		b.Run(fmt.Sprint(n, "_servers"), func(b *testing.B) {
+			load := shed.RelayLoad{
+				Sequence: 1 << 20, AsOf: 1 << 16, Digest: 1 << 60, Confirmed: 200 * time.Millisecond, Power: 1000,
+				Servers: map[shed.ServerID]shed.ServerShare{},
+				Waits:   []shed.PieceWait{{Pool: "model-ingest", Timely: time.Second, Last: time.Second}},
+			}
+			for i := range n {
+				id := shed.ServerID(fmt.Sprintf("i-%010x", i))
+				load.Servers[id] = shed.ServerShare{Running: 4, Reading: 12000}
+				load.Placed = append(load.Placed, shed.PromptPlaced{Server: id, Chain: []uint64{1 << 60, 1 << 61}})
+			}
+			size := 0
+			for range b.N {
+				n, err := peers.Size(shed.Peer{VM: "10.1.0.41:8628", Incarnation: 1 << 60}, load)
+				require.NoError(b, err)
+				size = n
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// relayStub makes pieces at once, and counts the results that nobody got.
+type relayStub struct {
+	results  chan struct{}
+	unwanted chan int
+}
+
+func (s *relayStub) Control(shed.Peer, shed.Message) {}
+
+func (s *relayStub) Items(peers.ItemsCall) peers.ItemsReply { return peers.ItemsReply{} }
+
+func (s *relayStub) Pieces(_ context.Context, call peers.PieceCall) []shed.PieceResult {
+	<-s.results
+	return make([]shed.PieceResult, len(call.Pieces))
+}
+
+func (s *relayStub) Unwanted(results []shed.PieceResult) { s.unwanted <- len(results) }
+
+// The daemon that asked for pieces dies while they are made. Its answer can't be
+// sent, so the results are given up at once: they would take up room for seconds.
+func TestAskerGone(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stub := &relayStub{results: make(chan struct{}), unwanted: make(chan int, 1)}
+	srv := peers.NewServer(peers.ServerConfig{Listener: lis, Relay: stub})
+	ctx, stop := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return srv.Serve(ctx) })
+	client := peers.NewClient(peers.ClientConfig{})
+	asking, gone := context.WithCancel(t.Context())
+	g.Go(func() error {
+		_, err := client.Pieces(asking, shed.VM(lis.Addr().String()), peers.PieceCall{Pieces: make([]shed.Piece, 3)})
+		require.Error(t, err)
+		return nil
+	})
+	time.Sleep(100 * time.Millisecond)
+	gone()
+	time.Sleep(100 * time.Millisecond)
+	close(stub.results)
+	select {
+	case n := <-stub.unwanted:
+		require.Equal(t, 3, n)
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "the results were not given up")
+	}
+	stop()
+	_ = g.Wait()
+	require.NoError(t, client.Close())
+}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -324,6 +324,14 @@
 	return peers.ItemsReply{AsOf: r.roster.AsOf(), Items: r.roster.Since(call.After)}
 }
 
+// Unwanted implements peers.RelayHandler. Else the results would take up room at
+// their makers until they lapse there.
+func (r *Relay) Unwanted(results []shed.PieceResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(r.batcher.Handle(time.Now(), batch.Freed{Refs: made(results)}))
+}
+
 // Pieces implements peers.RelayHandler.
 func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) []shed.PieceResult {
 	if r.stopping.Load() {
