--- a/internal/picker/prefix.go
+++ b/internal/picker/prefix.go
@@ -1,7 +1,6 @@
 package picker
 
 import (
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,14 +42,5 @@
 	return out
 }
 
-// PrefixOf names the request's shared prefix, for logs.
-func PrefixOf(prompt []shed.PromptPart) string {
-	ids := make([]string, 0, len(prompt))
-	for _, part := range prompt[:max(len(prompt)-1, 0)] {
-		ids = append(ids, part.ID)
-	}
-	return strings.Join(ids, "+")
-}
-
 // Chains are the hashes by which peers tell each other of prefixes.
 func Chains(prompt []shed.PromptPart) []uint64 { return chains(prompt) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -52,19 +52,18 @@
 
 // What a Change says.
 const (
-	CatalogInForce  shed.Reason = "configuration_in_force"
-	ServerListed    shed.Reason = "server_listed"
-	ServerLeaving   shed.Reason = "server_leaving"
-	ServerGone      shed.Reason = "server_gone"
-	ServerLapsed    shed.Reason = "server_entry_lapsed"
-	ServerUnread    shed.Reason = "server_entry_unreadable"
-	ZoneClosed      shed.Reason = "zone_closed"
-	ZoneReopened    shed.Reason = "zone_reopened"
-	StoreRegained   shed.Reason = "store_regained"
-	StoreLost       shed.Reason = "store_lost"
-	CatalogUnread   shed.Reason = "configuration_unreadable"
-	ItemUnreadable  shed.Reason = "item_unreadable"
-	ServerTurnsCold shed.Reason = "server_turns_cold"
+	CatalogInForce shed.Reason = "configuration_in_force"
+	ServerListed   shed.Reason = "server_listed"
+	ServerLeaving  shed.Reason = "server_leaving"
+	ServerGone     shed.Reason = "server_gone"
+	ServerLapsed   shed.Reason = "server_entry_lapsed"
+	ServerUnread   shed.Reason = "server_entry_unreadable"
+	ZoneClosed     shed.Reason = "zone_closed"
+	ZoneReopened   shed.Reason = "zone_reopened"
+	StoreRegained  shed.Reason = "store_regained"
+	StoreLost      shed.Reason = "store_lost"
+	CatalogUnread  shed.Reason = "configuration_unreadable"
+	ItemUnreadable shed.Reason = "item_unreadable"
 )
 
 // held is an item that the roster holds.
