--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
+	telem.TakeStandardLog(log)
 	tracing, err := telem.NewTracing(ctx, telem.TraceConfig{
 		Exporter: p.Trace.Exporter, File: p.Trace.File, Endpoint: p.Trace.Endpoint,
 		Ratio: p.Trace.Ratio, Zone: p.Node.Zone, VM: p.Node.Reach(),
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -10,7 +10,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/telem"
 )
 
 // Config of a Server.
@@ -53,7 +53,7 @@
 		IdleTimeout:       cfg.Limits.IdleTimeout,
 		ReadTimeout:       cfg.Call,
 		WriteTimeout:      cfg.Call,
-		ErrorLog:          log.New(logWriter{cfg.Log}, "", 0),
+		ErrorLog:          log.New(telem.LogWriter{Log: cfg.Log}, "", 0),
 	}}
 }
 
@@ -121,11 +121,3 @@
 	defer cancel()
 	return s.Shut(ctx)
 }
-
-// logWriter takes the lines of net/http's own log.
-type logWriter struct{ log logrus.FieldLogger }
-
-func (w logWriter) Write(p []byte) (int, error) {
-	w.log.Warn(strings.TrimSpace(string(p)))
-	return len(p), nil
-}
--- a/internal/procs/home_test.go
+++ b/internal/procs/home_test.go
@@ -21,7 +21,7 @@
 	f := startFleet(t, fleetConfig{example: "small"})
 	issuer := f.vms[perZone]
 	require.Equal(t, "b", issuer.zone)
-	f.platform.kill()
+	f.platform.Kill()
 	await(t, func() bool { return !f.anyFresh() }, "the last confirmation is too old")
 
 	var refused, unknown atomic.Int64
--- a/internal/procs/kill_test.go
+++ b/internal/procs/kill_test.go
@@ -26,7 +26,7 @@
 	l.goOn("tickets", 20)
 	l.goOn("victim", 20)
 
-	victim.kill()
+	victim.Kill()
 	l.goOn("others", 100)
 	l.goOn("victim", 40)
 	l.goOn("tickets", 40)
--- a/internal/procs/process_test.go
+++ b/internal/procs/process_test.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sync/errgroup"
+	"jasmineshed/internal/fault"
 )
 
 const (
@@ -24,63 +23,31 @@
 
 // process is one program that a test started. It ends with the test.
 type process struct {
+	*fault.Process
 	t    *testing.T
 	name string
-	log  string
-	cmd  *exec.Cmd
-	// ended is closed once the system has taken the process back.
-	ended chan struct{}
-	wait  errgroup.Group
 }
 
 // start runs a program; what it prints goes to the file log.
 func start(t *testing.T, log, name string, args ...string) *process {
 	t.Helper()
-	out, err := os.Create(log)
+	p, err := fault.Start(log, program(name), args...)
 	require.NoError(t, err)
-	p := &process{t: t, name: filepath.Base(log), log: log, ended: make(chan struct{})}
-	p.cmd = exec.Command(program(name), args...)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	// A test run that is broken off by its own timeout runs no cleanup; the
-	// system ends the process then.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	require.NoError(t, p.cmd.Start())
-	require.NoError(t, out.Close())
-	p.wait.Go(func() error {
-		defer close(p.ended)
-		return p.cmd.Wait()
-	})
-	t.Cleanup(p.kill)
-	return p
+	t.Cleanup(p.Kill)
+	return &process{Process: p, t: t, name: filepath.Base(log)}
 }
 
 func (p *process) signal(s syscall.Signal) {
 	p.t.Helper()
-	require.NoError(p.t, p.cmd.Process.Signal(s), p.name)
-}
-
-// kill ends the process at once; a stopped one too.
-func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.ended
+	require.NoError(p.t, p.Signal(s), p.name)
 }
 
 // ends waits for the process to end by itself, without an error.
 func (p *process) ends() {
 	p.t.Helper()
-	select {
-	case <-p.ended:
-		require.NoError(p.t, p.wait.Wait(), p.name)
-	case <-time.After(patience):
-		require.FailNow(p.t, "process doesn't end", "%s:\n%s", p.name, p.tail())
-	}
-}
-
-// tail is the end of what the process printed.
-func (p *process) tail() string {
-	const most = 4000
-	out, _ := os.ReadFile(p.log)
-	return string(out[max(0, len(out)-most):])
+	ended, err := p.Wait(patience)
+	require.True(p.t, ended, "process doesn't end: %s:\n%s", p.name, p.Tail())
+	require.NoError(p.t, err, p.name)
 }
 
 // awaitLine reads the first JSON line that is whole and taken by found.
@@ -88,7 +55,7 @@
 	p.t.Helper()
 	var line T
 	await(p.t, func() bool {
-		out, err := os.ReadFile(p.log)
+		out, err := os.ReadFile(p.Log)
 		if err != nil {
 			return false
 		}
@@ -120,4 +87,4 @@
 type logOf struct{ p *process }
 
 // String reads the log.
-func (l logOf) String() string { return l.p.tail() }
+func (l logOf) String() string { return l.p.Tail() }
--- a/internal/procs/silent_test.go
+++ b/internal/procs/silent_test.go
@@ -6,15 +6,25 @@
 	"github.com/stretchr/testify/require"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/fault"
 )
 
+// startProxy stands on the way to an address until the test ends.
+func startProxy(t *testing.T, to string) *fault.Proxy {
+	t.Helper()
+	p, err := fault.NewProxy(to)
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
 // Every open connection to the peers' listeners of zone a goes silent at one
 // moment: nothing arrives any more, and neither side is told. New connections
 // work. Zone c has no server of one kind, so its stages are under way on just
 // these connections. Its callers get whole answers within the deadline, since a
 // silent call is given up and made again by a new connection or at another zone.
 func TestSilentPeerConnections(t *testing.T) {
-	relays := map[int]*relay{}
+	proxies := map[int]*fault.Proxy{}
 	f := startFleet(t, fleetConfig{
 		example: "small",
 		engine:  []string{"--call-time", "50ms"},
@@ -22,14 +32,14 @@
 			if i >= perZone {
 				return addr
 			}
-			relays[i] = startRelay(t, addr)
-			return relays[i].addr()
+			proxies[i] = startProxy(t, addr)
+			return proxies[i].Addr()
 		},
 	})
 	f.goesSilent(f.vms[2*perZone:], func() int {
 		lost := 0
-		for _, r := range relays {
-			lost += r.lose()
+		for _, p := range proxies {
+			lost += p.Lose()
 		}
 		return lost
 	})
@@ -41,7 +51,7 @@
 // from what is there, or the stage runs again elsewhere.
 func TestSilentEngineConnections(t *testing.T) {
 	const silent = shed.ServerID("gen-c-1")
-	var engine *relay
+	var engine *fault.Proxy
 	f := startFleet(t, fleetConfig{
 		example: "small",
 		engine:  []string{"--token-time", "8ms"},
@@ -49,11 +59,11 @@
 			if id != silent {
 				return addr
 			}
-			engine = startRelay(t, addr)
-			return engine.addr()
+			engine = startProxy(t, addr)
+			return engine.Addr()
 		},
 	})
-	f.goesSilent(f.vms[2*perZone:], func() int { return engine.lose() })
+	f.goesSilent(f.vms[2*perZone:], func() int { return engine.Lose() })
 	require.NotEmpty(t, f.runs(silent))
 }
 
--- a/internal/procs/stale_test.go
+++ b/internal/procs/stale_test.go
@@ -30,7 +30,7 @@
 	l.add("captions", 4, b.caption)
 	l.add("warnings", 2, b.warning)
 	l.goOn("captions", 20)
-	f.platform.kill()
+	f.platform.Kill()
 	await(t, func() bool { return !f.anyFresh() }, "the last confirmation is too old")
 	l.goOn("captions", 40)
 	l.goOn("warnings", 10)
@@ -47,7 +47,7 @@
 	f.trueAll(ends["warnings"])
 
 	restarted := f.vms[0]
-	restarted.kill()
+	restarted.Kill()
 	f.startVM(restarted)
 	f.settle(f.vms...)
 	for _, v := range f.vms {
