--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -46,17 +46,24 @@
 }
 
 // shunSilent keeps pieces from a VM that gave no answer, and from all others that
-// are silent too.
+// are silent too. Calls under way there are ended, so that their pieces are asked
+// of another VM now, not each after a second of its own.
 func (r *Relay) shunSilent(vm shed.VM) {
-	r.shunPeer(vm)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	vms := r.alive()
 	fresh := time.Duration(freshMissed * float64(loadSilence(len(vms))))
 	for _, other := range vms {
-		if now.Sub(r.heard(other)) > fresh {
-			r.mesh.shunned[other] = now.Add(shunPeerFor)
+		if other != vm && now.Sub(r.heard(other)) <= fresh {
+			continue
+		}
+		r.mesh.shunned[other] = now.Add(shunPeerFor)
+		if now.Sub(r.heard(other)) <= fresh {
+			continue
+		}
+		for _, cancel := range r.mesh.asks[other] {
+			cancel()
 		}
 	}
 }
@@ -77,7 +84,7 @@
 		if vm == own {
 			return r.gather(ctx, pool, pieces), own
 		}
-		results, err := client.Pieces(ctx, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
+		results, err := r.askPeerPieces(ctx, client, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
 		if err == nil {
 			return results, vm
 		}
@@ -91,6 +98,29 @@
 	return failed(len(pieces)), own
 }
 
+// askPeerPieces calls a peer for pieces. The call ends sooner if the peer is found
+// silent by another one.
+func (r *Relay) askPeerPieces(
+	ctx context.Context, client *peers.Client, vm shed.VM, call peers.PieceCall,
+) ([]shed.PieceResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.mesh.lastAsk++
+	id := r.mesh.lastAsk
+	if r.mesh.asks[vm] == nil {
+		r.mesh.asks[vm] = map[uint64]context.CancelFunc{}
+	}
+	r.mesh.asks[vm][id] = cancel
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.mesh.asks[vm], id)
+	}()
+	return client.Pieces(ctx, vm, call)
+}
+
 // wait waits for a time or the end of ctx.
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -83,6 +83,9 @@
 	// comingSum their sum.
 	coming    map[shed.VM]map[shed.PoolID]int
 	comingSum map[shed.PoolID]int
+	// asks end the calls for pieces that are under way at each peer, by a number.
+	asks    map[shed.VM]map[uint64]context.CancelFunc
+	lastAsk uint64
 	// pulling: what a peer knows more of the store is being read.
 	pulling bool
 
@@ -107,6 +110,7 @@
 		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
 		store:   map[shed.VM]storeWord{},
+		asks:    map[shed.VM]map[uint64]context.CancelFunc{},
 		coming:  map[shed.VM]map[shed.PoolID]int{}, comingSum: map[shed.PoolID]int{},
 	}
 	r.joinMesh()
