--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -24,7 +24,8 @@
 			load := shed.RelayLoad{
 				Sequence: 1 << 20, AsOf: 1 << 16, Digest: 1 << 60, Confirmed: 200 * time.Millisecond,
 				Servers: map[shed.ServerID]shed.ServerShare{},
-				Waits:   []shed.PieceWait{{Pool: "model-ingest", Timely: time.Second, Last: time.Second}},
+				Waits:   []shed.PieceWait{{Pool: "model-ingest", Timely: time.Second, Last: time.Second, Slow: 1.2, Rate: 537}},
+				Coming:  map[shed.PoolID]int{"kaart-render": 3, "model-ingest": 40, "editor-desk": 100},
 			}
 			for i := range n {
 				id := shed.ServerID(fmt.Sprintf("i-%010x", i))
