--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -38,36 +38,6 @@
 	return out
 }
 
-// shunPeer keeps pieces from a VM that doesn't gather just now.
-func (r *Relay) shunPeer(vm shed.VM) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.mesh.shunned[vm] = time.Now().Add(shunPeerFor)
-}
-
-// shunSilent keeps pieces from a VM that gave no answer, and from all others that
-// are silent too. Calls under way there are ended, so that their pieces are asked
-// of another VM now, not each after a second of its own.
-func (r *Relay) shunSilent(vm shed.VM) {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	vms := r.alive()
-	fresh := time.Duration(freshMissed * float64(loadSilence(len(vms))))
-	for _, other := range vms {
-		if other != vm && now.Sub(r.heard(other)) <= fresh {
-			continue
-		}
-		r.mesh.shunned[other] = now.Add(shunPeerFor)
-		if now.Sub(r.heard(other)) <= fresh {
-			continue
-		}
-		for _, cancel := range r.mesh.asks[other] {
-			cancel()
-		}
-	}
-}
-
 // askPieces has pieces made by the servers of a pool, through the VM that
 // gathers them. If that VM doesn't answer, the next one does.
 func (r *Relay) askPieces(ctx context.Context, pool shed.PoolID, pieces []shed.Piece) ([]shed.PieceResult, shed.VM) {
--- /dev/null
+++ b/internal/relay/listen.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"context"
+	"net"
+
+	"jasmineshed/internal/httpd"
+	"jasmineshed/internal/prefs"
+)
+
+// Listeners are what a Relay listens on.
+type Listeners struct {
+	Callers, Ready, Peers, Operators net.Listener
+}
+
+// Listen opens the listeners that the settings name.
+func Listen(ctx context.Context, p *prefs.Prefs) (Listeners, error) {
+	var l Listeners
+	err := httpd.ListenAll(ctx, p.Limits.WriteTimeout, []httpd.Opening{
+		{To: &l.Callers, Addr: p.Listen.Callers},
+		{To: &l.Ready, Addr: p.Relay.Ready},
+		{To: &l.Peers, Addr: p.Node.Peer},
+		{To: &l.Operators, Addr: p.Listen.Operators},
+	})
+	if err != nil {
+		l.Close()
+		return Listeners{}, err
+	}
+	return l, nil
+}
+
+// Close closes the listeners that were opened.
+func (l Listeners) Close() {
+	for _, one := range []net.Listener{l.Callers, l.Ready, l.Peers, l.Operators} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -10,7 +10,6 @@
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/prefs"
-	"jasmineshed/internal/rank"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -281,70 +280,6 @@
 	}
 }
 
-// gatherer is the VM that gathers the pieces for a pool, by rendezvous among the
-// live VMs. Two VMs that see different peers, as when a zone is cut off, may
-// name two; both then send calls, which the servers' short queues bear. It is
-// false as long as this process is new and knows no peer.
-func (r *Relay) gatherer(now time.Time, pool shed.PoolID) (shed.VM, bool) {
-	vms := slices.DeleteFunc(r.present(now), func(vm shed.VM) bool { return now.Before(r.mesh.shunned[vm]) })
-	return rank.Owner(string(pool), r.strong(vms))
-}
-
-// strong are the VMs that do work for all others: those with at least half the
-// power of the strongest. What is gathered for one pool of a large fleet fills a
-// link of 10 Mbit/s, which most VMs there have.
-func (r *Relay) strong(vms []shed.VM) []shed.VM {
-	power := func(vm shed.VM) float64 {
-		m, _ := r.group.Lookup(vm)
-		return m.Power
-	}
-	most := 0.0
-	for _, vm := range vms {
-		most = max(most, power(vm))
-	}
-	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return power(vm) < most/2 })
-}
-
-// heard is when a VM last told its load, or became known if that was later: a
-// new process tells none before it has settled.
-func (r *Relay) heard(vm shed.VM) time.Time {
-	at, since := r.mesh.heard[vm], r.group.Since(vm)
-	if at.After(since) {
-		return at
-	}
-	return since
-}
-
-// presentFor is how long the VMs that are there are remembered: each request asks
-// several times, and the answer costs a look at every VM.
-const presentFor = 20 * time.Millisecond
-
-// loadSilence is the longest time between two load messages of a peer that lives.
-func loadSilence(peers int) time.Duration { return max(loadIdle, loadPeriod(peers)) }
-
-// present are the VMs that are there by their load messages, this one among
-// them once it has settled. The slice is the caller's.
-func (r *Relay) present(now time.Time) []shed.VM {
-	if now.Sub(r.mesh.presentAt) > presentFor {
-		r.mesh.present, r.mesh.presentAt = r.lookAround(now), now
-	}
-	return slices.Clone(r.mesh.present)
-}
-
-func (r *Relay) lookAround(now time.Time) []shed.VM {
-	vms := r.alive()
-	silence := loadMissed * loadSilence(len(vms))
-	// A VM that stops is told no load any more.
-	stopping := r.stopping.Load()
-	vms = slices.DeleteFunc(vms, func(vm shed.VM) bool {
-		return !stopping && now.Sub(r.heard(vm)) > silence
-	})
-	if now.Sub(r.mesh.started) >= settleFor && (!stopping || len(vms) == 0) {
-		vms = append(vms, r.mesh.self.VM)
-	}
-	return vms
-}
-
 // Items implements peers.RelayHandler.
 func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
 	r.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+
 	"net"
 	"net/http"
 	"sync"
@@ -52,36 +53,6 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// Listeners are what a Relay listens on.
-type Listeners struct {
-	Callers, Ready, Peers, Operators net.Listener
-}
-
-// Listen opens the listeners that the settings name.
-func Listen(ctx context.Context, p *prefs.Prefs) (Listeners, error) {
-	var l Listeners
-	err := httpd.ListenAll(ctx, p.Limits.WriteTimeout, []httpd.Opening{
-		{To: &l.Callers, Addr: p.Listen.Callers},
-		{To: &l.Ready, Addr: p.Relay.Ready},
-		{To: &l.Peers, Addr: p.Node.Peer},
-		{To: &l.Operators, Addr: p.Listen.Operators},
-	})
-	if err != nil {
-		l.Close()
-		return Listeners{}, err
-	}
-	return l, nil
-}
-
-// Close closes the listeners that were opened.
-func (l Listeners) Close() {
-	for _, one := range []net.Listener{l.Callers, l.Ready, l.Peers, l.Operators} {
-		if one != nil {
-			_ = one.Close()
-		}
-	}
-}
-
 // Relay is one relaying daemon.
 type Relay struct {
 	cfg    Config
@@ -249,64 +220,6 @@
 // Explain implements oper.Explainer.
 func (nothingKept) Explain(shed.RequestID) (any, bool) { return nil, false }
 
-// noticeTime is how long the balancer may take to see that this VM isn't ready:
-// two questions, one a second, and a margin. Until then new connections come,
-// and each request on them is served. After it none is taken: where most VMs of
-// a zone stop at once, the balancer goes on sending, and what came late was cut
-// off at the end of the time for the stop.
-const noticeTime = 2500 * time.Millisecond
-
-// Stop begins a graceful stop: not ready, but serving until nothing is open. With
-// hurry, requests in flight are cut off.
-func (r *Relay) Stop(hurry bool) {
-	if hurry {
-		r.hurryOnce.Do(func() { close(r.hurried) })
-	}
-	if r.stopping.Swap(true) {
-		return
-	}
-	r.log.WithField("open", r.open.Load()).Info("stop asked for; not ready from now on")
-	r.mu.Lock()
-	r.performMesh(r.group.Leave(shed.Peer{}))
-	r.mesh.presentAt = time.Time{}
-	if len(r.alive()) > 0 {
-		r.perform(r.batcher.Handle(time.Now(), batch.Stopped{}))
-	}
-	r.mu.Unlock()
-}
-
-// awaitStop ends the daemon once a stop was asked for and all requests are
-// answered, or the time for it is over.
-func (r *Relay) awaitStop(ctx context.Context, end context.CancelFunc) error {
-	for !r.stopping.Load() {
-		if wait(ctx, stopPoll); ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	asked := time.Now()
-	slow, cancel := context.WithDeadline(ctx, asked.Add(r.prefs.Load().Stop.Drain-stopSlack))
-	defer cancel()
-	r.work.Go(func() error {
-		select {
-		case <-r.hurried:
-			cancel()
-		case <-slow.Done():
-		}
-		return nil
-	})
-	wait(slow, noticeTime)
-	r.log.WithField("open", r.open.Load()).Info("stop: listener closes")
-	err := r.front.Shut(slow)
-	r.log.WithFields(logrus.Fields{
-		"open": r.open.Load(), "spent_ms": time.Since(asked).Milliseconds(), "error": errText(err),
-	}).Info("stop: requests are answered, or cut off")
-	end()
-	return suture.ErrTerminateSupervisorTree
-}
-
-// stopPoll is how often the daemon looks whether it was asked to stop.
-const stopPoll = 50 * time.Millisecond
-
 // serveReady answers the balancer.
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !r.ready() {
@@ -325,46 +238,6 @@
 	return r.roster.Catalog() != nil
 }
 
-// Status implements oper.StatusSource.
-func (r *Relay) Status() any {
-	ready := r.ready()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	out := Status{
-		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
-		Stopping: r.stopping.Load(), Open: r.open.Load(), AsOf: r.roster.AsOf(),
-		Peers: r.alive(), Servers: r.picker.Shares(), Gathers: map[shed.PoolID]int{},
-	}
-	if c := r.roster.Catalog(); c != nil {
-		out.Version = c.Version
-	}
-	if at := r.roster.Contact(); !at.IsZero() {
-		out.StoreAgeMS = now.Sub(at).Milliseconds()
-	}
-	for _, pool := range r.batcher.Busy() {
-		out.Gathers[pool] = r.batcher.Waiting(pool)
-	}
-	return out
-}
-
-// Status is what a relay believes.
-type Status struct {
-	VM       shed.VM       `json:"vm"`
-	Zone     shed.ZoneID   `json:"zone"`
-	Ready    bool          `json:"ready"`
-	Stopping bool          `json:"stopping"`
-	Open     int64         `json:"open"`
-	Version  string        `json:"version"`
-	AsOf     shed.Revision `json:"as_of"`
-	// StoreAgeMS is how long ago the store last answered.
-	StoreAgeMS int64                              `json:"store_age_ms"`
-	Peers      []shed.VM                          `json:"peers"`
-	Servers    map[shed.ServerID]shed.ServerShare `json:"servers"`
-	// Gathers are the pieces that wait here, by pool.
-	Gathers map[shed.PoolID]int `json:"gathers"`
-}
-
 // tickEvery is the period of the pure packages' ticks.
 const tickEvery = shed.TickEvery
 
