--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -193,7 +193,7 @@
 func (b *Batcher) ask(now time.Time, ev Asked) {
 	g := b.groups[ev.Pool]
 	if g == nil {
-		g = &group{pool: ev.Pool}
+		g = &group{pool: ev.Pool, slow: 1}
 		b.groups[ev.Pool] = g
 		b.order = append(b.order, g)
 	}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -39,7 +39,10 @@
 		mx, my := b.makers[x.ID], b.makers[y.ID]
 		if mx.unreached != my.unreached {
 			// Tries come first: they leave the pieces to the others.
-			return cmp.Compare(asInt(my.unreached), asInt(mx.unreached))
+			if mx.unreached {
+				return -1
+			}
+			return 1
 		}
 		if c := cmp.Compare(mx.doubted, my.doubted); c != 0 {
 			return c
@@ -157,17 +160,10 @@
 	return time.Duration(float64(d) * by)
 }
 
-func asInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// try sends one piece, the least urgent one, to a server that the last call
-// did not reach, to see whether it can be reached again. The piece goes on waiting for a sound server: in a
-// zone that was cut off from the others, pieces went from one server beyond the cut
-// to the next, 0.2 s each, for up to 1.3 s.
+// try sends one piece, the least urgent one, to a server that the last call did not
+// reach, to see whether it can be reached again. The piece goes on waiting for a
+// sound server: in a zone that was cut off from the others, pieces went from one
+// server beyond the cut to the next, 0.2 s each, for up to 1.3 s.
 func (b *Batcher) try(now time.Time, out []Action, g *group, s shed.Listing) []Action {
 	at := len(g.waiting) - 1
 	for at >= 0 && (g.waiting[at].settled || g.waiting[at].out > 0) {
--- a/internal/picker/faults.go
+++ b/internal/picker/faults.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// cost is what the failures add to a choice's cost, where most is that of one that always failed.
+// cost is what the failures add to the cost of a choice; most if all calls failed.
 func (f *faults) cost(now time.Time, most time.Duration) time.Duration {
 	return time.Duration(f.now(now) * float64(most))
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -51,8 +51,8 @@
 	servers map[shed.ServerID]*state
 	pace    map[shed.ServerID]*pace
 	// zones holds how often servers of a zone could not be reached lately.
-	zones  map[shed.ZoneID]*faults
-	beside beside
+	zones   map[shed.ZoneID]*faults
+	overrun overrun
 	// told is what each peer last said, so that a choice need not look at each
 	// peer for each server.
 	told map[shed.VM]map[shed.ServerID]shed.ServerShare
@@ -65,8 +65,8 @@
 	}
 	return &Picker{
 		cfg: cfg, servers: map[shed.ServerID]*state{}, pace: map[shed.ServerID]*pace{}, zones: map[shed.ZoneID]*faults{},
-		told:   map[shed.VM]map[shed.ServerID]shed.ServerShare{},
-		beside: beside{mean: FirstBeside},
+		told:    map[shed.VM]map[shed.ServerID]shed.ServerShare{},
+		overrun: overrun{mean: FirstOverrun},
 	}
 }
 
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -251,12 +251,12 @@
 // were due too late by that much, and answers came just after their target.
 func TestFirstEventsAreForeseenAsTheyCame(t *testing.T) {
 	p := picker.New(picker.Config{Zone: "a"})
-	require.Equal(t, picker.FirstBeside, p.Beside())
+	require.Equal(t, picker.FirstOverrun, p.Overrun())
 	c := picker.Choice{Time: 100 * time.Millisecond}
 	for range 100 {
 		p.First(c, 300*time.Millisecond)
 	}
-	require.InDelta(t, 0.2, p.Beside().Seconds(), 0.01)
+	require.InDelta(t, 0.2, p.Overrun().Seconds(), 0.01)
 	p.First(c, 20*time.Second)
-	require.Less(t, p.Beside(), 300*time.Millisecond, "one server that is ill")
+	require.Less(t, p.Overrun(), 300*time.Millisecond, "one server that is ill")
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -110,7 +110,7 @@
 	}
 	if choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID)); choice.Server != nil {
 		j.zone = choice.Server.Zone
-		j.answerTime = min(choice.Time, mostReading) + r.picker.Beside()
+		j.answerTime = min(choice.Time, mostReading) + r.picker.Overrun()
 	}
 	c := r.chain(now, p)
 	return c.Wait(), c.Least()
