--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -196,7 +197,8 @@
 	r.mesh.sequence++
 	load := shed.RelayLoad{
 		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed,
-		Coming: r.coming, AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
+		// Messages are encoded later, in a goroutine of their own.
+		Coming: maps.Clone(r.coming), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
