--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -67,6 +67,8 @@
 	}
 	if len(j.ask.Pieces) > 0 {
 		fields["pieces"], fields["prepared_ms"], fields["zone"] = j.ask.Pieces, j.prepared.Milliseconds(), j.zone
+		fields["foreseen_ms"], fields["answer_ms"] = j.foreseen.Milliseconds(), j.answerTime.Milliseconds()
+		fields["aim_ms"], fields["wait_ms"] = j.aim.Sub(j.began).Milliseconds(), j.deadline.Sub(j.began).Milliseconds()
 	}
 	if j.route != nil && j.route.Streaming {
 		fields["first_ms"], fields["events"] = j.firstByte.Milliseconds(), j.events
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -58,6 +58,9 @@
 	coming map[shed.PoolID]int
 	// answerTime is what its server is foreseen to take to the first event.
 	answerTime time.Duration
+	// foreseen is what its steps were foreseen to take when it was let in, for the
+	// log.
+	foreseen time.Duration
 
 	// what the log tells of it
 	server    shed.ServerID
@@ -198,6 +201,9 @@
 	w := picker.Want{
 		Prompt: j.ask.Prompt, Input: j.ask.Input, Engine: j.pool.Engine != nil, Avoid: j.avoid,
 	}
+	if j.pool.Engine != nil {
+		w.FetchRate = j.pool.Engine.FetchRate
+	}
 	if j.heavy {
 		w.Zone, w.ZoneCost = j.zone, time.Duration(max(len(j.inputs), 1))*zoneCost
 	}
