--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -106,3 +106,44 @@
 	}
 	return longest
 }
+
+// beginEarly is by how much a step that may wait begins sooner than it is foreseen
+// to have to: forecasts are that far off for most requests.
+const beginEarly = 100 * time.Millisecond
+
+// Begin is the step whose beginning step at may await, so that its results are made
+// when the longest path is nearly done; -1 if it is to begin at once.
+//
+// Load pattern: a request needs large results beside a long path of other steps.
+// Made at once, they lay at their server until the path was done, for most of the
+// request's time, and took the room from requests that need nothing else.
+func (c Chain) Begin(at int) int {
+	if len(c[at].After) > 0 || c.needed(at) {
+		return -1
+	}
+	own := c[at].end(batch.Forecast{}).Timely + beginEarly
+	best, bestLeft := -1, time.Duration(0)
+	for i := range c {
+		left := c.left(i)
+		if i != at && left >= own && (best < 0 || left < bestLeft) {
+			best, bestLeft = i, left
+		}
+	}
+	return best
+}
+
+// needed tells whether another step needs the results of step at.
+func (c Chain) needed(at int) bool {
+	return slices.ContainsFunc(c, func(s Step) bool { return slices.Contains(s.After, at) })
+}
+
+// left is the time foreseen from the beginning of a step to the end of its path.
+func (c Chain) left(at int) time.Duration {
+	longest := time.Duration(0)
+	for i := at + 1; i < len(c); i++ {
+		if slices.Contains(c[i].After, at) {
+			longest = max(longest, c.left(i))
+		}
+	}
+	return c[at].end(batch.Forecast{}).Timely + longest
+}
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -51,7 +51,11 @@
 }
 
 // tally is what became of the requests of a burst.
-type tally struct{ timely, late, door, given int }
+type tally struct {
+	timely, late, door, given int
+	// idle is how long results of first steps lay unused, in all.
+	idle time.Duration
+}
 
 const (
 	aim = 1500 * ms
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -64,16 +64,15 @@
 		done[i] = make(chan struct{})
 	}
 	uses := newUses(p)
+	awaits := r.awaits(p)
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range p.steps {
 		g.Go(func() error {
-			for _, before := range p.steps[i].After {
-				if at := p.at(before); at >= 0 {
-					select {
-					case <-done[at]:
-					case <-ctx.Done():
-						return ctx.Err()
-					}
+			for _, at := range awaits[i] {
+				select {
+				case <-done[at]:
+				case <-ctx.Done():
+					return ctx.Err()
 				}
 			}
 			var err error
@@ -91,6 +90,21 @@
 	return err
 }
 
+// awaits are the steps that are to be done before each step begins.
+func (r *Relay) awaits(p plan) [][]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.chain(time.Now(), p)
+	out := make([][]int, len(c))
+	for i := range c {
+		out[i] = c[i].After
+		if with := c.Begin(i); with >= 0 {
+			out[i] = c[with].After
+		}
+	}
+	return out
+}
+
 // uses counts the steps that still need the results of each step.
 type uses struct {
 	mu   sync.Mutex
@@ -136,6 +150,7 @@
 func (r *Relay) admitSteps(j *job, f batch.Forecast, least time.Duration) *refusal {
 	now := time.Now()
 	toAim, toEnd := j.aim.Sub(now), j.deadline.Sub(now)
+	j.foreseen = f.Timely
 	foreseen := time.Duration(growth*float64(f.Timely)) + j.answerTime
 	if foreseen <= toAim || f.Last <= least+lateWait && f.Last+j.answerTime <= toEnd {
 		return nil
