--- /dev/null
+++ b/internal/picker/fetch_test.go
@@ -0,0 +1,154 @@
+package picker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/picker"
+	"jasmineshed/internal/roster"
+)
+
+// fetchRate is how many tokens of KV cache engines fetch from each other in a
+// millisecond, in these tests.
+const fetchRate = 250
+
+func fetching(shared string, own int) picker.Want {
+	w := prompt(shared, own)
+	w.FetchRate = fetchRate
+	return w
+}
+
+// The server that has a prefix is crowded. Another one is chosen, and fetches the
+// prefix instead of reading it again.
+func TestPrefixIsFetchedFromACrowdedServer(t *testing.T) {
+	from := servers(12, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	home := p.Pick(start, fetching("x", 0), from)
+	require.Nil(t, home.Donor, "nobody has it yet")
+	p.Placed(start, fetching("x", 0), home)
+	p.PeerShares("vm2", map[shed.ServerID]shed.ServerShare{home.Server.ID: {Running: 20, Reading: 20000}})
+	next := p.Pick(start, fetching("x", 1), from)
+	require.NotEqual(t, home.Server.ID, next.Server.ID)
+	require.Equal(t, home.Server.ID, next.Donor.ID)
+	require.Equal(t, shed.Tokens(13000), next.Fetched)
+	require.Equal(t, shed.Tokens(3000), next.Missing)
+	require.Less(t, next.Time, 200*time.Millisecond, "reading it again alone takes 260 ms")
+}
+
+// Two servers have the prefix, one in each zone, and both are crowded. The transfer
+// within the zone is the faster one.
+func TestPrefixIsFetchedWithinTheZone(t *testing.T) {
+	from := servers(6, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	crowded := map[shed.ServerID]shed.ServerShare{}
+	for _, s := range from[:5] {
+		crowded[s.ID] = shed.ServerShare{Running: 90, Reading: 90000}
+	}
+	p.Pick(start, fetching("x", 0), from)
+	for _, s := range from[:3] {
+		p.Seen(start, s.ID, picker.Chains(fetching("x", 0).Prompt))
+	}
+	p.PeerShares("vm2", crowded)
+	c := p.Pick(start, fetching("x", 1), from)
+	require.Equal(t, from[5].ID, c.Server.ID)
+	require.Equal(t, c.Server.Zone, c.Donor.Zone)
+}
+
+// Engines that don't fetch, or a donor that can't be reached, or that failed this
+// request: the prefix is read again, nobody waits for it.
+func TestPrefixIsNotFetched(t *testing.T) {
+	from := servers(2, func(_ int, s *roster.Server) { s.Zone = "a" })
+	home, other := from[0], from[1]
+	seen := func() *picker.Picker {
+		p := picker.New(picker.Config{Zone: "a"})
+		p.Pick(start, fetching("x", 0), from)
+		p.Seen(start, home.ID, picker.Chains(fetching("x", 0).Prompt))
+		p.PeerShares("vm2", map[shed.ServerID]shed.ServerShare{home.ID: {Running: 90, Reading: 90000}})
+		return p
+	}
+	c := seen().Pick(start, fetching("x", 1), from)
+	require.Equal(t, other.ID, c.Server.ID)
+	require.Equal(t, home.ID, c.Donor.ID)
+
+	w := fetching("x", 1)
+	w.FetchRate = 0
+	require.Nil(t, seen().Pick(start, w, from).Donor)
+	w = fetching("x", 1)
+	w.Avoid = []shed.ServerID{home.ID}
+	require.Nil(t, seen().Pick(start, w, from).Donor)
+	p := seen()
+	p.Ended(start, picker.Choice{Server: home}, picker.End{Failed: true, Unreached: true})
+	require.Nil(t, p.Pick(start, fetching("x", 1), from).Donor)
+	require.Nil(t, seen().Pick(start.Add(time.Minute), fetching("x", 1), from).Donor, "it is no longer taken to be in memory")
+}
+
+// Bursts come in prefixes that few servers have. Wherever the load went, engines read
+// them again, and first events came later for all.
+func TestHotPrefixInABurst(t *testing.T) {
+	without, with := hotPrefix(0), hotPrefix(fetchRate)
+	t.Logf("read again: %+v; fetched: %+v", without, with)
+	require.Less(t, with.read, without.read)
+	require.Less(t, with.slow, without.slow)
+}
+
+// engineWork is what engines did in a replay: tokens read, and the time in which 90
+// of 100 first events came.
+type engineWork struct {
+	read shed.Tokens
+	slow time.Duration
+}
+
+// hotPrefix plays a burst of requests with six prefixes at nine engines.
+func hotPrefix(rate float64) engineWork {
+	const perSec, readRate, last = 25, 38, 10 * time.Second
+	rng := rand.New(rand.NewPCG(2, 2))
+	from := servers(9, nil)
+	p := picker.New(picker.Config{Zone: "a", ReadRate: readRate})
+	free := map[shed.ServerID]time.Time{}
+	has := map[string]bool{}
+	type running struct {
+		c  picker.Choice
+		at time.Time
+	}
+	var runs []running
+	var took []time.Duration
+	var work engineWork
+	for now := start; now.Before(start.Add(last)); {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSec))
+		runs = slices.DeleteFunc(runs, func(r running) bool {
+			if now.Before(r.at) {
+				return false
+			}
+			p.Began(r.c)
+			p.Ended(r.at, r.c, picker.End{})
+			return true
+		})
+		name := fmt.Sprint("hot", rng.IntN(6))
+		w := prompt(name, int(now.UnixNano()))
+		w.FetchRate = rate
+		c := p.Pick(now, w, from)
+		p.Placed(now, w, c)
+		missing := shed.Tokens(3000)
+		if key := string(c.Server.ID) + name; !has[key] {
+			has[key] = true
+			missing += 13000 - c.Fetched
+		}
+		work.read += missing
+		ends := shed.Later(now, free[c.Server.ID]).Add(time.Duration(missing) * time.Millisecond / readRate)
+		if c.Donor != nil {
+			ends = ends.Add(time.Duration(c.Fetched) * time.Millisecond / fetchRate)
+		}
+		free[c.Server.ID] = ends
+		took = append(took, ends.Sub(now))
+		runs = append(runs, running{c: c, at: ends})
+	}
+	slices.Sort(took)
+	work.slow = took[len(took)*9/10]
+	return work
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -76,6 +76,9 @@
 	Input  shed.Tokens
 	// Engine: the pool's servers are model engines.
 	Engine bool
+	// FetchRate is how many tokens of KV cache they fetch from each other in a
+	// millisecond; 0 if they don't.
+	FetchRate float64
 	// Zone is where the request's inputs lie; empty if it has none or they are
 	// light.
 	Zone shed.ZoneID
@@ -99,8 +102,10 @@
 	Cost time.Duration
 	// Time is the same without what is added for what users pay.
 	Time time.Duration
-	// Missing are the tokens of the prompt that the server has to read.
-	Missing shed.Tokens
+	// Missing are the tokens of the prompt that the server has to read, Fetched
+	// those that it fetches from Donor instead; Donor is nil if none.
+	Missing, Fetched shed.Tokens
+	Donor            *roster.Server
 	// Cold: all servers that could serve are cold and have had their share.
 	Cold bool
 }
@@ -111,6 +116,7 @@
 	var best Choice
 	chain := chains(w.Prompt)
 	usual := p.usual(from)
+	donors := p.donors(now, &w, from, chain)
 	held := false
 	for _, s := range from {
 		if avoided(w.Avoid, s.ID) {
@@ -120,7 +126,7 @@
 			held = true
 			continue
 		}
-		c := p.cost(now, &w, s, chain, usual)
+		c := p.cost(now, &w, s, chain, usual, donors)
 		if best.Server == nil || c.Cost < best.Cost {
 			best = c
 		}
@@ -153,14 +159,17 @@
 	return false
 }
 
-func (p *Picker) cost(now time.Time, w *Want, s *roster.Server, chain []uint64, usual time.Duration) Choice {
+func (p *Picker) cost(
+	now time.Time, w *Want, s *roster.Server, chain []uint64, usual time.Duration, donors donors,
+) Choice {
 	st := p.state(s)
 	running, reading := st.own+st.peers.Running, st.reading+st.peers.Reading
 	c := Choice{Server: s}
 	if w.Engine {
 		var again shed.Tokens
 		c.Missing, again = st.missing(now, w, chain)
-		c.Time = p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runCost
+		again -= donors.fetch(&c, w, s, again)
+		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runCost
 		c.Cost = c.Time
 		c.Cost += min(time.Duration(again)*againCost, againMost)
 		c.Cost += homeCost(s, chain, p.readTime(c.Missing))
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -122,6 +122,9 @@
 	if !j.route.Streaming {
 		hop.Urgency = -1
 	}
+	if a.choice.Donor != nil {
+		hop.Donor = a.choice.Donor.Addr
+	}
 	req, err := a.relay.cfg.Dialect.Forward(&j.ask, hop)
 	if err != nil {
 		a.err = err
--- a/relay.go
+++ b/relay.go
@@ -101,6 +101,9 @@
 	Slots int
 	// Memory is how many tokens of prompts and answers it holds.
 	Memory Tokens
+	// FetchRate is how many tokens of a prompt's KV cache it fetches from another
+	// engine in a millisecond; 0 if it can't.
+	FetchRate float64
 }
 
 // BatchLimits say how one server makes pieces.
@@ -230,6 +233,9 @@
 	Resume string
 	// Inputs are the results that the server is to fetch.
 	Inputs []ResultRef
+	// Donor is the address of the server whose KV cache has more of the prompt;
+	// empty if none is to be asked.
+	Donor string
 }
 
 // ResultRef names a piece's result at the server that made it.
