--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,111 @@
+// Package accept decides which requests with steps are let in, and when those that
+// are not may come back. It is pure.
+//
+// Load pattern: callers ask for more than the pools make. What is let in beyond that
+// makes all of it late, and most of the work is done in vain. So a request is refused
+// at once if it would be late by what is foreseen.
+package accept
+
+import (
+	"time"
+
+	shed "jasmineshed"
+)
+
+const (
+	// growth is by how much a forecast is exceeded when load rises: queues grow
+	// while the request is on its way.
+	growth = 1.15
+	// reserve times the time in queues is kept for each more urgent rank that the
+	// request would queue with.
+	reserve = 1.0
+	// lateWait is the longest wait in queues with which a request is let in that
+	// can't be in time for its aim.
+	lateWait = 700 * time.Millisecond
+	// comeBack is the soonest time at which a caller may come back.
+	comeBack = 300 * time.Millisecond
+	// mostBack is the longest that a caller is told to stay away.
+	mostBack = 1500 * time.Millisecond
+	// fairShare: once a route's share of requests let in falls below this part of what
+	// more urgent ones have, it leaves them no reserve any more; starveShare: it did
+	// so, in part, from there.
+	fairShare, starveShare = 0.5, 0.4
+)
+
+// Ask is a request at the door, and what is foreseen of its steps.
+type Ask struct {
+	Route shed.RouteID
+	// Above are the routes of more urgent ranks that use the pool that the request
+	// would wait longest for; Ranks is how many ranks they have.
+	Above []shed.RouteID
+	Ranks int
+	// ToAim and ToEnd are the times left until the answer should and must be there.
+	ToAim, ToEnd time.Duration
+	// Least is how long the steps take if nothing waits; Timely if the request goes
+	// before all that can't be in time any more, Last if after them.
+	Least, Timely, Last time.Duration
+	// Answer is what its server is foreseen to take to the first event.
+	Answer time.Duration
+}
+
+// Verdict says whether a request is let in.
+type Verdict struct {
+	LetIn bool
+	// After is when a refused caller may come back.
+	After time.Duration
+	// Foreseen is when the answer was foreseen, with what is kept for others.
+	Foreseen time.Duration
+}
+
+// Gate lets requests in. It is not safe for concurrent use.
+type Gate struct {
+	routes map[shed.RouteID]*tally
+}
+
+// New returns a Gate that has seen no request.
+func New() *Gate { return &Gate{routes: map[shed.RouteID]*tally{}} }
+
+// Decide lets a request in, or says when it may come back.
+func (g *Gate) Decide(now time.Time, a Ask) Verdict {
+	foreseen := time.Duration(growth*float64(a.Timely)) + a.Answer
+	kept := time.Duration(reserve * float64(a.Ranks) * float64(max(a.Timely-a.Least, 0)) * g.weight(now, &a))
+	v := Verdict{Foreseen: foreseen + kept}
+	v.LetIn = v.Foreseen <= a.ToAim || a.Last <= a.Least+lateWait && a.Last+a.Answer <= a.ToEnd
+	g.tally(a.Route).add(now, v.LetIn)
+	if !v.LetIn {
+		v.After = min(max(v.Foreseen-a.ToAim, comeBack), mostBack)
+	}
+	return v
+}
+
+// weight is how much of the reserve for more urgent routes counts, from 0 to 1.
+//
+// Load pattern: an overload that lasts, mostly of urgent requests. With the whole
+// reserve, nothing else would be let in; the less of a route is let in against the
+// more urgent ones, the less it leaves to them.
+func (g *Gate) weight(now time.Time, a *Ask) float64 {
+	own := g.tally(a.Route).share(now)
+	urgent := 1.0
+	for _, id := range a.Above {
+		urgent = min(urgent, g.tally(id).share(now))
+	}
+	return min(max((own/urgent-starveShare)/(fairShare-starveShare), 0), 1)
+}
+
+func (g *Gate) tally(id shed.RouteID) *tally {
+	t := g.routes[id]
+	if t == nil {
+		t = &tally{}
+		g.routes[id] = t
+	}
+	return t
+}
+
+// Keep forgets routes that the configuration no longer has.
+func (g *Gate) Keep(listed func(shed.RouteID) bool) {
+	for id := range g.routes {
+		if !listed(id) {
+			delete(g.routes, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,121 @@
+package accept_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/accept"
+)
+
+const ms = time.Millisecond
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestDecide(t *testing.T) {
+	calm := accept.Ask{
+		Route: "draft", ToAim: 2700 * ms, ToEnd: 6 * time.Second, Answer: 200 * ms,
+		Least: 900 * ms, Timely: time.Second, Last: time.Second,
+	}
+	cases := []struct {
+		name   string
+		change func(*accept.Ask)
+		letIn  bool
+		// after is when the caller may come back, if it is refused.
+		after time.Duration
+	}{
+		{"calm", func(*accept.Ask) {}, true, 0},
+		{"in time with what queues will grow by", func(a *accept.Ask) { a.Timely = 2170 * ms }, true, 0},
+		{"late by what queues will grow by", func(a *accept.Ask) { a.Timely, a.Last = 2200*ms, 2200*ms }, false, 300 * ms},
+		{"back when it would be in time", func(a *accept.Ask) { a.Timely, a.Last = 3*time.Second, 3*time.Second }, false, 950 * ms},
+		{"back soon however long the queue", func(a *accept.Ask) { a.Timely, a.Last = 9*time.Second, 9*time.Second }, false, 1500 * ms},
+		{"late, but hardly anything waits", func(a *accept.Ask) { a.ToAim, a.Timely, a.Last = 0, 1500*ms, 1500*ms }, true, 0},
+		{"late, and after its caller has gone", func(a *accept.Ask) { a.ToAim, a.ToEnd = 0, 1100*ms }, false, 1350 * ms},
+		{"no server", func(a *accept.Ask) { a.Timely, a.Last = time.Hour, time.Hour }, false, 1500 * ms},
+		{"urgent ranks, empty queues", func(a *accept.Ask) { a.Ranks, a.Timely = 2, 900*ms }, true, 0},
+		{"urgent ranks, full queues", func(a *accept.Ask) { a.Ranks, a.Timely, a.Last = 1, 2*time.Second, 2*time.Second }, false, 900 * ms},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := calm
+			c.change(&a)
+			v := accept.New().Decide(start, a)
+			require.Equal(t, c.letIn, v.LetIn)
+			require.Equal(t, c.after, v.After.Round(ms))
+		})
+	}
+}
+
+// Callers ask for one and a half times what a pool makes, urgent ones for half of it.
+// All were turned away alike, urgent ones even more often since their aim is shorter.
+// Now the others are turned away first, and urgent ones hardly ever.
+func TestUrgentCallersFirst(t *testing.T) {
+	without, with := overload(9, 9, 0), overload(9, 9, 1)
+	t.Logf("without a reserve: urgent %.2f other %.2f; with: urgent %.2f other %.2f",
+		without.urgent, without.other, with.urgent, with.other)
+	require.Less(t, without.urgent, 0.75)
+	require.Greater(t, with.urgent, 0.9)
+}
+
+// Urgent callers alone ask for more than a pool makes, for a long time. Others would
+// wait for ever behind them; they are served two fifths as often as these.
+func TestNobodyStarves(t *testing.T) {
+	got := overload(20, 4, 1)
+	t.Logf("urgent %.2f other %.2f", got.urgent, got.other)
+	require.Greater(t, got.other, 0.35*got.urgent)
+}
+
+// letIn are the shares of requests that were let in.
+type letIn struct{ urgent, other float64 }
+
+// overload plays requests of two routes at a pool that makes twelve a second, each of
+// which has to wait for all before it.
+func overload(urgentPerSec, otherPerSec float64, ranks int) letIn {
+	const perSec, last = 12, 30 * time.Second
+	rng := rand.New(rand.NewPCG(1, 1))
+	g := accept.New()
+	var queue time.Duration
+	var asked, in [2]float64
+	now := start
+	for now.Before(start.Add(last)) {
+		gap := time.Duration(rng.ExpFloat64() * float64(time.Second) / (urgentPerSec + otherPerSec))
+		now, queue = now.Add(gap), max(queue-gap, 0)
+		a := accept.Ask{
+			Route: "urgent", ToAim: 2700 * ms, ToEnd: 6 * time.Second, Answer: 200 * ms,
+			Least: 900 * ms, Timely: 900*ms + queue, Last: 900*ms + queue,
+		}
+		kind := 0
+		if rng.Float64() < otherPerSec/(urgentPerSec+otherPerSec) {
+			kind = 1
+			a.Route, a.ToAim, a.ToEnd = "other", 3100*ms, 20*time.Second
+			a.Above, a.Ranks = []shed.RouteID{"urgent"}, ranks
+		}
+		asked[kind]++
+		if g.Decide(now, a).LetIn {
+			in[kind]++
+			queue += time.Second / perSec
+		}
+	}
+	return letIn{urgent: in[0] / asked[0], other: in[1] / asked[1]}
+}
+
+// A route is gone from the configuration, and comes back under its old name. What it
+// was refused before counts no more.
+func TestKeep(t *testing.T) {
+	g := accept.New()
+	late := accept.Ask{Route: "other", ToEnd: time.Second, Timely: time.Minute, Last: time.Minute}
+	for range 100 {
+		require.False(t, g.Decide(start, late).LetIn)
+		require.True(t, g.Decide(start, accept.Ask{Route: "urgent", ToAim: time.Second}).LetIn)
+	}
+	other := accept.Ask{
+		Route: "other", Above: []shed.RouteID{"urgent"}, Ranks: 1,
+		ToAim: 2 * time.Second, ToEnd: 2 * time.Second, Timely: 1200 * ms, Last: 1200 * ms,
+	}
+	require.True(t, g.Decide(start, other).LetIn, "refused so often that it leaves no reserve")
+	g.Keep(func(id shed.RouteID) bool { return id != "other" })
+	require.False(t, g.Decide(start, other).LetIn)
+}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -147,3 +147,14 @@
 	}
 	return c[at].end(batch.Forecast{}).Timely + longest
 }
+
+// Crowded is the step that has to wait longest for servers.
+func (c Chain) Crowded() int {
+	most, waits := 0, time.Duration(-1)
+	for i := range c {
+		if queue := c[i].end(batch.Forecast{}).Timely - c[i].least(); queue > waits {
+			most, waits = i, queue
+		}
+	}
+	return most
+}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/accept"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
 )
@@ -101,7 +102,7 @@
 
 // plan chooses near which server the pieces are best made, and foresees how long
 // they take, and would take at least.
-func (r *Relay) plan(j *job, p plan) (f batch.Forecast, least time.Duration) {
+func (r *Relay) plan(j *job, p plan) accept.Ask {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,5 +114,23 @@
 		j.answerTime = min(choice.Time, mostReading) + r.picker.Overrun()
 	}
 	c := r.chain(now, p)
-	return c.Wait(), c.Least()
+	wait := c.Wait()
+	ask := accept.Ask{Route: j.route.ID, Least: c.Least(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
+	ask.Above, ask.Ranks = r.above(j.route, p.steps[c.Crowded()].Pool)
+	return ask
+}
+
+// above are the routes of more urgent ranks that have steps in a pool, and how many
+// ranks they have. The caller holds mu.
+func (r *Relay) above(route *shed.Route, pool shed.PoolID) (routes []shed.RouteID, ranks int) {
+	seen := map[int]bool{}
+	for i := range r.roster.Catalog().Routes {
+		other := &r.roster.Catalog().Routes[i]
+		if other.Rank >= route.Rank || !other.Uses(pool) {
+			continue
+		}
+		routes = append(routes, other.ID)
+		seen[other.Rank] = true
+	}
+	return routes, len(seen)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/accept"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/httpd"
@@ -83,6 +84,7 @@
 	roster  *roster.Roster
 	picker  *picker.Picker
 	batcher *batch.Batcher
+	accept  *accept.Gate
 	repeats map[shed.PoolID]*retry.Budget
 	group   *member.Group
 	mesh    mesh
@@ -118,6 +120,7 @@
 		hurried: make(chan struct{}),
 		halt:    halt,
 		roster:  roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
+		accept:  accept.New(),
 		picker:  picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		repeats: map[shed.PoolID]*retry.Budget{},
 		jobs:    map[batch.JobID]chan []shed.PieceResult{},
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -58,8 +58,7 @@
 	coming map[shed.PoolID]int
 	// answerTime is what its server is foreseen to take to the first event.
 	answerTime time.Duration
-	// foreseen is what its steps were foreseen to take when it was let in, for the
-	// log.
+	// foreseen is when the answer was foreseen when it was let in, for the log.
 	foreseen time.Duration
 
 	// what the log tells of it
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -9,7 +9,7 @@
 	"time"
 
 	shed "jasmineshed"
-	"jasmineshed/internal/batch"
+	"jasmineshed/internal/accept"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -18,15 +18,6 @@
 const (
 	// heavyBytes is the size from which results are kept within a zone.
 	heavyBytes = 500_000
-	// growth is by how much a forecast is exceeded when load rises: queues grow
-	// while the request is on its way.
-	growth = 1.15
-	// lateWait is the longest wait in queues with which a request is let in that
-	// can't be in time for its aim.
-	lateWait = 700 * time.Millisecond
-	// mostBack is the longest that a caller is told to stay away; callers wait
-	// a third of their time at the most.
-	mostBack = 1500 * time.Millisecond
 )
 
 // prepare has all pieces of the request made, and sets its inputs.
@@ -35,9 +26,9 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	forecast, least := r.plan(j, p)
+	ask := r.plan(j, p)
 	if j.sends == 0 {
-		if no := r.admitSteps(j, forecast, least); no != nil {
+		if no := r.admitSteps(j, ask); no != nil {
 			return no
 		}
 	}
@@ -143,24 +134,24 @@
 	return out
 }
 
-// admitSteps refuses at once what would be late, unless the servers will have
-// time for it before its deadline: what is let in beyond what can be served
-// makes all of it late, and most of that work is done in vain. A caller that is
-// refused is told when what is waiting now will be done.
-func (r *Relay) admitSteps(j *job, f batch.Forecast, least time.Duration) *refusal {
+// admitSteps refuses at once what would be late.
+func (r *Relay) admitSteps(j *job, ask accept.Ask) *refusal {
 	now := time.Now()
-	toAim, toEnd := j.aim.Sub(now), j.deadline.Sub(now)
-	j.foreseen = f.Timely
-	foreseen := time.Duration(growth*float64(f.Timely)) + j.answerTime
-	if foreseen <= toAim || f.Last <= least+lateWait && f.Last+j.answerTime <= toEnd {
+	ask.ToAim, ask.ToEnd = j.aim.Sub(now), j.deadline.Sub(now)
+	r.mu.Lock()
+	v := r.accept.Decide(now, ask)
+	r.mu.Unlock()
+	j.foreseen = v.Foreseen
+	if v.LetIn {
 		return nil
 	}
-	after := min(max(foreseen-toAim, comeBack), mostBack)
 	r.log.WithFields(logrus.Fields{
-		"request": j.ask.ID, "timely_ms": f.Timely.Milliseconds(), "last_ms": f.Last.Milliseconds(),
-		"to_aim_ms": toAim.Milliseconds(), "to_end_ms": toEnd.Milliseconds(), "after_ms": after.Milliseconds(),
+		"request": j.ask.ID, "route": ask.Route, "foreseen_ms": v.Foreseen.Milliseconds(), "least_ms": ask.Least.Milliseconds(),
+		"timely_ms": ask.Timely.Milliseconds(), "last_ms": ask.Last.Milliseconds(), "answer_ms": ask.Answer.Milliseconds(),
+		"urgent_ranks": ask.Ranks, "to_aim_ms": ask.ToAim.Milliseconds(), "to_end_ms": ask.ToEnd.Milliseconds(),
+		"after_ms": v.After.Milliseconds(),
 	}).Info("pieces would be late")
-	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, after: after}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, after: v.After}
 }
 
 // sortResults keeps the results that the request itself needs, and gives the
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -154,6 +154,7 @@
 	}
 	r.tellChanges(r.roster.Learn(now, l))
 	r.picker.Keep(r.roster.Listed)
+	r.accept.Keep(r.roster.HasRoute)
 	if from == roster.FromStore && len(l.Items) > 0 && before > 0 && slices.Contains(tellers, r.mesh.self.VM) {
 		r.passOn(before, tellers)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -173,6 +174,12 @@
 // Listed tells whether the server is known, open or not.
 func (r *Roster) Listed(id shed.ServerID) bool { return r.servers[id] != nil }
 
+// HasRoute tells whether the configuration has the route.
+func (r *Roster) HasRoute(id shed.RouteID) bool {
+	c := r.catalog
+	return c != nil && slices.ContainsFunc(c.Routes, func(route shed.Route) bool { return route.ID == id })
+}
+
 // Route finds the route of a request: that of its host with the longest prefix.
 func Route(c *shed.Catalog, host, target string) *shed.Route {
 	path, _, _ := strings.Cut(target, "?")
--- a/relay.go
+++ b/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,11 @@
 	Steps []RouteStep
 }
 
+// Uses tells whether a step of the route runs in the pool.
+func (r *Route) Uses(pool PoolID) bool {
+	return slices.ContainsFunc(r.Steps, func(s RouteStep) bool { return s.Pool == pool })
+}
+
 // RouteShare is one pool's share of a route.
 type RouteShare struct {
 	Pool   PoolID
