--- a/internal/chain/replay_test.go
+++ b/internal/chain/replay_test.go
@@ -86,9 +86,9 @@
 }
 
 // play lets requests of all kinds come for a while, and waits for their ends.
-func (r *replay) play(kinds []kind, for_ time.Duration) {
+func (r *replay) play(kinds []kind, span time.Duration) {
 	rng := rand.New(rand.NewPCG(3, 3))
-	end := r.now.Add(for_)
+	end := r.now.Add(span)
 	next := make([]time.Time, len(kinds))
 	for i := range next {
 		next[i] = r.now
@@ -166,7 +166,7 @@
 		case batch.Done:
 			r.done(a)
 		case batch.Free:
-			r.perform(r.b.Handle(r.now, batch.FreeEnded{Refs: a.Refs}))
+			r.perform(r.b.Handle(r.now, batch.FreeEnded(a)))
 		}
 	}
 }
--- a/internal/prefs/docs.go
+++ b/internal/prefs/docs.go
@@ -64,10 +64,10 @@
 		return o.min + " to " + o.max
 	}
 	name, arg, _ := strings.Cut(o.check, "=")
+	bounds := checkDocs[name]
 	if arg != "" {
-		return "one of " + strings.Join(strings.Fields(arg), ", ")
+		bounds = "one of " + strings.Join(strings.Fields(arg), ", ")
 	}
-	bounds := checkDocs[name]
 	if o.empty {
 		bounds += ", or empty"
 	}
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -5,7 +5,10 @@
 // can't drift apart.
 package prefs
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Prefs are the settings of one daemon.
 type Prefs struct {
@@ -105,8 +108,19 @@
 	Heartbeat   time.Duration `ini:"heartbeat" unit:"duration" min:"100ms" max:"1m" doc:"How often a backend server renews its entry in the store, which lapses after three of them."`
 	Power       float64       `ini:"power" unit:"number" min:"0" max:"1000000000" doc:"How strong this VM is beside the others, say its link in Mbit/s. Those with at least half of the most gather pieces and watch the store for all."`
 	Reload      time.Duration `ini:"reload" unit:"duration" min:"100ms" max:"1h" doc:"How often the settings file is looked at for a change; SIGHUP does so at once."`
+	Without     []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve,empty" doc:"Decisions to leave out, for experiments: late_start makes results that nothing but the request needs when its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve keeps room in queues for more urgent routes."`
 }
 
+// What Relay.Without may name.
+const (
+	LateStart     = "late_start"
+	KVFetch       = "kv_fetch"
+	UrgentReserve = "urgent_reserve"
+)
+
+// Has tells whether a decision is taken: whether Without doesn't name it.
+func (r *Relay) Has(decision string) bool { return !slices.Contains(r.Without, decision) }
+
 // Faults are for tests. There are none to set: the section is known, so that a
 // key in it is refused by name rather than as a wrong section.
 type Faults struct{}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -8,6 +8,7 @@
 	"jasmineshed/internal/accept"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
+	"jasmineshed/internal/prefs"
 )
 
 // plan is what a request's steps come to.
@@ -116,7 +117,9 @@
 	c := r.chain(now, p)
 	wait := c.Wait()
 	ask := accept.Ask{Route: j.route.ID, Least: c.Least(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
-	ask.Above, ask.Ranks = r.above(j.route, p.steps[c.Crowded()].Pool)
+	if r.prefs.Load().Relay.Has(prefs.UrgentReserve) {
+		ask.Above, ask.Ranks = r.above(j.route, p.steps[c.Crowded()].Pool)
+	}
 	return ask
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -8,6 +8,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/picker"
+	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/rank"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -200,7 +201,7 @@
 	w := picker.Want{
 		Prompt: j.ask.Prompt, Input: j.ask.Input, Engine: j.pool.Engine != nil, Avoid: j.avoid,
 	}
-	if j.pool.Engine != nil {
+	if j.pool.Engine != nil && r.prefs.Load().Relay.Has(prefs.KVFetch) {
 		w.FetchRate = j.pool.Engine.FetchRate
 	}
 	if j.heavy {
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -10,6 +10,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
+	"jasmineshed/internal/prefs"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -87,9 +88,10 @@
 	defer r.mu.Unlock()
 	c := r.chain(time.Now(), p)
 	out := make([][]int, len(c))
+	late := r.prefs.Load().Relay.Has(prefs.LateStart)
 	for i := range c {
 		out[i] = c[i].After
-		if with := c.Begin(i); with >= 0 {
+		if with := c.Begin(i); late && with >= 0 {
 			out[i] = c[with].After
 		}
 	}
