--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -395,3 +395,26 @@
 	require.InDelta(t, 0.34, f.Timely.Seconds(), 0.02)
 	require.InDelta(t, 4/0.38, f.Rate, 1)
 }
+
+// A zone is cut off, and operators had taken its own servers out: none that is left
+// can be reached. Callers waited there until they gave up, since pieces went from one
+// server to the next for ever, and others were let in behind them. Now they are told
+// as soon as no server is left to try, and so are those that come meanwhile; when a
+// server may be tried again, the next one that comes tries it.
+func TestNoServerCanBeReached(t *testing.T) {
+	tb := newTable(t, "a", "b")
+	tb.ask(1, 8, 5*time.Second, nil)
+	for len(tb.sends) > 0 {
+		s := tb.take()
+		tb.now = tb.now.Add(200 * time.Millisecond)
+		tb.handle(batch.CallEnded{Call: s.Call, NotRun: true})
+	}
+	require.Equal(t, shed.PieceFailed, tb.done[1][0].End)
+	require.LessOrEqual(t, tb.now.Sub(start), 600*time.Millisecond)
+	require.Equal(t, batch.NoServers, tb.b.Wait(tb.now, "p", limits).Timely)
+	tb.pass(time.Second)
+	require.Less(t, tb.b.Wait(tb.now, "p", limits).Timely, time.Second)
+	tb.ask(2, 1, 5*time.Second, nil)
+	tb.answer(tb.take(), shed.PieceMade)
+	require.Equal(t, shed.PieceMade, tb.done[2][0].End)
+}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -23,6 +23,9 @@
 		if !m.unreached {
 			sound++
 		}
+		if m.away(now) {
+			continue
+		}
 		if now.Before(m.shunned) {
 			usable += b.soon(now, m)
 			continue
--- a/internal/batch/maker.go
+++ b/internal/batch/maker.go
@@ -30,6 +30,11 @@
 	others map[shed.VM]heldElsewhere
 }
 
+// away tells whether the server could not be reached and is not tried again yet.
+// Requests must not wait for it: if all servers of a pool are beyond a cut, pieces
+// went from one to the next until their callers gave up.
+func (m *maker) away(now time.Time) bool { return m.unreached && now.Before(m.shunned) }
+
 type heldElsewhere struct {
 	bytes int64
 	at    time.Time
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -51,6 +51,9 @@
 	soonest := time.Duration(-1)
 	for _, s := range b.servers(pool) {
 		m := b.maker(s)
+		if m.away(now) {
+			continue
+		}
 		rate += float64(limits.Most) / (float64(expected(limits, limits.Most)) * m.slow)
 		left := time.Duration(0)
 		if c := b.calls[m.running]; c != nil {
--- a/internal/picker/faults.go
+++ b/internal/picker/faults.go
@@ -24,6 +24,29 @@
 	faultHalf = 2 * time.Second
 )
 
+const (
+	// awayFrom is how many connections in a row must fail for a server to count as
+	// away: one lost packet fails one.
+	awayFrom = 2
+	// awayFirst is how long it is left alone then; that doubles with each further
+	// failure, up to awayMost.
+	awayFirst = 500 * time.Millisecond
+	awayMost  = 2 * time.Second
+)
+
+// reached takes in whether a connection to the server came about. Without it, callers
+// whose pool has no server on their side of a cut wait for connections in vain until
+// their time is over.
+func (st *state) reached(now time.Time, end End) {
+	if !end.Unreached {
+		st.lost, st.away = 0, time.Time{}
+		return
+	}
+	if st.lost++; st.lost >= awayFrom {
+		st.away = now.Add(min(awayFirst<<min(st.lost-awayFrom, 6), awayMost))
+	}
+}
+
 // faults is the share of recent calls that failed.
 type faults struct {
 	// share is between 0 and 1, as of at.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -108,6 +108,9 @@
 	Donor            *roster.Server
 	// Cold: all servers that could serve are cold and have had their share.
 	Cold bool
+	// Away: no server that could serve can be reached; one may be tried again after
+	// that time. 0 if that is not the reason.
+	Away time.Duration
 }
 
 // Pick returns the server with the least cost among from, which is sorted by
@@ -117,11 +120,17 @@
 	chain := chains(w.Prompt)
 	usual := p.usual(from)
 	donors := p.donors(now, &w, from, chain)
-	held := false
+	held, away := false, time.Duration(0)
 	for _, s := range from {
 		if avoided(w.Avoid, s.ID) {
 			continue
 		}
+		if left := p.state(s).away.Sub(now); left > 0 {
+			if away == 0 || left < away {
+				away = left
+			}
+			continue
+		}
 		if s.Cold(now) && w.ColdRate > 0 && !p.mayCold(now, &w, s) {
 			held = true
 			continue
@@ -131,7 +140,9 @@
 			best = c
 		}
 	}
-	best.Cold = best.Server == nil && held
+	if best.Server == nil {
+		best.Cold, best.Away = held, away
+	}
 	return best
 }
 
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -260,3 +260,36 @@
 	p.First(c, 20*time.Second)
 	require.Less(t, p.Overrun(), 300*time.Millisecond, "one server that is ill")
 }
+
+// The only open server of a pool lies beyond a cut. Each caller waited for its
+// connection again and again, until its time was over. After two failures in a row
+// the server counts as away, and callers are told at once; later one tries again.
+func TestOnlyServerBeyondACut(t *testing.T) {
+	from := servers(1, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	lost := func(now time.Time) {
+		c := p.Pick(now, picker.Want{}, from)
+		require.NotNil(t, c.Server)
+		p.Placed(now, picker.Want{}, c)
+		p.Ended(now, c, picker.End{Failed: true, Unreached: true})
+	}
+	lost(start)
+	lost(start.Add(200 * time.Millisecond))
+	now := start.Add(210 * time.Millisecond)
+	c := p.Pick(now, picker.Want{}, from)
+	require.Nil(t, c.Server)
+	require.Positive(t, c.Away)
+	require.LessOrEqual(t, c.Away, time.Second)
+	require.False(t, c.Cold)
+	now = now.Add(c.Away)
+	lost(now)
+	c = p.Pick(now, picker.Want{}, from)
+	require.Greater(t, c.Away, 500*time.Millisecond, "longer each time")
+	now = now.Add(c.Away)
+	c = p.Pick(now, picker.Want{}, from)
+	p.Placed(now, picker.Want{}, c)
+	p.Ended(now, c, picker.End{Took: time.Millisecond})
+	require.NotNil(t, p.Pick(now, picker.Want{}, from).Server, "it is back")
+	lost(now)
+	require.NotNil(t, p.Pick(now, picker.Want{}, from).Server, "one lost packet says little")
+}
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -20,6 +20,10 @@
 	// took is the mean time of a plain call.
 	took   time.Duration
 	faults faults
+	// lost counts the connections in a row that did not come about; away is until
+	// when none is tried.
+	lost int
+	away time.Time
 	// prefixes are the parts that it has read, by the hash of the chain up to
 	// them, with the time of the last use.
 	prefixes map[uint64]time.Time
@@ -154,6 +158,7 @@
 		weight = unreachedShare
 	}
 	st.faults.add(now, end.Failed, weight)
+	st.reached(now, end)
 	if end.Unreached || !end.Failed {
 		// One that was reached and failed says nothing of its zone.
 		p.zone(zone).add(now, end.Unreached, zoneShare)
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -102,25 +102,27 @@
 }
 
 // plan chooses near which server the pieces are best made, and foresees how long
-// they take, and would take at least.
-func (r *Relay) plan(j *job, p plan) accept.Ask {
+// they take, and would take at least. If no server can be reached that could answer,
+// away is when one may be tried again.
+func (r *Relay) plan(j *job, p plan) (ask accept.Ask, away time.Duration) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, s := range p.steps {
 		j.heavy = j.heavy || p.last(i) && s.ResultBytes >= heavyBytes
 	}
-	if choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID)); choice.Server != nil {
+	choice := r.picker.Pick(now, r.want(j), r.roster.Open(j.pool.ID))
+	if choice.Server != nil {
 		j.zone = choice.Server.Zone
 		j.answerTime = min(choice.Time, mostReading) + r.picker.Overrun()
 	}
 	c := r.chain(now, p)
 	wait := c.Wait()
-	ask := accept.Ask{Route: j.route.ID, Least: c.Least(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
+	ask = accept.Ask{Route: j.route.ID, Least: c.Least(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
 	if r.prefs.Load().Relay.Has(prefs.UrgentReserve) {
 		ask.Above, ask.Ranks = r.above(j.route, p.steps[c.Crowded()].Pool)
 	}
-	return ask
+	return ask, choice.Away
 }
 
 // above are the routes of more urgent ranks that have steps in a pool, and how many
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -83,6 +83,7 @@
 	reasonOtherAnswer shed.Reason = "answer_to_another_request"
 	reasonServerFull  shed.Reason = "server_full"
 	reasonNotSent     shed.Reason = "not_sent"
+	reasonUnreachable shed.Reason = "servers_unreachable"
 	reasonServed      shed.Reason = "served"
 )
 
@@ -181,6 +182,9 @@
 		if choice.Server != nil {
 			return choice, nil
 		}
+		if choice.Away > 0 {
+			return choice, r.unreachable(ctx, j, choice.Away)
+		}
 		if !choice.Cold || now.Sub(began) > coldWait || now.Add(coldPoll).After(j.deadline) {
 			reason := shed.ReasonNoServer
 			if choice.Cold {
@@ -192,6 +196,16 @@
 	}
 }
 
+// unreachable refuses a request that no server can be reached for; one may be tried
+// again after a while.
+func (r *Relay) unreachable(ctx context.Context, j *job, away time.Duration) *refusal {
+	no := r.verdict(ctx, j, outcome{reason: reasonUnreachable})
+	if no.after > 0 {
+		no.after = max(no.after, away)
+	}
+	return no
+}
+
 // zoneCost is what it costs in the choice to fetch a heavy result from another
 // zone: users price 3 MB between zones about as high as a tenth of reading a
 // large shared prefix again, which takes a quarter of a second.
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -27,7 +27,10 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	ask := r.plan(j, p)
+	ask, away := r.plan(j, p)
+	if away > 0 {
+		return r.unreachable(ctx, j, away)
+	}
 	if j.sends == 0 {
 		if no := r.admitSteps(j, ask); no != nil {
 			return no
