--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -44,8 +44,8 @@
 type FreeEnded struct{ Refs []shed.ResultRef }
 
 // HeldElsewhere means that another VM told what servers hold for it. A VM that
-// begins to gather knows by it which room is taken: without it, a third of the
-// pieces found none for the seconds after a gatherer was stopped.
+// begins to gather knows by it which room is taken: without it, many pieces found none
+// for the seconds after a gatherer was stopped.
 type HeldElsewhere struct {
 	From shed.VM
 	Held map[shed.ServerID]int64
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -30,7 +30,7 @@
 // slowness is how much longer the pool's calls take than the configuration says:
 // the harmonic mean over its servers, since fast ones get more calls. Without it,
 // the pieces of an overloaded pool were sent just in time by the configuration, and
-// most answers came 0.1 to 0.3 s after their target.
+// most answers came just after their target.
 func (b *Batcher) slowness(now time.Time, pool shed.PoolID) float64 {
 	n, speed := 0, 0.0
 	for _, s := range b.servers(pool) {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -53,9 +53,8 @@
 // end foresees when the step is done that can begin at start.
 //
 // What will come counts as if it were there: a pool late in a chain has nothing
-// waiting when a burst begins. By what waited alone, 254 of 328 requests that an
-// overloaded deployment refused had first had some of their pieces made in vain, for
-// 1.5 s; with it 111 of 413.
+// waiting when a burst begins. By what waited alone, most of the requests that were
+// refused in a burst had first had some of their pieces made in vain.
 func (s *Step) end(start batch.Forecast) batch.Forecast {
 	if s.Servers == 0 {
 		return batch.Forecast{Timely: batch.NoServers, Last: batch.NoServers}
--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -274,9 +274,8 @@
 	return out
 }
 
-// roundLength is shorter while this process is new. With rounds of 0.5 s and 12
-// members in an answer, 78 VMs that start at once know each other after 5.7 to 8.2 s,
-// with short rounds and long answers after 0.6 to 0.8 s (in virtual time, 5 seeds).
+// roundLength is shorter while this process is new: else VMs that start at once know
+// each other only after many rounds.
 func (g *Group) roundLength(now time.Time) time.Duration {
 	if g.joined.IsZero() {
 		g.joined = now
--- a/internal/picker/faults.go
+++ b/internal/picker/faults.go
@@ -16,7 +16,7 @@
 	// zoneShare is the weight of the newest sample in the share of a zone's servers
 	// that could not be reached, and zoneCost times that share is added to the cost
 	// of each of them: after two in a row it is above what it takes to read a large
-	// shared prefix again (0.3 to 0.4 s), and one dark server does not close a zone.
+	// shared prefix again, and one dark server does not close a zone.
 	zoneShare = 0.35
 	zoneCost  = 700 * time.Millisecond
 	// faultHalf is the time in which a share of failures halves by itself, so
--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -41,11 +41,12 @@
 		return out
 	}
 	for _, s := range from {
-		if avoided(w.Avoid, s.ID) || p.zone(s.Zone).now(now) > mostFaults || p.state(s).faults.now(now) > mostFaults {
+		st := p.state(s)
+		d := donor{server: s, keeps: st.keeps(now, w, chain)}
+		if d.keeps < fetchLeast || avoided(w.Avoid, s.ID) {
 			continue
 		}
-		d := donor{server: s, keeps: p.state(s).keeps(now, w, chain)}
-		if d.keeps < fetchLeast {
+		if p.zone(s.Zone).now(now) > mostFaults || st.faults.now(now) > mostFaults {
 			continue
 		}
 		if d.keeps > out.best.keeps {
--- a/internal/picker/overrun.go
+++ b/internal/picker/overrun.go
@@ -14,7 +14,7 @@
 
 // overrun is how long first events take beyond what is foreseen: requests of other
 // VMs, decoding and the network. Without it answers of a loaded pool were foreseen
-// 0.1 to 0.3 s too soon, and came that much after their target.
+// too soon, and came after their target.
 type overrun struct{ mean, spread time.Duration }
 
 func (o *overrun) add(sample time.Duration) {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -19,12 +19,11 @@
 }
 
 const (
-	// DefaultReadRate is on the low side of what engines of this class reach
-	// (50 to 62 on the users' sheets); it only weighs waiting against reading
-	// a shared prefix again.
+	// DefaultReadRate, in tokens a millisecond, only weighs waiting against reading a
+	// shared prefix again.
 	DefaultReadRate = 50.0
-	// farCost is what a hop to another zone costs in the choice: the round trip
-	// of 2 to 3 ms, and the bytes between zones, which users pay for.
+	// farCost is what a hop to another zone costs in the choice: the round trip, and
+	// the bytes between zones, which users pay for.
 	farCost = 6 * time.Millisecond
 	// againCost is what each token of a shared part that the server would have
 	// to read adds in the choice, up to againMost, beside the time: users pay
@@ -125,7 +124,8 @@
 		if avoided(w.Avoid, s.ID) {
 			continue
 		}
-		if left := p.state(s).away.Sub(now); left > 0 {
+		st := p.state(s)
+		if left := st.away.Sub(now); left > 0 {
 			if away == 0 || left < away {
 				away = left
 			}
@@ -135,7 +135,7 @@
 			held = true
 			continue
 		}
-		c := p.cost(now, &w, s, chain, usual, donors)
+		c := p.cost(now, &w, s, st, chain, usual, donors)
 		if best.Server == nil || c.Cost < best.Cost {
 			best = c
 		}
@@ -171,9 +171,8 @@
 }
 
 func (p *Picker) cost(
-	now time.Time, w *Want, s *roster.Server, chain []uint64, usual time.Duration, donors donors,
+	now time.Time, w *Want, s *roster.Server, st *state, chain []uint64, usual time.Duration, donors donors,
 ) Choice {
-	st := p.state(s)
 	running, reading := st.own+st.peers.Running, st.reading+st.peers.Reading
 	c := Choice{Server: s}
 	if w.Engine {
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -191,14 +191,13 @@
 	require.Equal(t, shed.ServerID("s00"), p.Pick(start, w, from).Server.ID)
 }
 
-// BenchmarkPick chooses among 140 engines with 65 peers' shares known. Adding the
-// shares up at each choice took 191 µs; sums kept as peers tell them take 17 µs.
+// BenchmarkPick chooses among 140 engines with 65 peers' shares known.
 //
 //	go test ./internal/picker -run xxx -bench Pick
 func BenchmarkPick(b *testing.B) {
 	from := servers(140, nil)
 	p := picker.New(picker.Config{Zone: "a"})
-	w := prompt("x", 0)
+	w := fetching("x", 0)
 	p.Pick(start, w, from)
 	for vm := range 65 {
 		shares := map[shed.ServerID]shed.ServerShare{}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -207,8 +207,7 @@
 }
 
 // zoneCost is what it costs in the choice to fetch a heavy result from another
-// zone: users price 3 MB between zones about as high as a tenth of reading a
-// large shared prefix again, which takes a quarter of a second.
+// zone: far less than to read a large shared prefix again.
 const zoneCost = 25 * time.Millisecond
 
 func (r *Relay) want(j *job) picker.Want {
