--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -53,27 +53,34 @@
 	LetIn bool
 	// After is when a refused caller may come back.
 	After time.Duration
-	// Foreseen is when the answer was foreseen, with what is kept for others.
-	Foreseen time.Duration
+	// Needs is the time that the request had to have until its aim: what is foreseen,
+	// what queues grow by, and what is kept for others.
+	Needs time.Duration
 }
 
 // Gate lets requests in. It is not safe for concurrent use.
 type Gate struct {
-	routes map[shed.RouteID]*tally
+	// routes are the shares of requests that were let in; a route that isn't there
+	// had none refused.
+	routes map[shed.RouteID]share
 }
 
 // New returns a Gate that has seen no request.
-func New() *Gate { return &Gate{routes: map[shed.RouteID]*tally{}} }
+func New() *Gate { return &Gate{routes: map[shed.RouteID]share{}} }
 
 // Decide lets a request in, or says when it may come back.
-func (g *Gate) Decide(now time.Time, a Ask) Verdict {
-	foreseen := time.Duration(growth*float64(a.Timely)) + a.Answer
-	kept := time.Duration(reserve * float64(a.Ranks) * float64(max(a.Timely-a.Least, 0)) * g.weight(now, &a))
-	v := Verdict{Foreseen: foreseen + kept}
-	v.LetIn = v.Foreseen <= a.ToAim || a.Last <= a.Least+lateWait && a.Last+a.Answer <= a.ToEnd
-	g.tally(a.Route).add(now, v.LetIn)
+func (g *Gate) Decide(a Ask) Verdict {
+	needs := time.Duration(growth*float64(a.Timely)) + a.Answer
+	queues := max(a.Timely-a.Least, 0)
+	needs += time.Duration(reserve * g.weight(&a) * float64(a.Ranks) * float64(queues))
+	v := Verdict{Needs: needs}
+	soon := a.Last <= a.Least+lateWait && a.Last+a.Answer <= a.ToEnd
+	v.LetIn = needs <= a.ToAim || soon
+	own := g.share(a.Route)
+	own.add(v.LetIn)
+	g.routes[a.Route] = own
 	if !v.LetIn {
-		v.After = min(max(v.Foreseen-a.ToAim, comeBack), mostBack)
+		v.After = min(max(needs-a.ToAim, comeBack), mostBack)
 	}
 	return v
 }
@@ -83,22 +90,23 @@
 // Load pattern: an overload that lasts, mostly of urgent requests. With the whole
 // reserve, nothing else would be let in; the less of a route is let in against the
 // more urgent ones, the less it leaves to them.
-func (g *Gate) weight(now time.Time, a *Ask) float64 {
-	own := g.tally(a.Route).share(now)
-	urgent := 1.0
+func (g *Gate) weight(a *Ask) float64 {
+	urgent := share(1)
 	for _, id := range a.Above {
-		urgent = min(urgent, g.tally(id).share(now))
+		urgent = min(urgent, g.share(id))
 	}
-	return min(max((own/urgent-starveShare)/(fairShare-starveShare), 0), 1)
+	if urgent <= 0 {
+		return 0
+	}
+	of := float64(g.share(a.Route) / urgent)
+	return min(max((of-starveShare)/(fairShare-starveShare), 0), 1)
 }
 
-func (g *Gate) tally(id shed.RouteID) *tally {
-	t := g.routes[id]
-	if t == nil {
-		t = &tally{}
-		g.routes[id] = t
+func (g *Gate) share(id shed.RouteID) share {
+	if s, ok := g.routes[id]; ok {
+		return s
 	}
-	return t
+	return 1
 }
 
 // Keep forgets routes that the configuration no longer has.
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -13,8 +13,6 @@
 
 const ms = time.Millisecond
 
-var start = time.Unix(1_700_000_000, 0)
-
 func TestDecide(t *testing.T) {
 	calm := accept.Ask{
 		Route: "draft", ToAim: 2700 * ms, ToEnd: 6 * time.Second, Answer: 200 * ms,
@@ -42,7 +40,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			a := calm
 			c.change(&a)
-			v := accept.New().Decide(start, a)
+			v := accept.New().Decide(a)
 			require.Equal(t, c.letIn, v.LetIn)
 			require.Equal(t, c.after, v.After.Round(ms))
 		})
@@ -79,10 +77,9 @@
 	g := accept.New()
 	var queue time.Duration
 	var asked, in [2]float64
-	now := start
-	for now.Before(start.Add(last)) {
+	for at := time.Duration(0); at < last; {
 		gap := time.Duration(rng.ExpFloat64() * float64(time.Second) / (urgentPerSec + otherPerSec))
-		now, queue = now.Add(gap), max(queue-gap, 0)
+		at, queue = at+gap, max(queue-gap, 0)
 		a := accept.Ask{
 			Route: "urgent", ToAim: 2700 * ms, ToEnd: 6 * time.Second, Answer: 200 * ms,
 			Least: 900 * ms, Timely: 900*ms + queue, Last: 900*ms + queue,
@@ -94,7 +91,7 @@
 			a.Above, a.Ranks = []shed.RouteID{"urgent"}, ranks
 		}
 		asked[kind]++
-		if g.Decide(now, a).LetIn {
+		if g.Decide(a).LetIn {
 			in[kind]++
 			queue += time.Second / perSec
 		}
@@ -108,14 +105,14 @@
 	g := accept.New()
 	late := accept.Ask{Route: "other", ToEnd: time.Second, Timely: time.Minute, Last: time.Minute}
 	for range 100 {
-		require.False(t, g.Decide(start, late).LetIn)
-		require.True(t, g.Decide(start, accept.Ask{Route: "urgent", ToAim: time.Second}).LetIn)
+		require.False(t, g.Decide(late).LetIn)
+		require.True(t, g.Decide(accept.Ask{Route: "urgent", ToAim: time.Second}).LetIn)
 	}
 	other := accept.Ask{
 		Route: "other", Above: []shed.RouteID{"urgent"}, Ranks: 1,
 		ToAim: 2 * time.Second, ToEnd: 2 * time.Second, Timely: 1200 * ms, Last: 1200 * ms,
 	}
-	require.True(t, g.Decide(start, other).LetIn, "refused so often that it leaves no reserve")
+	require.True(t, g.Decide(other).LetIn, "refused so often that it leaves no reserve")
 	g.Keep(func(id shed.RouteID) bool { return id != "other" })
-	require.False(t, g.Decide(start, other).LetIn)
+	require.False(t, g.Decide(other).LetIn)
 }
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -144,14 +144,14 @@
 	now := time.Now()
 	ask.ToAim, ask.ToEnd = j.aim.Sub(now), j.deadline.Sub(now)
 	r.mu.Lock()
-	v := r.accept.Decide(now, ask)
+	v := r.accept.Decide(ask)
 	r.mu.Unlock()
-	j.foreseen = v.Foreseen
+	j.foreseen = ask.Timely + ask.Answer
 	if v.LetIn {
 		return nil
 	}
 	r.log.WithFields(logrus.Fields{
-		"request": j.ask.ID, "route": ask.Route, "foreseen_ms": v.Foreseen.Milliseconds(), "least_ms": ask.Least.Milliseconds(),
+		"request": j.ask.ID, "route": ask.Route, "needs_ms": v.Needs.Milliseconds(), "least_ms": ask.Least.Milliseconds(),
 		"timely_ms": ask.Timely.Milliseconds(), "last_ms": ask.Last.Milliseconds(), "answer_ms": ask.Answer.Milliseconds(),
 		"urgent_ranks": ask.Ranks, "to_aim_ms": ask.ToAim.Milliseconds(), "to_end_ms": ask.ToEnd.Milliseconds(),
 		"after_ms": v.After.Milliseconds(),
