--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	// DefaultReadRate, in tokens a millisecond, only weighs waiting against reading a
-	// shared prefix again.
+	// DefaultReadRate is in tokens a millisecond; it only weighs waiting against
+	// reading a shared prefix again.
 	DefaultReadRate = 50.0
 	// farCost is what a hop to another zone costs in the choice: the round trip, and
 	// the bytes between zones, which users pay for.
