--- a/internal/chain/replay_test.go
+++ b/internal/chain/replay_test.go
@@ -39,6 +39,8 @@
 	// awaits are the steps to be done before each step begins.
 	awaits      [][]int
 	begun, over []bool
+	// given: it was given up.
+	given bool
 	// madeAt is when each step was done.
 	madeAt []time.Time
 	made   [][]shed.ResultRef
@@ -50,6 +52,19 @@
 	at int
 }
 
+// tally is what became of the requests of one kind.
+type tally struct {
+	timely, late, door, given int
+	// idle is how long results of first steps lay unused, in all.
+	idle time.Duration
+}
+
+// running is a call that a server works on.
+type running struct {
+	send batch.Send
+	ends time.Time
+}
+
 // replay plays a load pattern against chain and batch in virtual time.
 type replay struct {
 	now   time.Time
@@ -59,6 +74,11 @@
 	atOnce bool
 	parts  map[batch.JobID]part
 	calls  []running
+	// door: a request is let in if it would be in time; blind: by what waits alone,
+	// not by what will come.
+	door, blind bool
+	// coming are the pieces that requests let in will ask of each pool.
+	coming map[shed.PoolID]int
 	// lying are results that servers still need, until then.
 	lying []lying
 	last  batch.JobID
@@ -74,6 +94,7 @@
 func newReplay(pools map[shed.PoolID]makers) *replay {
 	r := &replay{
 		now: time.Unix(1_700_000_000, 0), pools: pools, parts: map[batch.JobID]part{}, tally: map[string]*tally{},
+		coming: map[shed.PoolID]int{},
 	}
 	r.b = batch.New(func(pool shed.PoolID) []shed.Listing {
 		var out []shed.Listing
@@ -115,6 +136,9 @@
 	for i := range c {
 		p := r.pools[k.pools[i]]
 		c[i].Limits, c[i].Servers, c[i].Wait = p.limits, p.servers, r.b.Wait(r.now, k.pools[i], p.limits)
+		if !r.blind {
+			c[i].Coming = r.coming[k.pools[i]]
+		}
 	}
 	return c
 }
@@ -126,7 +150,12 @@
 		madeAt: make([]time.Time, n), made: make([][]shed.ResultRef, n),
 	}
 	c := r.chain(k)
+	if r.door && c.Wait().Timely > k.aim {
+		r.tally[k.name].door++
+		return
+	}
 	for i := range c {
+		r.coming[k.pools[i]] += k.steps[i].Pieces
 		after := c[i].After
 		if with := c.Begin(i); with >= 0 && !r.atOnce {
 			after = c[with].After
@@ -144,12 +173,14 @@
 			continue
 		}
 		q.begun[i] = true
+		r.coming[q.kind.pools[i]] -= q.kind.steps[i].Pieces
 		r.last++
 		r.parts[r.last] = part{of: q, at: i}
 		pieces := make([]shed.Piece, q.kind.steps[i].Pieces)
 		for n := range pieces {
 			pieces[n] = shed.Piece{
-				Bytes: q.kind.bytes[i], Left: 5 * time.Second, Aim: q.began.Add(q.kind.aim - c.Rest(i)).Sub(r.now), Together: true,
+				Bytes: q.kind.bytes[i], Left: 5 * time.Second, Aim: q.began.Add(q.kind.aim - c.Rest(i)).Sub(r.now),
+				Together: q.kind.bytes[i] > 0,
 			}
 		}
 		pool := q.kind.pools[i]
@@ -180,13 +211,20 @@
 	delete(r.parts, a.Job)
 	q := p.of
 	for _, res := range a.Results {
+		if q.given {
+			r.free([]shed.ResultRef{res.Ref})
+			continue
+		}
 		if res.End != shed.PieceMade {
 			r.tally[q.kind.name].given++
-			r.free(slices.Concat(q.made...))
+			r.giveUp(q)
 			return
 		}
 		q.made[p.at] = append(q.made[p.at], res.Ref)
 	}
+	if q.given {
+		return
+	}
 	q.over[p.at], q.madeAt[p.at] = true, r.now
 	for _, before := range q.kind.steps[p.at].After {
 		r.free(q.made[before])
@@ -205,6 +243,19 @@
 	r.tally[q.kind.name].timely++
 }
 
+// giveUp ends a request whose pieces were not made. Steps that have begun go on, for
+// nothing.
+func (r *replay) giveUp(q *asked) {
+	q.given = true
+	for i, begun := range q.begun {
+		if !begun {
+			r.coming[q.kind.pools[i]] -= q.kind.steps[i].Pieces
+			q.begun[i] = true
+		}
+	}
+	r.free(slices.Concat(q.made...))
+}
+
 func (r *replay) free(refs []shed.ResultRef) {
 	r.perform(r.b.Handle(r.now, batch.Freed{Refs: refs}))
 }
@@ -254,6 +305,28 @@
 	require.GreaterOrEqual(t, later["long"].timely, atOnce["long"].timely)
 }
 
+// A burst of twice what the second pool of a chain makes, as when many callers ask
+// for the same kind of draft. Nothing waits there at first, so all were let in, and
+// most were given up after their first step had been made: work for nothing, and
+// callers that waited for their refusal. By what will come, they are refused at the
+// door.
+func TestBurstIsRefusedAtTheDoor(t *testing.T) {
+	blind, seeing := burst(true), burst(false)
+	t.Logf("by what waits: %+v; by what will come, too: %+v", blind, seeing)
+	require.Greater(t, blind.given, 3*seeing.given)
+	require.GreaterOrEqual(t, seeing.timely, blind.timely*9/10)
+}
+
+func burst(blind bool) tally {
+	r := newReplay(map[shed.PoolID]makers{"one": {limits: limits, servers: 2}, "two": {limits: limits, servers: 2}})
+	r.door, r.blind = true, blind
+	r.play([]kind{{
+		name: "draft", perSec: 27, aim: 1500 * ms, steps: []chain.Step{{Pieces: 1}, {Pieces: 6, After: []int{0}}},
+		pools: []shed.PoolID{"one", "two"}, bytes: []int64{0, 0},
+	}}, 6*time.Second)
+	return *r.tally["draft"]
+}
+
 // A step that others need, or that needs others, begins as soon as it can; so does one
 // that takes as long as the path beside it.
 func TestBegin(t *testing.T) {
