--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -16,8 +16,8 @@
 	// growth is by how much a forecast is exceeded when load rises: queues grow
 	// while the request is on its way.
 	growth = 1.15
-	// reserve times the time in queues is kept for each more urgent rank that the
-	// request would queue with.
+	// reserve times the request's time in queues is kept for each more urgent rank
+	// that uses the pool it waits longest for.
 	reserve = 1.0
 	// lateWait is the longest wait in queues with which a request is let in that
 	// can't be in time for its aim.
@@ -26,9 +26,9 @@
 	comeBack = 300 * time.Millisecond
 	// mostBack is the longest that a caller is told to stay away.
 	mostBack = 1500 * time.Millisecond
-	// fairShare: once a route's share of requests let in falls below this part of what
-	// more urgent ones have, it leaves them no reserve any more; starveShare: it did
-	// so, in part, from there.
+	// A route whose share of requests let in is below fairShare times that of more
+	// urgent routes leaves them less than the reserve; from starveShare times on,
+	// nothing.
 	fairShare, starveShare = 0.5, 0.4
 )
 
