Relay: the log tells how much of a peer's answer came, and how long it took

Cause: of a pull that ended at its limit, the log told only the peer. A transfer that was too long for its limit looked the same as a peer that did not answer. Change: one line a pull, also of one that succeeds, with the revision before, the one wanted, the time taken and the bytes that came on connections to peers meanwhile. Volume: as many lines as pulls, of which one runs at a time in a VM.

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	shed "jasmineshed"
@@ -66,10 +67,29 @@
 	pool     *drpcpool.Pool[line, drpcpool.Conn]
 	controls errgroup.Group
 
+	// received counts the bytes that came on connections made here.
+	received atomic.Int64
+
 	mu   sync.Mutex
 	ages map[shed.VM]uint64
 }
 
+// Received is how many bytes have come on the connections that this client made.
+func (c *Client) Received() int64 { return c.received.Load() }
+
+// counted is a connection whose incoming bytes are counted.
+type counted struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // NewClient makes a Client.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.Dial == nil {
@@ -126,6 +146,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", l.to, err)
 	}
+	raw = counted{Conn: raw, received: &c.received}
 	if c.cfg.TLS != nil {
 		secure := tls.Client(raw, c.cfg.TLS())
 		if err := secure.HandshakeContext(ctx); err != nil {
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -237,11 +237,18 @@
 	r.mu.Lock()
 	client := r.client
 	r.mu.Unlock()
+	began, before := time.Now(), client.Received()
 	reply, err := client.Items(ctx, vm, peers.ItemsCall{After: after})
+	// What came tells a transfer that was too long from a peer that did not answer.
+	log := r.log.WithFields(logrus.Fields{
+		"peer": vm, "after": after, "wanted": word.asOf,
+		"took_ms": time.Since(began).Milliseconds(), "received_bytes": client.Received() - before,
+	})
 	if err != nil {
-		r.log.WithField("peer", vm).WithError(err).Info("items of the store not read from a peer")
+		log.WithError(err).Info("items of the store not read from a peer")
 		return
 	}
+	log.WithField("items", len(reply.Items)).Info("items of the store read from a peer")
 	r.learn(roster.FromPeer, reply.Items, reply.AsOf, after == 0)
 }
 
