--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Listeners Listeners
 	// Dial opens connections to backend servers; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// DialPeer opens connections to peers; nil means TCP.
+	DialPeer func(ctx context.Context, to shed.VM) (net.Conn, error)
 }
 
 // Relay is one relaying daemon.
