Store: a read is ended when it falls silent, not when it takes long

What callers saw: 503 or answers by an old configuration, at VMs with small links that had to read the store by themselves. Cause: a read had 0.6 s for the whole answer. A configuration of 850 KB, 1.1 MB on the wire, takes 0.9 s at 10 Mbit/s, so each read was broken off and begun anew from nothing, and the link was full with what was thrown away. Class: a limit on the time of a whole transfer whose size grows. Ruled out: the store's own delays (it answered at once), its rate (no call was refused). Why it holds: however large or slow, an answer that moves is taken in, and one that doesn't ends as soon as before.

--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -44,7 +44,7 @@
 	URL         string        `ini:"url" unit:"URL" check:"url" doc:"Base URL of the platform's configuration service."`
 	Watch       time.Duration `ini:"watch" unit:"duration" min:"100ms" max:"2s" doc:"Longest time that one watch waits for a change. An answer also confirms the configuration, which counts for 3 s."`
 	VMPoll      time.Duration `ini:"vm_poll" unit:"duration" min:"100ms" max:"10m" doc:"Period of reading the VM list."`
-	ReadTimeout time.Duration `ini:"read_timeout" unit:"duration" min:"10ms" max:"1m" doc:"Longest time for one read; a watch has this beyond its wait."`
+	ReadTimeout time.Duration `ini:"read_timeout" unit:"duration" min:"10ms" max:"1m" doc:"Longest time for one read; a watch has this beyond its wait. In the relay it bounds the silence in a read, not the whole."`
 }
 
 // Limits bound what one daemon takes in.
