Relay: a change of the configuration costs what changed, and a transfer ends when it stops moving

What callers saw: 404, or the old service, on routes that were confirmed seconds ago, at VMs with links of 10 Mbit/s, while their neighbours served them. Cause: each change of the configuration went to each VM as the whole value (870 KB), by up to three ways at the same time: pushed by a watcher, pulled from whichever peer spoke first, read from the store. They shared the link, each was ended at its own limit (1 s, 1 s, 0.6 s) and begun anew from nothing, and the next small change made the value due again. Above some size none was ever whole: links were full for twelve seconds with what was thrown away. Class: limits on the time of whole transfers whose size grows with all that is configured, not with what changes, and repeats without progress (livelock). Ruled out: that a VM takes itself for up to date (the two that lagged asked 14 and 15 peers in a row); that peers did not answer (the link of a VM that lagged was full). The first is possible all the same, see below. Change: large values go as the difference to what the receiver holds (internal/delta, zstd with the earlier value as dictionary), packed once for all peers. What is above 32 KB even so is not pushed, but read from the VM that told. Reads between peers come in parts of 16 KB, and end after 1 s without one. Whom to ask, when, and whom beside one that is slow, is decided by a pure package (internal/follow): news is waited for 150 ms, strong peers are asked, one that failed is not asked again for 1 s. What is held already is not read again. Why it holds: what a VM receives for a change grows with the change; a transfer that moves is never thrown away, one that doesn't ends as soon as before, and there is one at a time but for a second that is allowed beside a slow one.

--- /dev/null
+++ b/internal/delta/delta_test.go
@@ -0,0 +1,77 @@
+package delta_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/delta"
+)
+
+// routes is a configuration's text with n routes whose names can't be guessed.
+func routes(n int) []byte {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `{"name":"%08x","host":"h","path_prefix":"/%08x/%d/","kind":"idempotent","timeout_ms":1200,`+
+			`"target_latency_ms":150,"priority":2,"service":"svc","max_attempts":2,"gap_aim_ms":500},`, rnd.Uint32(), rnd.Uint32(), i)
+	}
+	return []byte(b.String())
+}
+
+// A small change of a large value is passed on to every VM. Its cost is that of the
+// change; else links of 10 Mbit/s are full for a second with each.
+func TestChangeCostsWhatHasChanged(t *testing.T) {
+	small, large := routes(2800), routes(4200)
+	more, err := delta.Pack(large, small)
+	require.NoError(t, err)
+	require.Less(t, len(more), 1400*40, "1,400 routes more, with 16 random digits each")
+	next := append([]byte("version 18 "), large...)
+	tiny, err := delta.Pack(next, large)
+	require.NoError(t, err)
+	require.Less(t, len(tiny), 1000)
+	got, err := delta.Unpack(tiny, large)
+	require.NoError(t, err)
+	require.Equal(t, next, got)
+}
+
+func TestAnyValueComesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(t, "base")
+		value := append(rapid.SliceOf(rapid.Byte()).Draw(t, "head"), base[:rapid.IntRange(0, len(base)).Draw(t, "kept")]...)
+		packed, err := delta.Pack(value, base)
+		require.NoError(t, err)
+		got, err := delta.Unpack(packed, base)
+		require.NoError(t, err)
+		require.Equal(t, len(value), len(got))
+		require.Equal(t, string(value), string(got))
+	})
+}
+
+// A peer sends the difference to a value that this VM doesn't hold, or bytes that are
+// none. The item is refused; half a configuration must never be read.
+func TestOtherBaseIsRefused(t *testing.T) {
+	var p delta.Packer
+	old, item := shed.Item{Key: "c", Revision: 5, Value: routes(100)}, shed.Item{Key: "c", Revision: 9, Value: routes(200)}
+	change := p.Pack(item, old)
+	require.True(t, change.Packed)
+	got, err := delta.Restore(change, old)
+	require.NoError(t, err)
+	require.Equal(t, item, got)
+	for name, held := range map[string]shed.Item{
+		"another revision": {Key: "c", Revision: 6, Value: old.Value},
+		"nothing":          {},
+		"another value":    {Key: "c", Revision: 5, Value: routes(99)},
+	} {
+		_, err := delta.Restore(change, held)
+		require.ErrorIs(t, err, delta.ErrPacked, name)
+	}
+	change.Value = []byte("nonsense")
+	_, err = delta.Restore(change, old)
+	require.ErrorIs(t, err, delta.ErrPacked)
+}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 
 	shed "jasmineshed"
@@ -64,12 +65,27 @@
 // revision; for all items if that is 0.
 type ItemsCall struct {
 	After shed.Revision `cbor:"1,keyasint"`
+	// Known is the revision up to which the caller knows all; large values come as
+	// the difference to what they were then, or to nothing if it is 0.
+	Known shed.Revision `cbor:"2,keyasint,omitempty"`
 }
 
 // ItemsReply answers an ItemsCall.
 type ItemsReply struct {
-	Items []shed.Item   `cbor:"1,keyasint,omitempty"`
-	AsOf  shed.Revision `cbor:"2,keyasint"`
+	Items []shed.ItemChange `cbor:"1,keyasint,omitempty"`
+	AsOf  shed.Revision     `cbor:"2,keyasint"`
+}
+
+// partSize is how much of an ItemsReply goes in one message, in bytes. Each message
+// that comes shows that the transfer moves, so it must pass well within linkSilence
+// over a link that is small and busy.
+const partSize = 16 << 10
+
+// itemsPart is one message of the far side of an ItemsCall: a part of the encoded
+// reply. An empty one is a heartbeat. After Last nothing more comes.
+type itemsPart struct {
+	Bytes []byte `cbor:"1,keyasint,omitempty"`
+	Last  bool   `cbor:"2,keyasint,omitempty"`
 }
 
 // RelayHandler is what a relaying daemon does for its peers.
@@ -98,7 +114,7 @@
 		return rpcPieces, wire, receivePieces, (func(RelayHandler, *PieceCall, drpc.Stream) error)(nil), true
 	case 2:
 		return rpcItems, wire, receiveItems,
-			(func(RelayHandler, context.Context, *ItemsCall) (*ItemsReply, error))(nil), true
+			(func(RelayHandler, *ItemsCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
@@ -116,9 +132,22 @@
 	return nil, err
 }
 
-func receiveItems(srv any, _ context.Context, in1, _ any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
-	reply := srv.(RelayHandler).Items(*in1.(*ItemsCall))
-	return &reply, nil
+func receiveItems(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	call, stream := in1.(*ItemsCall), in2.(drpc.Stream)
+	out := &sender{stream: stream}
+	stop := out.beat(&itemsPart{})
+	defer stop()
+	reply := srv.(RelayHandler).Items(*call)
+	data, err := wire.Marshal(&reply)
+	if err != nil {
+		return nil, err
+	}
+	for part := range slices.Chunk(data, partSize) {
+		if err := out.send(&itemsPart{Bytes: part}); err != nil {
+			return nil, err
+		}
+	}
+	return nil, out.send(&itemsPart{Last: true})
 }
 
 // errNoResults: the far side ended its answer without results.
@@ -151,11 +180,41 @@
 	}
 }
 
-// Items asks a peer for what it knows of the store.
+// Items asks a peer for what it knows of the store. It ends when nothing has come for a
+// while, not when it takes long: a large configuration over a small link would be
+// broken off and begun anew each time, and never be there whole.
 func (c *Client) Items(ctx context.Context, to shed.VM, call ItemsCall) (ItemsReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
+	s, err := c.open(ctx, to, rpcItems, false)
+	if err != nil {
+		return ItemsReply{}, err
+	}
+	defer s.close()
+	if err := s.send(&call); err != nil {
+		return ItemsReply{}, err
+	}
+	data, err := s.parts()
+	if err != nil {
+		return ItemsReply{}, err
+	}
 	var reply ItemsReply
-	err := c.pool.Get(ctx, c.line(to), c.dial).Invoke(ctx, rpcItems, wire, &call, &reply)
+	err = wire.Unmarshal(data, &reply)
 	return reply, err
 }
+
+// parts reads the parts of an encoded reply to the last.
+func (s *stream) parts() ([]byte, error) {
+	var data []byte
+	for {
+		var part itemsPart
+		if err := s.recv(&part); err != nil {
+			return nil, err
+		}
+		if part.Last {
+			return data, nil
+		}
+		data = append(data, part.Bytes...)
+		if len(data) > maxMessage {
+			return nil, fmt.Errorf("%w: reply of over %d bytes", ErrBadMessage, maxMessage)
+		}
+	}
+}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -8,6 +8,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/follow"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/prefs"
@@ -77,8 +78,10 @@
 	// present are the VMs that are there, as of presentAt.
 	present   []shed.VM
 	presentAt time.Time
-	// store is what each VM last told of what it knows of the store.
-	store map[shed.VM]storeWord
+	// follow decides when what peers know more of the store is read from them.
+	follow *follow.Follower
+	// news wait to be taken in, the first one is being taken in.
+	news []news
 	// coming is what each peer said of the pieces that its requests will ask for,
 	// comingSum their sum.
 	coming    map[shed.VM]map[shed.PoolID]int
@@ -86,8 +89,6 @@
 	// asks end the calls for pieces that are under way at each peer, by a number.
 	asks    map[shed.VM]map[uint64]context.CancelFunc
 	lastAsk uint64
-	// pulling: what a peer knows more of the store is being read.
-	pulling bool
 
 	sequence uint64
 	placed   []shed.PromptPlaced
@@ -109,10 +110,10 @@
 		heard:   map[shed.VM]time.Time{},
 		waits:   map[shed.PoolID]peerWait{},
 		shunned: map[shed.VM]time.Time{},
-		store:   map[shed.VM]storeWord{},
 		asks:    map[shed.VM]map[uint64]context.CancelFunc{},
 		coming:  map[shed.VM]map[shed.PoolID]int{}, comingSum: map[shed.PoolID]int{},
 	}
+	r.mesh.follow = follow.New(r.mesh.self.VM)
 	r.joinMesh()
 }
 
@@ -148,6 +149,7 @@
 		r.joinMesh()
 		r.work.Go(old.Close)
 	}
+	r.follow(now, follow.Tick{})
 	r.tellLoad(now)
 }
 
@@ -163,6 +165,7 @@
 				// What a dead process had on servers is over.
 				r.picker.PeerGone(a.Peer)
 				r.heardComing(a.Peer, nil)
+				r.follow(time.Now(), follow.Gone{VM: a.Peer})
 			}
 			r.stats.beliefs.Inc(1)
 		}
@@ -234,7 +237,7 @@
 	case shed.RelayLoad:
 		r.heardLoad(now, from, m)
 	case shed.StoreNews:
-		r.heardNews(m)
+		r.heardNews(now, from.VM, m)
 	case shed.ResultsFreed:
 		r.perform(r.batcher.Handle(now, batch.Freed{Refs: m.Refs}))
 	}
@@ -282,13 +285,6 @@
 	}
 }
 
-// Items implements peers.RelayHandler.
-func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return peers.ItemsReply{AsOf: r.roster.AsOf(), Items: r.roster.Since(call.After)}
-}
-
 // Unwanted implements peers.RelayHandler. Else the results would take up room at
 // their makers until they lapse there.
 func (r *Relay) Unwanted(results []shed.PieceResult) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/delta"
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/member"
@@ -90,6 +91,7 @@
 	repeats map[shed.PoolID]*retry.Budget
 	group   *member.Group
 	mesh    mesh
+	packer  delta.Packer
 	jobs    map[batch.JobID]chan []shed.PieceResult
 	lastJob batch.JobID
 	// coming is how many pieces the requests here will ask of each pool once the
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -7,7 +7,7 @@
 	"time"
 
 	shed "jasmineshed"
-	"jasmineshed/internal/peers"
+	"jasmineshed/internal/follow"
 	"jasmineshed/internal/rank"
 	"jasmineshed/internal/roster"
 
@@ -22,8 +22,6 @@
 	// of those that watch for all: 66 VMs at the short pause made 2,100 calls in the
 	// eight seconds in which a store turned all away.
 	storeRetryOthers = time.Second
-	// peerAsk is how often a VM that doesn't reach the store asks a peer.
-	peerAsk = 400 * time.Millisecond
 	// watchers is how many VMs watch the store; they tell the others. Each call
 	// to the store is paid for, and its rate is shared by all. Three, since one
 	// may be turned away by the store and one be restarted at the same time.
@@ -39,19 +37,10 @@
 	watchesBy = 2 * time.Second
 )
 
-// storeWord is what a VM told of what it knows of the store.
-type storeWord struct {
-	asOf   shed.Revision
-	digest uint64
-	// contact is when the store last answered it.
-	contact time.Time
-}
-
 // followStore keeps the roster up to date: by watching the store, if this is
 // one of the VMs that do, or nobody's word of it is new enough; else by what
 // those VMs tell.
 func (r *Relay) followStore(ctx context.Context) error {
-	var lastAsk time.Time
 	for ctx.Err() == nil {
 		if !r.watches(time.Now()) {
 			wait(ctx, idlePoll)
@@ -61,19 +50,25 @@
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		r.mu.Lock()
-		r.tellChanges(r.roster.StoreFailed(time.Now()))
-		r.mu.Unlock()
-		r.stats.storeFailures.Inc(1)
-		if time.Since(lastAsk) >= peerAsk {
-			lastAsk = time.Now()
-			r.askPeer(ctx, err)
-		}
+		r.storeFailed(err)
 		wait(ctx, r.retryPause(time.Now()))
 	}
 	return ctx.Err()
 }
 
+// storeFailed notes that the store gave no answer, and turns to peers.
+func (r *Relay) storeFailed(why error) {
+	r.stats.storeFailures.Inc(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if changes := r.roster.StoreFailed(now); len(changes) > 0 {
+		r.log.WithError(why).Info("store gives no answer")
+		r.tellChanges(changes)
+	}
+	r.follow(now, follow.StoreFailed{Peers: r.alive()})
+}
+
 // retryPause is the pause after a failed call to the store. As long as it fails for
 // all, nobody counts as watching; the same VMs as ever ask often then.
 func (r *Relay) retryPause(now time.Time) time.Duration {
@@ -98,7 +93,7 @@
 // watchers are the VMs that watch the store for all.
 func (r *Relay) watchers(now time.Time) []shed.VM {
 	vms := slices.DeleteFunc(r.present(now), func(vm shed.VM) bool {
-		return vm != r.mesh.self.VM && now.Sub(r.mesh.store[vm].contact) >= watchesBy
+		return vm != r.mesh.self.VM && now.Sub(r.mesh.follow.Contact(vm)) >= watchesBy
 	})
 	return rank.Owners("store", r.strong(vms), watchers)
 }
@@ -115,16 +110,13 @@
 	after := r.roster.AsOf()
 	r.mu.Unlock()
 	r.stats.storeCalls.Inc(1)
-	if after == 0 || r.relist {
-		items, asOf, err := r.cfg.Store.List(ctx)
-		if err != nil {
-			return err
-		}
-		r.relist = false
-		r.learn(roster.FromStore, items, asOf, true)
-		return nil
+	rd := reading{from: roster.FromStore, after: after, whole: after == 0 || r.relist}
+	var err error
+	if rd.whole {
+		rd.items, rd.asOf, err = r.cfg.Store.List(ctx)
+	} else {
+		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, after, r.prefs.Load().Relay.Watch)
 	}
-	items, asOf, err := r.cfg.Store.Watch(ctx, after, r.prefs.Load().Relay.Watch)
 	if errors.Is(err, shed.ErrHistoryGone) {
 		r.relist = true
 		r.log.WithField("after", after).Info("store has no history since then; reading all of it")
@@ -133,14 +125,26 @@
 	if err != nil {
 		return err
 	}
-	r.learn(roster.FromStore, items, asOf, false)
+	if rd.whole {
+		r.relist = false
+	}
+	r.learn(rd)
 	return nil
 }
 
-// learn takes in what the store or a peer said, and passes on what is new.
-func (r *Relay) learn(from roster.Source, items []shed.Item, asOf shed.Revision, whole bool) {
-	l := roster.Learned{Source: from, AsOf: asOf, Whole: whole}
-	for _, item := range items {
+// reading is what the store or a peer said: changes after a revision, or all items if
+// whole.
+type reading struct {
+	from        roster.Source
+	items       []shed.Item
+	after, asOf shed.Revision
+	whole       bool
+}
+
+// learn takes in what the store or a peer said, and passes on what the store did.
+func (r *Relay) learn(rd reading) {
+	l := roster.Learned{Source: rd.from, AsOf: rd.asOf, Whole: rd.whole}
+	for _, item := range rd.items {
 		if r.cfg.Store.Owns(item.Key) {
 			l.Items = append(l.Items, r.read(item))
 		}
@@ -155,14 +159,16 @@
 	r.tellChanges(r.roster.Learn(now, l))
 	r.picker.Keep(r.roster.Listed)
 	r.accept.Keep(r.roster.HasRoute)
-	if from == roster.FromStore && len(l.Items) > 0 && before > 0 && slices.Contains(tellers, r.mesh.self.VM) {
+	if rd.from == roster.FromStore && len(l.Items) > 0 && before > 0 && slices.Contains(tellers, r.mesh.self.VM) {
 		r.passOn(before, tellers)
 	}
 }
 
+// read finds out what an item says, unless it is known here: a configuration comes
+// from several sides, and each reading takes a small VM a good part of a second.
 func (r *Relay) read(item shed.Item) roster.Entry {
 	e := roster.Entry{Item: item}
-	if item.Gone {
+	if item.Gone || r.knows(item) {
 		return e
 	}
 	fact, err := r.cfg.Store.Read(item)
@@ -174,103 +180,11 @@
 	return e
 }
 
-// passOn tells peers what has changed since before: each one is told by one of the
-// tellers. Who misses it learns of it by the next load message. The caller holds mu.
-//
-// After an outage of the store all VMs read it at once, and each knows of no other
-// that has. Each told all others then: 78 VMs sent 6,000 copies of a configuration,
-// their links were full for two seconds, and peers and servers seemed dead. So the
-// tellers are then those that watch when all is well.
-func (r *Relay) passOn(before shed.Revision, by []shed.VM) {
-	news := shed.StoreNews{After: before, AsOf: r.roster.AsOf(), Items: r.roster.Since(before)}
-	for _, vm := range r.alive() {
-		if teller, ok := rank.Owner(string(vm), by); ok && teller == r.mesh.self.VM {
-			r.client.Send(vm, news)
-		}
-	}
-}
-
-// heardNews takes in what a peer passes on. The caller holds mu.
-func (r *Relay) heardNews(m shed.StoreNews) {
-	if m.AsOf <= r.roster.AsOf() || m.After > r.roster.AsOf() {
-		return
-	}
-	r.work.Go(func() error {
-		r.learn(roster.FromPeer, m.Items, m.AsOf, false)
-		return nil
-	})
-}
-
-// heardStore compares what a peer knows of the store with what this VM knows.
-// The caller holds mu.
-func (r *Relay) heardStore(now time.Time, from shed.VM, m shed.RelayLoad) {
-	word := storeWord{asOf: m.AsOf, digest: m.Digest, contact: now.Add(-m.Confirmed)}
-	r.mesh.store[from] = word
-	own := r.roster.AsOf()
-	switch {
-	case word.asOf < own || word.contact.Before(r.roster.Contact()):
-	case word.asOf == own && word.digest == r.roster.Digest():
-		r.roster.Confirmed(word.contact)
-	case !r.mesh.pulling:
-		r.mesh.pulling = true
-		r.work.Go(func() error {
-			defer r.pulled()
-			r.pull(r.base, from, own, word)
-			return nil
-		})
-	}
-}
-
-func (r *Relay) pulled() {
+// knows tells whether this VM holds the item, or a newer one of its key.
+func (r *Relay) knows(item shed.Item) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mesh.pulling = false
-}
-
-// pull reads from a peer what it knows more: what has changed since, or all of
-// it if a deletion was missed.
-func (r *Relay) pull(ctx context.Context, vm shed.VM, own shed.Revision, word storeWord) {
-	after := own
-	if word.asOf == own {
-		after = 0
-	}
-	r.mu.Lock()
-	client := r.client
-	r.mu.Unlock()
-	began, before := time.Now(), client.Received()
-	reply, err := client.Items(ctx, vm, peers.ItemsCall{After: after})
-	// What came tells a transfer that was too long from a peer that did not answer.
-	log := r.log.WithFields(logrus.Fields{
-		"peer": vm, "after": after, "wanted": word.asOf,
-		"took_ms": time.Since(began).Milliseconds(), "received_bytes": client.Received() - before,
-	})
-	if err != nil {
-		log.WithError(err).Info("items of the store not read from a peer")
-		return
-	}
-	log.WithField("items", len(reply.Items)).Info("items of the store read from a peer")
-	r.learn(roster.FromPeer, reply.Items, reply.AsOf, after == 0)
-}
-
-// askPeer reads all from the peer that knows most of the store, since the store
-// gives no answer and nothing is known.
-func (r *Relay) askPeer(ctx context.Context, why error) {
-	r.mu.Lock()
-	own := r.roster.AsOf()
-	best := shed.VM("")
-	var word storeWord
-	for _, vm := range r.alive() {
-		if w := r.mesh.store[vm]; best == "" || w.asOf > word.asOf {
-			best, word = vm, w
-		}
-	}
-	r.mu.Unlock()
-	if best == "" || own > 0 && word.asOf <= own {
-		return
-	}
-	r.log.WithFields(logrus.Fields{"peer": best, "as_of": word.asOf, "store_error": why.Error()}).
-		Info("store gives no answer; reading from a peer")
-	r.pull(ctx, best, own, word)
+	return r.roster.Item(item.Key).Revision >= item.Revision
 }
 
 // tellChanges logs what the roster believes anew. The caller holds mu.
--- a/internal/roster/learn.go
+++ b/internal/roster/learn.go
@@ -120,6 +120,7 @@
 		}
 		return append(out, Change{What: ItemUnreadable, Key: e.Key, Revision: e.Revision})
 	}
+	r.remember(r.Item(e.Key))
 	r.items[e.Key] = &held{Entry: e}
 	return out
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -85,6 +85,9 @@
 	// deleted holds the revision of deletions, so that an older item from a
 	// peer doesn't come back.
 	deleted map[string]shed.Revision
+	// past holds the last few earlier items of keys with large values, the oldest
+	// first.
+	past map[string][]shed.Item
 	// asOf is the revision up to which the items are whole; digest is a hash of
 	// them.
 	asOf   shed.Revision
@@ -114,6 +117,7 @@
 		cfg:     cfg,
 		items:   map[string]*held{},
 		deleted: map[string]shed.Revision{},
+		past:    map[string][]shed.Item{},
 		servers: map[shed.ServerID]*Server{},
 		closed:  map[shed.ZoneID]bool{},
 	}
--- a/internal/roster/share.go
+++ b/internal/roster/share.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/delta"
 )
 
 // Since returns what has changed after a revision, for a peer that doesn't read
@@ -36,6 +37,43 @@
 	return out
 }
 
+// Item returns what is held of a key; its zero value if nothing.
+func (r *Roster) Item(key string) shed.Item {
+	if h := r.items[key]; h != nil {
+		return h.Item
+	}
+	return shed.Item{}
+}
+
+// ItemAt returns the item that a key had as of a revision, if it is held or was held
+// lately; else its zero value. It is what a peer has that knows all up to then, so
+// that a large value can be passed on as the difference to it.
+func (r *Roster) ItemAt(key string, asOf shed.Revision) shed.Item {
+	if h := r.items[key]; h != nil && h.Revision <= asOf {
+		return h.Item
+	}
+	past := r.past[key]
+	for i := len(past) - 1; i >= 0; i-- {
+		if past[i].Revision <= asOf {
+			return past[i]
+		}
+	}
+	return shed.Item{}
+}
+
+// keepPast is how many earlier items of a key with a large value are kept: peers that
+// lag lack the last few versions, not more.
+const keepPast = 3
+
+// remember keeps an item that is about to be replaced.
+func (r *Roster) remember(old shed.Item) {
+	if !delta.Large(old) {
+		return
+	}
+	past := slices.Concat(r.past[old.Key], []shed.Item{old})
+	r.past[old.Key] = past[max(0, len(past)-keepPast):]
+}
+
 // Digest is a hash of all items that are held, the same on all daemons that hold
 // the same.
 func (r *Roster) Digest() uint64 { return r.digest }
--- a/message.go
+++ b/message.go
@@ -187,9 +187,12 @@
 
 // StoreNews passes on what has changed in the platform's store after a revision.
 type StoreNews struct {
-	After Revision `cbor:"1,keyasint"`
-	AsOf  Revision `cbor:"2,keyasint"`
-	Items []Item   `cbor:"3,keyasint"`
+	After Revision     `cbor:"1,keyasint"`
+	AsOf  Revision     `cbor:"2,keyasint"`
+	Items []ItemChange `cbor:"3,keyasint"`
+	// Unsent: the changes are too large for a message; Items is empty, and they are
+	// to be read from the sender.
+	Unsent bool `cbor:"4,keyasint,omitempty"`
 }
 
 func (StoreNews) message()    {}
--- a/relay.go
+++ b/relay.go
@@ -165,6 +165,15 @@
 	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
+// ItemChange is an Item on its way between VMs.
+type ItemChange struct {
+	Item
+	// Packed: Value is packed, as the difference to the value that the key had at the
+	// revision Base, or to nothing if that is 0.
+	Packed bool     `cbor:"5,keyasint,omitempty"`
+	Base   Revision `cbor:"6,keyasint,omitempty"`
+}
+
 // Errors of a Store.
 var (
 	// ErrStoreUnreachable: no whole answer came in time.
