Relay: a watcher passes on what the store tells it, also if a peer told it first

What callers saw: nothing yet; a change was in force up to 0.15 s and a read later at a third of the VMs. Cause: each of the three watchers tells its share of the VMs. One that heard a change from another watcher before the store told it took the change for told, and sent its share news without content; these VMs noticed by load messages and read it from a peer. Change: what is passed on is what has changed since the watch began, not since the last thing that this VM heard. Why it holds: what a watch returns is told to the whole share each time, whoever was first; a VM that has it already drops the message.

--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -151,7 +151,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, before := time.Now(), r.roster.AsOf()
+	now := time.Now()
 	tellers := r.watchers(now)
 	if now.Sub(r.roster.Contact()) > staleAfter {
 		tellers = r.standing(now)
@@ -159,8 +159,8 @@
 	r.tellChanges(r.roster.Learn(now, l))
 	r.picker.Keep(r.roster.Listed)
 	r.accept.Keep(r.roster.HasRoute)
-	if rd.from == roster.FromStore && len(l.Items) > 0 && before > 0 && slices.Contains(tellers, r.mesh.self.VM) {
-		r.passOn(before, tellers)
+	if rd.from == roster.FromStore && len(l.Items) > 0 && rd.after > 0 && slices.Contains(tellers, r.mesh.self.VM) {
+		r.passOn(rd.after, tellers)
 	}
 }
 
