Relay: a VM that knows that it is behind refuses nobody for good

What callers saw: 404 on a route that was there, and so they did not come back, though the VM had been told by its peers that they had a newer configuration. Cause: answers by which callers give up (404, 401) were given by the configuration at hand, whatever was known of a newer one. Its class is another than that of the slow spread: a final answer on knowledge that is known to be old. Change: load messages tell the revision of the configuration in force; a VM that has heard of a newer one than it can know answers 503 with the time to come back in place of 401 and 404. All else it serves as before, and so does a VM that is cut off and has heard of nothing newer. Why it holds: 503 promises that the request has not run, which is true, and the caller asks again, mostly another VM. The state ends with the pull that brings the configuration. Not covered: a request that an old configuration sends to the old service.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -45,6 +45,8 @@
 type Word struct {
 	AsOf   shed.Revision
 	Digest uint64
+	// Catalog is the revision of the configuration that it has in force.
+	Catalog shed.Revision
 	// Contact is when the store last answered it.
 	Contact time.Time
 	// Power is how strong it is beside others.
@@ -127,6 +129,8 @@
 	last   PullID
 	// behind is since when somebody knows more; zero: nobody does.
 	behind time.Time
+	// catalog is the newest configuration that a peer has told of.
+	catalog shed.Revision
 	// repaired is when a missed deletion was last looked for.
 	repaired time.Time
 }
@@ -140,11 +144,16 @@
 // isn't known.
 func (f *Follower) Contact(vm shed.VM) time.Time { return f.words[vm].Contact }
 
+// Behind tells whether a peer has a newer configuration in force than can be known to a
+// VM that knows the store up to a revision.
+func (f *Follower) Behind(asOf shed.Revision) bool { return f.catalog > asOf }
+
 // Handle takes in an event; own is what this VM knows now.
 func (f *Follower) Handle(now time.Time, own Own, ev Event) []Action {
 	switch e := ev.(type) {
 	case Heard:
 		f.words[e.From] = e.Word
+		f.catalog = max(f.catalog, e.Word.Catalog)
 		if e.Word.AsOf == own.AsOf && e.Word.Digest == own.Digest {
 			return append(f.next(now, own, false), Confirm{At: e.Word.Contact})
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -162,3 +162,15 @@
 	require.Empty(t, f.Handle(at(200), own, follow.Tick{}))
 	require.True(t, f.Contact("b").IsZero())
 }
+
+// A peer has a configuration that this VM can't know yet. Once it knows the store up to
+// that revision it is not behind, also if it could not read that configuration.
+func TestBehind(t *testing.T) {
+	f := follow.New("a")
+	require.False(t, f.Behind(10))
+	f.Handle(at(0), knows(10, at(0)), follow.Heard{From: "b", Word: follow.Word{AsOf: 14, Catalog: 12}})
+	require.True(t, f.Behind(10))
+	require.False(t, f.Behind(13))
+	f.Handle(at(0), knows(10, at(0)), follow.Heard{From: "c", Word: follow.Word{AsOf: 11, Catalog: 9}})
+	require.True(t, f.Behind(10))
+}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -202,6 +202,7 @@
 		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed,
 		// Messages are encoded later, in a goroutine of their own.
 		Coming: maps.Clone(r.coming), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
+		Catalog: r.roster.CatalogRevision(),
 	}
 	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
 	for _, vm := range vms {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -74,6 +74,7 @@
 	reasonBadHead     shed.Reason = "bad_request_head"
 	reasonNoRoute     shed.Reason = "no_route"
 	reasonBadKey      shed.Reason = "unknown_key"
+	reasonBehind      shed.Reason = "configuration_behind"
 	reasonBodyTooBig  shed.Reason = "body_too_big"
 	reasonBodyBroken  shed.Reason = "body_broken_off"
 	reasonPiecesLate  shed.Reason = "pieces_would_be_late"
--- a/internal/relay/spread.go
+++ b/internal/relay/spread.go
@@ -170,7 +170,7 @@
 func (r *Relay) heardStore(now time.Time, from shed.VM, m shed.RelayLoad) {
 	member, _ := r.group.Lookup(from)
 	r.follow(now, follow.Heard{From: from, Word: follow.Word{
-		AsOf: m.AsOf, Digest: m.Digest, Contact: now.Add(-m.Confirmed), Power: member.Power,
+		AsOf: m.AsOf, Digest: m.Digest, Catalog: m.Catalog, Contact: now.Add(-m.Confirmed), Power: member.Power,
 	}})
 }
 
--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -59,13 +59,13 @@
 	j.version = c.Version
 	j.route = roster.Route(c, j.ask.Host, j.ask.Target)
 	if j.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+		return r.final(http.StatusNotFound, reasonNoRoute)
 	}
 	j.rank = j.route.Rank
 	if len(c.Keys) > 0 {
 		ws, ok := c.Keys[j.ask.Key]
 		if !ok && !j.route.Public {
-			return &refusal{status: http.StatusUnauthorized, reason: reasonBadKey}
+			return r.final(http.StatusUnauthorized, reasonBadKey)
 		}
 		j.workspace = ws
 		if rank, ok := c.Ranks[ws]; ok {
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// final refuses a request for good by what the configuration says. Callers don't come
+// back after that, so a VM that knows of a newer configuration than its own doesn't say
+// it: the newer one may have the route or key. The caller holds mu.
+func (r *Relay) final(status int, reason shed.Reason) *refusal {
+	if r.mesh.follow.Behind(r.roster.AsOf()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBehind, after: comeBack}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
 // share picks a pool by the weights of the route's split, in turn.
 func (r *Relay) share(route *shed.Route) shed.PoolID {
 	total := 0
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -157,6 +157,9 @@
 // Catalog returns the configuration in force; nil before the first.
 func (r *Roster) Catalog() *shed.Catalog { return r.catalog }
 
+// CatalogRevision is the revision of the configuration in force; 0 before the first.
+func (r *Roster) CatalogRevision() shed.Revision { return r.catalogRev }
+
 // AsOf is the revision up to which everything is known.
 func (r *Roster) AsOf() shed.Revision { return r.asOf }
 
--- a/message.go
+++ b/message.go
@@ -144,6 +144,8 @@
 	AsOf      Revision      `cbor:"5,keyasint,omitempty"`
 	Digest    uint64        `cbor:"7,keyasint,omitempty"`
 	Confirmed time.Duration `cbor:"8,keyasint,omitempty"`
+	// Catalog is the revision of the configuration in force at the sender.
+	Catalog Revision `cbor:"11,keyasint,omitempty"`
 	// Held are the bytes of results that servers hold for the sender, which
 	// gathers pieces.
 	Held map[ServerID]int64 `cbor:"6,keyasint,omitempty"`
