--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -75,3 +75,35 @@
 	_, err = delta.Restore(change, old)
 	require.ErrorIs(t, err, delta.ErrPacked)
 }
+
+// BenchmarkPack gives what it takes to pack a configuration of 4,200 routes, and to
+// unpack it: whole, with 1,400 of them new, and with a small change.
+//
+//	go test ./internal/delta -run xxx -bench Pack -benchmem -cpu 1
+func BenchmarkPack(b *testing.B) {
+	large := routes(4200)
+	for _, c := range []struct {
+		name        string
+		value, base []byte
+	}{
+		{"whole", large, nil},
+		{"1400_more", large, routes(2800)},
+		{"small_change", append([]byte("version 18 "), large...), large},
+	} {
+		packed, err := delta.Pack(c.value, c.base)
+		require.NoError(b, err)
+		b.Run("pack_"+c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				_, _ = delta.Pack(c.value, c.base)
+			}
+			b.ReportMetric(float64(len(packed)), "bytes")
+		})
+		b.Run("unpack_"+c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				_, _ = delta.Unpack(packed, c.base)
+			}
+		})
+	}
+}
