Platform reader: parts that came before an error are kept

A daemon alone with the platform over a small link would never have become ready. One read has 2 s for the index and all missing parts, 4 MB in 340 calls at the design size, which take 3.3 s at 10 Mbit/s; when the time was over, the parts that had come were thrown away, and the next read began anew. The decision core was made to keep them, but never got any. Change: the reader gives them beside the error, and the daemon passes them on. Why it holds: each read brings parts that the next one doesn't ask for, each checked against its hash, so any limit is enough as long as one part comes within it. Result: TestTimeIsOverBeforeAllPartsCame red before, green now.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -86,8 +86,9 @@
 	defer cancel()
 	got, err := d.cfg.Platform.Config(ctx, a)
 	if err != nil {
-		d.cfg.Log.WithError(err).Debug("read configuration")
-		got = shed.ConfigRead{Err: true}
+		d.cfg.Log.WithError(err).WithField("parts", len(got.Parts)).Debug("read configuration")
+		// Parts that came are kept, or a large configuration is never whole.
+		got.Err = len(got.Parts) == 0
 	}
 	d.handle(got)
 }
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -92,7 +92,8 @@
 // Config reads the index and those parts that read.Have lacks. If there is
 // nothing newer than read.After, the result has no parts, and its revision is
 // what the platform holds: equal to read.After confirms it, a lower one shows
-// that the platform is stale.
+// that the platform is stale. Parts that came before an error are in the result beside
+// it, so that the next read has fewer to ask for.
 func (p *Platform) Config(ctx context.Context, read shed.ReadConfig) (shed.ConfigRead, error) {
 	got, err := p.value(ctx, rules.IndexKey, read.After, read.Wait)
 	if err != nil {
@@ -106,14 +107,13 @@
 		return shed.ConfigRead{Err: true}, fmt.Errorf("%w: %w", ErrBadReply, err)
 	}
 	parts, err := p.parts(ctx, index.Parts, read.Have)
-	if err != nil {
+	if err != nil && len(parts) == 0 {
 		return shed.ConfigRead{Err: true}, err
 	}
-	return shed.ConfigRead{Index: index, Parts: parts}, nil
+	return shed.ConfigRead{Index: index, Parts: parts}, err
 }
 
-// parts reads those that are not held. All of them arrive or none: a revision
-// is never taken in halves.
+// parts reads those that are not held, up to the first error.
 func (p *Platform) parts(ctx context.Context, want, have []shed.PartHash) (map[shed.PartHash][]byte, error) {
 	parts := map[shed.PartHash][]byte{}
 	for _, hash := range want {
@@ -122,10 +122,10 @@
 		}
 		got, err := p.value(ctx, rules.PartName(hash), 0, 0)
 		if err != nil {
-			return nil, err
+			return parts, err
 		}
 		if sha256.Sum256(got.data) != hash {
-			return nil, fmt.Errorf("%w: part %x has other contents", ErrBadReply, hash[:4])
+			return parts, fmt.Errorf("%w: part %x has other contents", ErrBadReply, hash[:4])
 		}
 		parts[hash] = got.data
 	}
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -214,3 +214,26 @@
 		})
 	}
 }
+
+// A daemon that sees no peer reads a large configuration over a small link, and its time
+// is over before all parts are there. It gets those that came, and asks for the others
+// the next time: were they thrown away, it would begin anew each time, and never serve.
+func TestTimeIsOverBeforeAllPartsCame(t *testing.T) {
+	stood := stand.NewPlatform(stand.PlatformConfig{})
+	content, hashes := values("a", "b", "c")
+	revision := stood.Publish(content)
+	last := strings.TrimPrefix(rules.PartName(hashes[2]), "/")
+	p := reader(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, last) {
+			<-r.Context().Done()
+			return
+		}
+		stood.ServeHTTP(w, r)
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	got, err := p.Config(ctx, shed.ReadConfig{})
+	require.ErrorIs(t, err, plat.ErrUnreachable)
+	require.Equal(t, shed.ConfigIndex{Revision: revision, Parts: hashes}, got.Index)
+	require.Equal(t, map[shed.PartHash][]byte{hashes[0]: []byte("a"), hashes[1]: []byte("b")}, got.Parts)
+}
--- a/serving.go
+++ b/serving.go
@@ -66,7 +66,8 @@
 
 // Platform is what the platform gives; nothing can be written there.
 type Platform interface {
-	// Config reads the configuration; with read.Wait it is a watch.
+	// Config reads the configuration; with read.Wait it is a watch. Beside an error,
+	// the result has the parts that came before it.
 	Config(ctx context.Context, read ReadConfig) (ConfigRead, error)
 	// VMs reads the lagging list of VMs.
 	VMs(ctx context.Context) ([]VMEntry, error)
