--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -22,8 +22,9 @@
 	// lateWait is the longest wait in queues with which a request is let in that
 	// can't be in time for its aim.
 	lateWait = 700 * time.Millisecond
-	// comeBack is the soonest time at which a caller may come back.
-	comeBack = 300 * time.Millisecond
+	// ComeBack is the soonest time at which a caller may come back; short, since callers
+	// wait for a third of their time at most.
+	ComeBack = 300 * time.Millisecond
 	// mostBack is the longest that a caller is told to stay away.
 	mostBack = 1500 * time.Millisecond
 	// A route whose share of requests let in is below fairShare times that of more
@@ -80,7 +81,7 @@
 	own.add(v.LetIn)
 	g.routes[a.Route] = own
 	if !v.LetIn {
-		v.After = min(max(needs-a.ToAim, comeBack), mostBack)
+		v.After = min(max(needs-a.ToAim, ComeBack), mostBack)
 	}
 	return v
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -9,6 +9,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/accept"
 
 	"github.com/sirupsen/logrus"
 )
@@ -46,7 +47,7 @@
 	case !j.mayHaveRun && late:
 		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonDeadline}
 	case !j.mayHaveRun:
-		return &refusal{status: http.StatusServiceUnavailable, reason: v.reason, after: comeBack}
+		return &refusal{status: http.StatusServiceUnavailable, reason: v.reason, after: accept.ComeBack}
 	case late:
 		return &refusal{status: http.StatusGatewayTimeout, reason: shed.ReasonDeadline}
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -19,9 +19,6 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBody bounds a body if the configuration doesn't, in bytes.
 	defaultBody = 4 << 20
-	// comeBack is when a caller may come back after a refusal that says nothing
-	// of the load; short, since callers wait for a third of their time at most.
-	comeBack = 300 * time.Millisecond
 	// answerSlack is kept of a caller's time for the answer's way back.
 	answerSlack = 30 * time.Millisecond
 )
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -187,7 +187,7 @@
 }
 
 func (r *Relay) stepRefusal(ctx context.Context, j *job, err error) *refusal {
-	no := &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesNone, after: comeBack}
+	no := &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesNone, after: accept.ComeBack}
 	var end stepError
 	if errors.As(err, &end) && end.end == shed.PieceLate {
 		no.reason = reasonPiecesLate
--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -6,6 +6,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/accept"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
@@ -54,7 +55,7 @@
 	defer r.mu.Unlock()
 	c := r.roster.Catalog()
 	if c == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, after: comeBack}
+		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, after: accept.ComeBack}
 	}
 	j.version = c.Version
 	j.route = roster.Route(c, j.ask.Host, j.ask.Target)
@@ -74,7 +75,7 @@
 	}
 	j.pool = c.Pools[r.share(j.route)]
 	if j.pool == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoServer, after: comeBack}
+		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoServer, after: accept.ComeBack}
 	}
 	wait := j.route.Timeout
 	if j.ask.Wait > 0 && (wait == 0 || j.ask.Wait < wait) {
@@ -94,7 +95,7 @@
 // it: the newer one may have the route or key. The caller holds mu.
 func (r *Relay) final(status int, reason shed.Reason) *refusal {
 	if r.mesh.follow.Behind(r.roster.AsOf()) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBehind, after: comeBack}
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBehind, after: accept.ComeBack}
 	}
 	return &refusal{status: status, reason: reason}
 }
