--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -27,6 +27,8 @@
 type donors struct {
 	zone map[shed.ZoneID]donor
 	best donor
+	// shared are the tokens of the prompt's shared parts.
+	shared shed.Tokens
 }
 
 type donor struct {
@@ -40,6 +42,9 @@
 	if !w.Engine || w.FetchRate <= 0 || len(chain) == 0 {
 		return out
 	}
+	for _, part := range w.Prompt[:len(chain)] {
+		out.shared += part.Tokens
+	}
 	for _, s := range from {
 		st := p.state(s)
 		d := donor{server: s, keeps: st.keeps(now, w, chain)}
@@ -81,15 +86,11 @@
 
 // fetch lets the chosen server fetch what it lacks of the shared parts, and returns
 // how many tokens of them it need not read.
-func (d donors) fetch(c *Choice, w *Want, s *roster.Server, again shed.Tokens) shed.Tokens {
+func (d donors) fetch(c *Choice, s *roster.Server, again shed.Tokens) shed.Tokens {
 	if again < fetchLeast {
 		return 0
 	}
-	var shared shed.Tokens
-	for _, part := range w.Prompt[:len(w.Prompt)-1] {
-		shared += part.Tokens
-	}
-	has := shared - again
+	has := d.shared - again
 	from := d.zone[s.Zone]
 	if from.keeps < has+fetchLeast {
 		from = d.best
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -178,7 +178,7 @@
 	if w.Engine {
 		var again shed.Tokens
 		c.Missing, again = st.missing(now, w, chain)
-		again -= donors.fetch(&c, w, s, again)
+		again -= donors.fetch(&c, s, again)
 		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runCost
 		c.Cost = c.Time
 		c.Cost += min(time.Duration(again)*againCost, againMost)
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -46,23 +46,15 @@
 // missing is how many tokens the server would have to read, and how many of
 // them belong to parts that requests share.
 func (st *state) missing(now time.Time, w *Want, chain []uint64) (left, again shed.Tokens) {
-	left = w.Input
-	var all shed.Tokens
-	for _, part := range w.Prompt {
+	var all, shared shed.Tokens
+	for i, part := range w.Prompt {
 		all += part.Tokens
-	}
-	left = max(left, all)
-	known := true
-	for i, h := range chain {
-		at, ok := st.prefixes[h]
-		known = known && ok && now.Sub(at) <= keepPrefix
-		if known {
-			left -= min(left, w.Prompt[i].Tokens)
-		} else {
-			again += w.Prompt[i].Tokens
+		if i < len(chain) {
+			shared += part.Tokens
 		}
 	}
-	return left, again
+	keeps := st.keeps(now, w, chain)
+	return max(w.Input, all) - keeps, shared - keeps
 }
 
 // Placed notes that a request goes to the server. A cold server's share is
