--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -226,24 +226,6 @@
 	})
 }
 
-// messageLimit is how long a control message between daemons may take; a longer one is
-// lost, though it has taken its time of the link.
-const messageLimit = time.Second
-
-// pass is how long a message takes over the link to a node, behind those before it;
-// false if that is too long.
-func (s *sim) pass(to *node, msg shed.Message) (time.Duration, bool) {
-	if s.linkRate == 0 {
-		return 0, true
-	}
-	if to.linkFree.Before(s.now) {
-		to.linkFree = s.now
-	}
-	to.linkFree = to.linkFree.Add(time.Duration(float64(messageBytes(msg)) / s.linkRate * float64(time.Second)))
-	wait := to.linkFree.Sub(s.now)
-	return wait, wait <= messageLimit
-}
-
 // platform answers a read, at once or when a watch ends.
 func (s *sim) platform(n *node, a shed.ReadConfig) {
 	boots := n.boots
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
 )
 
 // The platform gives about so many reads a second to everyone together.
@@ -106,6 +108,24 @@
 	}
 }
 
+// messageLimit is how long a control message between daemons may take; a longer one is
+// lost, though it has taken its time of the link.
+const messageLimit = time.Second
+
+// pass is how long a message takes over the link to a node, behind those before it;
+// false if that is too long.
+func (s *sim) pass(to *node, msg shed.Message) (time.Duration, bool) {
+	if s.linkRate == 0 {
+		return 0, true
+	}
+	if to.linkFree.Before(s.now) {
+		to.linkFree = s.now
+	}
+	to.linkFree = to.linkFree.Add(time.Duration(float64(messageBytes(msg)) / s.linkRate * float64(time.Second)))
+	wait := to.linkFree.Sub(s.now)
+	return wait, wait <= messageLimit
+}
+
 // A daemon with a link of 10 Mbit/s starts in a zone that has lost the platform, and
 // needs the whole configuration of the design size from its peers.
 func TestLargeRevisionOverSmallLinks(t *testing.T) {
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -87,8 +87,8 @@
 		}
 		vm.follow = follow.New(vm.id)
 		s.vms, s.byID[vm.id] = append(s.vms, vm), vm
-		s.every(vm, tick, func() { s.handle(vm, follow.Tick{}) })
-		s.every(vm, tick*time.Duration(1+(n-1)/12), func() { s.load(vm) })
+		s.every(tick, func() { s.handle(vm, follow.Tick{}) })
+		s.every(tick*time.Duration(1+(n-1)/12), func() { s.load(vm) })
 	}
 	for _, vm := range s.vms[:strong] {
 		s.tell = append(s.tell, vm.id)
@@ -103,7 +103,7 @@
 }
 
 // every repeats something from a random time on.
-func (s *sim) every(vm *simVM, period time.Duration, do func()) {
+func (s *sim) every(period time.Duration, do func()) {
 	var again func()
 	again = func() {
 		do()
