Peers: packed items have a message and a call of their own

Cause: found in the read-through. While a fleet is upgraded, daemons of the version before would take packed bytes for a value, keep their last configuration as the last that could be read, and take themselves for up to date. Change: a new field number for news and a new name for the call. An older daemon fails to read either, and reads the store by itself once the last word of it is too old. Two comments tell no figures any more. Two versions side by side were not run.

--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -79,7 +79,9 @@
 	TicketMove   *shed.TicketMove   `cbor:"9,keyasint,omitempty"`
 	RelayLoad    *shed.RelayLoad    `cbor:"10,keyasint,omitempty"`
 	ResultsFreed *shed.ResultsFreed `cbor:"11,keyasint,omitempty"`
-	StoreNews    *shed.StoreNews    `cbor:"12,keyasint,omitempty"`
+	// StoreNews has a new number since its items come packed: a daemon of an older
+	// version, as while a fleet is upgraded, would take packed bytes for a value.
+	StoreNews *shed.StoreNews `cbor:"13,keyasint,omitempty"`
 }
 
 // seal puts a control message into an envelope.
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -14,7 +14,7 @@
 // The names of the calls between relaying daemons.
 const (
 	rpcPieces = "/peers/Pieces"
-	rpcItems  = "/peers/Items"
+	rpcItems  = "/peers/PackedItems"
 )
 
 // PieceCall asks the daemon that gathers the pieces for a pool.
--- a/internal/relay/spread.go
+++ b/internal/relay/spread.go
@@ -26,9 +26,9 @@
 // caller holds mu.
 //
 // After an outage of the store all VMs read it at once, and each knows of no other
-// that has. Each told all others then: 78 VMs sent 6,000 copies of a configuration,
-// their links were full for two seconds, and peers and servers seemed dead. So the
-// tellers are then those that watch when all is well.
+// that has. Were each to tell all others, links would be full with copies of the
+// configuration, and peers and servers would seem dead. So the tellers are then those
+// that watch when all is well.
 func (r *Relay) passOn(after shed.Revision, by []shed.VM) {
 	var to []shed.VM
 	for _, vm := range r.alive() {
@@ -43,7 +43,7 @@
 	changes, client := r.changes(after, after), r.client
 	r.work.Go(func() error {
 		msg.Items = r.pack(changes)
-		if size(msg.Items) > newsMost {
+		if valueBytes(msg.Items) > newsMost {
 			msg.Items, msg.Unsent = nil, true
 		}
 		for _, vm := range to {
@@ -76,7 +76,7 @@
 	return out
 }
 
-func size(items []shed.ItemChange) int {
+func valueBytes(items []shed.ItemChange) int {
 	all := 0
 	for _, item := range items {
 		all += len(item.Value)
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -19,8 +19,8 @@
 	// stay far below the store's rate with it.
 	storeRetry = 250 * time.Millisecond
 	// storeRetryOthers is that pause for a VM that knows a configuration and isn't one
-	// of those that watch for all: 66 VMs at the short pause made 2,100 calls in the
-	// eight seconds in which a store turned all away.
+	// of those that watch for all: a store that turns all away would else get most calls
+	// when it bears fewest.
 	storeRetryOthers = time.Second
 	// watchers is how many VMs watch the store; they tell the others. Each call
 	// to the store is paid for, and its rate is shared by all. Three, since one
