Peers: large calls between daemons go in parts, and count as silent only when none goes

Callers with bodies of 1 MB would have been told that nobody knows whether their request ran, though the link worked. The far side of a call says nothing before it has the whole call, and a link is silent after 1 s without a word; a body of 1 MB takes 0.8 s of 10 Mbit/s, two at a time take longer. Ruled out: the far side's work (it answers at once in the test). Change: calls go in parts of 16 KB; each one that leaves is a sign of life, and the far side sends heartbeats from the first one on. A call that fits into one part is one message, as before. The calls have new names, since an older daemon can't read parts. Why it holds: a connection that nothing passes fills its buffer, no part leaves, and it is silent after 1 s as before (TestSilentConnectionEndsAsBroken).

--- a/internal/peers/calls.go
+++ b/internal/peers/calls.go
@@ -10,8 +10,8 @@
 // The names of the calls between daemons.
 const (
 	rpcControl = "/peers/Control"
-	rpcStage   = "/peers/Stage"
-	rpcRequest = "/peers/Request"
+	rpcStage   = "/peers/StageInParts"
+	rpcRequest = "/peers/RequestInParts"
 )
 
 // beatEvery is how often the far side of a stream says that it still lives
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -201,7 +201,7 @@
 		return end
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
+	if err := s.sendInParts(&call); err != nil {
 		return s.broken(end, err)
 	}
 	for {
@@ -247,7 +247,7 @@
 		return shed.Answer{}, false, false, err
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
+	if err := s.sendInParts(&call); err != nil {
 		return shed.Answer{}, false, true, err
 	}
 	for {
--- /dev/null
+++ b/internal/peers/link_test.go
@@ -0,0 +1,48 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/fault"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// Two callers' bodies of 1 MB are handed over to a daemon behind a link of 10 Mbit/s.
+// Together they take 1.7 s, and the far side says nothing before it has a call whole.
+// The links were taken for silent after a second, the calls ended as broken, and the
+// callers were told that nobody knows whether they ran.
+func TestLargeCallsOverASmallLink(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to := serveOn(t, echo{}, fault.NewLink(10).Listener(lis))
+	c := newClient(t, ClientConfig{})
+	body := strings.Repeat("0123456789abcdef", 1<<16)
+	var g errgroup.Group
+	for range 2 {
+		g.Go(func() error {
+			call := StageCall{Payload: shed.Payload{Input: body}}
+			end := c.Stage(context.Background(), to, call, true, func(f shed.Frame) error {
+				assert.Equal(t, len(body), len(f.Text))
+				return nil
+			})
+			assert.Equal(t, shed.EndComplete, end.End, "%v", end.Reason)
+			return nil
+		})
+		g.Go(func() error {
+			call := RequestCall{To: shed.Peer{VM: to, Incarnation: 7}, Request: shed.Request{ID: "r", Payload: shed.Payload{Input: body}}}
+			answer, home, _, err := c.Request(context.Background(), call, nil)
+			assert.NoError(t, err)
+			assert.True(t, home)
+			assert.Equal(t, shed.OutcomeComplete, answer.Outcome)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -41,6 +41,11 @@
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveOn(t, h, lis)
+}
+
+func serveOn(t *testing.T, h Handler, lis net.Listener) shed.VM {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error {
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 
 	shed "jasmineshed"
@@ -76,18 +75,6 @@
 	AsOf  shed.Revision     `cbor:"2,keyasint"`
 }
 
-// partSize is how much of an ItemsReply goes in one message, in bytes. Each message
-// that comes shows that the transfer moves, so it must pass well within linkSilence
-// over a link that is small and busy.
-const partSize = 16 << 10
-
-// itemsPart is one message of the far side of an ItemsCall: a part of the encoded
-// reply. An empty one is a heartbeat. After Last nothing more comes.
-type itemsPart struct {
-	Bytes []byte `cbor:"1,keyasint,omitempty"`
-	Last  bool   `cbor:"2,keyasint,omitempty"`
-}
-
 // RelayHandler is what a relaying daemon does for its peers.
 type RelayHandler interface {
 	controller
@@ -135,19 +122,10 @@
 func receiveItems(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
 	call, stream := in1.(*ItemsCall), in2.(drpc.Stream)
 	out := &sender{stream: stream}
-	stop := out.beat(&itemsPart{})
+	stop := out.beat(&part{})
 	defer stop()
 	reply := srv.(RelayHandler).Items(*call)
-	data, err := wire.Marshal(&reply)
-	if err != nil {
-		return nil, err
-	}
-	for part := range slices.Chunk(data, partSize) {
-		if err := out.send(&itemsPart{Bytes: part}); err != nil {
-			return nil, err
-		}
-	}
-	return nil, out.send(&itemsPart{Last: true})
+	return nil, sendParts(&reply, func(p *part) error { return out.send(p) })
 }
 
 // errNoResults: the far side ended its answer without results.
@@ -192,29 +170,7 @@
 	if err := s.send(&call); err != nil {
 		return ItemsReply{}, err
 	}
-	data, err := s.parts()
-	if err != nil {
-		return ItemsReply{}, err
-	}
 	var reply ItemsReply
-	err = wire.Unmarshal(data, &reply)
+	err = readParts(part{}, func(p *part) error { return s.recv(p) }, &reply)
 	return reply, err
 }
-
-// parts reads the parts of an encoded reply to the last.
-func (s *stream) parts() ([]byte, error) {
-	var data []byte
-	for {
-		var part itemsPart
-		if err := s.recv(&part); err != nil {
-			return nil, err
-		}
-		if part.Last {
-			return data, nil
-		}
-		data = append(data, part.Bytes...)
-		if len(data) > maxMessage {
-			return nil, fmt.Errorf("%w: reply of over %d bytes", ErrBadMessage, maxMessage)
-		}
-	}
-}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -84,9 +84,9 @@
 	case 0:
 		return rpcControl, wire, receiveControl, (func(controller, context.Context, *envelope) (*received, error))(nil), true
 	case 1:
-		return rpcStage, wire, receiveStage, (func(Handler, *StageCall, drpc.Stream) error)(nil), true
+		return rpcStage, wire, receiveStage, (func(Handler, *part, drpc.Stream) error)(nil), true
 	case 2:
-		return rpcRequest, wire, receiveRequest, (func(Handler, *RequestCall, drpc.Stream) error)(nil), true
+		return rpcRequest, wire, receiveRequest, (func(Handler, *part, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
@@ -102,22 +102,30 @@
 }
 
 func receiveStage(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
-	call, stream := in1.(*StageCall), in2.(drpc.Stream)
+	stream := in2.(drpc.Stream)
 	out := &sender{stream: stream}
 	stop := out.beat(&stageReply{})
 	defer stop()
-	end := srv.(Handler).Stage(stream.Context(), *call, func(f shed.Frame) error {
+	var call StageCall
+	if err := readCall(in1, stream, &call); err != nil {
+		return nil, err
+	}
+	end := srv.(Handler).Stage(stream.Context(), call, func(f shed.Frame) error {
 		return out.send(&stageReply{Frame: &f})
 	})
 	return nil, out.send(&stageReply{End: &end})
 }
 
 func receiveRequest(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
-	call, stream := in1.(*RequestCall), in2.(drpc.Stream)
+	stream := in2.(drpc.Stream)
 	out := &sender{stream: stream}
 	stop := out.beat(&requestReply{})
 	defer stop()
-	answer, home := srv.(Handler).Request(stream.Context(), *call, func(u shed.Update) {
+	var call RequestCall
+	if err := readCall(in1, stream, &call); err != nil {
+		return nil, err
+	}
+	answer, home := srv.(Handler).Request(stream.Context(), call, func(u shed.Update) {
 		// A failed send shows up as the stream's context ending.
 		_ = out.send(&requestReply{Update: &u})
 	})
@@ -127,6 +135,11 @@
 	return nil, out.send(&requestReply{Answer: &answer})
 }
 
+// readCall reads a call that comes in parts, of which in1 is the first.
+func readCall(in1 any, stream drpc.Stream, into drpc.Message) error {
+	return readParts(*in1.(*part), func(p *part) error { return stream.MsgRecv(p, wire) }, into)
+}
+
 // sender serialises the messages of one stream with its heartbeats.
 type sender struct {
 	mu     sync.Mutex
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -62,6 +62,19 @@
 	return nil
 }
 
+// sendInParts sends a call that may be large. It counts as silent when no part leaves
+// for a while, not when it takes long; the far side sends heartbeats from the first
+// part on, while it reads the others.
+func (s *stream) sendInParts(msg drpc.Message) error {
+	return sendParts(msg, func(p *part) error {
+		err := s.send(p)
+		if err == nil {
+			s.timer.Reset(linkSilence)
+		}
+		return err
+	})
+}
+
 func (s *stream) recv(msg drpc.Message) error {
 	if err := s.MsgRecv(msg, wire); err != nil {
 		if s.wasSilent() {
