Relay: a configuration that is being taken in is neither asked for nor read again

Cause: the processor, not the link (13 KB had come). While a VM read a configuration, it came again: from the store after a peer, and from a second pull, since the first counted as slow until its content was read. Each copy was read as well, before the first was known, on processors that were the bottleneck. Ruled out: the size of what is passed on; the limits on silence (no pull failed). Change: one thing is taken in at a time, so the second finds it known; no pull begins while something is taken in. Why it holds: a configuration is read once in each VM, and what is lacking after that is asked for at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,8 @@
 	Digest uint64
 	// Contact is when the store last answered, this VM or a peer that knew no more.
 	Contact time.Time
+	// Taking: something that has come is being taken in, so more will be known soon.
+	Taking bool
 }
 
 // Word is what a peer told of what it knows of the store.
@@ -189,7 +191,7 @@
 		_, heard := f.words[vm]
 		return heard
 	})
-	return f.pull(now, 0, 0, unheard)
+	return f.pull(now, own, 0, unheard)
 }
 
 // ended takes a pull off the list. What a peer told is not read from it again before it
@@ -220,7 +222,7 @@
 		if !urgent && own.AsOf > 0 && now.Sub(f.behind) < newsWait {
 			return nil
 		}
-		return f.pull(now, own.AsOf, own.AsOf, ahead)
+		return f.pull(now, own, own.AsOf, ahead)
 	}
 	f.behind = time.Time{}
 	differing := f.differing(own)
@@ -228,15 +230,20 @@
 		return nil
 	}
 	// Changes since then don't tell a deletion that was missed before.
-	acts := f.pull(now, 0, own.AsOf, differing)
+	acts := f.pull(now, own, 0, differing)
 	if len(acts) > 0 {
 		f.repaired = now
 	}
 	return acts
 }
 
-// pull begins a pull from one of the peers, if one may begin now.
-func (f *Follower) pull(now time.Time, after, known shed.Revision, peers []shed.VM) []Action {
+// pull begins a pull from one of the peers, if one may begin now. None does while
+// something is taken in: on a small VM a large configuration takes long to read, and
+// would come, and be read, once more for each peer that is ahead meanwhile.
+func (f *Follower) pull(now time.Time, own Own, after shed.Revision, peers []shed.VM) []Action {
+	if own.Taking {
+		return nil
+	}
 	if n := len(f.pulls); n >= pullsAtOnce || n > 0 && now.Sub(f.pulls[n-1].began) < slowPull {
 		return nil
 	}
@@ -245,7 +252,7 @@
 		return nil
 	}
 	f.last++
-	p := Pull{ID: f.last, From: from, After: after, Known: known, Wanted: f.words[from].AsOf}
+	p := Pull{ID: f.last, From: from, After: after, Known: own.AsOf, Wanted: f.words[from].AsOf}
 	f.pulls = append(f.pulls, running{Pull: p, began: now})
 	return []Action{p}
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -88,6 +88,21 @@
 	require.Empty(t, f.Handle(at(5000), own, follow.Tick{}))
 }
 
+// What a pull has brought takes long to read. Nobody is asked for it again meanwhile,
+// however many peers are ahead; what is lacking then is asked for at once.
+func TestNobodyIsAskedWhileSomethingIsTakenIn(t *testing.T) {
+	f := follow.New("a")
+	own := knows(10, at(0))
+	first := pulls(f.Handle(at(0), own, follow.Missed{From: "b", AsOf: 12}))[0]
+	own.Taking = true
+	for ms := 100; ms < 3000; ms += 100 {
+		require.Empty(t, f.Handle(at(ms), own, tells("c", 13, at(ms))))
+		require.Empty(t, f.Handle(at(ms), own, follow.Missed{From: "c", AsOf: 14}))
+	}
+	got := pulls(f.Handle(at(3000), knows(12, at(0)), follow.Ended{Pull: first.ID}))
+	require.Equal(t, []follow.Pull{{ID: 2, From: "c", After: 12, Known: 12, Wanted: 14}}, got)
+}
+
 // The peer that is asked gives no answer. The next one is asked at once, and the first
 // only when the others have failed, too, and a while has passed.
 func TestFailedPeerIsAvoided(t *testing.T) {
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -82,6 +82,8 @@
 	follow *follow.Follower
 	// news wait to be taken in, the first one is being taken in.
 	news []news
+	// taking: something of the store is being taken in.
+	taking bool
 	// coming is what each peer said of the pieces that its requests will ask for,
 	// comingSum their sum.
 	coming    map[shed.VM]map[shed.PoolID]int
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,6 +81,9 @@
 	// open counts requests being answered.
 	open atomic.Int64
 
+	// learning is held while something of the store is taken in. It is locked before mu.
+	learning sync.Mutex
+
 	// mu guards what follows: all decisions are taken under it, none of them
 	// blocks.
 	mu      sync.Mutex
--- a/internal/relay/spread.go
+++ b/internal/relay/spread.go
@@ -176,7 +176,9 @@
 
 // follow performs what is decided about an event. The caller holds mu.
 func (r *Relay) follow(now time.Time, ev follow.Event) {
-	own := follow.Own{AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Contact: r.roster.Contact()}
+	own := follow.Own{
+		AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Contact: r.roster.Contact(), Taking: r.mesh.taking,
+	}
 	for _, act := range r.mesh.follow.Handle(now, own, ev) {
 		switch a := act.(type) {
 		case follow.Confirm:
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -141,8 +141,14 @@
 	whole       bool
 }
 
-// learn takes in what the store or a peer said, and passes on what the store did.
+// learn takes in what the store or a peer said, and passes on what the store did. One
+// thing is taken in at a time: the same configuration often comes from two sides, and
+// the second finds it known.
 func (r *Relay) learn(rd reading) {
+	r.learning.Lock()
+	defer r.learning.Unlock()
+	r.setTaking(true)
+	defer r.setTaking(false)
 	l := roster.Learned{Source: rd.from, AsOf: rd.asOf, Whole: rd.whole}
 	for _, item := range rd.items {
 		if r.cfg.Store.Owns(item.Key) {
@@ -164,6 +170,12 @@
 	}
 }
 
+func (r *Relay) setTaking(taking bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mesh.taking = taking
+}
+
 // read finds out what an item says, unless it is known here: a configuration comes
 // from several sides, and each reading takes a small VM a good part of a second.
 func (r *Relay) read(item shed.Item) roster.Entry {
