Starts: everything is read from a copy of the store, and few watch one that is empty

Later starts read all pages from the store itself. Change: follow.NextCall (pure) decides what a VM asks of the store. A new process reads any copy, which costs a tenth, then asks once what has changed since; until the store or a peer has confirmed it, it is not ready and denies no route or key, unless the store gives no answer at all. A VM without a configuration leaves watching to the three that do. What a copy still had and the store no longer has is gone at once: no outage was seen. A word of a peer from the future no longer keeps a VM from the store.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -154,6 +154,10 @@
 func (f *Follower) Handle(now time.Time, own Own, ev Event) []Action {
 	switch e := ev.(type) {
 	case Heard:
+		if e.Word.Contact.After(now) {
+			// Else a peer that tells nonsense would keep this VM from the store.
+			e.Word.Contact = now
+		}
 		f.words[e.From] = e.Word
 		f.catalog = max(f.catalog, e.Word.Catalog)
 		if e.Word.AsOf == own.AsOf && e.Word.Digest == own.Digest {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -189,3 +189,15 @@
 	f.Handle(at(0), knows(10, at(0)), follow.Heard{From: "c", Word: follow.Word{AsOf: 11, Catalog: 9}})
 	require.True(t, f.Behind(10))
 }
+
+// A peer says that the store answered it in the future. The VM must not be kept from
+// reading the store by that.
+func TestWordFromTheFuture(t *testing.T) {
+	f := follow.New("self")
+	for _, act := range f.Handle(start, knows(5, start), tells("peer", 5, start.Add(time.Hour))) {
+		if c, ok := act.(follow.Confirm); ok {
+			require.Equal(t, start, c.At)
+		}
+	}
+	require.Equal(t, start, f.Contact("peer"))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,9 +104,9 @@
 	// counts the calls that tell a maker of some.
 	freed   map[string][]shed.ResultRef
 	freeing map[string]int
-	// relist: the store's history is gone, so all of it is to be read. Used by
+	// forgotten: the store's history is gone, so all of it is to be read. Used by
 	// followStore only.
-	relist bool
+	forgotten bool
 	// turn counts requests, to share out splits of routes.
 	turn uint64
 }
@@ -245,7 +245,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Catalog() != nil
+	return r.roster.Usable()
 }
 
 // tickEvery is the period of the pure packages' ticks.
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -26,10 +26,6 @@
 	// to the store is paid for, and its rate is shared by all. Three, since one
 	// may be turned away by the store and one be restarted at the same time.
 	watchers = 3
-	// staleAfter is how old the store's last answer may be, to this VM or to one
-	// that told it, before this VM reads the store by itself. Changes have to be
-	// in force within two seconds.
-	staleAfter = 1300 * time.Millisecond
 	// idlePoll is how often a VM that doesn't watch looks whether it should.
 	idlePoll = 100 * time.Millisecond
 	// watchesBy is how old the store's last answer to a VM may be for it to count
@@ -42,11 +38,12 @@
 // those VMs tell.
 func (r *Relay) followStore(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !r.watches(time.Now()) {
+		call := r.nextCall(time.Now())
+		if call == follow.NoCall {
 			wait(ctx, idlePoll)
 			continue
 		}
-		err := r.readStore(ctx)
+		err := r.readStore(ctx, call)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
@@ -74,20 +71,20 @@
 func (r *Relay) retryPause(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.roster.Catalog() == nil || slices.Contains(r.standing(now), r.mesh.self.VM) {
+	if r.roster.Catalog() == nil || !r.roster.Sure() || slices.Contains(r.standing(now), r.mesh.self.VM) {
 		return storeRetry
 	}
 	return storeRetryOthers
 }
 
-// watches tells whether this VM reads the store now.
-func (r *Relay) watches(now time.Time) bool {
+// nextCall is what this VM asks of the store now.
+func (r *Relay) nextCall(now time.Time) follow.StoreCall {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.roster.Catalog() == nil || now.Sub(r.roster.Contact()) > staleAfter {
-		return true
-	}
-	return slices.Contains(r.watchers(now), r.mesh.self.VM)
+	return follow.NextCall(now, follow.StoreView{
+		AsOf: r.roster.AsOf(), Contact: r.roster.Contact(),
+		Watcher: slices.Contains(r.watchers(now), r.mesh.self.VM), Forgotten: r.forgotten,
+	})
 }
 
 // watchers are the VMs that watch the store for all.
@@ -103,30 +100,39 @@
 	return rank.Owners("store", r.strong(r.present(now)), watchers)
 }
 
-// readStore makes one call to the store: a list if nothing is known or the
-// history is gone, else a watch.
-func (r *Relay) readStore(ctx context.Context) error {
+// readStore makes one call to the store and takes in what it says.
+func (r *Relay) readStore(ctx context.Context, call follow.StoreCall) error {
 	r.mu.Lock()
-	after := r.roster.AsOf()
+	rd := reading{from: roster.FromStore, after: r.roster.AsOf()}
 	r.mu.Unlock()
 	r.stats.storeCalls.Inc(1)
-	rd := reading{from: roster.FromStore, after: after, whole: after == 0 || r.relist}
 	var err error
-	if rd.whole {
+	switch call {
+	case follow.ListCopy:
+		rd.from, rd.whole = roster.FromCopy, true
+		rd.items, rd.asOf, err = r.cfg.Store.ListCopy(ctx)
+	case follow.List:
+		rd.whole = true
 		rd.items, rd.asOf, err = r.cfg.Store.List(ctx)
-	} else {
-		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, after, r.prefs.Load().Relay.Watch)
+	case follow.Changes:
+		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, 0)
+	default:
+		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, r.prefs.Load().Relay.Watch)
 	}
 	if errors.Is(err, shed.ErrHistoryGone) {
-		r.relist = true
-		r.log.WithField("after", after).Info("store has no history since then; reading all of it")
+		r.forgotten = true
+		r.log.WithField("after", rd.after).Info("store has no history since then; reading all of it")
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if rd.whole {
-		r.relist = false
+	if call == follow.List {
+		r.forgotten = false
+	}
+	if call == follow.ListCopy || call == follow.Changes {
+		r.log.WithFields(logrus.Fields{"after": rd.after, "as_of": rd.asOf, "items": len(rd.items), "whole": rd.whole}).
+			Info("store read at the start")
 	}
 	r.learn(rd)
 	return nil
@@ -159,7 +165,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	tellers := r.watchers(now)
-	if now.Sub(r.roster.Contact()) > staleAfter {
+	if now.Sub(r.roster.Contact()) > follow.StaleAfter {
 		tellers = r.standing(now)
 	}
 	r.tellChanges(r.roster.Learn(now, l))
--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -54,7 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.roster.Catalog()
-	if c == nil {
+	if !r.roster.Usable() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, after: accept.ComeBack}
 	}
 	j.version = c.Version
@@ -92,9 +92,10 @@
 
 // final refuses a request for good by what the configuration says. Callers don't come
 // back after that, so a VM that knows of a newer configuration than its own doesn't say
-// it: the newer one may have the route or key. The caller holds mu.
+// it: the newer one may have the route or key. Nor does one whose configuration nobody
+// has confirmed. The caller holds mu.
 func (r *Relay) final(status int, reason shed.Reason) *refusal {
-	if r.mesh.follow.Behind(r.roster.AsOf()) {
+	if !r.roster.Sure() || r.mesh.follow.Behind(r.roster.AsOf()) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBehind, after: accept.ComeBack}
 	}
 	return &refusal{status: status, reason: reason}
--- a/internal/roster/learn.go
+++ b/internal/roster/learn.go
@@ -40,12 +40,18 @@
 // Learn takes in what the store or a peer said.
 func (r *Roster) Learn(now time.Time, l Learned) []Change {
 	var out []Change
-	if l.Source == FromStore {
+	from := l.Source
+	if from == FromStore {
+		if r.copied && r.contact.IsZero() && !r.lost {
+			// No outage was seen: what a copy still had is gone.
+			from = FromCopy
+		}
 		out = r.heardStore(now, out)
 	}
+	r.copied = r.copied || l.Source == FromCopy
 	for _, e := range l.Items {
 		if e.Gone {
-			out = r.remove(now, out, l.Source, e.Key, e.Revision)
+			out = r.remove(now, out, from, e.Key, e.Revision)
 		} else {
 			out = r.put(now, out, e)
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -40,6 +40,8 @@
 const (
 	FromStore Source = iota + 1
 	FromPeer
+	// FromCopy is a copy of the store that may be behind.
+	FromCopy
 )
 
 // Server is one backend server as the roster believes it to be.
@@ -103,6 +105,8 @@
 	// without a gap.
 	contact, backAt time.Time
 	lost            bool
+	// copied: some of what is known is from a copy of the store.
+	copied bool
 }
 
 // New returns a Roster that knows nothing.
@@ -157,6 +161,14 @@
 // Catalog returns the configuration in force; nil before the first.
 func (r *Roster) Catalog() *shed.Catalog { return r.catalog }
 
+// Sure tells whether the store, or a peer that it answered, has confirmed what is
+// known. What a copy of the store said may be seconds old.
+func (r *Roster) Sure() bool { return !r.copied || !r.contact.IsZero() }
+
+// Usable tells whether requests may be served by what is known. If the store gives no
+// answer, an old configuration is better than none.
+func (r *Roster) Usable() bool { return r.catalog != nil && (r.Sure() || r.lost) }
+
 // CatalogRevision is the revision of the configuration in force; 0 before the first.
 func (r *Roster) CatalogRevision() shed.Revision { return r.catalogRev }
 
--- a/relay.go
+++ b/relay.go
@@ -194,6 +194,10 @@
 	// List reads all items. Changes after the returned revision may or may not
 	// be in them.
 	List(ctx context.Context) ([]Item, Revision, error)
+	// ListCopy is List from any copy of the store. The copy may be seconds behind; the
+	// revision is then an earlier one, and Watch tells what the copy lacks. It costs a
+	// small part of List.
+	ListCopy(ctx context.Context) ([]Item, Revision, error)
 	// Watch returns the changes after a revision, waiting for one at most for
 	// wait, and the revision up to which these are all.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Item, Revision, error)
