Loads: a few strong VMs pass them on in fleets of more than 24, and peers are told in turn

Cause: each VM told each other one, so messages grew with the square of the fleet and had to be rarer: at 195 VMs every 1.7 s, all 194 in one tick, 22,000 a second in all. VMs that start together told at the same moments, and between them heard no word for longer than the 1.3 s after which they read the store. At 670 VMs all above 256 a tick would have been lost. Up to 24 VMs all is told to all as before, some at each tick; above, strong VMs are hubs that pass on what the others tell them. A VM at which pieces wait tells all itself, and answers to calls for pieces carry the forecast. A message to several peers is encoded once.

--- /dev/null
+++ b/internal/fanout/fanout_test.go
@@ -0,0 +1,256 @@
+package fanout_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/fanout"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	tick    = 100 * time.Millisecond
+	latency = 2 * time.Millisecond
+	// deadAfter is how long peers take to see that a VM is dead.
+	deadAfter = 2200 * time.Millisecond
+)
+
+// node is one VM of a simulated fleet.
+type node struct {
+	id     shed.VM
+	strong bool
+	// gathers: pieces wait at it.
+	gathers bool
+	side    int
+	dead    bool
+	fan     *fanout.Fanout
+	// knows is when the latest of what it knows of each VM was so.
+	knows map[shed.VM]time.Time
+	// sent and got count its messages; most is the most that it sent in a tick.
+	sent, got, most int
+	sequence        uint64
+}
+
+// fleet is a simulated fleet, in virtual time.
+type fleet struct {
+	rnd   *rand.Rand
+	now   time.Time
+	nodes []*node
+	byID  map[shed.VM]*node
+	// loss is the share of messages that don't arrive.
+	loss float64
+	// seen is what VMs believe of who is alive and on their side.
+	seen func(by, of *node) bool
+}
+
+// newFleet makes n VMs, of which some are strong, that start within 0.3 s of each other.
+// Pieces wait at the first three strong ones.
+func newFleet(n, strong int) *fleet {
+	f := &fleet{rnd: rand.New(rand.NewPCG(1, uint64(n))), now: start, byID: map[shed.VM]*node{}}
+	f.seen = func(_, of *node) bool { return !of.dead }
+	for i := range n {
+		id := shed.VM(fmt.Sprintf("vm-%03d", i))
+		v := &node{id: id, strong: i < strong, gathers: i < min(strong, 3), fan: fanout.New(id), knows: map[shed.VM]time.Time{}}
+		f.nodes, f.byID[id] = append(f.nodes, v), v
+	}
+	return f
+}
+
+func (f *fleet) view(v *node) fanout.View {
+	view := fanout.View{Busy: true, Gathers: v.gathers}
+	for _, other := range f.nodes {
+		if other != v && !f.seen(v, other) {
+			continue
+		}
+		if other != v {
+			view.Peers = append(view.Peers, other.id)
+		}
+		if other.strong {
+			view.Strong = append(view.Strong, other.id)
+		}
+	}
+	return view
+}
+
+// run plays a time: each VM ticks at its own phase.
+func (f *fleet) run(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for i, v := range f.nodes {
+			if !v.dead && int(f.now.Sub(start)/step)%int(tick/step) == i%int(tick/step) {
+				f.tick(v)
+			}
+		}
+	}
+}
+
+func (f *fleet) tick(v *node) {
+	t := v.fan.Due(f.now, f.view(v))
+	if len(t.To) == 0 {
+		return
+	}
+	v.sequence++
+	v.sent, v.most = v.sent+len(t.To), max(v.most, len(t.To))
+	load := shed.RelayLoad{Sequence: v.sequence, PassOn: t.PassOn}
+	for _, id := range t.To {
+		to := f.byID[id]
+		if to.dead || to.side != v.side || f.rnd.Float64() < f.loss {
+			continue
+		}
+		f.hear(to, v, load, t.Carried)
+	}
+}
+
+func (f *fleet) hear(to, from *node, load shed.RelayLoad, carried []shed.CarriedLoad) {
+	at := f.now.Add(latency)
+	to.got++
+	to.knows[from.id] = f.now
+	if load.PassOn {
+		to.fan.PassOn(at, shed.Peer{VM: from.id}, load)
+	}
+	for _, c := range carried {
+		if told := f.now.Add(-c.Age); told.After(to.knows[c.From.VM]) {
+			to.knows[c.From.VM] = told
+		}
+	}
+}
+
+// ages samples how old what VMs know of those that has picks is, for a second.
+func (f *fleet) ages(has func(*node) bool) (median, p99 time.Duration) {
+	var all []time.Duration
+	for range 20 {
+		f.run(50 * time.Millisecond)
+		for _, v := range f.nodes {
+			for _, of := range f.nodes {
+				if v != of && !v.dead && !of.dead && v.side == of.side && has(of) {
+					all = append(all, f.now.Sub(v.knows[of.id]))
+				}
+			}
+		}
+	}
+	slices.Sort(all)
+	return all[len(all)/2], all[len(all)*99/100]
+}
+
+func gathers(v *node) bool { return v.gathers }
+func others(v *node) bool  { return !v.gathers }
+
+// The table of how old loads are and what they cost, by the size of the fleet. Fleets
+// are those of the users: one VM in 13 is strong in large ones.
+func TestAgesAndMessages(t *testing.T) {
+	var out bytes.Buffer
+	for _, c := range []struct {
+		vms, strong int
+		loss        float64
+	}{{9, 9, 0}, {24, 2, 0}, {78, 6, 0}, {195, 15, 0}, {195, 15, 0.05}, {195, 195, 0}, {670, 52, 0}} {
+		f := newFleet(c.vms, c.strong)
+		f.loss = c.loss
+		f.run(3 * time.Second)
+		fg, fg99 := f.ages(gathers)
+		fo, fo99 := f.ages(others)
+		sent, most, busiest := 0, 0, 0
+		for _, v := range f.nodes {
+			sent, most, busiest = sent+v.sent, max(most, v.most), max(busiest, v.sent)
+		}
+		seconds := int(f.now.Sub(start) / time.Second)
+		fmt.Fprintf(&out, "%3d VMs, %3d strong, %2.0f%% lost: forecast %4d ms, p99 %4d; other load %4d ms, p99 %4d; "+
+			"messages a second %5d, of one VM at most %4d, in one tick %3d\n",
+			c.vms, c.strong, c.loss*100, fg.Milliseconds(), fg99.Milliseconds(), fo.Milliseconds(), fo99.Milliseconds(),
+			sent/seconds, busiest/seconds, most)
+	}
+	goldie.New(t).Assert(t, "ages", out.Bytes())
+}
+
+// A hub dies. The VMs that it passed on must be known to all again soon after it is seen
+// to be dead: their shares of servers would be taken for what they were.
+func TestMembersOfADeadHubAreHeardAgain(t *testing.T) {
+	f := newFleet(195, 15)
+	f.run(3 * time.Second)
+	died := f.now
+	for _, v := range f.nodes[3:8] {
+		v.dead = true
+	}
+	f.seen = func(_, of *node) bool { return !of.dead || f.now.Sub(died) < deadAfter }
+	f.run(deadAfter + 1500*time.Millisecond)
+	_, p99 := f.ages(others)
+	require.Less(t, p99, 2*time.Second)
+}
+
+// A zone is cut off from the others. Each side must go on with hubs of its own, also one
+// that has no strong VM.
+func TestEachSideOfACutHasHubs(t *testing.T) {
+	f := newFleet(195, 15)
+	for i, v := range f.nodes {
+		if i >= 150 {
+			v.side = 1
+		}
+	}
+	f.seen = func(by, of *node) bool { return by.side == of.side }
+	f.run(3 * time.Second)
+	_, p99 := f.ages(others)
+	require.Less(t, p99, 1500*time.Millisecond)
+}
+
+// A VM that was paused for a minute tells in turn as before: a message to each peer at
+// once would hold up the requests that wait there.
+func TestPausedVMOwesNothing(t *testing.T) {
+	f := newFleet(195, 15)
+	v := f.nodes[0]
+	v.gathers = false
+	for range 10 {
+		f.tick(v)
+		f.now = f.now.Add(tick)
+	}
+	require.LessOrEqual(t, v.most, 24)
+	f.now = f.now.Add(time.Minute)
+	f.tick(v)
+	require.LessOrEqual(t, v.most, 2*24)
+}
+
+// Prompts that were placed reach each peer once or twice, whoever passes them on.
+func TestPlacedPromptsReachAll(t *testing.T) {
+	f := newFleet(195, 15)
+	hub, member := f.nodes[0], f.nodes[100]
+	heard := map[shed.VM]int{}
+	f.run(time.Second)
+	member.fan.Placed(f.now, shed.PromptPlaced{Server: "i-1"})
+	for f.now = f.now.Add(tick); len(heard) == 0; f.now = f.now.Add(tick) {
+		if t := member.fan.Due(f.now, f.view(member)); len(t.Placed) > 0 {
+			hub.fan.PassOn(f.now, shed.Peer{VM: member.id}, shed.RelayLoad{Placed: t.Placed})
+			heard[hub.id] = 1
+		}
+	}
+	for range 20 {
+		f.now = f.now.Add(tick)
+		if t := hub.fan.Due(f.now, f.view(hub)); len(t.Placed) > 0 {
+			for _, vm := range t.To {
+				heard[vm]++
+			}
+		}
+	}
+	require.Len(t, heard, 195)
+	for vm, n := range heard {
+		require.LessOrEqual(t, n, 2, vm)
+	}
+}
+
+// Nobody else is known, or one alone is strong.
+func TestFewPeers(t *testing.T) {
+	require.Empty(t, fanout.New("a").Due(start, fanout.View{Strong: []shed.VM{"a"}, Busy: true}).To)
+	f := newFleet(60, 1)
+	f.run(3 * time.Second)
+	_, p99 := f.ages(others)
+	require.Less(t, p99, 2*time.Second)
+	for _, v := range f.nodes {
+		require.LessOrEqual(t, v.most, 60)
+	}
+}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -173,21 +173,37 @@
 }
 
 // Send sends a control message. It does not block; the message may be lost.
-func (c *Client) Send(to shed.VM, msg shed.Message) {
-	e, err := seal(c.cfg.Self, msg)
-	if err != nil {
-		return
-	}
-	c.controls.TryGo(func() error {
-		l := c.line(to)
-		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-		defer cancel()
-		err := c.pool.Get(ctx, l, c.dial).Invoke(ctx, rpcControl, wire, &e, &received{})
-		if errors.Is(err, context.DeadlineExceeded) {
-			c.silent(l)
+func (c *Client) Send(to shed.VM, msg shed.Message) { c.SendAll([]shed.VM{to}, msg) }
+
+// SendAll sends a control message to several peers, as Send does. It is encoded once,
+// and later: the caller doesn't change what it refers to.
+func (c *Client) SendAll(to []shed.VM, msg shed.Message) {
+	encode := sync.OnceValues(func() (encoded, error) {
+		e, err := seal(c.cfg.Self, msg)
+		if err != nil {
+			return nil, err
 		}
-		return nil
+		return wire.Marshal(&e)
 	})
+	for _, vm := range to {
+		c.controls.TryGo(func() error {
+			if e, err := encode(); err == nil {
+				c.control(vm, e)
+			}
+			return nil
+		})
+	}
+}
+
+// control makes the call of one control message.
+func (c *Client) control(to shed.VM, e encoded) {
+	l := c.line(to)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	err := c.pool.Get(ctx, l, c.dial).Invoke(ctx, rpcControl, wire, &e, &received{})
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.silent(l)
+	}
 }
 
 // Stage hands a stage call over and passes its frames to sink. A silent link
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -49,8 +49,14 @@
 	return codec{enc: enc, dec: dec}
 }
 
+// encoded is a message that has been encoded already.
+type encoded []byte
+
 // Marshal implements drpc.Encoding.
 func (c codec) Marshal(msg drpc.Message) ([]byte, error) {
+	if e, ok := msg.(*encoded); ok {
+		return *e, nil
+	}
 	b, err := c.enc.Marshal(msg)
 	if err != nil {
 		return nil, fmt.Errorf("%w: encode: %w", ErrBadMessage, err)
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -58,6 +58,16 @@
 // heartbeat. After Results nothing more comes.
 type pieceReply struct {
 	Results []shed.PieceResult `cbor:"1,keyasint,omitempty"`
+	Wait    *shed.PieceWait    `cbor:"2,keyasint,omitempty"`
+}
+
+// PieceAnswer answers a PieceCall.
+type PieceAnswer struct {
+	// Results has one for each piece.
+	Results []shed.PieceResult
+	// Wait is what is foreseen for the pool at the daemon that gathers, as of its
+	// answer; nil if it doesn't say.
+	Wait *shed.PieceWait
 }
 
 // ItemsCall asks for what a peer knows to have changed in the store after a
@@ -78,8 +88,8 @@
 // RelayHandler is what a relaying daemon does for its peers.
 type RelayHandler interface {
 	controller
-	// Pieces has the pieces made and returns a result for each.
-	Pieces(ctx context.Context, call PieceCall) []shed.PieceResult
+	// Pieces has the pieces made.
+	Pieces(ctx context.Context, call PieceCall) PieceAnswer
 	// Unwanted gives up results that did not reach the daemon that asked.
 	Unwanted(results []shed.PieceResult)
 	// Items returns what this daemon knows of the store.
@@ -111,10 +121,10 @@
 	out := &sender{stream: stream}
 	stop := out.beat(&pieceReply{})
 	defer stop()
-	results := srv.(RelayHandler).Pieces(stream.Context(), call.unpack())
-	err := out.send(&pieceReply{Results: results})
+	answer := srv.(RelayHandler).Pieces(stream.Context(), call.unpack())
+	err := out.send(&pieceReply{Results: answer.Results, Wait: answer.Wait})
 	if err != nil {
-		srv.(RelayHandler).Unwanted(results)
+		srv.(RelayHandler).Unwanted(answer.Results)
 	}
 	return nil, err
 }
@@ -133,27 +143,27 @@
 
 // Pieces asks a peer for pieces. After an error none of them is known to be
 // made; making them again does no harm.
-func (c *Client) Pieces(ctx context.Context, to shed.VM, call PieceCall) ([]shed.PieceResult, error) {
+func (c *Client) Pieces(ctx context.Context, to shed.VM, call PieceCall) (PieceAnswer, error) {
 	call.From = c.cfg.Self
 	s, err := c.open(ctx, to, rpcPieces, false)
 	if err != nil {
-		return nil, err
+		return PieceAnswer{}, err
 	}
 	defer s.close()
 	packed := call.pack()
 	if err := s.send(&packed); err != nil {
-		return nil, err
+		return PieceAnswer{}, err
 	}
 	for {
 		var reply pieceReply
 		if err := s.recv(&reply); err != nil {
-			return nil, err
+			return PieceAnswer{}, err
 		}
 		if len(reply.Results) == len(call.Pieces) {
-			return reply.Results, nil
+			return PieceAnswer(reply), nil
 		}
 		if len(reply.Results) > 0 {
-			return nil, errNoResults
+			return PieceAnswer{}, errNoResults
 		}
 	}
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -53,9 +53,9 @@
 
 func (s *relayStub) Items(peers.ItemsCall) peers.ItemsReply { return peers.ItemsReply{} }
 
-func (s *relayStub) Pieces(_ context.Context, call peers.PieceCall) []shed.PieceResult {
+func (s *relayStub) Pieces(_ context.Context, call peers.PieceCall) peers.PieceAnswer {
 	<-s.results
-	return make([]shed.PieceResult, len(call.Pieces))
+	return peers.PieceAnswer{Results: make([]shed.PieceResult, len(call.Pieces))}
 }
 
 func (s *relayStub) Unwanted(results []shed.PieceResult) { s.unwanted <- len(results) }
--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -54,9 +54,10 @@
 		if vm == own {
 			return r.gather(ctx, pool, pieces), own
 		}
-		results, err := r.askPeerPieces(ctx, client, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
+		answer, err := r.askPeerPieces(ctx, client, vm, peers.PieceCall{Pool: pool, Pieces: pieces})
 		if err == nil {
-			return results, vm
+			r.heardWait(vm, answer.Wait)
+			return answer.Results, vm
 		}
 		if ctx.Err() != nil {
 			break
@@ -72,7 +73,7 @@
 // silent by another one.
 func (r *Relay) askPeerPieces(
 	ctx context.Context, client *peers.Client, vm shed.VM, call peers.PieceCall,
-) ([]shed.PieceResult, error) {
+) (peers.PieceAnswer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
--- a/internal/relay/gatherer.go
+++ b/internal/relay/gatherer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/fanout"
 	"jasmineshed/internal/rank"
 )
 
@@ -42,9 +43,6 @@
 // several times, and the answer costs a look at every VM.
 const presentFor = 20 * time.Millisecond
 
-// loadSilence is the longest time between two load messages of a peer that lives.
-func loadSilence(peers int) time.Duration { return max(loadIdle, loadPeriod(peers)) }
-
 // present are the VMs that are there by their load messages, this one among
 // them once it has settled. The slice is the caller's.
 func (r *Relay) present(now time.Time) []shed.VM {
@@ -56,7 +54,7 @@
 
 func (r *Relay) lookAround(now time.Time) []shed.VM {
 	vms := r.alive()
-	silence := loadMissed * loadSilence(len(vms))
+	silence := loadMissed * fanout.Silence(len(vms))
 	// A VM that stops is told no load any more.
 	stopping := r.stopping.Load()
 	vms = slices.DeleteFunc(vms, func(vm shed.VM) bool {
@@ -84,7 +82,7 @@
 	defer r.mu.Unlock()
 	r.mesh.shunned[vm] = now.Add(shunPeerFor)
 	vms := r.alive()
-	fresh := time.Duration(freshMissed * float64(loadSilence(len(vms))))
+	fresh := time.Duration(freshMissed * float64(fanout.Silence(len(vms))))
 	for _, other := range vms {
 		if now.Sub(r.heard(other)) <= fresh {
 			continue
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/fanout"
 	"jasmineshed/internal/follow"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
@@ -34,13 +34,6 @@
 	// shunPeerFor is how long a peer that gave no answer gathers no pieces for this
 	// VM.
 	shunPeerFor = 1500 * time.Millisecond
-	// loadEvery is how often a VM tells its load to each peer, in a fleet of up
-	// to loadPeers; in a larger one less often, so that the messages a second
-	// don't grow faster than the fleet.
-	loadEvery = 100 * time.Millisecond
-	loadPeers = 12
-	// loadIdle is how often it tells it though nothing has changed.
-	loadIdle = 300 * time.Millisecond
 	// loadMissed is how many of these may be missing before a peer gathers no
 	// pieces for this VM. By member alone, the VMs disagreed for two to four
 	// seconds after several had died at once; up to eight then gathered for the
@@ -68,7 +61,7 @@
 	// started is when this process started.
 	started time.Time
 	// seen is the last sequence of each process's load, heard is when a VM last
-	// told its load.
+	// told its load, to this VM or one that passed it on.
 	seen  map[shed.Peer]uint64
 	heard map[shed.VM]time.Time
 	// waits are what peers said of the pieces that they gather.
@@ -92,16 +85,9 @@
 	asks    map[shed.VM]map[uint64]context.CancelFunc
 	lastAsk uint64
 
+	// fanout decides whom this VM tells its load.
+	fanout   *fanout.Fanout
 	sequence uint64
-	placed   []shed.PromptPlaced
-	told     time.Time
-	lastBusy bool
-}
-
-type peerWait struct {
-	from shed.VM
-	batch.Forecast
-	at time.Time
 }
 
 func (r *Relay) startMesh() {
@@ -115,7 +101,7 @@
 		asks:    map[shed.VM]map[uint64]context.CancelFunc{},
 		coming:  map[shed.VM]map[shed.PoolID]int{}, comingSum: map[shed.PoolID]int{},
 	}
-	r.mesh.follow = follow.New(r.mesh.self.VM)
+	r.mesh.follow, r.mesh.fanout = follow.New(r.mesh.self.VM), fanout.New(r.mesh.self.VM)
 	r.joinMesh()
 }
 
@@ -186,49 +172,6 @@
 	return max(r.prefs.Load().Relay.Fleet, len(r.group.Known())+1)
 }
 
-// tellLoad tells peers what is under way here.
-func (r *Relay) tellLoad(now time.Time) {
-	if now.Sub(r.mesh.started) < settleFor {
-		return
-	}
-	vms := r.alive()
-	every := loadPeriod(len(vms))
-	since := now.Sub(r.mesh.told)
-	shares, waits := r.picker.Shares(), r.ownWaits(now)
-	busy := len(shares)+len(waits)+len(r.mesh.placed)+len(r.coming) > 0
-	if since < every || !busy && !r.mesh.lastBusy && since < max(loadIdle, every) {
-		return
-	}
-	r.mesh.sequence++
-	load := shed.RelayLoad{
-		Sequence: r.mesh.sequence, Held: r.batcher.Held(), Servers: shares, Waits: waits, Placed: r.mesh.placed,
-		// Messages are encoded later, in a goroutine of their own.
-		Coming: maps.Clone(r.coming), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), Confirmed: now.Sub(r.roster.Contact()),
-		Catalog: r.roster.CatalogRevision(),
-	}
-	r.mesh.told, r.mesh.placed, r.mesh.lastBusy = now, nil, busy
-	for _, vm := range vms {
-		r.client.Send(vm, load)
-	}
-}
-
-// loadPeriod is how often a VM with so many peers tells its load.
-func loadPeriod(peers int) time.Duration {
-	return loadEvery * time.Duration(1+peers/loadPeers)
-}
-
-// ownWaits predicts the wait in the pools that this VM gathers pieces for.
-func (r *Relay) ownWaits(now time.Time) []shed.PieceWait {
-	var out []shed.PieceWait
-	for _, id := range r.batcher.Busy() {
-		if pool := r.pool(id); pool != nil && pool.Batch != nil {
-			f := r.batcher.Wait(now, id, *pool.Batch)
-			out = append(out, shed.PieceWait{Pool: id, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate})
-		}
-	}
-	return out
-}
-
 // Control implements peers.RelayHandler.
 func (r *Relay) Control(from shed.Peer, msg shed.Message) {
 	now := time.Now()
@@ -246,48 +189,6 @@
 	}
 }
 
-func (r *Relay) heardLoad(now time.Time, from shed.Peer, m shed.RelayLoad) {
-	if m.Sequence <= r.mesh.seen[from] {
-		return
-	}
-	r.mesh.seen[from], r.mesh.heard[from.VM] = m.Sequence, now
-	r.heardStore(now, from.VM, m)
-	delete(r.mesh.shunned, from.VM)
-	r.picker.PeerShares(from.VM, m.Servers)
-	r.heardHeld(now, from.VM, m.Held)
-	r.heardComing(from.VM, m.Coming)
-	for _, p := range m.Placed {
-		r.picker.Seen(now, p.Server, p.Chain)
-	}
-	for pool, w := range r.mesh.waits {
-		if w.from == from.VM {
-			delete(r.mesh.waits, pool)
-		}
-	}
-	for _, w := range m.Waits {
-		r.mesh.waits[w.Pool] = peerWait{
-			from: from.VM, at: now, Forecast: batch.Forecast{Timely: w.Timely, Last: w.Last, Slow: w.Slow, Rate: w.Rate},
-		}
-	}
-}
-
-func (r *Relay) heardHeld(now time.Time, from shed.VM, held map[shed.ServerID]int64) {
-	if len(held) == 0 {
-		return
-	}
-	keep := time.Duration(0)
-	if c := r.roster.Catalog(); c != nil {
-		for _, p := range c.Pools {
-			if p.Batch != nil {
-				keep = max(keep, p.Batch.KeepFor)
-			}
-		}
-	}
-	if keep > 0 {
-		r.perform(r.batcher.Handle(now, batch.HeldElsewhere{From: from, Held: held, Keep: keep}))
-	}
-}
-
 // Unwanted implements peers.RelayHandler. Else the results would take up room at
 // their makers until they lapse there.
 func (r *Relay) Unwanted(results []shed.PieceResult) {
@@ -297,9 +198,17 @@
 }
 
 // Pieces implements peers.RelayHandler.
-func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) []shed.PieceResult {
+func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) peers.PieceAnswer {
 	if r.stopping.Load() {
-		return all(len(call.Pieces), shed.PieceMoved)
+		return peers.PieceAnswer{Results: all(len(call.Pieces), shed.PieceMoved)}
+	}
+	results := r.gather(ctx, call.Pool, call.Pieces)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer := peers.PieceAnswer{Results: results}
+	if pool := r.pool(call.Pool); pool != nil && pool.Batch != nil {
+		wait := r.ownWait(time.Now(), pool)
+		answer.Wait = &wait
 	}
-	return r.gather(ctx, call.Pool, call.Pieces)
+	return answer
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -250,6 +250,6 @@
 		return
 	}
 	if chain := picker.Chains(j.ask.Prompt); len(chain) > 0 {
-		r.mesh.placed = append(r.mesh.placed, shed.PromptPlaced{Server: c.Server.ID, Chain: chain})
+		r.mesh.fanout.Placed(time.Now(), shed.PromptPlaced{Server: c.Server.ID, Chain: chain})
 	}
 }
--- a/internal/relay/spread.go
+++ b/internal/relay/spread.go
@@ -46,9 +46,7 @@
 		if valueBytes(msg.Items) > newsMost {
 			msg.Items, msg.Unsent = nil, true
 		}
-		for _, vm := range to {
-			client.Send(vm, msg)
-		}
+		client.SendAll(to, msg)
 		return nil
 	})
 }
--- a/message.go
+++ b/message.go
@@ -152,6 +152,19 @@
 	// Coming is how many pieces the sender's requests will ask of each pool once
 	// the steps before are done.
 	Coming map[PoolID]int `cbor:"10,keyasint,omitempty"`
+	// PassOn: only the receiver is told; it passes the load on to all.
+	PassOn bool `cbor:"12,keyasint,omitempty"`
+	// Carried are loads of other VMs that the sender passes on.
+	Carried []CarriedLoad `cbor:"13,keyasint,omitempty"`
+}
+
+// CarriedLoad is the load of another VM than the one that sends it.
+type CarriedLoad struct {
+	// From is the process whose load it is.
+	From Peer `cbor:"1,keyasint"`
+	// Age is how long ago the sender heard it.
+	Age  time.Duration `cbor:"2,keyasint,omitempty"`
+	Load RelayLoad     `cbor:"3,keyasint"`
 }
 
 // ServerShare is what one daemon has on one server.
