Relay: one check of whether a pool makes pieces; the fleet is taken from the view

Cause: read-through. Behaviour is as it was. Result: linter clean, tests of platform, fanout and batch green.

--- a/internal/relay/gather.go
+++ b/internal/relay/gather.go
@@ -28,7 +28,7 @@
 	done := make(chan []shed.PieceResult, 1)
 	r.mu.Lock()
 	pool := r.pool(poolID)
-	if pool == nil || pool.Batch == nil {
+	if !pool.MakesPieces() {
 		r.mu.Unlock()
 		return failed(len(pieces))
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -25,10 +25,9 @@
 	if now.Sub(r.mesh.started) < settleFor {
 		return
 	}
-	vms := r.alive()
 	shares, waits := r.picker.Shares(), r.ownWaits(now)
 	turn := r.mesh.fanout.Due(now, fanout.View{
-		Peers: vms, Strong: r.strong(append(vms[:len(vms):len(vms)], r.mesh.self.VM)),
+		Peers: r.alive(), Strong: r.strong(r.group.View().VMs(meshZone)),
 		Busy: len(shares)+len(waits)+len(r.coming) > 0, Gathers: len(waits) > 0,
 	})
 	if len(turn.To) == 0 {
@@ -47,7 +46,7 @@
 func (r *Relay) ownWaits(now time.Time) []shed.PieceWait {
 	var out []shed.PieceWait
 	for _, id := range r.batcher.Busy() {
-		if pool := r.pool(id); pool != nil && pool.Batch != nil {
+		if pool := r.pool(id); pool.MakesPieces() {
 			out = append(out, r.ownWait(now, pool))
 		}
 	}
@@ -136,7 +135,7 @@
 	keep := time.Duration(0)
 	if c := r.roster.Catalog(); c != nil {
 		for _, p := range c.Pools {
-			if p.Batch != nil {
+			if p.MakesPieces() {
 				keep = max(keep, p.Batch.KeepFor)
 			}
 		}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -206,7 +206,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	answer := peers.PieceAnswer{Results: results}
-	if pool := r.pool(call.Pool); pool != nil && pool.Batch != nil {
+	if pool := r.pool(call.Pool); pool.MakesPieces() {
 		wait := r.ownWait(time.Now(), pool)
 		answer.Wait = &wait
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -78,7 +78,7 @@
 			}
 		}
 		pool := r.pool(s.Pool)
-		if pool == nil || pool.Batch == nil {
+		if !pool.MakesPieces() {
 			continue
 		}
 		c[i].Limits, c[i].Servers = *pool.Batch, len(r.roster.Open(s.Pool))
--- a/relay.go
+++ b/relay.go
@@ -101,6 +101,9 @@
 	Engine *EngineLimits
 }
 
+// MakesPieces tells whether this is a pool whose servers make pieces.
+func (p *RelayPool) MakesPieces() bool { return p != nil && p.Batch != nil }
+
 // EngineLimits say what one model engine bears.
 type EngineLimits struct {
 	// Slots is how many requests it runs at once.
