--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -13,6 +13,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/fanout"
+	"jasmineshed/internal/peers"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -35,9 +36,10 @@
 	fan     *fanout.Fanout
 	// knows is when the latest of what it knows of each VM was so.
 	knows map[shed.VM]time.Time
-	// sent and got count its messages; most is the most that it sent in a tick.
-	sent, got, most int
-	sequence        uint64
+	// sent counts its messages and bytes the bytes of these; most is the most messages
+	// that it sent in a tick.
+	sent, bytes, most int
+	sequence          uint64
 }
 
 // fleet is a simulated fleet, in virtual time.
@@ -100,24 +102,46 @@
 	}
 	v.sequence++
 	v.sent, v.most = v.sent+len(t.To), max(v.most, len(t.To))
-	load := shed.RelayLoad{Sequence: v.sequence, PassOn: t.PassOn}
+	load := v.load(t)
+	size, err := peers.Size(peerOf(v), load)
+	if err != nil {
+		panic(err) // The test made a load that has no encoding.
+	}
+	v.bytes += len(t.To) * size
 	for _, id := range t.To {
 		to := f.byID[id]
 		if to.dead || to.side != v.side || f.rnd.Float64() < f.loss {
 			continue
 		}
-		f.hear(to, v, load, t.Carried)
+		f.hear(to, v, load)
+	}
+}
+
+// load is what a VM tells: some requests on servers, pieces that will come, and at those
+// that gather what they foresee.
+func (v *node) load(t fanout.Turn) shed.RelayLoad {
+	load := shed.RelayLoad{
+		Sequence: v.sequence, PassOn: t.PassOn, Carried: t.Carried, Placed: t.Placed,
+		AsOf: 1 << 20, Digest: 1 << 60, Confirmed: time.Second, Catalog: 1 << 20,
+		Servers: map[shed.ServerID]shed.ServerShare{"i-0123456789": {Running: 1, Reading: 12000}, "i-1123456789": {Running: 1}},
+		Coming:  map[shed.PoolID]int{"pool-a": 16, "pool-b": 8},
+	}
+	if v.gathers {
+		load.Waits = []shed.PieceWait{{Pool: "pool-a", Timely: time.Second, Last: time.Second, Slow: 1.5, Rate: 80.5}}
 	}
+	return load
 }
 
-func (f *fleet) hear(to, from *node, load shed.RelayLoad, carried []shed.CarriedLoad) {
+// peerOf is the process of a node.
+func peerOf(v *node) shed.Peer { return shed.Peer{VM: v.id, Incarnation: 1 << 60} }
+
+func (f *fleet) hear(to, from *node, load shed.RelayLoad) {
 	at := f.now.Add(latency)
-	to.got++
 	to.knows[from.id] = f.now
 	if load.PassOn {
-		to.fan.PassOn(at, shed.Peer{VM: from.id}, load)
+		to.fan.PassOn(at, peerOf(from), load)
 	}
-	for _, c := range carried {
+	for _, c := range load.Carried {
 		if told := f.now.Add(-c.Age); told.After(to.knows[c.From.VM]) {
 			to.knows[c.From.VM] = told
 		}
@@ -144,8 +168,9 @@
 func gathers(v *node) bool { return v.gathers }
 func others(v *node) bool  { return !v.gathers }
 
-// The table of how old loads are and what they cost, by the size of the fleet. Fleets
-// are those of the users: one VM in 13 is strong in large ones.
+// The table of how old loads are and what they cost, by the size of the fleet, while all
+// VMs are busy. Fleets are those of the users: one VM in 13 is strong in large ones.
+// Prompts that were placed come on top.
 func TestAgesAndMessages(t *testing.T) {
 	var out bytes.Buffer
 	for _, c := range []struct {
@@ -157,15 +182,16 @@
 		f.run(3 * time.Second)
 		fg, fg99 := f.ages(gathers)
 		fo, fo99 := f.ages(others)
-		sent, most, busiest := 0, 0, 0
+		sent, most, busiest, allBytes, mostBytes := 0, 0, 0, 0, 0
 		for _, v := range f.nodes {
 			sent, most, busiest = sent+v.sent, max(most, v.most), max(busiest, v.sent)
+			allBytes, mostBytes = allBytes+v.bytes, max(mostBytes, v.bytes)
 		}
 		seconds := int(f.now.Sub(start) / time.Second)
 		fmt.Fprintf(&out, "%3d VMs, %3d strong, %2.0f%% lost: forecast %4d ms, p99 %4d; other load %4d ms, p99 %4d; "+
-			"messages a second %5d, of one VM at most %4d, in one tick %3d\n",
+			"messages a second %5d, of one VM at most %4d, in one tick %3d; KB a second of a VM on average %3d, at most %4d\n",
 			c.vms, c.strong, c.loss*100, fg.Milliseconds(), fg99.Milliseconds(), fo.Milliseconds(), fo99.Milliseconds(),
-			sent/seconds, busiest/seconds, most)
+			sent/seconds, busiest/seconds, most, allBytes/c.vms/seconds/1000, mostBytes/seconds/1000)
 	}
 	goldie.New(t).Assert(t, "ages", out.Bytes())
 }
