Tests: the simulations share one queue of events

Change: internal/vclock has it once, as an iterator up to a time. member's network keeps its own: its letters of one moment come in random order on purpose.

--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -10,6 +9,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/vclock"
 )
 
 // sim is a handful of daemons' configurations, a platform and the network
@@ -17,8 +17,7 @@
 type sim struct {
 	rng   *rand.Rand
 	now   time.Time
-	queue queue
-	order int
+	queue vclock.Queue
 	nodes []*node
 	byVM  map[shed.VM]*node
 	peers map[shed.ZoneID][]shed.Peer
@@ -141,17 +140,15 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, happening{s.now.Add(d), s.order, do})
+	s.queue.Add(s.now.Add(d), do)
 }
 
 // run lets time pass.
 func (s *sim) run(d time.Duration, each func()) {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
-		h := heap.Pop(&s.queue).(happening)
-		s.now = h.at
-		h.do()
+	for at, do := range s.queue.Until(end) {
+		s.now = at
+		do()
 		if each != nil {
 			each()
 		}
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -1,7 +1,6 @@
 package follow_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -13,6 +12,7 @@
 	"jasmineshed/internal/delta"
 	"jasmineshed/internal/follow"
 	"jasmineshed/internal/rank"
+	"jasmineshed/internal/vclock"
 )
 
 // Sizes on the wire and rates of the simulated fleet, as the relay and its users'
@@ -34,8 +34,7 @@
 type sim struct {
 	rnd   *rand.Rand
 	now   time.Time
-	queue events
-	order int
+	queue vclock.Queue
 	vms   []*simVM
 	byID  map[shed.VM]*simVM
 	tell  []shed.VM
@@ -57,26 +56,6 @@
 	sent  int
 }
 
-type simEvent struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type events []simEvent
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newSim(n int, loss float64) *sim {
 	s := &sim{rnd: rand.New(rand.NewPCG(1, uint64(n))), now: start, byID: map[shed.VM]*simVM{}, size: map[shed.Revision]int{}, loss: loss}
 	strong := max(watching, n/13)
@@ -98,8 +77,7 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, simEvent{at: s.now.Add(d), order: s.order, do: do})
+	s.queue.Add(s.now.Add(d), do)
 }
 
 // every repeats something from a random time on.
@@ -114,10 +92,9 @@
 
 func (s *sim) run(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
-		ev := heap.Pop(&s.queue).(simEvent)
-		s.now = ev.at
-		ev.do()
+	for at, do := range s.queue.Until(end) {
+		s.now = at
+		do()
 	}
 	s.now = end
 }
