picker: a server that answered slowly once is measured again

Cause: plain calls go to the server with the shortest mean call time. A mean was never corrected without a call, so a server that was once a little slower than another one got no call until the other one was loaded. TestServerGetsNoMoreThanItNames was red by it: traced in one of nine runs under load, the limited server had a mean of 0.95 to 1.08 ms, another one in its zone 0.6 ms, and a turn was free at each choice. A new server was not tried either: it was assumed to be as fast as the only one that had been called, and lost the tie.

Ruled out: turns that were denied (access was ByTurn at each choice), failures (rate 0).

Change: what a server's mean exceeds the fastest one's by halves each second without a call; at the same cost the older sample wins; each eighth call measures the server with the oldest sample among those that cost up to 5 ms more.

Tests: TestServerThatWasSlowOnceIsCalledAgain and TestSlowServerGetsFewCalls failed before (never called again; 100 of 100 calls to the slow server). TestServerGetsNoMoreThanItNames, nine at once beside 16 busy processes on 6 cores, race detector: 1 of 9 red before, 0 of 9 after.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -36,10 +36,6 @@
 	// isolationCost is added for each request running on a server when a request is placed
 	// that may crash its server.
 	isolationCost = time.Second
-	// defaultCallTime is assumed for a plain call until a server has been called.
-	defaultCallTime = 30 * time.Millisecond
-	// callTimeWeight is the weight of the newest sample in a server's mean call time.
-	callTimeWeight = 0.2
 	// prefixRetention is how long a prefix is assumed to stay in a server's memory.
 	prefixRetention = 30 * time.Second
 	// maxPrefixes bounds the number of prefixes remembered per server.
@@ -53,6 +49,8 @@
 	// zoneFailures holds, per zone, the share of recent connections to servers that failed.
 	zoneFailures map[shed.ZoneID]*failureRate
 	overrun      overrun
+	// plainCalls counts the plain calls placed.
+	plainCalls uint
 	// peerShares holds the last load report of each peer; the sums are kept in servers, so
 	// that a choice need not look at each peer for each server.
 	peerShares map[shed.VM]map[shed.ServerID]shed.ServerShare
@@ -128,48 +126,90 @@
 // Pick returns the server with the least cost among servers, which are sorted by id; Server is
 // nil if there is none.
 func (p *Picker) Pick(now time.Time, w Request, servers []*roster.Server) Choice {
-	var best Choice
 	chain := prefixChains(w.Prompt)
-	usual := p.fastestCallTime(servers)
-	sources := p.findCacheSources(now, &w, servers, chain)
-	held, unreachableFor := false, time.Duration(0)
-	for _, s := range servers {
-		if avoided(w.Avoid, s.ID) {
-			continue
-		}
-		st := p.state(s)
-		if left := st.backoffUntil.Sub(now); left > 0 {
-			if unreachableFor == 0 || left < unreachableFor {
-				unreachableFor = left
-			}
+	s := search{
+		picker: p, now: now, request: &w, chain: chain,
+		fastest: p.fastestCallTime(servers), sources: p.findCacheSources(now, &w, servers, chain),
+	}
+	best := s.run(servers)
+	if best.Server != nil && p.isMeasurement(&w) {
+		s.measureUpTo = best.Cost + measureCost
+		best = s.run(servers)
+	}
+	if best.Server == nil {
+		best.NoTurn, best.UnreachableFor = s.noTurn, s.unreachableFor
+	}
+	return best
+}
+
+// search is one search for a server.
+type search struct {
+	picker  *Picker
+	now     time.Time
+	request *Request
+	chain   []uint64
+	fastest time.Duration
+	sources cacheSources
+	// measureUpTo is the maximum cost of a server to be measured; 0 if none is.
+	measureUpTo time.Duration
+	// noTurn: a server was skipped for lack of a turn. unreachableFor is the time until the first
+	// of the unreachable servers may be tried again; 0 if there is none.
+	noTurn         bool
+	unreachableFor time.Duration
+}
+
+// run returns the best choice; its Server is nil if there is none.
+func (s *search) run(servers []*roster.Server) Choice {
+	var best Choice
+	var bestState *state
+	for _, server := range servers {
+		if avoided(s.request.Avoid, server.ID) {
 			continue
 		}
-		access := Free
-		if w.Access != nil {
-			access = w.Access(s)
-		}
-		if access == NoTurn {
-			held = true
+		st := s.picker.state(server)
+		access, ok := s.access(server, st)
+		if !ok {
 			continue
 		}
-		c := p.evaluate(now, &w, s, st, chain, usual, sources)
+		c := s.evaluate(server, st)
 		c.ByTurn = access == ByTurn
-		if best.Server == nil || c.Cost < best.Cost {
-			best = c
+		if bestState == nil || s.better(&c, st, &best, bestState) {
+			best, bestState = c, st
 		}
 	}
-	if best.Server == nil {
-		best.NoTurn, best.UnreachableFor = held, unreachableFor
-	}
 	return best
 }
 
-// fastestCallTime is the shortest mean call time of any server. It is assumed for a server
-// that has not been called yet, so that a new or reopened server is tried.
+// access returns whether the server accepts the request; ok is false if it can't be chosen.
+func (s *search) access(server *roster.Server, st *state) (access Access, ok bool) {
+	if left := st.backoffUntil.Sub(s.now); left > 0 {
+		if s.unreachableFor == 0 || left < s.unreachableFor {
+			s.unreachableFor = left
+		}
+		return Free, false
+	}
+	if s.request.Access != nil {
+		access = s.request.Access(server)
+	}
+	s.noTurn = s.noTurn || access == NoTurn
+	return access, access != NoTurn
+}
+
+// better reports whether c is a better choice than best. Of plain calls at the same cost, the
+// one whose server has the older sample is better.
+func (s *search) better(c *Choice, st *state, best *Choice, bestState *state) bool {
+	older := st.callTime.measuredAt.Before(bestState.callTime.measuredAt)
+	if s.measureUpTo > 0 && c.Cost <= s.measureUpTo {
+		return best.Cost > s.measureUpTo || older
+	}
+	return c.Cost < best.Cost || c.Cost == best.Cost && older
+}
+
+// fastestCallTime is the shortest mean call time of any server.
 func (p *Picker) fastestCallTime(servers []*roster.Server) time.Duration {
 	fastest := time.Duration(0)
 	for _, s := range servers {
-		if took := p.state(s).meanCallTime; took > 0 && (fastest == 0 || took < fastest) {
+		if took := p.state(s).callTime.mean; took > 0 && (fastest == 0 || took < fastest) {
 			fastest = took
 		}
 	}
@@ -188,39 +228,35 @@
 	return false
 }
 
-func (p *Picker) evaluate(
-	now time.Time, w *Request, s *roster.Server, st *state, chain []uint64, usual time.Duration, sources cacheSources,
-) Choice {
+func (s *search) evaluate(server *roster.Server, st *state) Choice {
+	p, w, now := s.picker, s.request, s.now
 	running, reading := st.ownRunning+st.peers.Running, st.ownReading+st.peers.Reading
-	c := Choice{Server: s}
+	c := Choice{Server: server}
 	if w.Engine {
 		var reread shed.Tokens
-		c.Missing, reread = st.missingTokens(now, w, chain)
-		reread -= sources.planFetch(&c, s, reread)
+		c.Missing, reread = st.missingTokens(now, w, s.chain)
+		reread -= s.sources.planFetch(&c, server, reread)
 		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
 		c.Cost = c.Time
 		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += rendezvousCost(s, chain, p.readTime(c.Missing))
+		c.Cost += rendezvousCost(server, s.chain, p.readTime(c.Missing))
 	} else {
-		took := st.meanCallTime
-		if took == 0 {
-			took = usual
-		}
-		c.Cost = took + took*time.Duration(running)/time.Duration(max(s.Slots, 1))
-		if running >= s.Slots && s.Slots > 0 {
+		took := st.callTime.predict(now, s.fastest)
+		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
+		if running >= server.Slots && server.Slots > 0 {
 			c.Cost += took
 		}
 	}
-	if s.Zone != p.cfg.Zone {
+	if server.Zone != p.cfg.Zone {
 		c.Cost += crossZoneCost
 	}
 	if w.Isolate {
 		c.Cost += time.Duration(running) * isolationCost
 	}
-	if w.Zone != "" && s.Zone != w.Zone {
+	if w.Zone != "" && server.Zone != w.Zone {
 		c.Cost += w.ZoneCost
 	}
-	c.Cost += st.failures.cost(now, failureCost) + p.zoneFailureRate(s.Zone).cost(now, zoneFailureCost)
+	c.Cost += st.failures.cost(now, failureCost) + p.zoneFailureRate(server.Zone).cost(now, zoneFailureCost)
 	return c
 }
 
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -16,10 +16,9 @@
 	ownRunning int
 	ownReading shed.Tokens
 	// peers is the sum of the latest load reports of the other daemons.
-	peers shed.ServerShare
-	// meanCallTime is the mean time of a plain call.
-	meanCallTime time.Duration
-	failures     failureRate
+	peers    shed.ServerShare
+	callTime callTime
+	failures failureRate
 	// failedConnections counts consecutive failed connections; no connection is tried before
 	// backoffUntil.
 	failedConnections int
@@ -62,6 +61,7 @@
 	st := p.state(c.Server)
 	st.ownRunning++
 	if !w.Engine {
+		p.plainCalls++
 		return
 	}
 	st.ownReading += c.Missing
@@ -130,14 +130,9 @@
 		return
 	}
 	p.recordOutcome(now, st, c.Server.Zone, end)
-	if end.Took <= 0 {
-		return
-	}
-	if st.meanCallTime == 0 {
-		st.meanCallTime = end.Took
-		return
+	if end.Took > 0 {
+		st.callTime.add(now, end.Took)
 	}
-	st.meanCallTime += time.Duration(callTimeWeight * float64(end.Took-st.meanCallTime))
 }
 
 // recordOutcome records the end of a call for the server and its zone.
