relay: owners, entries and the fleet's size are computed once for many requests

Cause: each of some fifteen questions of a request for the VM that gathers a pool's pieces looked up every live VM twice; a call for pieces asked for the owner of turns before it knew that its server has a limit; the batcher's list of a pool's servers was copied up to ten times an event; each admitted request sorted all known VMs for its share of the retry budget.

Change: the eligible owners and the number of known VMs are cached for 20 ms, as the list of active VMs was; a backoff that begins or ends drops them. The batcher's entries are cached by the roster's version. takeTurn looks for the owner only at a server that is cold or limited.

--- a/internal/relay/coordinator.go
+++ b/internal/relay/coordinator.go
@@ -16,25 +16,42 @@
 	return r.owner(now, string(pool))
 }
 
-// availableVMs returns the active VMs that this one isn't backing off from. The caller owns the
-// slice.
-func (r *Relay) availableVMs(now time.Time) []shed.VM {
-	return slices.DeleteFunc(r.activeVMs(now), func(vm shed.VM) bool { return now.Before(r.mesh.backoffUntil[vm]) })
+// eligibleOwners returns the active high-capacity VMs that this one isn't backing off from. The
+// slice is cached, and not modified. The caller holds mu.
+func (r *Relay) eligibleOwners(now time.Time) []shed.VM {
+	if r.mesh.owners == nil || now.Sub(r.mesh.ownersAt) > activeCacheTime {
+		vms := slices.DeleteFunc(r.activeVMs(now), func(vm shed.VM) bool { return now.Before(r.mesh.backoffUntil[vm]) })
+		r.mesh.owners, r.mesh.ownersAt = r.highCapacityVMs(vms), now
+	}
+	return r.mesh.owners
+}
+
+// setBackoff sets until when a peer gets no work from this VM. The caller holds mu.
+func (r *Relay) setBackoff(vm shed.VM, until time.Time) {
+	r.mesh.backoffUntil[vm] = until
+	r.mesh.owners = nil
+}
+
+// clearBackoff lets a peer get work again. The caller holds mu.
+func (r *Relay) clearBackoff(vm shed.VM) {
+	if _, ok := r.mesh.backoffUntil[vm]; ok {
+		delete(r.mesh.backoffUntil, vm)
+		r.mesh.owners = nil
+	}
 }
 
 // highCapacityVMs returns the VMs that do work for all others: those with at least half the
 // power of the most powerful one. Coordinating one pool of a large fleet fills a link of 10
 // Mbit/s, which most VMs there have.
 func (r *Relay) highCapacityVMs(vms []shed.VM) []shed.VM {
-	power := func(vm shed.VM) float64 {
-		m, _ := r.group.Lookup(vm)
-		return m.Power
-	}
+	power := make(map[shed.VM]float64, len(vms))
 	most := 0.0
 	for _, vm := range vms {
-		most = max(most, power(vm))
+		m, _ := r.group.Lookup(vm)
+		power[vm] = m.Power
+		most = max(most, m.Power)
 	}
-	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return power(vm) < most/2 })
+	return slices.DeleteFunc(vms, func(vm shed.VM) bool { return power[vm] < most/2 })
 }
 
 // lastLoadAt returns when a VM last reported its load, or when it became known if that was
@@ -74,7 +91,7 @@
 func (r *Relay) backOffPeer(vm shed.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mesh.backoffUntil[vm] = time.Now().Add(peerBackoff)
+	r.setBackoff(vm, time.Now().Add(peerBackoff))
 }
 
 // backOffUnresponsivePeers stops sending work to a VM that did not answer and to all other VMs
@@ -84,14 +101,14 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mesh.backoffUntil[vm] = now.Add(peerBackoff)
+	r.setBackoff(vm, now.Add(peerBackoff))
 	vms := r.alivePeers()
 	fresh := time.Duration(freshLoadPeriods * float64(fanout.MaxSilence(len(vms))))
 	for _, other := range vms {
 		if now.Sub(r.lastLoadAt(other)) <= fresh {
 			continue
 		}
-		r.mesh.backoffUntil[other] = now.Add(peerBackoff)
+		r.setBackoff(other, now.Add(peerBackoff))
 		for _, cancel := range r.mesh.pieceCalls[other] {
 			cancel()
 		}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -63,7 +63,7 @@
 func (r *Relay) receiveLoad(now time.Time, from shed.Peer, m shed.RelayLoad) {
 	if m.Sequence > r.mesh.lastSequence[from] {
 		r.receiveStoreState(now, from.VM, m)
-		delete(r.mesh.backoffUntil, from.VM)
+		r.clearBackoff(from.VM)
 		r.applyLoad(now, now, from, m)
 		if m.ForwardToAll {
 			r.mesh.fanout.Forward(now, from, m)
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -68,6 +68,13 @@
 	// active is the cached list of active VMs, computed at activeAt.
 	active   []shed.VM
 	activeAt time.Time
+	// owners is the cached list of VMs that do tasks for all, computed at ownersAt; nil if it is
+	// out of date.
+	owners   []shed.VM
+	ownersAt time.Time
+	// known is the number of VMs that may be alive, with this one, as of knownAt.
+	known   int
+	knownAt time.Time
 	// follower decides when newer state of the store is pulled from peers.
 	follower *follow.Follower
 	// updates is the queue of received updates; the first one is being applied.
@@ -165,8 +172,11 @@
 
 // fleetSize returns how many VMs share the budgets of the fleet: the number in the settings, or
 // the number of VMs ever seen if that is larger.
-func (r *Relay) fleetSize() int {
-	return max(r.prefs.Load().Relay.Fleet, len(r.group.Known())+1)
+func (r *Relay) fleetSize(now time.Time) int {
+	if now.Sub(r.mesh.knownAt) > activeCacheTime {
+		r.mesh.known, r.mesh.knownAt = len(r.group.Known())+1, now
+	}
+	return max(r.prefs.Load().Relay.Fleet, r.mesh.known)
 }
 
 // Control implements peers.RelayHandler.
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -136,7 +136,7 @@
 // it.
 func (r *Relay) retryBudget(pool shed.PoolID) *retry.Budget {
 	p := r.prefs.Load().Relay
-	slack := retryShare * p.RepeatSlack / float64(r.fleetSize())
+	slack := retryShare * p.RepeatSlack / float64(r.fleetSize(time.Now()))
 	cfg := retry.Config{
 		Share: retryShare * p.RepeatRatio,
 		Burst: max(slack/2, 1),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,9 +91,12 @@
 	roster  *roster.Roster
 	picker  *picker.Picker
 	batcher *batch.Batcher
-	accept  *accept.Gate
-	poison  *poison.Table
-	limits  *limit.Table
+	// entries are the open servers of each pool as of the roster's version entriesVersion.
+	entries        map[shed.PoolID][]shed.ServerEntry
+	entriesVersion uint64
+	accept         *accept.Gate
+	poison         *poison.Table
+	limits         *limit.Table
 	// turnBook holds the turns that this VM grants, deniedTurns those that it was denied.
 	turnBook     *turns.Ledger
 	deniedTurns  *turns.Backoff
@@ -139,6 +142,7 @@
 		deniedTurns:  turns.NewBackoff(),
 		picker:       picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		retryBudgets: map[shed.PoolID]*retry.Budget{},
+		entries:      map[shed.PoolID][]shed.ServerEntry{},
 		jobs:         map[batch.JobID]chan []shed.PieceResult{},
 		expected:     map[shed.PoolID]int{},
 		pendingFrees: map[string][]shed.ResultRef{},
@@ -157,14 +161,21 @@
 	return r
 }
 
-// serverEntries returns the open servers of a pool, for the batcher.
+// serverEntries returns the open servers of a pool, for the batcher, which doesn't modify them.
+// The caller holds mu.
 func (r *Relay) serverEntries(pool shed.PoolID) []shed.ServerEntry {
-	open := r.roster.OpenServers(pool)
-	out := make([]shed.ServerEntry, len(open))
-	for i, s := range open {
-		out[i] = s.ServerEntry
+	if v := r.roster.Version(); v != r.entriesVersion {
+		clear(r.entries)
+		r.entriesVersion = v
 	}
-	return out
+	entries, ok := r.entries[pool]
+	if !ok {
+		for _, s := range r.roster.OpenServers(pool) {
+			entries = append(entries, s.ServerEntry)
+		}
+		r.entries[pool] = entries
+	}
+	return entries
 }
 
 // ErrFailed is returned by Run when the daemon ended without a request to stop.
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -61,18 +61,19 @@
 	r.mu.Lock()
 	request, limited := r.turnLimit(now, pool, s)
 	request.Patience = maxWait
+	if !limited {
+		r.mu.Unlock()
+		return true
+	}
 	owner, ok := r.owner(now, "turns "+string(s.ID))
 	client := r.client
-	if limited && ok && owner == r.mesh.self.VM {
+	if ok && owner == r.mesh.self.VM {
 		got := r.turnBook.Take(now, request)
 		r.recordTurn(now, request, got)
 		r.mu.Unlock()
 		return r.awaitTurn(ctx, got)
 	}
 	r.mu.Unlock()
-	if !limited {
-		return true
-	}
 	got := turns.Decision{Wait: ownerLostWait}
 	if ok {
 		got = r.requestTurn(ctx, client, owner, request)
@@ -130,5 +131,5 @@
 // high-capacity VMs. It returns false while this process is new and knows no peer. The caller
 // holds mu.
 func (r *Relay) owner(now time.Time, key string) (shed.VM, bool) {
-	return rank.Owner(key, r.highCapacityVMs(r.availableVMs(now)))
+	return rank.Owner(key, r.eligibleOwners(now))
 }
--- a/internal/roster/bench_test.go
+++ b/internal/roster/bench_test.go
@@ -18,7 +18,7 @@
 	for i := range n {
 		id := fmt.Sprintf("i-%05d", i)
 		u.Items = append(u.Items, roster.Entry{
-			Item: shed.Item{Key: "servers/" + id, Revision: 1},
+			Item: shed.Item{Key: "s/" + id, Revision: 1},
 			Record: shed.ServerEntry{
 				ID: shed.ServerID(id), Pool: shed.PoolID(fmt.Sprint("p", i%10)), Zone: shed.ZoneID(string(rune('a' + i%3))),
 			},
