picker: a choice looks up the few servers that hold a prefix

Cause: each choice passed three times over all servers of the pool, found each one's state by its id each time, and looked up each part of the prompt at each server twice. The servers with requests of this VM were found by a pass over all servers at each tick.

Change: an index of prefixes to their holders in place of a table for each server; one look-up of a server's state a choice; the servers with requests are kept apart. What a choice weighs is unchanged. The search for a server has a file of its own.

New tests: TestCachedPartsFollowEachOther, TestPrefixIndexIsBounded.

--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -37,53 +37,40 @@
 	cachedTokens shed.Tokens
 }
 
-func (p *Picker) findCacheSources(now time.Time, w *Request, servers []*roster.Server, chain []uint64) cacheSources {
-	var out cacheSources
-	if !w.Engine || w.FetchRate <= 0 || len(chain) == 0 {
+func (s *search) findCacheSources() cacheSources {
+	out := cacheSources{sharedTokens: s.sharedTokens}
+	if s.request.FetchRate <= 0 || len(s.cached) == 0 {
 		return out
 	}
-	for _, part := range w.Prompt[:len(chain)] {
-		out.sharedTokens += part.Tokens
-	}
-	for _, s := range servers {
-		st := p.state(s)
-		d := cacheSource{server: s, cachedTokens: st.cachedTokens(now, w, chain)}
-		if d.cachedTokens < minFetch || avoided(w.Avoid, s.ID) {
-			continue
-		}
-		if p.zoneFailureRate(s.Zone).now(now) > maxSourceFailureRate || st.failures.now(now) > maxSourceFailureRate {
+	for i, server := range s.servers {
+		st := s.states[i]
+		d := cacheSource{server: server, cachedTokens: s.cached[st]}
+		if d.cachedTokens < minFetch || avoided(s.request.Avoid, server.ID) || !s.isSource(server, st) {
 			continue
 		}
 		if d.cachedTokens > out.best.cachedTokens {
 			out.best = d
 		}
-		if d.cachedTokens > out.byZone[s.Zone].cachedTokens {
+		if d.cachedTokens > out.byZone[server.Zone].cachedTokens {
 			if out.byZone == nil {
 				out.byZone = map[shed.ZoneID]cacheSource{}
 			}
-			out.byZone[s.Zone] = d
+			out.byZone[server.Zone] = d
 		}
 	}
 	return out
 }
 
+// isSource reports whether other servers can fetch from the server.
+func (s *search) isSource(server *roster.Server, st *state) bool {
+	zone := s.picker.zoneFailureRate(server.Zone)
+	return zone.now(s.now) <= maxSourceFailureRate && st.failures.now(s.now) <= maxSourceFailureRate
+}
+
 // maxSourceFailureRate is the share of failed calls above which a server is not used as a
 // cache source: the prefix can be read without it.
 const maxSourceFailureRate = 0.1
 
-// cachedTokens is how many tokens of the prompt's shared parts the server has cached.
-func (st *state) cachedTokens(now time.Time, w *Request, chain []uint64) shed.Tokens {
-	var out shed.Tokens
-	for i, h := range chain {
-		at, ok := st.prefixes[h]
-		if !ok || now.Sub(at) > prefixRetention {
-			break
-		}
-		out += w.Prompt[i].Tokens
-	}
-	return out
-}
-
 // planFetch chooses a cache source for the shared parts that the chosen server lacks, and
 // returns how many tokens it need not read.
 func (d cacheSources) planFetch(c *Choice, s *roster.Server, reread shed.Tokens) shed.Tokens {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -36,19 +36,19 @@
 	// isolationCost is added for each request running on a server when a request is placed
 	// that may crash its server.
 	isolationCost = time.Second
-	// prefixRetention is how long a prefix is assumed to stay in a server's memory.
-	prefixRetention = 30 * time.Second
-	// maxPrefixes bounds the number of prefixes remembered per server.
-	maxPrefixes = 2048
 )
 
 // Picker tracks the servers' load and failures. It is not safe for concurrent use.
 type Picker struct {
 	cfg     Config
 	servers map[shed.ServerID]*state
+	// loaded are the servers with requests of this daemon.
+	loaded   map[shed.ServerID]*state
+	prefixes prefixIndex
 	// zoneFailures holds, per zone, the share of recent connections to servers that failed.
 	zoneFailures map[shed.ZoneID]*failureRate
 	overrun      overrun
+	statesBuffer []*state
 	// plainCalls counts the plain calls placed.
 	plainCalls uint
 	// peerShares holds the last load report of each peer; the sums are kept in servers, so
@@ -62,9 +62,10 @@
 		cfg.ReadRate = DefaultReadRate
 	}
 	return &Picker{
-		cfg: cfg, servers: map[shed.ServerID]*state{}, zoneFailures: map[shed.ZoneID]*failureRate{},
-		peerShares: map[shed.VM]map[shed.ServerID]shed.ServerShare{},
-		overrun:    overrun{mean: DefaultOverrun},
+		cfg: cfg, servers: map[shed.ServerID]*state{}, loaded: map[shed.ServerID]*state{}, prefixes: newPrefixIndex(),
+		zoneFailures: map[shed.ZoneID]*failureRate{},
+		peerShares:   map[shed.VM]map[shed.ServerID]shed.ServerShare{},
+		overrun:      overrun{mean: DefaultOverrun},
 	}
 }
 
@@ -127,14 +128,18 @@
 // nil if there is none.
 func (p *Picker) Pick(now time.Time, w Request, servers []*roster.Server) Choice {
 	chain := prefixChains(w.Prompt)
-	s := search{
-		picker: p, now: now, request: &w, chain: chain,
-		fastest: p.fastestCallTime(servers), sources: p.findCacheSources(now, &w, servers, chain),
+	s := search{picker: p, now: now, request: &w, chain: chain, servers: servers, states: p.states(servers)}
+	if w.Engine {
+		s.countTokens()
+		s.cached = p.prefixes.cached(now, w.Prompt, chain)
+		s.sources = s.findCacheSources()
+	} else {
+		s.fastest = s.fastestCallTime()
 	}
-	best := s.run(servers)
+	best := s.run()
 	if best.Server != nil && p.isMeasurement(&w) {
 		s.measureUpTo = best.Cost + measureCost
-		best = s.run(servers)
+		best = s.run()
 	}
 	if best.Server == nil {
 		best.NoTurn, best.UnreachableFor = s.noTurn, s.unreachableFor
@@ -142,124 +147,6 @@
 	return best
 }
 
-// search is one search for a server.
-type search struct {
-	picker  *Picker
-	now     time.Time
-	request *Request
-	chain   []uint64
-	fastest time.Duration
-	sources cacheSources
-	// measureUpTo is the maximum cost of a server to be measured; 0 if none is.
-	measureUpTo time.Duration
-	// noTurn: a server was skipped for lack of a turn. unreachableFor is the time until the first
-	// of the unreachable servers may be tried again; 0 if there is none.
-	noTurn         bool
-	unreachableFor time.Duration
-}
-
-// run returns the best choice; its Server is nil if there is none.
-func (s *search) run(servers []*roster.Server) Choice {
-	var best Choice
-	var bestState *state
-	for _, server := range servers {
-		if avoided(s.request.Avoid, server.ID) {
-			continue
-		}
-		st := s.picker.state(server)
-		access, ok := s.access(server, st)
-		if !ok {
-			continue
-		}
-		c := s.evaluate(server, st)
-		c.ByTurn = access == ByTurn
-		if bestState == nil || s.better(&c, st, &best, bestState) {
-			best, bestState = c, st
-		}
-	}
-	return best
-}
-
-// access returns whether the server accepts the request; ok is false if it can't be chosen.
-func (s *search) access(server *roster.Server, st *state) (access Access, ok bool) {
-	if left := st.backoffUntil.Sub(s.now); left > 0 {
-		if s.unreachableFor == 0 || left < s.unreachableFor {
-			s.unreachableFor = left
-		}
-		return Free, false
-	}
-	if s.request.Access != nil {
-		access = s.request.Access(server)
-	}
-	s.noTurn = s.noTurn || access == NoTurn
-	return access, access != NoTurn
-}
-
-// better reports whether c is a better choice than best. Of plain calls at the same cost, the
-// one whose server has the older sample is better.
-func (s *search) better(c *Choice, st *state, best *Choice, bestState *state) bool {
-	older := st.callTime.measuredAt.Before(bestState.callTime.measuredAt)
-	if s.measureUpTo > 0 && c.Cost <= s.measureUpTo {
-		return best.Cost > s.measureUpTo || older
-	}
-	return c.Cost < best.Cost || c.Cost == best.Cost && older
-}
-
-// fastestCallTime is the shortest mean call time of any server.
-func (p *Picker) fastestCallTime(servers []*roster.Server) time.Duration {
-	fastest := time.Duration(0)
-	for _, s := range servers {
-		if took := p.state(s).callTime.mean; took > 0 && (fastest == 0 || took < fastest) {
-			fastest = took
-		}
-	}
-	if fastest == 0 {
-		return defaultCallTime
-	}
-	return fastest
-}
-
-func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
-	for _, a := range avoid {
-		if a == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *search) evaluate(server *roster.Server, st *state) Choice {
-	p, w, now := s.picker, s.request, s.now
-	running, reading := st.ownRunning+st.peers.Running, st.ownReading+st.peers.Reading
-	c := Choice{Server: server}
-	if w.Engine {
-		var reread shed.Tokens
-		c.Missing, reread = st.missingTokens(now, w, s.chain)
-		reread -= s.sources.planFetch(&c, server, reread)
-		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
-		c.Cost = c.Time
-		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += rendezvousCost(server, s.chain, p.readTime(c.Missing))
-	} else {
-		took := st.callTime.predict(now, s.fastest)
-		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
-		if running >= server.Slots && server.Slots > 0 {
-			c.Cost += took
-		}
-	}
-	if server.Zone != p.cfg.Zone {
-		c.Cost += crossZoneCost
-	}
-	if w.Isolate {
-		c.Cost += time.Duration(running) * isolationCost
-	}
-	if w.Zone != "" && server.Zone != w.Zone {
-		c.Cost += w.ZoneCost
-	}
-	c.Cost += st.failures.cost(now, failureCost) + p.zoneFailureRate(server.Zone).cost(now, zoneFailureCost)
-	return c
-}
-
 func (p *Picker) zoneFailureRate(id shed.ZoneID) *failureRate {
 	f := p.zoneFailures[id]
 	if f == nil {
--- a/internal/picker/prefix.go
+++ b/internal/picker/prefix.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,96 @@
 	"jasmineshed/internal/roster"
 )
 
+const (
+	// prefixRetention is how long a prefix is assumed to stay in a server's memory.
+	prefixRetention = 30 * time.Second
+	// maxPrefixes bounds the number of prefixes remembered.
+	maxPrefixes = 1 << 15
+	// minPruneSize is the number of prefixes from which expired ones are dropped.
+	minPruneSize = 1 << 10
+)
+
+// prefixIndex remembers which servers have read which prefixes.
+//
+// Load pattern: thousands of engines, each prefix held by a few. A choice looks up the few
+// holders instead of asking each engine for each part of the prompt.
+type prefixIndex struct {
+	// holders are the servers that have read a prefix, by the hash of its chain.
+	holders map[uint64][]holder
+	// pruneSize is the number of prefixes at which expired ones are dropped next.
+	pruneSize int
+}
+
+// holder is a server that has read a prefix, which it last used at usedAt.
+type holder struct {
+	server *state
+	usedAt time.Time
+}
+
+func newPrefixIndex() prefixIndex {
+	return prefixIndex{holders: map[uint64][]holder{}, pruneSize: minPruneSize}
+}
+
+// record records that a server reads or uses all prefixes of a chain now.
+func (x *prefixIndex) record(now time.Time, server *state, chain []uint64) {
+	for _, h := range chain {
+		list := x.holders[h]
+		at := slices.IndexFunc(list, func(o holder) bool { return o.server == server })
+		if at >= 0 {
+			list[at].usedAt = now
+			continue
+		}
+		list = slices.DeleteFunc(list, func(o holder) bool { return o.expired(now) })
+		x.holders[h] = append(list, holder{server, now})
+	}
+	if len(x.holders) >= x.pruneSize {
+		x.prune(now)
+	}
+}
+
+// prune drops prefixes that have surely been evicted from the servers' memory.
+func (x *prefixIndex) prune(now time.Time) {
+	for h, list := range x.holders {
+		list = slices.DeleteFunc(list, func(o holder) bool { return o.expired(now) })
+		if len(list) == 0 {
+			delete(x.holders, h)
+		} else {
+			x.holders[h] = list
+		}
+	}
+	if len(x.holders) > maxPrefixes/2 {
+		clear(x.holders)
+	}
+	x.pruneSize = max(2*len(x.holders), minPruneSize)
+}
+
+// cached returns how many tokens of the prompt's shared parts each server has cached.
+func (x *prefixIndex) cached(now time.Time, prompt []shed.PromptPart, chain []uint64) map[*state]shed.Tokens {
+	var out map[*state]shed.Tokens
+	before := shed.Tokens(0)
+	for i, h := range chain {
+		found := false
+		for _, o := range x.holders[h] {
+			// A part can only be used after all parts before it.
+			if o.expired(now) || i > 0 && out[o.server] < before {
+				continue
+			}
+			if out == nil {
+				out = map[*state]shed.Tokens{}
+			}
+			out[o.server] = before + prompt[i].Tokens
+			found = true
+		}
+		if !found {
+			break
+		}
+		before += prompt[i].Tokens
+	}
+	return out
+}
+
+func (o holder) expired(now time.Time) bool { return now.Sub(o.usedAt) > prefixRetention }
+
 // rendezvousCost ranks servers that would all have to read the prompt. The same rendezvous
 // hash on every VM sends requests with a common prefix to one server before the VMs have
 // exchanged any reports. It is a share of the reading time, so that load outweighs it.
--- /dev/null
+++ b/internal/picker/prefix_test.go
@@ -0,0 +1,40 @@
+package picker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
+)
+
+// Each part of a prompt is cached only at servers that hold all parts before it.
+func TestCachedPartsFollowEachOther(t *testing.T) {
+	now := time.Unix(1, 0)
+	x := newPrefixIndex()
+	both, first, second := &state{}, &state{}, &state{}
+	x.record(now, both, []uint64{1, 2})
+	x.record(now, first, []uint64{1})
+	x.record(now, second, []uint64{2})
+	prompt := []shed.PromptPart{{Tokens: 100}, {Tokens: 10}, {Tokens: 1}}
+	require.Equal(t, map[*state]shed.Tokens{both: 110, first: 100}, x.cached(now, prompt, []uint64{1, 2}))
+	require.Empty(t, x.cached(now, prompt, []uint64{3, 2}))
+	require.Empty(t, x.cached(now.Add(prefixRetention+1), prompt, []uint64{1, 2}))
+}
+
+// A caller sends requests that each have a prefix of their own. Guards against an index that
+// grows with them: within the retention and after it.
+func TestPrefixIndexIsBounded(t *testing.T) {
+	x := newPrefixIndex()
+	st, now := &state{}, time.Unix(1, 0)
+	for i := range uint64(4 * maxPrefixes) {
+		x.record(now, st, []uint64{i})
+		require.LessOrEqual(t, len(x.holders), maxPrefixes)
+	}
+	now = now.Add(prefixRetention + 1)
+	for i := range uint64(maxPrefixes) {
+		x.record(now.Add(time.Duration(i)*time.Millisecond), st, []uint64{i << 32})
+	}
+	require.LessOrEqual(t, len(x.holders), maxPrefixes)
+}
--- /dev/null
+++ b/internal/picker/search.go
@@ -0,0 +1,134 @@
+package picker
+
+import (
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/roster"
+)
+
+// search is one search for a server.
+type search struct {
+	picker  *Picker
+	now     time.Time
+	request *Request
+	chain   []uint64
+	// servers are the candidates, states their states.
+	servers []*roster.Server
+	states  []*state
+	// sharedTokens are the tokens of the prompt's shared parts, allTokens those of the prompt.
+	sharedTokens, allTokens shed.Tokens
+	// fastest is the shortest mean call time of the pool.
+	fastest time.Duration
+	// cached is how many tokens of the shared parts each server has cached, if any.
+	cached  map[*state]shed.Tokens
+	sources cacheSources
+	// measureUpTo is the maximum cost of a server to be measured; 0 if none is.
+	measureUpTo time.Duration
+	// noTurn: a server was skipped for lack of a turn. unreachableFor is the time until the first
+	// of the unreachable servers may be tried again; 0 if there is none.
+	noTurn         bool
+	unreachableFor time.Duration
+}
+
+// run returns the best choice; its Server is nil if there is none.
+func (s *search) run() Choice {
+	var best Choice
+	var bestState *state
+	for i, server := range s.servers {
+		if avoided(s.request.Avoid, server.ID) {
+			continue
+		}
+		st := s.states[i]
+		access, ok := s.access(server, st)
+		if !ok {
+			continue
+		}
+		c := s.evaluate(server, st)
+		c.ByTurn = access == ByTurn
+		if bestState == nil || s.better(&c, st, &best, bestState) {
+			best, bestState = c, st
+		}
+	}
+	return best
+}
+
+// access returns whether the server accepts the request; ok is false if it can't be chosen.
+func (s *search) access(server *roster.Server, st *state) (access Access, ok bool) {
+	if left := st.backoffUntil.Sub(s.now); left > 0 {
+		if s.unreachableFor == 0 || left < s.unreachableFor {
+			s.unreachableFor = left
+		}
+		return Free, false
+	}
+	if s.request.Access != nil {
+		access = s.request.Access(server)
+	}
+	s.noTurn = s.noTurn || access == NoTurn
+	return access, access != NoTurn
+}
+
+// better reports whether c is a better choice than best. Of plain calls at the same cost, the
+// one whose server has the older sample is better.
+func (s *search) better(c *Choice, st *state, best *Choice, bestState *state) bool {
+	older := st.callTime.measuredAt.Before(bestState.callTime.measuredAt)
+	if s.measureUpTo > 0 && c.Cost <= s.measureUpTo {
+		return best.Cost > s.measureUpTo || older
+	}
+	return c.Cost < best.Cost || c.Cost == best.Cost && older
+}
+
+// fastestCallTime is the shortest mean call time of any server.
+func (s *search) fastestCallTime() time.Duration {
+	fastest := time.Duration(0)
+	for _, st := range s.states {
+		if took := st.callTime.mean; took > 0 && (fastest == 0 || took < fastest) {
+			fastest = took
+		}
+	}
+	if fastest == 0 {
+		return defaultCallTime
+	}
+	return fastest
+}
+
+func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
+	for _, a := range avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *search) evaluate(server *roster.Server, st *state) Choice {
+	p, w, now := s.picker, s.request, s.now
+	running, reading := st.ownRunning+st.peers.Running, st.ownReading+st.peers.Reading
+	c := Choice{Server: server}
+	if w.Engine {
+		var reread shed.Tokens
+		c.Missing, reread = s.missingTokens(st)
+		reread -= s.sources.planFetch(&c, server, reread)
+		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
+		c.Cost = c.Time
+		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
+		c.Cost += rendezvousCost(server, s.chain, p.readTime(c.Missing))
+	} else {
+		took := st.callTime.predict(now, s.fastest)
+		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
+		if running >= server.Slots && server.Slots > 0 {
+			c.Cost += took
+		}
+	}
+	if server.Zone != p.cfg.Zone {
+		c.Cost += crossZoneCost
+	}
+	if w.Isolate {
+		c.Cost += time.Duration(running) * isolationCost
+	}
+	if w.Zone != "" && server.Zone != w.Zone {
+		c.Cost += w.ZoneCost
+	}
+	c.Cost += st.failures.cost(now, failureCost) + p.zoneFailureRate(server.Zone).cost(now, zoneFailureCost)
+	return c
+}
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -23,18 +23,27 @@
 	// backoffUntil.
 	failedConnections int
 	backoffUntil      time.Time
-	// prefixes holds the prompt parts that the server has read, by the hash of the chain up to
-	// them, with the time of the last use.
-	prefixes map[uint64]time.Time
+}
+
+// states returns the states of servers; the slice is valid until the next call.
+func (p *Picker) states(servers []*roster.Server) []*state {
+	p.statesBuffer = p.statesBuffer[:0]
+	for _, s := range servers {
+		p.statesBuffer = append(p.statesBuffer, p.state(s))
+	}
+	return p.statesBuffer
 }
 
 func (p *Picker) state(s *roster.Server) *state {
 	st := p.servers[s.ID]
 	if st == nil || st.born != s.StartedMs {
 		// A restarted server has nothing cached.
-		next := &state{born: s.StartedMs, prefixes: map[uint64]time.Time{}}
+		next := &state{born: s.StartedMs}
 		if st != nil {
 			next.ownRunning, next.peers = st.ownRunning, st.peers
+			if st.ownRunning > 0 {
+				p.loaded[s.ID] = next
+			}
 		}
 		st = next
 		p.servers[s.ID] = st
@@ -42,59 +51,41 @@
 	return st
 }
 
-// missingTokens is how many tokens the server would have to read, and how many of them belong
-// to parts that requests share.
-func (st *state) missingTokens(now time.Time, w *Request, chain []uint64) (left, reread shed.Tokens) {
-	var all, shared shed.Tokens
-	for i, part := range w.Prompt {
-		all += part.Tokens
-		if i < len(chain) {
-			shared += part.Tokens
+// countTokens counts the tokens of the prompt.
+func (s *search) countTokens() {
+	for i, part := range s.request.Prompt {
+		s.allTokens += part.Tokens
+		if i < len(s.chain) {
+			s.sharedTokens += part.Tokens
 		}
 	}
-	cached := st.cachedTokens(now, w, chain)
-	return max(w.Input, all) - cached, shared - cached
+	s.allTokens = max(s.request.Input, s.allTokens)
+}
+
+// missingTokens is how many tokens the server would have to read, and how many of them belong
+// to parts that requests share.
+func (s *search) missingTokens(st *state) (left, reread shed.Tokens) {
+	cached := s.cached[st]
+	return s.allTokens - cached, s.sharedTokens - cached
 }
 
 // RecordPlacement records that a request goes to the server.
 func (p *Picker) RecordPlacement(now time.Time, w Request, c Choice) {
 	st := p.state(c.Server)
 	st.ownRunning++
+	p.loaded[c.Server.ID] = st
 	if !w.Engine {
 		p.plainCalls++
 		return
 	}
 	st.ownReading += c.Missing
-	for _, h := range prefixChains(w.Prompt) {
-		st.prefixes[h] = now
-	}
-	st.prunePrefixes(now)
+	p.prefixes.record(now, st, prefixChains(w.Prompt))
 }
 
 // RecordPeerPrefix records that a peer placed a request with this prefix.
 func (p *Picker) RecordPeerPrefix(now time.Time, id shed.ServerID, chain []uint64) {
-	st := p.servers[id]
-	if st == nil {
-		return
-	}
-	for _, h := range chain {
-		st.prefixes[h] = now
-	}
-	st.prunePrefixes(now)
-}
-
-// prunePrefixes forgets prefixes that have surely been evicted from the server's memory.
-func (st *state) prunePrefixes(now time.Time) {
-	if len(st.prefixes) <= maxPrefixes {
-		return
-	}
-	for h, at := range st.prefixes {
-		if now.Sub(at) > prefixRetention {
-			delete(st.prefixes, h)
-		}
-	}
-	if len(st.prefixes) > maxPrefixes {
-		clear(st.prefixes)
+	if st := p.servers[id]; st != nil {
+		p.prefixes.record(now, st, chain)
 	}
 }
 
@@ -125,7 +116,9 @@
 	if st == nil {
 		return
 	}
-	st.ownRunning = max(st.ownRunning-1, 0)
+	if st.ownRunning = max(st.ownRunning-1, 0); st.ownRunning == 0 {
+		delete(p.loaded, c.Server.ID)
+	}
 	if end.Inconclusive {
 		return
 	}
@@ -151,11 +144,9 @@
 
 // Shares returns this daemon's load on each server where it has any.
 func (p *Picker) Shares() map[shed.ServerID]shed.ServerShare {
-	out := map[shed.ServerID]shed.ServerShare{}
-	for id, st := range p.servers {
-		if st.ownRunning > 0 {
-			out[id] = shed.ServerShare{Running: st.ownRunning, Reading: st.ownReading}
-		}
+	out := make(map[shed.ServerID]shed.ServerShare, len(p.loaded))
+	for id, st := range p.loaded {
+		out[id] = shed.ServerShare{Running: st.ownRunning, Reading: st.ownReading}
 	}
 	return out
 }
