batch: one look-up of each server an event

Cause: an event at a pool with pending pieces passed over the pool's servers four times and more, with a look-up by id and a copy of the entry each, sorted idle servers by value, and asked for each idle server whether a busy one is faster. One VM does this for a whole pool.

Change: the servers are looked up once an event; whether a busy server is faster is asked only if one has been faster so far, which is exact since the time left of a call isn't negative.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -72,6 +72,7 @@
 	producers    map[shed.ServerID]*producer
 	nextID       CallID
 	lastSubgroup int
+	surveyed     []server
 	// order holds the groups in the order of their first use.
 	order []*group
 }
@@ -307,13 +308,13 @@
 // long been idle.
 func (b *Batcher) hedgeSuspectCalls(now time.Time) {
 	for _, g := range b.order {
-		for _, s := range b.servers(g.pool) {
-			c := b.calls[b.producer(s).running]
+		for _, s := range b.survey(g.pool) {
+			c := b.calls[s.producer.running]
 			if c == nil || c.suspected || now.Before(c.suspectAt) {
 				continue
 			}
 			c.suspected = true
-			b.allowParallelCall(s)
+			s.producer.allowParallelCall()
 			for _, p := range c.pieces {
 				if !p.settled && !p.job.dropped {
 					g.enqueue(p)
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -13,13 +13,14 @@
 	if len(g.pending) == 0 {
 		return out
 	}
-	g.slowness = b.slowness(now, g.pool)
-	out = b.rejectLate(now, out, g)
-	servers := b.servers(g.pool)
+	servers := b.survey(g.pool)
+	g.slowness = slowness(now, servers)
+	out = b.rejectLate(now, out, g, servers)
 	usableServers, reachableServers := 0, 0
-	var idle []shed.ServerEntry
+	fastestBusy := maxSlowness
+	var idle []server
 	for _, s := range servers {
-		m := b.producer(s)
+		m := s.producer
 		if !m.unreached {
 			reachableServers++
 		}
@@ -33,47 +34,53 @@
 		usableServers++
 		if m.running == 0 {
 			idle = append(idle, s)
+		} else {
+			fastestBusy = min(fastestBusy, m.slowness)
 		}
 	}
 	if usableServers == 0 {
 		return b.failPending(out, g)
 	}
-	slices.SortStableFunc(idle, func(x, y shed.ServerEntry) int {
-		mx, my := b.producers[x.ID], b.producers[y.ID]
-		if mx.unreached != my.unreached {
-			// Probes go first: a probed piece stays pending for the other servers.
-			if mx.unreached {
-				return -1
-			}
-			return 1
-		}
-		if c := cmp.Compare(mx.suspectedCalls, my.suspectedCalls); c != 0 {
-			return c
-		}
-		return cmp.Compare(mx.slowness, my.slowness)
-	})
+	slices.SortFunc(idle, server.compare)
 	for _, s := range idle {
 		if len(g.pending) == 0 {
 			break
 		}
-		b.sortPending(now, g, s.Zone)
-		if reachableServers > 0 && b.producers[s.ID].unreached {
+		b.sortPending(now, g, s.entry.Zone)
+		if reachableServers > 0 && s.producer.unreached {
 			out = b.probe(now, out, g, s)
 			continue
 		}
-		if b.busyServerIsFaster(now, g, servers, s) {
+		if s.producer.slowness > fastestBusy && b.busyServerIsFaster(now, g, servers, s) {
 			continue
 		}
 		out = b.fillCall(now, out, g, servers, s)
+		fastestBusy = min(fastestBusy, s.producer.slowness)
 	}
 	return out
 }
 
+// compare orders idle servers by who gets a call first.
+func (s server) compare(o server) int {
+	if s.producer.unreached != o.producer.unreached {
+		// Probes go first: a probed piece stays pending for the other servers.
+		if s.producer.unreached {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(s.producer.suspectedCalls, o.producer.suspectedCalls),
+		cmp.Compare(s.producer.slowness, o.producer.slowness),
+		cmp.Compare(s.index, o.index),
+	)
+}
+
 // rejectLate answers pieces whose deadline would pass before a call ends, so that no server
 // works on them.
-func (b *Batcher) rejectLate(now time.Time, out []Action, g *group) []Action {
+func (b *Batcher) rejectLate(now time.Time, out []Action, g *group, servers []server) []Action {
 	var kept []*piece
-	overloaded := b.PredictWait(now, g.pool, g.limits).Last > overloadWait
+	overloaded := b.predictWait(now, g.pool, g.limits, servers).Last > overloadWait
 	for _, p := range g.pending {
 		if p.settled || p.job.dropped {
 			continue
@@ -141,11 +148,11 @@
 
 // busyServerIsFaster reports whether a busy server would finish the pieces before the idle,
 // slow server s.
-func (b *Batcher) busyServerIsFaster(now time.Time, g *group, servers []shed.ServerEntry, s shed.ServerEntry) bool {
+func (b *Batcher) busyServerIsFaster(now time.Time, g *group, servers []server, s server) bool {
 	n := min(len(g.pending), g.limits.MaxPieces)
-	own := scale(expectedTime(g.limits, n), b.producers[s.ID].slowness)
+	own := scale(expectedTime(g.limits, n), s.producer.slowness)
 	for _, other := range servers {
-		m := b.producers[other.ID]
+		m := other.producer
 		if m.running == 0 || now.Before(m.backoffUntil) || len(g.pending) > g.limits.MaxPieces {
 			continue
 		}
@@ -166,13 +173,12 @@
 // to see whether it is reachable again. The piece stays pending for a healthy server: in a
 // zone that was partitioned from the others, pieces went from one unreachable server to the
 // next, 0.2 s each, for up to 1.3 s.
-func (b *Batcher) probe(now time.Time, out []Action, g *group, s shed.ServerEntry) []Action {
+func (b *Batcher) probe(now time.Time, out []Action, g *group, s server) []Action {
 	at := len(g.pending) - 1
 	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0) {
 		at--
 	}
-	m := b.producers[s.ID]
-	if at < 0 || !m.canHold(now, g.limits, g.pending[at].Bytes) {
+	if at < 0 || !s.producer.canHold(now, g.limits, g.pending[at].Bytes) {
 		return out
 	}
 	return b.startCall(now, out, g, s, []*piece{g.pending[at]})
@@ -180,8 +186,8 @@
 
 // fillCall fills a call with the most urgent pieces whose results fit the server's free
 // capacity.
-func (b *Batcher) fillCall(now time.Time, out []Action, g *group, servers []shed.ServerEntry, s shed.ServerEntry) []Action {
-	freeBytes := b.producers[s.ID].freeBytes(now, g.limits)
+func (b *Batcher) fillCall(now time.Time, out []Action, g *group, servers []server, s server) []Action {
+	freeBytes := s.producer.freeBytes(now, g.limits)
 	schedule := b.zoneSchedule(now, g, servers)
 	var chosen, rest []*piece
 	var bytes int64
@@ -190,7 +196,7 @@
 			continue
 		}
 		otherSubgroup := len(chosen) > 0 && p.subgroup != chosen[0].subgroup
-		if otherSubgroup || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
+		if otherSubgroup || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
 			rest = append(rest, p)
 			continue
 		}
@@ -198,7 +204,7 @@
 		chosen = append(chosen, p)
 		bytes += p.Bytes
 		if p.SameZone && p.PreferredZone == "" {
-			p.job.preferredZone = s.Zone
+			p.job.preferredZone = s.entry.Zone
 		}
 	}
 	if len(chosen) == 0 {
@@ -209,9 +215,9 @@
 }
 
 // startCall sends pieces to a server.
-func (b *Batcher) startCall(now time.Time, out []Action, g *group, s shed.ServerEntry, pieces []*piece) []Action {
-	m := b.producers[s.ID]
-	c := &call{server: s, group: g, sentAt: now, pieces: pieces, expected: expectedTime(g.limits, len(pieces))}
+func (b *Batcher) startCall(now time.Time, out []Action, g *group, s server, pieces []*piece) []Action {
+	m := s.producer
+	c := &call{server: *s.entry, group: g, sentAt: now, pieces: pieces, expected: expectedTime(g.limits, len(pieces))}
 	for _, p := range pieces {
 		c.bytes += p.Bytes
 	}
@@ -220,7 +226,7 @@
 	m.running = b.nextID
 	b.calls[b.nextID] = c
 	c.suspectAt = now.Add(suspectFactor*scale(c.expected, max(m.slowness, 1)) + suspectMargin)
-	send := Send{Call: b.nextID, Server: s, Limit: callLimitFactor*c.expected + callLimitMargin, Pending: len(g.pending)}
+	send := Send{Call: b.nextID, Server: *s.entry, Limit: callLimitFactor*c.expected + callLimitMargin, Pending: len(g.pending)}
 	for _, p := range c.pieces {
 		p.inFlight++
 		piece := p.Piece
@@ -239,10 +245,10 @@
 	freeSlots  map[shed.ZoneID]int
 }
 
-func (b *Batcher) zoneSchedule(now time.Time, g *group, servers []shed.ServerEntry) zoneSchedule {
+func (b *Batcher) zoneSchedule(now time.Time, g *group, servers []server) zoneSchedule {
 	n := zoneSchedule{completion: map[shed.ZoneID]time.Time{}, freeSlots: map[shed.ZoneID]int{}}
 	for _, s := range servers {
-		m := b.producer(s)
+		m, zone := s.producer, s.entry.Zone
 		if now.Before(m.backoffUntil) {
 			continue
 		}
@@ -251,10 +257,10 @@
 			done = shed.Later(now, c.sentAt.Add(scale(c.expected, m.slowness)))
 		}
 		done = done.Add(scale(expectedTime(g.limits, g.limits.MaxPieces), m.slowness))
-		if old, ok := n.completion[s.Zone]; !ok || done.Before(old) {
-			n.completion[s.Zone] = done
+		if old, ok := n.completion[zone]; !ok || done.Before(old) {
+			n.completion[zone] = done
 		}
-		n.freeSlots[s.Zone] += g.limits.MaxPieces
+		n.freeSlots[zone] += g.limits.MaxPieces
 	}
 	return n
 }
@@ -263,9 +269,9 @@
 // long as the next calls of that zone have free slots and meet the target: fetching large
 // results from another zone is what users pay most for. A piece that is held back uses up a
 // slot of those calls.
-func (n zoneSchedule) mayRunOn(p *piece, s shed.ServerEntry) bool {
+func (n zoneSchedule) mayRunOn(p *piece, at shed.ZoneID) bool {
 	zone := p.preferredZone()
-	if zone == "" || zone == s.Zone {
+	if zone == "" || zone == at {
 		return true
 	}
 	done, ok := n.completion[zone]
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -75,6 +75,25 @@
 	return l.ResultCapacity == 0 || bytes <= m.freeBytes(now, l)
 }
 
+// server is a server of a pool with its state.
+type server struct {
+	entry    *shed.ServerEntry
+	producer *producer
+	// index is its place among the servers of the pool.
+	index int
+}
+
+// survey returns the servers of a pool that may get new work; the slice is valid until the next
+// call.
+func (b *Batcher) survey(pool shed.PoolID) []server {
+	entries := b.servers(pool)
+	b.surveyed = b.surveyed[:0]
+	for i := range entries {
+		b.surveyed = append(b.surveyed, server{entry: &entries[i], producer: b.producer(&entries[i]), index: i})
+	}
+	return b.surveyed
+}
+
 type heldResult struct {
 	server  shed.ServerID
 	bytes   int64
@@ -155,7 +174,7 @@
 	}
 }
 
-func (b *Batcher) producer(s shed.ServerEntry) *producer {
+func (b *Batcher) producer(s *shed.ServerEntry) *producer {
 	m := b.producers[s.ID]
 	if m == nil {
 		m = &producer{startedMs: s.StartedMs, slowness: 1}
@@ -184,8 +203,7 @@
 }
 
 // allowParallelCall lets a server have one call beside the suspect one.
-func (b *Batcher) allowParallelCall(s shed.ServerEntry) {
-	m := b.producers[s.ID]
+func (m *producer) allowParallelCall() {
 	if m.suspectedCalls++; m.suspectedCalls == 1 {
 		m.running = 0
 	}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -28,10 +28,10 @@
 // slowness is the ratio of actual to configured call time of the pool: the harmonic mean over
 // its servers, since fast ones get more calls. Without it, pieces of an overloaded pool were
 // sent just in time by the configuration, and most answers just missed their target.
-func (b *Batcher) slowness(now time.Time, pool shed.PoolID) float64 {
+func slowness(now time.Time, servers []server) float64 {
 	n, totalSpeed := 0, 0.0
-	for _, s := range b.servers(pool) {
-		if m := b.producer(s); !now.Before(m.backoffUntil) {
+	for _, s := range servers {
+		if m := s.producer; !now.Before(m.backoffUntil) {
 			n++
 			totalSpeed += 1 / m.slowness
 		}
@@ -44,10 +44,14 @@
 
 // PredictWait predicts how long one more piece of the pool would take.
 func (b *Batcher) PredictWait(now time.Time, pool shed.PoolID, limits shed.BatchLimits) Forecast {
+	return b.predictWait(now, pool, limits, b.survey(pool))
+}
+
+func (b *Batcher) predictWait(now time.Time, pool shed.PoolID, limits shed.BatchLimits, servers []server) Forecast {
 	var rate float64
 	earliestFree := time.Duration(-1)
-	for _, s := range b.servers(pool) {
-		m := b.producer(s)
+	for _, s := range servers {
+		m := s.producer
 		if m.isUnreachable(now) {
 			continue
 		}
@@ -64,7 +68,7 @@
 	if rate == 0 {
 		return Forecast{Timely: NoServers, Last: NoServers}
 	}
-	slow := b.slowness(now, pool)
+	slow := slowness(now, servers)
 	timely, all := b.backlog(now, pool)
 	wait := func(n int) time.Duration {
 		queue := time.Duration(0)
