picker: peers are told once that a server holds a prefix

Cause: each placed prompt was reported to every VM, so that the bytes a VM receives grow with the requests of the fleet.

Change: a placement is reported only if neither this VM nor a peer has reported the same prefix at the same server within 10 s, a third of the time that it is assumed to stay there.

--- a/internal/picker/prefix.go
+++ b/internal/picker/prefix.go
@@ -15,6 +15,9 @@
 	prefixRetention = 30 * time.Second
 	// maxPrefixes bounds the number of prefixes remembered.
 	maxPrefixes = 1 << 15
+	// prefixReportInterval is the least time between two reports to peers that a server holds a
+	// prefix, well below the retention.
+	prefixReportInterval = 10 * time.Second
 	// minPruneSize is the number of prefixes from which expired ones are dropped.
 	minPruneSize = 1 << 10
 )
@@ -25,42 +28,72 @@
 // holders instead of asking each engine for each part of the prompt.
 type prefixIndex struct {
 	// holders are the servers that have read a prefix, by the hash of its chain.
-	holders map[uint64][]holder
+	holders map[uint64][]*holder
 	// pruneSize is the number of prefixes at which expired ones are dropped next.
 	pruneSize int
 }
 
-// holder is a server that has read a prefix, which it last used at usedAt.
+// holder is a server that has read a prefix.
 type holder struct {
 	server *state
-	usedAt time.Time
+	// usedAt is when the prefix was last used there, reportedAt when this VM or a peer last
+	// reported that to all.
+	usedAt, reportedAt time.Time
 }
 
 func newPrefixIndex() prefixIndex {
-	return prefixIndex{holders: map[uint64][]holder{}, pruneSize: minPruneSize}
+	return prefixIndex{holders: map[uint64][]*holder{}, pruneSize: minPruneSize}
 }
 
-// record records that a server reads or uses all prefixes of a chain now.
-func (x *prefixIndex) record(now time.Time, server *state, chain []uint64) {
-	for _, h := range chain {
-		list := x.holders[h]
-		at := slices.IndexFunc(list, func(o holder) bool { return o.server == server })
-		if at >= 0 {
-			list[at].usedAt = now
-			continue
-		}
-		list = slices.DeleteFunc(list, func(o holder) bool { return o.expired(now) })
-		x.holders[h] = append(list, holder{server, now})
+// place records that this VM sends a prompt to a server, and returns whether peers are to be told:
+// most prompts only use prefixes again that they know of.
+func (x *prefixIndex) place(now time.Time, server *state, chain []uint64) (report bool) {
+	holders := x.use(now, server, chain)
+	for _, o := range holders {
+		report = report || now.Sub(o.reportedAt) >= prefixReportInterval
+	}
+	if report {
+		markReported(now, holders)
+	}
+	return report
+}
+
+// receive records that a peer reported that it sent a prompt to a server.
+func (x *prefixIndex) receive(now time.Time, server *state, chain []uint64) {
+	markReported(now, x.use(now, server, chain))
+}
+
+func markReported(now time.Time, holders []*holder) {
+	for _, o := range holders {
+		o.reportedAt = now
 	}
+}
+
+// use records that a server reads or uses all prefixes of a chain now.
+func (x *prefixIndex) use(now time.Time, server *state, chain []uint64) []*holder {
 	if len(x.holders) >= x.pruneSize {
 		x.prune(now)
 	}
+	out := make([]*holder, len(chain))
+	for i, h := range chain {
+		list := x.holders[h]
+		at := slices.IndexFunc(list, func(o *holder) bool { return o.server == server })
+		if at < 0 {
+			list = slices.DeleteFunc(list, func(o *holder) bool { return o.expired(now) })
+			at = len(list)
+			list = append(list, &holder{server: server})
+			x.holders[h] = list
+		}
+		out[i] = list[at]
+		out[i].usedAt = now
+	}
+	return out
 }
 
 // prune drops prefixes that have surely been evicted from the servers' memory.
 func (x *prefixIndex) prune(now time.Time) {
 	for h, list := range x.holders {
-		list = slices.DeleteFunc(list, func(o holder) bool { return o.expired(now) })
+		list = slices.DeleteFunc(list, func(o *holder) bool { return o.expired(now) })
 		if len(list) == 0 {
 			delete(x.holders, h)
 		} else {
@@ -98,7 +131,7 @@
 	return out
 }
 
-func (o holder) expired(now time.Time) bool { return now.Sub(o.usedAt) > prefixRetention }
+func (o *holder) expired(now time.Time) bool { return now.Sub(o.usedAt) > prefixRetention }
 
 // rendezvousCost ranks servers that would all have to read the prompt. The same rendezvous
 // hash on every VM sends requests with a common prefix to one server before the VMs have
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -69,23 +69,24 @@
 	return s.allTokens - cached, s.sharedTokens - cached
 }
 
-// RecordPlacement records that a request goes to the server.
-func (p *Picker) RecordPlacement(now time.Time, w Request, c Choice) {
+// RecordPlacement records that a request goes to the server, and returns whether peers are to be
+// told which prefix it uses.
+func (p *Picker) RecordPlacement(now time.Time, w Request, c Choice) (report bool) {
 	st := p.state(c.Server)
 	st.ownRunning++
 	p.loaded[c.Server.ID] = st
 	if !w.Engine {
 		p.plainCalls++
-		return
+		return false
 	}
 	st.ownReading += c.Missing
-	p.prefixes.record(now, st, prefixChains(w.Prompt))
+	return p.prefixes.place(now, st, prefixChains(w.Prompt))
 }
 
 // RecordPeerPrefix records that a peer placed a request with this prefix.
 func (p *Picker) RecordPeerPrefix(now time.Time, id shed.ServerID, chain []uint64) {
 	if st := p.servers[id]; st != nil {
-		p.prefixes.record(now, st, chain)
+		p.prefixes.receive(now, st, chain)
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -212,8 +212,7 @@
 		choice = r.picker.Pick(now, want, servers)
 	}
 	if choice.Server != nil && !choice.ByTurn {
-		r.picker.RecordPlacement(now, want, choice)
-		r.recordPlacement(j, choice)
+		r.recordPlacement(now, j, want, choice)
 	}
 	return choice, nil
 }
@@ -225,8 +224,7 @@
 	if !slices.Contains(r.roster.OpenServers(j.pool.ID), choice.Server) {
 		return false
 	}
-	r.picker.RecordPlacement(time.Now(), r.wantFor(j), choice)
-	r.recordPlacement(j, choice)
+	r.recordPlacement(time.Now(), j, r.wantFor(j), choice)
 	return true
 }
 
@@ -257,11 +255,9 @@
 	return w
 }
 
-func (r *Relay) recordPlacement(j *job, c picker.Choice) {
-	if j.pool.Engine == nil {
-		return
-	}
-	if chain := picker.PrefixChains(j.request.Prompt); len(chain) > 0 {
-		r.mesh.fanout.RecordPlacement(time.Now(), shed.PromptPlaced{Server: c.Server.ID, Chain: chain})
+// recordPlacement records that the request goes to the chosen server. The caller holds mu.
+func (r *Relay) recordPlacement(now time.Time, j *job, want picker.Request, c picker.Choice) {
+	if r.picker.RecordPlacement(now, want, c) {
+		r.mesh.fanout.RecordPlacement(now, shed.PromptPlaced{Server: c.Server.ID, Chain: picker.PrefixChains(j.request.Prompt)})
 	}
 }
