follow: watchers pause after an answer with changes

Cause: each change of the store ended one call of each of three watchers.

Ways weighed: one watcher (others take over too late: a VM reads the store itself after 1.3 s without a confirmation); a pause (kept).

Change: the first watcher pauses for 100 ms after an answer with changes, the others for 400 ms. A change that comes alone is read at once as before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,8 @@
 	// historyCompacted: the store no longer has the history, so a full read is needed. Used by
 	// followStore only.
 	historyCompacted bool
+	// lastChange is when the store last answered with changes. Used by followStore only.
+	lastChange time.Time
 	// splitCounter counts requests, to distribute them over the split of a route.
 	splitCounter uint64
 }
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -80,9 +80,10 @@
 func (r *Relay) nextCall(now time.Time) follow.StoreCall {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	place := slices.Index(r.watchers(now), r.mesh.self.VM)
 	return follow.NextCall(now, follow.StoreView{
-		AsOf: r.roster.AsOf(), LastContact: r.roster.LastContact(),
-		Watcher: slices.Contains(r.watchers(now), r.mesh.self.VM), Compacted: r.historyCompacted,
+		AsOf: r.roster.AsOf(), LastContact: r.roster.LastContact(), Watcher: place >= 0, WatcherRank: place,
+		LastChange: r.lastChange, Compacted: r.historyCompacted,
 	})
 }
 
@@ -129,6 +130,9 @@
 	if call == follow.List {
 		r.historyCompacted = false
 	}
+	if len(rd.items) > 0 {
+		r.lastChange = time.Now()
+	}
 	if call == follow.ListReplica || call == follow.ReadChanges {
 		r.log.WithFields(logrus.Fields{"after": rd.after, "as_of": rd.asOf, "items": len(rd.items), "whole": rd.complete}).
 			Info("store read at the start")
