--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,7 +68,9 @@
 	if !a.begun {
 		a.relay.mu.Lock()
 		a.markBegun()
-		a.relay.picker.RecordFirstEvent(a.choice, time.Since(a.began))
+		now := time.Now()
+		slow := a.relay.picker.RecordFirstEvent(now, a.choice, now.Sub(a.began))
+		a.relay.mesh.fanout.RecordSlowness(now, slow)
 		a.relay.mu.Unlock()
 	}
 	if !a.out.started {
