--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -38,8 +38,8 @@
 	hubInterval = 300 * time.Millisecond
 	// idleInterval is how often an idle VM reports its load.
 	idleInterval = 300 * time.Millisecond
-	// maxNotices bounds the notices of one kind that are queued for reporting.
-	maxNotices = 4096
+	// maxPlaced bounds the placed prompts that are queued for reporting.
+	maxPlaced = 4096
 )
 
 // View is a VM's view of its fleet and itself.
@@ -62,10 +62,8 @@
 	ForwardToAll bool
 	// Forwarded are the loads of other VMs that this VM forwards.
 	Forwarded []shed.ForwardedLoad
-	// Placed are the prompts placed, Slowness the samples of slow engines since the last report to
-	// the VMs in To.
-	Placed   []shed.PromptPlaced
-	Slowness []shed.ServerSlowness
+	// Placed are the prompts placed since the last report to the VMs in To.
+	Placed []shed.PromptPlaced
 }
 
 // forwardedLoad is another VM's load to forward.
@@ -75,31 +73,9 @@
 	receivedAt time.Time
 }
 
-// notice is something to report to each peer once.
-type notice[T any] struct {
-	content T
-	at      time.Time
-}
-
-// notices are the notices that have not been reported to all peers.
-type notices[T any] struct{ queue []notice[T] }
-
-func (n *notices[T]) add(now time.Time, content T) {
-	if len(n.queue) < maxNotices {
-		n.queue = append(n.queue, notice[T]{content, now})
-	}
-}
-
-func (n *notices[T]) dropBefore(before time.Time) {
-	n.queue = slices.DeleteFunc(n.queue, func(o notice[T]) bool { return o.at.Before(before) })
-}
-
-func (n *notices[T]) contents() []T {
-	var out []T
-	for _, o := range n.queue {
-		out = append(out, o.content)
-	}
-	return out
+type placedPrompt struct {
+	shed.PromptPlaced
+	placedAt time.Time
 }
 
 // Fanout is one VM's state. It is not safe for concurrent use.
@@ -116,8 +92,7 @@
 	// lastBusy is when there was last load to report.
 	lastBusy  time.Time
 	forwarded map[shed.VM]forwardedLoad
-	placed    notices[shed.PromptPlaced]
-	slowness  notices[shed.ServerSlowness]
+	placed    []placedPrompt
 }
 
 // New returns the state of a VM that has sent no report.
@@ -127,13 +102,8 @@
 
 // RecordPlacement queues a placed prompt for reporting.
 func (f *Fanout) RecordPlacement(now time.Time, p shed.PromptPlaced) {
-	f.placed.add(now, p)
-}
-
-// RecordSlowness queues samples of slow engines for reporting.
-func (f *Fanout) RecordSlowness(now time.Time, samples []shed.ServerSlowness) {
-	for _, s := range samples {
-		f.slowness.add(now, s)
+	if len(f.placed) < maxPlaced {
+		f.placed = append(f.placed, placedPrompt{p, now})
 	}
 }
 
@@ -142,8 +112,7 @@
 	for _, p := range load.Placed {
 		f.RecordPlacement(now, p)
 	}
-	f.RecordSlowness(now, load.Slowness)
-	load.Placed, load.Slowness, load.Forwarded, load.ForwardToAll = nil, nil, nil, false
+	load.Placed, load.Forwarded, load.ForwardToAll = nil, nil, false
 	// The VM's state of the store is of use to its hub only.
 	load.AsOf, load.Digest, load.ConfirmedAgo, load.Catalog = 0, 0, 0, 0
 	// So are its server limits: the hub merges them and reports its own.
@@ -177,7 +146,9 @@
 	if len(round.To) == 0 {
 		return round
 	}
-	round.Placed, round.Slowness = f.placed.contents(), f.slowness.contents()
+	for _, p := range f.placed {
+		round.Placed = append(round.Placed, p.PromptPlaced)
+	}
 	if !viaHub {
 		round.Forwarded = f.forwardedLoads(now)
 	}
@@ -186,8 +157,7 @@
 
 // dropSent drops what has been reported to all peers.
 func (f *Fanout) dropSent(before time.Time) {
-	f.placed.dropBefore(before)
-	f.slowness.dropBefore(before)
+	f.placed = slices.DeleteFunc(f.placed, func(p placedPrompt) bool { return p.placedAt.Before(before) })
 	for vm, load := range f.forwarded {
 		if load.receivedAt.Before(before) {
 			delete(f.forwarded, vm)
--- a/internal/picker/overrun.go
+++ b/internal/picker/overrun.go
@@ -26,3 +26,6 @@
 
 // Overrun is how long a first event takes beyond Choice.Time, for most requests.
 func (p *Picker) Overrun() time.Duration { return p.overrun.mean + p.overrun.spread }
+
+// RecordFirstEvent records how long after it was sent the first event of a request arrived.
+func (p *Picker) RecordFirstEvent(c Choice, took time.Duration) { p.overrun.add(took - c.Time) }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -16,8 +16,6 @@
 	Zone shed.ZoneID
 	// ReadRate is how many prompt tokens an engine reads per millisecond.
 	ReadRate float64
-	// FixedSpeed: all engines are assumed to be equally fast.
-	FixedSpeed bool
 }
 
 const (
@@ -50,9 +48,7 @@
 	// zoneFailures holds, per zone, the share of recent connections to servers that failed.
 	zoneFailures map[shed.ZoneID]*failureRate
 	overrun      overrun
-	// usualSlowness is the mean slowness of samples, by which they are divided.
-	usualSlowness float64
-	statesBuffer  []*state
+	statesBuffer []*state
 	// plainCalls counts the plain calls placed.
 	plainCalls uint
 	// peerShares holds the last load report of each peer; the sums are kept in servers, so
@@ -67,10 +63,9 @@
 	}
 	return &Picker{
 		cfg: cfg, servers: map[shed.ServerID]*state{}, loaded: map[shed.ServerID]*state{}, prefixes: newPrefixIndex(),
-		zoneFailures:  map[shed.ZoneID]*failureRate{},
-		peerShares:    map[shed.VM]map[shed.ServerID]shed.ServerShare{},
-		overrun:       overrun{mean: DefaultOverrun},
-		usualSlowness: 1,
+		zoneFailures: map[shed.ZoneID]*failureRate{},
+		peerShares:   map[shed.VM]map[shed.ServerID]shed.ServerShare{},
+		overrun:      overrun{mean: DefaultOverrun},
 	}
 }
 
@@ -116,8 +111,6 @@
 	Cost time.Duration
 	// Time is the predicted time without the penalties.
 	Time time.Duration
-	// usualTime is Time for a server that is as fast as usual.
-	usualTime time.Duration
 	// Missing counts the prompt tokens that the server has to read, Fetched those that it
 	// fetches from CacheSource instead, which is nil if there is none.
 	Missing, Fetched shed.Tokens
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -216,10 +216,10 @@
 	require.Equal(t, picker.DefaultOverrun, p.Overrun())
 	c := picker.Choice{Time: 100 * time.Millisecond}
 	for range 100 {
-		p.RecordFirstEvent(start, c, 300*time.Millisecond)
+		p.RecordFirstEvent(c, 300*time.Millisecond)
 	}
 	require.InDelta(t, 0.2, p.Overrun().Seconds(), 0.01)
-	p.RecordFirstEvent(start, c, 20*time.Second)
+	p.RecordFirstEvent(c, 20*time.Second)
 	require.Less(t, p.Overrun(), 300*time.Millisecond, "one unhealthy server")
 }
 
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -109,11 +109,7 @@
 		var reread shed.Tokens
 		c.Missing, reread = s.missingTokens(st)
 		reread -= s.sources.planFetch(&c, server, reread)
-		c.usualTime = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
-		c.Time = c.usualTime
-		if !p.cfg.FixedSpeed {
-			c.Time = time.Duration(float64(c.usualTime) * st.slowness.now(now))
-		}
+		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
 		c.Cost = c.Time
 		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
 		c.Cost += rendezvousCost(server, s.chain, p.readTime(c.Missing))
--- a/internal/picker/state.go
+++ b/internal/picker/state.go
@@ -18,9 +18,6 @@
 	// peers is the sum of the latest load reports of the other daemons.
 	peers    shed.ServerShare
 	callTime callTime
-	slowness slowness
-	// pending are this daemon's prompts without a first event.
-	pending  []pendingRead
 	failures failureRate
 	// failedConnections counts consecutive failed connections; no connection is tried before
 	// backoffUntil.
@@ -83,7 +80,6 @@
 		return false
 	}
 	st.ownReading += c.Missing
-	st.addPending(now, &c)
 	return p.prefixes.place(now, st, prefixChains(w.Prompt))
 }
 
@@ -98,7 +94,6 @@
 func (p *Picker) RecordPromptRead(c Choice) {
 	if st := p.servers[c.Server.ID]; st != nil {
 		st.ownReading -= min(st.ownReading, c.Missing)
-		st.removePending(&c)
 	}
 }
 
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -107,7 +107,7 @@
 	Heartbeat    time.Duration `ini:"heartbeat" unit:"duration" min:"100ms" max:"1m" doc:"How often a backend server renews its entry in the store; the entry expires after three missed heartbeats."`
 	Power        float64       `ini:"power" unit:"number" min:"0" max:"1000000000" doc:"Capacity of this VM relative to the others, for example its link in Mbit/s. The VMs with at least half of the highest value coordinate batches of pieces and watch the store for all."`
 	Reload       time.Duration `ini:"reload" unit:"duration" min:"100ms" max:"1h" doc:"How often the settings file is checked for changes; SIGHUP triggers a check at once."`
-	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve engine_speed,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes; engine_speed notices engines that turn slow and tells the other VMs."`
+	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes."`
 }
 
 // Values of Relay.Without.
@@ -115,7 +115,6 @@
 	LateStart     = "late_start"
 	KVFetch       = "kv_fetch"
 	UrgentReserve = "urgent_reserve"
-	EngineSpeed   = "engine_speed"
 )
 
 // Enabled reports whether an optional decision is made: whether Without doesn't name it.
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -22,7 +22,6 @@
 
 // reportLoad sends peers this VM's load and the load reports that it forwards.
 func (r *Relay) reportLoad(now time.Time) {
-	r.mesh.fanout.RecordSlowness(now, r.picker.FindOverdue(now))
 	if now.Sub(r.mesh.startedAt) < settleTime {
 		return
 	}
@@ -45,8 +44,7 @@
 		r.client.SendAll(turn.ForecastTo, load)
 	}
 	if len(turn.To) > 0 {
-		load.Placed, load.Slowness = turn.Placed, turn.Slowness
-		load.Forwarded, load.ForwardToAll = turn.Forwarded, turn.ForwardToAll
+		load.Placed, load.Forwarded, load.ForwardToAll = turn.Placed, turn.Forwarded, turn.ForwardToAll
 		r.client.SendAll(turn.To, load)
 	}
 }
@@ -103,7 +101,6 @@
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
 	r.setPeerExpected(from.VM, m.ExpectedPieces)
 	r.receivePeerLimits(now, reportedAt, from.VM, m.Limits)
-	r.picker.ReceiveSlowness(now, m.Slowness)
 	for _, p := range m.Placed {
 		r.picker.RecordPeerPrefix(now, p.Server, p.Chain)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,9 +68,7 @@
 	if !a.begun {
 		a.relay.mu.Lock()
 		a.markBegun()
-		now := time.Now()
-		slow := a.relay.picker.RecordFirstEvent(now, a.choice, now.Sub(a.began))
-		a.relay.mesh.fanout.RecordSlowness(now, slow)
+		a.relay.picker.RecordFirstEvent(a.choice, time.Since(a.began))
 		a.relay.mu.Unlock()
 	}
 	if !a.out.started {
--- a/message.go
+++ b/message.go
@@ -154,8 +154,6 @@
 	ExpectedPieces map[PoolID]int `cbor:"10,keyasint,omitempty"`
 	// Limits are the limits of servers that the sender knows of.
 	Limits []ServerLimit `cbor:"14,keyasint,omitempty"`
-	// Slowness lists samples of engines that are slower or faster than peers know.
-	Slowness []ServerSlowness `cbor:"15,keyasint,omitempty"`
 	// ForwardToAll is set if the load is sent only to the receiver, which forwards it to all.
 	ForwardToAll bool `cbor:"12,keyasint,omitempty"`
 	// Forwarded are loads of other VMs that the sender forwards.
@@ -199,13 +197,6 @@
 	Chain  []uint64 `cbor:"2,keyasint"`
 }
 
-// ServerSlowness reports that an engine took Percent of the usual time to the first event of a
-// request.
-type ServerSlowness struct {
-	Server  ServerID `cbor:"1,keyasint"`
-	Percent int      `cbor:"2,keyasint"`
-}
-
 // ResultsFreed releases results of pieces at the VM that requested them.
 type ResultsFreed struct {
 	Refs []ResultRef `cbor:"1,keyasint"`
