pulse: a silent coordinator is found once, for all calls at it

Cause: when a zone is cut off, each call for pieces at a coordinator there waited for its own heartbeat timeout of a second.

Ruled out: the servers' connections (0.2 s each, and only some); the forecast (unchanged).

Ways weighed: a shorter heartbeat timeout (one late packet ends a call); silence on all connections of the peer, load reports and heartbeats of all calls (kept). A VM that was paused itself blames nobody.

Change: internal/pulse, pure: a peer with calls in flight that has sent nothing for 0.5 s is backed off from and all calls at it go to the next coordinator.

Tests replay the cut, lost heartbeats, a paused VM and a new call.

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -48,6 +48,8 @@
 	TLS func() *tls.Config
 	// Dial connects; nil uses a plain TCP dialer. Tests inject link failures here.
 	Dial func(ctx context.Context, to shed.VM) (net.Conn, error)
+	// OnHeard is called for a peer that sent a message on a stream; may be nil. It must not block.
+	OnHeard func(from shed.VM)
 	// OnPeerLost is called for a peer whose connection timed out or can't be established; may be nil.
 	// It must not block.
 	OnPeerLost func(to shed.VM)
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -83,6 +83,9 @@
 		return fmt.Errorf("receive from peer %s: %w", s.key.to, err)
 	}
 	s.idleTimer.Reset(heartbeatTimeout)
+	if s.client.cfg.OnHeard != nil {
+		s.client.cfg.OnHeard(s.key.to)
+	}
 	return nil
 }
 
--- a/internal/relay/coordinator.go
+++ b/internal/relay/coordinator.go
@@ -109,8 +109,6 @@
 			continue
 		}
 		r.setBackoff(other, now.Add(peerBackoff))
-		for _, cancel := range r.mesh.pieceCalls[other] {
-			cancel()
-		}
+		r.cancelPieceCalls(other)
 	}
 }
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -12,6 +12,7 @@
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/pulse"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -84,10 +85,12 @@
 	// expected is what each peer reported as its expected pieces, expectedSum the sum.
 	expected    map[shed.VM]map[shed.PoolID]int
 	expectedSum map[shed.PoolID]int
-	// pieceCalls cancels the piece calls in flight at each peer, by call number.
-	pieceCalls    map[shed.VM]map[uint64]context.CancelFunc
+	// pieceCalls are the piece calls in flight at each peer, by call number.
+	pieceCalls    map[shed.VM]map[uint64]peerCall
 	lastPieceCall uint64
 
+	// pulse finds peers that have fallen silent.
+	pulse *pulse.Monitor
 	// fanout decides which peers get load reports, and when.
 	fanout   *fanout.Fanout
 	sequence uint64
@@ -101,7 +104,8 @@
 		lastLoad:     map[shed.VM]time.Time{},
 		forecasts:    map[shed.PoolID]peerForecast{},
 		backoffUntil: map[shed.VM]time.Time{},
-		pieceCalls:   map[shed.VM]map[uint64]context.CancelFunc{},
+		pieceCalls:   map[shed.VM]map[uint64]peerCall{},
+		pulse:        pulse.New(),
 		expected:     map[shed.VM]map[shed.PoolID]int{}, expectedSum: map[shed.PoolID]int{},
 	}
 	r.mesh.follower, r.mesh.fanout = follow.New(r.mesh.self.VM), fanout.New(r.mesh.self.VM)
@@ -110,7 +114,7 @@
 
 // joinMesh starts with an empty membership view under the current incarnation.
 func (r *Relay) joinMesh() {
-	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer})
+	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer, OnHeard: r.peerHeard})
 	r.group = member.New(member.Config{
 		Self: r.mesh.self, Zone: meshZone, Seeds: seedVMs(r.prefs.Load()),
 		Seed:          xxhash.Sum64String(string(r.mesh.self.VM)) ^ uint64(r.mesh.self.Incarnation),
@@ -141,6 +145,7 @@
 		r.work.Go(old.Close)
 	}
 	r.handleFollowEvent(now, follow.Tick{})
+	r.abandonSilentPeers(now)
 	r.notifyCrashes(now)
 	r.reportLoad(now)
 }
@@ -157,6 +162,7 @@
 				// A dead process has no requests on servers any more.
 				r.picker.RemovePeer(a.Peer)
 				r.setPeerExpected(a.Peer, nil)
+				r.mesh.pulse.Forget(a.Peer)
 				r.handleFollowEvent(time.Now(), follow.PeerDied{VM: a.Peer})
 			}
 			r.stats.stateChanges.Inc(1)
@@ -184,6 +190,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mesh.pulse.Heard(now, from.VM)
 	switch m := msg.(type) {
 	case shed.Probe, shed.ProbeAck:
 		r.performMesh(r.group.Handle(now, shed.PeerMessage{From: from, Message: msg}))
--- a/internal/relay/pieces.go
+++ b/internal/relay/pieces.go
@@ -80,18 +80,57 @@
 	r.mesh.lastPieceCall++
 	id := r.mesh.lastPieceCall
 	if r.mesh.pieceCalls[vm] == nil {
-		r.mesh.pieceCalls[vm] = map[uint64]context.CancelFunc{}
+		r.mesh.pieceCalls[vm] = map[uint64]peerCall{}
 	}
-	r.mesh.pieceCalls[vm][id] = cancel
+	r.mesh.pieceCalls[vm][id] = peerCall{cancel: cancel, beganAt: time.Now()}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		delete(r.mesh.pieceCalls[vm], id)
+		if delete(r.mesh.pieceCalls[vm], id); len(r.mesh.pieceCalls[vm]) == 0 {
+			delete(r.mesh.pieceCalls, vm)
+		}
 	}()
 	return client.Pieces(ctx, vm, call)
 }
 
+// peerCall is a call for pieces in flight at a peer.
+type peerCall struct {
+	cancel  context.CancelFunc
+	beganAt time.Time
+}
+
+// abandonSilentPeers cancels the calls at peers that have fallen silent, so that their pieces go to
+// another VM at once. The caller holds mu.
+func (r *Relay) abandonSilentPeers(now time.Time) {
+	waiting := make(map[shed.VM]time.Time, len(r.mesh.pieceCalls))
+	for vm, calls := range r.mesh.pieceCalls {
+		for _, c := range calls {
+			if began, ok := waiting[vm]; !ok || c.beganAt.Before(began) {
+				waiting[vm] = c.beganAt
+			}
+		}
+	}
+	for _, vm := range r.mesh.pulse.FindSilent(now, waiting) {
+		r.setBackoff(vm, now.Add(peerBackoff))
+		r.cancelPieceCalls(vm)
+	}
+}
+
+// cancelPieceCalls cancels the calls for pieces in flight at a peer. The caller holds mu.
+func (r *Relay) cancelPieceCalls(vm shed.VM) {
+	for _, c := range r.mesh.pieceCalls[vm] {
+		c.cancel()
+	}
+}
+
+// peerHeard records that a peer sent something.
+func (r *Relay) peerHeard(vm shed.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mesh.pulse.Heard(time.Now(), vm)
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
