--- a/internal/picker/calls.go
+++ b/internal/picker/calls.go
@@ -34,7 +34,8 @@
 }
 
 // predict returns the time of a call that is made now. fastest is the shortest mean of any
-// server of the pool, which is also assumed for a server that was not called yet.
+// server of the pool, which is also assumed for a server that was not called yet, so that a new or
+// reopened one is tried.
 func (c *callTime) predict(now time.Time, fastest time.Duration) time.Duration {
 	if c.mean <= fastest {
 		return fastest
