engine: a call that is too late to send always ends as paused

Cause: a write after the send deadline fails with errTooLate; net/http closes the connection, and its reader's error may win over that of the write.

Ruled out: the call being sent. It ends as not started in all cases.

Change: the connection remembers that a write was too late, and the sender adds that cause.

TestTooLateIsTheCauseWhateverNetHTTPReturns needs no luck.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -33,6 +33,8 @@
 	sendBy  time.Time
 	wrote   bool
 	blocked bool
+	// tooLate is set if a write was blocked because it came after sendBy.
+	tooLate bool
 }
 
 // assign gives the connection to one call, whose first write is allowed until sendBy.
@@ -40,7 +42,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sendBy = until
-	c.wrote = false
+	c.wrote, c.tooLate = false, false
 }
 
 // blockUnlessWritten reports whether a byte may have been sent since assign. If none has, none
@@ -74,13 +76,19 @@
 		return nil
 	}
 	if !c.sendBy.IsZero() && time.Now().After(c.sendBy) {
-		c.blocked = true
+		c.blocked, c.tooLate = true, true
 		return errTooLate
 	}
 	c.wrote = true
 	return nil
 }
 
+func (c *conn) wasTooLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tooLate
+}
+
 func newDialFunc(cfg Config) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, cfg.ConnectTimeout)
@@ -150,6 +158,17 @@
 	return s.conn != nil && s.conn.blockUnlessWritten()
 }
 
+// sendError returns the cause of a failed call. When a write fails, net/http closes the
+// connection, and may return the error of its reader instead of that of the write.
+func (s *sendTracker) sendError(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn.wasTooLate() && !errors.Is(err, errTooLate) {
+		return fmt.Errorf("%w: %w", errTooLate, err)
+	}
+	return err
+}
+
 func trackedConn(c net.Conn) *conn {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
--- a/internal/engine/conn_test.go
+++ b/internal/engine/conn_test.go
@@ -47,3 +47,17 @@
 	s.gotConn(httptrace.GotConnInfo{Conn: discardConn{}})
 	require.True(t, s.mayHaveSent())
 }
+
+// Guards against a paused call that is reported as broken: net/http returned the error of the
+// connection that it closed after the blocked write.
+func TestTooLateIsTheCauseWhateverNetHTTPReturns(t *testing.T) {
+	c := &conn{Conn: discardConn{}, wrote: true}
+	s := &sendTracker{sendBy: time.Now().Add(-time.Second)}
+	s.gotConn(httptrace.GotConnInfo{Conn: c})
+	_, err := c.Write([]byte("POST"))
+	require.ErrorIs(t, err, errTooLate)
+	require.ErrorIs(t, s.sendError(net.ErrClosed), errTooLate)
+	require.ErrorIs(t, s.sendError(net.ErrClosed), net.ErrClosed)
+	c.assign(time.Time{})
+	require.NotErrorIs(t, s.sendError(net.ErrClosed), errTooLate)
+}
--- a/internal/engine/sender.go
+++ b/internal/engine/sender.go
@@ -38,7 +38,7 @@
 	}
 	resp, err := t.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
 	if err != nil {
-		return nil, tracker.mayHaveSent(), err
+		return nil, tracker.mayHaveSent(), tracker.sendError(err)
 	}
 	return resp, true, nil
 }
