relay: log what servers say of leaving and rest

Observability for DRAIN and BUDGET: the logs could not tell whether a VM had read that its server leaves or wants rest.

No decision uses the new fields yet.

--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -170,7 +170,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	reply := r.cfg.Dialect.ParseReply(resp)
-	r.receiveAnswerLimit(a.Server, reply)
+	r.receiveStatements(a.Server, reply)
 	if resp.StatusCode != http.StatusOK {
 		return batch.CallEnded{NotRun: reply.NotRun, Busy: reply.NotRun && !reply.OtherServer}, resp.StatusCode, nil
 	}
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -11,9 +11,6 @@
 
 // receiveAnswerLimit applies the rate limit that an answer states for its server.
 func (r *Relay) receiveAnswerLimit(s shed.ServerEntry, reply shed.ReplyHead) {
-	if reply.OtherServer {
-		return
-	}
 	if reply.BadLimit != "" {
 		r.log.WithFields(logrus.Fields{"server": s.ID, "limit": reply.BadLimit}).Warn("limit of a server can't be read")
 		return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -158,7 +158,7 @@
 		a.serverFailed = true
 		return outcome{sent: true, mayHaveRun: true, reason: reasonOtherAnswer}
 	}
-	a.relay.receiveAnswerLimit(a.choice.Server.ServerEntry, reply)
+	a.relay.receiveStatements(a.choice.Server.ServerEntry, reply)
 	if reply.ColdRemaining > 0 {
 		a.relay.mu.Lock()
 		a.relay.roster.MarkCold(time.Now(), a.choice.Server.ID, reply.ColdRemaining)
--- a/relay.go
+++ b/relay.go
@@ -287,6 +287,13 @@
 	// valid.
 	Limit    Rate
 	BadLimit string
+	// Leaving is set if the server accepts no new work.
+	Leaving bool
+	// Rest is how long the server wants no request from this VM; 0 if it asks for none.
+	Rest time.Duration
+	// Malformed lists statements of the server that can't be parsed, as "name: value". They are
+	// ignored.
+	Malformed []string
 }
 
 // Piece is the request for one piece of a step.
