relay: a server that says that it leaves gets no more requests

What callers saw: requests sent to a server seconds after one of its answers had said that it leaves; the server would end under later ones.

Cause: only the server's entry in the store counted (ServerEntry.Leaving). While the store confirms no writes, an entry stays ready for as long as that lasts: 13 s in the record.

Class: what a server says of itself by one way is not used because it is expected by another.

Ruled out: requests that were placed before the answer (both late ones were sent by their callers over five seconds after it); an old copy of the store (the entry did not change).

Change: the roster keeps, by start of a server, which servers said so, and leaves them out of the open servers, from which the choice, affinity, queues of pieces, turns, repeats, resumed streams and sources of KV cache are taken. Peers are told at once and with each load report, so that one answer protects all. It holds until that start ends. All requests to servers now go through one function (Relay.send), which reads what an answer says and sends nothing to a server that closed meanwhile; results at a server that gets no work are not freed any more, they end with it.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -80,17 +80,6 @@
 // Empty reports whether no limits are kept, not even ended ones.
 func (t *Table) Empty() bool { return len(t.reports) == 0 }
 
-// Limited returns the servers that have a limit.
-func (t *Table) Limited() []shed.ServerStart {
-	var out []shed.ServerStart
-	for start, s := range t.reports {
-		if s.rate > 0 {
-			out = append(out, start)
-		}
-	}
-	return out
-}
-
 // All returns all limits, including ended ones, sorted, to be sent to peers.
 func (t *Table) All(now time.Time) []shed.ServerLimit {
 	var out []shed.ServerLimit
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -90,6 +90,8 @@
 	StoreUpdate *shed.StoreUpdate `cbor:"13,keyasint,omitempty"`
 	CrashUpdate *shed.CrashUpdate `cbor:"14,keyasint,omitempty"`
 	LimitUpdate *shed.LimitUpdate `cbor:"15,keyasint,omitempty"`
+
+	LeavingUpdate *shed.LeavingUpdate `cbor:"16,keyasint,omitempty"`
 }
 
 // newEnvelope wraps a control message in an envelope.
@@ -122,6 +124,8 @@
 		e.CrashUpdate = &m
 	case shed.LimitUpdate:
 		e.LimitUpdate = &m
+	case shed.LeavingUpdate:
+		e.LeavingUpdate = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -157,6 +161,8 @@
 		return *e.CrashUpdate, nil
 	case e.LimitUpdate != nil:
 		return *e.LimitUpdate, nil
+	case e.LeavingUpdate != nil:
+		return *e.LeavingUpdate, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -164,13 +164,14 @@
 	if err != nil {
 		return batch.CallEnded{NotRun: true}, 0, err
 	}
-	resp, sent, err := r.sender.Do(req.WithContext(ctx), false, time.Time{})
+	resp, reply, sent, err := r.send(exchange{server: a.Server}, req.WithContext(ctx))
+	if errors.Is(err, errServerClosed) {
+		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
+	}
 	if err != nil {
 		return batch.CallEnded{NotRun: !sent, Crashed: sent && r.isCrash(err, a.Server)}, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply := r.cfg.Dialect.ParseReply(resp)
-	r.receiveStatements(a.Server, reply)
 	if resp.StatusCode != http.StatusOK {
 		return batch.CallEnded{NotRun: reply.NotRun, Busy: reply.NotRun && !reply.OtherServer}, resp.StatusCode, nil
 	}
@@ -199,15 +200,16 @@
 		if r.activeFrees[addr] >= maxActiveFrees {
 			continue
 		}
-		if r.isLimited(addr) {
-			// The call would take a turn from a piece call; results expire by themselves.
-			delete(r.pendingFrees, addr)
+		delete(r.pendingFrees, addr)
+		server := r.roster.OpenServerAt(addr)
+		if server == nil || r.isLimited(server) {
+			// A server that gets no new work needs no capacity. At a limited one the call would
+			// take a turn from a piece call; results expire by themselves.
 			continue
 		}
-		delete(r.pendingFrees, addr)
 		r.activeFrees[addr]++
 		r.work.Go(func() error {
-			r.sendFree(addr, refs)
+			r.sendFree(server.ServerEntry, refs)
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			if r.activeFrees[addr]--; r.activeFrees[addr] == 0 {
@@ -222,19 +224,19 @@
 
 // sendFree frees results. If the call fails, the server drops them by itself a few seconds
 // later, and until then rejects pieces that it has no capacity for.
-func (r *Relay) sendFree(addr string, refs []shed.ResultRef) {
+func (r *Relay) sendFree(server shed.ServerEntry, refs []shed.ResultRef) {
 	ctx, cancel := context.WithTimeout(r.base, freeTimeout)
 	defer cancel()
-	req, err := r.cfg.Dialect.NewFreeRequest(addr, refs)
+	req, err := r.cfg.Dialect.NewFreeRequest(server.Addr, refs)
 	if err == nil {
 		var resp *http.Response
-		resp, _, err = r.sender.Do(req.WithContext(ctx), false, time.Time{})
+		resp, _, _, err = r.send(exchange{server: server}, req.WithContext(ctx))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResults))
 			_ = resp.Body.Close()
 		}
 	}
 	if err != nil {
-		r.log.WithFields(logrus.Fields{"address": addr, "results": len(refs), "error": err.Error()}).Info("call to free results failed")
+		r.log.WithFields(logrus.Fields{"server": server.ID, "results": len(refs), "error": err.Error()}).Info("call to free results failed")
 	}
 }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -5,6 +5,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/limit"
+	"jasmineshed/internal/roster"
 
 	"github.com/sirupsen/logrus"
 )
@@ -30,16 +31,8 @@
 	r.client.SendAll(r.alivePeers(), update)
 }
 
-// isLimited reports whether the server at an address has stated a rate limit. The caller holds
-// mu.
-func (r *Relay) isLimited(addr string) bool {
-	for _, start := range r.limits.Limited() {
-		if s, ok := r.roster.Server(start.Server); ok && s.Addr == addr && s.StartedMs == start.StartedMs {
-			return true
-		}
-	}
-	return false
-}
+// isLimited reports whether the server has stated a rate limit. The caller holds mu.
+func (r *Relay) isLimited(s *roster.Server) bool { return r.limits.Rate(startOf(s.ServerEntry)) > 0 }
 
 // logLimits logs changed limits and their source.
 func (r *Relay) logLimits(changes []limit.Change, by string) {
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -38,7 +38,7 @@
 		Sequence: r.mesh.sequence, HeldBytes: r.batcher.HeldBytes(), Servers: shares, Waits: forecasts,
 		// Messages are encoded later, in another goroutine.
 		ExpectedPieces: maps.Clone(r.expected), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
-		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now),
+		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
 	}
 	if len(turn.ForecastTo) > 0 {
 		r.client.SendAll(turn.ForecastTo, load)
@@ -101,6 +101,7 @@
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
 	r.setPeerExpected(from.VM, m.ExpectedPieces)
 	r.receivePeerLimits(now, reportedAt, from.VM, m.Limits)
+	r.receivePeerDepartures(now, m.Leaving)
 	for _, p := range m.Placed {
 		r.picker.RecordPeerPrefix(now, p.Server, p.Chain)
 	}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -200,6 +200,8 @@
 		r.receiveUpdate(now, from.VM, m)
 	case shed.LimitUpdate:
 		r.logLimits(r.limits.Receive(now, m.Limits), string(from.VM))
+	case shed.LeavingUpdate:
+		r.receivePeerDepartures(now, m.Starts)
 	case shed.CrashUpdate:
 		r.reportSuspects(r.poison.Receive(now, m))
 	case shed.ResultsFreed:
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -62,7 +62,8 @@
 	r.assessAttempt(a, v)
 	j.mayHaveRun = j.mayHaveRun || v.mayHaveRun
 	end := picker.End{
-		Failed: a.serverFailed, Unreached: a.serverFailed && !v.sent && timedOut(a.err), Inconclusive: ctx.Err() != nil && !a.serverFailed,
+		Failed: a.serverFailed, Unreached: a.serverFailed && !v.sent && timedOut(a.err),
+		Inconclusive: !a.serverFailed && (ctx.Err() != nil || !v.sent),
 	}
 	if v.done && !j.route.Streaming {
 		end.Took = time.Since(began)
@@ -135,7 +136,13 @@
 		req.Body = http.NoBody
 	}
 	once := !j.route.Repeatable && !j.route.Resumable
-	resp, sent, err := a.relay.sender.Do(req.WithContext(ctx), once, a.began.Add(maxDecisionAge))
+	resp, reply, sent, err := a.relay.send(exchange{
+		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, sendBy: a.began.Add(maxDecisionAge),
+	}, req.WithContext(ctx))
+	if errors.Is(err, errServerClosed) {
+		a.err = err
+		return outcome{reason: shed.ReasonServerLeaving}
+	}
 	if err != nil {
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		if !sent {
@@ -144,21 +151,19 @@
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return a.handleAnswer(ctx, resp)
+	return a.handleAnswer(ctx, resp, reply)
 }
 
 // handleAnswer checks the head of an answer and forwards it.
-func (a *attempt) handleAnswer(ctx context.Context, resp *http.Response) outcome {
+func (a *attempt) handleAnswer(ctx context.Context, resp *http.Response, reply shed.ReplyHead) outcome {
 	j := a.job
 	a.status = resp.StatusCode
-	reply := a.relay.cfg.Dialect.ParseReply(resp)
 	if reply.ID != j.request.ID {
 		// This is a second answer to an earlier request on the connection, or bytes that are no
 		// answer: they belong to no request.
 		a.serverFailed = true
 		return outcome{sent: true, mayHaveRun: true, reason: reasonOtherAnswer}
 	}
-	a.relay.receiveStatements(a.choice.Server.ServerEntry, reply)
 	if reply.ColdRemaining > 0 {
 		a.relay.mu.Lock()
 		a.relay.roster.MarkCold(time.Now(), a.choice.Server.ID, reply.ColdRemaining)
--- /dev/null
+++ b/internal/roster/leaving.go
@@ -0,0 +1,63 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+)
+
+// departureRetention is how long the departure of an unlisted server is remembered. It exceeds the
+// time for which a leaving server goes on answering, and its entry may lapse and return meanwhile.
+const departureRetention = 10 * time.Minute
+
+// MarkLeaving records that a server said in an answer that it leaves. This holds until that start
+// of the server ends: an entry that says that it is ready may have been written before, and an
+// answer without the statement may have been sent before. Taking a departure for withdrawn would
+// send requests to a server that ends under them; the opposite mistake costs one server's capacity.
+func (r *Roster) MarkLeaving(now time.Time, start shed.ServerStart) []Change {
+	_, known := r.departures[start]
+	r.departures[start] = now
+	if known {
+		return nil
+	}
+	s := r.servers[start.Server]
+	if s == nil || s.StartedMs != start.StartedMs {
+		return nil
+	}
+	r.rebuild()
+	if s.Leaving {
+		return nil
+	}
+	return []Change{{Reason: ServerSaysLeaving, Server: start.Server, Zone: s.Zone, Key: string(start.Server)}}
+}
+
+// departed reports whether the server said in an answer that it leaves.
+func (r *Roster) departed(s *Server) bool {
+	_, ok := r.departures[shed.ServerStart{Server: s.ID, StartedMs: s.StartedMs}]
+	return ok
+}
+
+// UnlistedDepartures returns the servers that said that they leave while their entries say that
+// they are ready, sorted. Peers can't learn of these departures from the store.
+func (r *Roster) UnlistedDepartures() []shed.ServerStart {
+	var out []shed.ServerStart
+	for start := range r.departures {
+		if s := r.servers[start.Server]; s != nil && s.StartedMs == start.StartedMs && !s.Leaving {
+			out = append(out, start)
+		}
+	}
+	slices.SortFunc(out, func(a, b shed.ServerStart) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedMs, b.StartedMs))
+	})
+	return out
+}
+
+// pruneDepartures forgets the departures of servers that are no longer listed.
+func (r *Roster) pruneDepartures(now time.Time) {
+	maps.DeleteFunc(r.departures, func(start shed.ServerStart, at time.Time) bool {
+		return r.servers[start.Server] == nil && now.Sub(at) > departureRetention
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,6 +61,7 @@
 	CatalogInForce    shed.Reason = "configuration_in_force"
 	ServerListed      shed.Reason = "server_listed"
 	ServerLeaving     shed.Reason = "server_leaving"
+	ServerSaysLeaving shed.Reason = "server_says_leaving"
 	ServerGone        shed.Reason = "server_gone"
 	ServerLapsed      shed.Reason = "server_entry_lapsed"
 	ServerUnreadable  shed.Reason = "server_entry_unreadable"
@@ -93,8 +94,13 @@
 	catalogRev shed.Revision
 	servers    map[shed.ServerID]*Server
 	closed     map[shed.ZoneID]bool
-	// open are the servers of each pool that may get new work, sorted by id.
-	open map[shed.PoolID][]*Server
+	// departures are the servers that said in an answer that they leave, with the time at which
+	// this daemon last heard it.
+	departures map[shed.ServerStart]time.Time
+	// open are the servers of each pool that may get new work, sorted by id; openAt are the same
+	// by address.
+	open   map[shed.PoolID][]*Server
+	openAt map[string]*Server
 	// version counts the changes of the items.
 	version uint64
 
@@ -122,6 +128,8 @@
 		pastItems: map[string][]shed.Item{},
 		servers:   map[shed.ServerID]*Server{},
 		closed:    map[shed.ZoneID]bool{},
+
+		departures: map[shed.ServerStart]time.Time{},
 	}
 }
 
@@ -149,7 +157,7 @@
 			r.closed[f.Zone] = true
 		}
 	}
-	r.open = map[shed.PoolID][]*Server{}
+	r.open, r.openAt = map[shed.PoolID][]*Server{}, map[string]*Server{}
 	for _, key := range r.sortedKeys() {
 		f, ok := r.items[key].Record.(shed.ServerEntry)
 		if !ok {
@@ -157,8 +165,9 @@
 		}
 		s := r.servers[f.ID]
 		s.Lapsed = r.lapsed[key]
-		if !s.Leaving && !r.closed[s.Zone] {
+		if r.accepts(s) {
 			r.open[f.Pool] = append(r.open[f.Pool], s)
+			r.openAt[s.Addr] = s
 		}
 	}
 }
@@ -188,6 +197,20 @@
 // to the roster and is never modified.
 func (r *Roster) OpenServers(pool shed.PoolID) []*Server { return r.open[pool] }
 
+// OpenServerAt returns the server at an address if it may get new work, else nil.
+func (r *Roster) OpenServerAt(addr string) *Server { return r.openAt[addr] }
+
+// IsOpen reports whether this start of a server may get new work.
+func (r *Roster) IsOpen(start shed.ServerStart) bool {
+	s := r.servers[start.Server]
+	return s != nil && s.StartedMs == start.StartedMs && r.accepts(s)
+}
+
+// accepts reports whether a listed server may get new work.
+func (r *Roster) accepts(s *Server) bool {
+	return !s.Leaving && !r.departed(s) && !r.closed[s.Zone]
+}
+
 // Version changes whenever the result of OpenServers may have changed.
 func (r *Roster) Version() uint64 { return r.version }
 
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -229,6 +229,7 @@
 
 // Tick drops lapsed entries once the grace period is over.
 func (r *Roster) Tick(now time.Time) []Change {
+	r.pruneDepartures(now)
 	if len(r.lapsed) == 0 || now.Before(r.contactSince.Add(r.cfg.LapseGrace)) || now.Sub(r.lastContact) > r.cfg.maxContactGap() {
 		return nil
 	}
--- a/message.go
+++ b/message.go
@@ -154,6 +154,8 @@
 	ExpectedPieces map[PoolID]int `cbor:"10,keyasint,omitempty"`
 	// Limits are the limits of servers that the sender knows of.
 	Limits []ServerLimit `cbor:"14,keyasint,omitempty"`
+	// Leaving are the servers that said that they leave while their entries don't say so.
+	Leaving []ServerStart `cbor:"15,keyasint,omitempty"`
 	// ForwardToAll is set if the load is sent only to the receiver, which forwards it to all.
 	ForwardToAll bool `cbor:"12,keyasint,omitempty"`
 	// Forwarded are loads of other VMs that the sender forwards.
