relay: a server that asks for rest gets it

What callers saw: requests sent to servers that had just turned requests of the same VM away and asked for some seconds without any; all were turned away too, and where a whole pool rested, callers waited for a refusal that was certain.

Cause: the relay did not read Retry-After of a server. A refusal raised no failure rate, so the server stayed as good a choice as before; batches avoided it for half a call.

Class: a server's own statement is replaced by an estimate of it.

Ruled out: requests that were under way (those of the record were sent 1.5 s and 2.5 s later); repeats of one request (all in the record differ).

Change: internal/access is the one place for when this VM may send to a start of a server again after a rest or a denied turn (turns.Backoff moved into it). The choice leaves resting servers out, batches leave them out and predict their wait, Relay.send checks again before the first byte, and no results are freed there. The first request after a rest goes alone until it is accepted. If all servers of a pool rest, a request waits only if it can still meet its target; else it is refused at once, with the end of the first rest and a spread. Rests are not told to peers: the server asked one VM, and may serve the others.

What keeping rests costs is the time between the servers' recovery and the end of the rest that they asked for.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -55,6 +55,7 @@
 func (FreeRequested) event() {}
 func (FreeEnded) event()     {}
 func (HeldElsewhere) event() {}
+func (ServerRests) event()   {}
 func (Stopped) event()       {}
 func (Tick) event()          {}
 
@@ -183,6 +184,8 @@
 		out = b.movePending(out)
 	case HeldElsewhere:
 		b.recordHeldElsewhere(now, ev)
+	case ServerRests:
+		b.recordRest(now, ev)
 	case FreeEnded:
 		for _, ref := range ev.Refs {
 			b.forgetResult(ref)
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -348,3 +348,29 @@
 	require.InDelta(t, 0.34, f.Timely.Seconds(), 0.02)
 	require.InDelta(t, 4/0.38, f.Rate, 1)
 }
+
+// Guards against calls to a server that wants rest: the other server gets the pieces.
+func TestRestingServerGetsNoCall(t *testing.T) {
+	tb := newHarness(t, "a", "a")
+	tb.handle(batch.ServerRests{Server: "s0", Left: 3 * time.Second})
+	tb.addJob(1, 2, time.Second, nil)
+	require.Len(t, tb.sends, 1)
+	require.Equal(t, shed.ServerID("s1"), tb.sends[0].Server.ID)
+}
+
+// Guards against pieces that wait for servers whose rests end after the pieces' deadlines, and
+// against refusing those that can still be run in time.
+func TestPoolThatRests(t *testing.T) {
+	tb := newHarness(t, "a", "a")
+	tb.handle(batch.ServerRests{Server: "s0", Left: 3 * time.Second})
+	tb.handle(batch.ServerRests{Server: "s1", Left: 2 * time.Second})
+	tb.addJob(1, 1, time.Second, func(p *shed.Piece) { p.Budget = 1900 * time.Millisecond })
+	require.Equal(t, shed.PieceLate, tb.done[1][0].End)
+	require.GreaterOrEqual(t, tb.b.PredictWait(tb.now, "p", limits).Timely, 2*time.Second)
+	tb.addJob(2, 1, time.Second, nil)
+	require.Empty(t, tb.sends)
+	tb.now = tb.now.Add(2 * time.Second)
+	tb.handle(batch.Tick{})
+	require.Len(t, tb.sends, 1)
+	require.Equal(t, shed.ServerID("s1"), tb.sends[0].Server.ID)
+}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -17,6 +17,7 @@
 	g.slowness = slowness(now, servers)
 	out = b.rejectLate(now, out, g, servers)
 	usableServers, reachableServers := 0, 0
+	var firstRestEnd time.Time
 	fastestBusy := maxSlowness
 	var idle []server
 	for _, s := range servers {
@@ -27,6 +28,12 @@
 		if m.isUnreachable(now) {
 			continue
 		}
+		if now.Before(m.restUntil) {
+			if firstRestEnd.IsZero() || m.restUntil.Before(firstRestEnd) {
+				firstRestEnd = m.restUntil
+			}
+			continue
+		}
 		if now.Before(m.backoffUntil) {
 			usableServers += b.countRetryableSoon(now, m)
 			continue
@@ -38,8 +45,12 @@
 			fastestBusy = min(fastestBusy, m.slowness)
 		}
 	}
-	if usableServers == 0 {
+	switch {
+	case usableServers > 0:
+	case firstRestEnd.IsZero():
 		return b.failPending(out, g)
+	default:
+		return b.rejectEndingAfter(out, g, g.earliestCompletion(firstRestEnd))
 	}
 	slices.SortFunc(idle, server.compare)
 	for _, s := range idle {
@@ -114,6 +125,21 @@
 	return out
 }
 
+// rejectEndingAfter answers pieces whose deadline is before a time, which is when the first call
+// after the servers' rests could end. The others wait for it.
+func (b *Batcher) rejectEndingAfter(out []Action, g *group, soonest time.Time) []Action {
+	var kept []*piece
+	for _, p := range g.pending {
+		if p.inFlight == 0 && soonest.After(p.job.deadline) {
+			out = b.settle(out, p, shed.PieceResult{End: shed.PieceLate})
+			continue
+		}
+		kept = append(kept, p)
+	}
+	g.pending = kept
+	return out
+}
+
 // sortPending orders pieces by target. Those that can no longer meet their target come after
 // the others, by deadline: if they went first, all pieces would be late under overload. Pieces
 // count as due sooner in the zone of the server that will fetch their results.
@@ -153,7 +179,7 @@
 	own := scale(expectedTime(g.limits, n), s.producer.slowness)
 	for _, other := range servers {
 		m := other.producer
-		if m.running == 0 || now.Before(m.backoffUntil) || len(g.pending) > g.limits.MaxPieces {
+		if m.running == 0 || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
 			continue
 		}
 		c := b.calls[m.running]
@@ -249,7 +275,7 @@
 	n := zoneSchedule{completion: map[shed.ZoneID]time.Time{}, freeSlots: map[shed.ZoneID]int{}}
 	for _, s := range servers {
 		m, zone := s.producer, s.entry.Zone
-		if now.Before(m.backoffUntil) {
+		if now.Before(m.availableAt()) {
 			continue
 		}
 		done := now
--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -55,6 +55,12 @@
 	Retention time.Duration
 }
 
+// ServerRests means that a server wants no call from this VM for the time left.
+type ServerRests struct {
+	Server shed.ServerID
+	Left   time.Duration
+}
+
 // Stopped means that this VM stops coordinating: pending pieces go back to the VMs that
 // requested them, calls in flight run to their end. Otherwise two VMs would coordinate the
 // same servers, with twice the calls, until the last pending piece is complete.
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -44,6 +44,9 @@
 			case 0:
 				tb.handle(batch.CallEnded{Call: s.Call})
 			case 1:
+				if rapid.Bool().Draw(rt, "rests") {
+					tb.handle(batch.ServerRests{Server: s.Server.ID, Left: time.Duration(rapid.IntRange(1, 5000).Draw(rt, "rest")) * time.Millisecond})
+				}
 				tb.handle(batch.CallEnded{Call: s.Call, NotRun: true, Busy: true})
 			case 2:
 				tb.answer(s, shed.PieceNoCapacity)
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -17,6 +17,8 @@
 	// backoffUntil is when the server may get calls again after consecutiveFailures.
 	backoffUntil        time.Time
 	consecutiveFailures int
+	// restUntil is until when the server wants no call.
+	restUntil time.Time
 	// unreached is set if the last call did not reach the server.
 	unreached bool
 	// heldBytes is the size of results that it holds, or will hold once its call ends.
@@ -39,6 +41,9 @@
 	return m.unreached && now.Before(m.backoffUntil)
 }
 
+// availableAt is when the server may get calls again.
+func (m *producer) availableAt() time.Time { return shed.Later(m.backoffUntil, m.restUntil) }
+
 type heldElsewhere struct {
 	bytes      int64
 	reportedAt time.Time
@@ -140,13 +145,24 @@
 	}
 }
 
+func (b *Batcher) recordRest(now time.Time, ev ServerRests) {
+	m := b.producerByID(ev.Server)
+	m.restUntil = shed.Later(m.restUntil, now.Add(ev.Left))
+}
+
+// producerByID returns the state of a server that may not be listed yet.
+func (b *Batcher) producerByID(id shed.ServerID) *producer {
+	m := b.producers[id]
+	if m == nil {
+		m = &producer{slowness: 1}
+		b.producers[id] = m
+	}
+	return m
+}
+
 func (b *Batcher) recordHeldElsewhere(now time.Time, ev HeldElsewhere) {
 	for id, bytes := range ev.Held {
-		m := b.producers[id]
-		if m == nil {
-			m = &producer{slowness: 1}
-			b.producers[id] = m
-		}
+		m := b.producerByID(id)
 		if m.heldForOthers == nil {
 			m.heldForOthers = map[shed.VM]heldElsewhere{}
 		}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -31,7 +31,7 @@
 func slowness(now time.Time, servers []server) float64 {
 	n, totalSpeed := 0, 0.0
 	for _, s := range servers {
-		if m := s.producer; !now.Before(m.backoffUntil) {
+		if m := s.producer; !now.Before(m.availableAt()) {
 			n++
 			totalSpeed += 1 / m.slowness
 		}
@@ -60,7 +60,7 @@
 		if c := b.calls[m.running]; c != nil {
 			left = max(c.sentAt.Add(scale(c.expected, m.slowness)).Sub(now), 0)
 		}
-		left = max(left, m.backoffUntil.Sub(now))
+		left = max(left, m.availableAt().Sub(now))
 		if earliestFree < 0 || left < earliestFree {
 			earliestFree = left
 		}
--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -63,6 +63,11 @@
 
 // isSource reports whether other servers can fetch from the server.
 func (s *search) isSource(server *roster.Server, st *state) bool {
+	if s.request.Access != nil {
+		if access, _ := s.request.Access(server); access == Resting {
+			return false
+		}
+	}
 	zone := s.picker.zoneFailureRate(server.Zone)
 	return zone.now(s.now) <= maxSourceFailureRate && st.failures.now(s.now) <= maxSourceFailureRate
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -86,8 +86,9 @@
 	Avoid []shed.ServerID
 	// Isolate is set if the request may crash its server, so it goes where few others run.
 	Isolate bool
-	// Access returns whether a server accepts requests; nil if all do.
-	Access func(*roster.Server) Access
+	// Access returns whether a server accepts requests, and for Resting how much longer it
+	// doesn't; nil if all do.
+	Access func(*roster.Server) (Access, time.Duration)
 }
 
 // Access is whether a server accepts one more request. The set is closed.
@@ -101,6 +102,8 @@
 	ByTurn
 	// NoTurn means that this daemon has no turn for the server yet.
 	NoTurn
+	// Resting means that the server wants no request from this daemon for a while.
+	Resting
 )
 
 // Choice is the chosen server, or the reason why there is none.
@@ -119,6 +122,9 @@
 	ByTurn bool
 	// NoTurn is set if this daemon has no turn for any of the servers that could serve.
 	NoTurn bool
+	// RestingFor is the time until the first server's rest ends, if servers that could serve
+	// rest; 0 if none does.
+	RestingFor time.Duration
 	// UnreachableFor is the time until a server may be tried again if none that could serve is
 	// reachable; 0 if that is not the reason.
 	UnreachableFor time.Duration
@@ -142,7 +148,7 @@
 		best = s.run()
 	}
 	if best.Server == nil {
-		best.NoTurn, best.UnreachableFor = s.noTurn, s.unreachableFor
+		best.NoTurn, best.RestingFor, best.UnreachableFor = s.noTurn, s.restingFor, s.unreachableFor
 	}
 	return best
 }
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -77,8 +77,9 @@
 func TestServersThatTakeOnlySoMany(t *testing.T) {
 	from := servers(3, nil)
 	p := picker.New(picker.Config{Zone: "a"})
+	waits := map[shed.ServerID]time.Duration{}
 	access := map[shed.ServerID]picker.Access{from[0].ID: picker.NoTurn, from[1].ID: picker.ByTurn, from[2].ID: picker.NoTurn}
-	w := picker.Request{Access: func(s *roster.Server) picker.Access { return access[s.ID] }}
+	w := picker.Request{Access: func(s *roster.Server) (picker.Access, time.Duration) { return access[s.ID], waits[s.ID] }}
 	c := p.Pick(start, w, from)
 	require.Equal(t, from[1], c.Server)
 	require.True(t, c.ByTurn)
@@ -90,6 +91,26 @@
 	require.False(t, p.Pick(start, w, from).ByTurn)
 }
 
+// Guards against requests at servers that want rest, and against a refusal that doesn't say when the
+// first rest ends.
+func TestRestingServersAreNotChosen(t *testing.T) {
+	from := servers(3, nil)
+	p := picker.New(picker.Config{Zone: "a"})
+	rests := map[shed.ServerID]time.Duration{from[0].ID: 3 * time.Second, from[2].ID: time.Second}
+	w := picker.Request{Access: func(s *roster.Server) (picker.Access, time.Duration) {
+		if left := rests[s.ID]; left > 0 {
+			return picker.Resting, left
+		}
+		return picker.Free, 0
+	}}
+	require.Equal(t, from[1], p.Pick(start, w, from).Server)
+	rests[from[1].ID] = 2 * time.Second
+	c := p.Pick(start, w, from)
+	require.Nil(t, c.Server)
+	require.Equal(t, time.Second, c.RestingFor)
+	require.Zero(t, c.UnreachableFor)
+}
+
 // A server fails requests though its health check passes. It must get less work for a while,
 // and be tried again later.
 func TestFailingServerIsAvoided(t *testing.T) {
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -25,10 +25,11 @@
 	sources cacheSources
 	// measureUpTo is the maximum cost of a server to be measured; 0 if none is.
 	measureUpTo time.Duration
-	// noTurn: a server was skipped for lack of a turn. unreachableFor is the time until the first
-	// of the unreachable servers may be tried again; 0 if there is none.
-	noTurn         bool
-	unreachableFor time.Duration
+	// noTurn: a server was skipped for lack of a turn. restingFor is the time until the first of
+	// the resting servers, unreachableFor that until the first of the unreachable ones may be tried
+	// again; 0 if there is none.
+	noTurn                     bool
+	restingFor, unreachableFor time.Duration
 }
 
 // run returns the best choice; its Server is nil if there is none.
@@ -56,16 +57,26 @@
 // access returns whether the server accepts the request; ok is false if it can't be chosen.
 func (s *search) access(server *roster.Server, st *state) (access Access, ok bool) {
 	if left := st.backoffUntil.Sub(s.now); left > 0 {
-		if s.unreachableFor == 0 || left < s.unreachableFor {
-			s.unreachableFor = left
-		}
+		s.unreachableFor = shorterWait(s.unreachableFor, left)
 		return Free, false
 	}
+	var left time.Duration
 	if s.request.Access != nil {
-		access = s.request.Access(server)
+		access, left = s.request.Access(server)
+	}
+	if access == Resting {
+		s.restingFor = shorterWait(s.restingFor, left)
 	}
 	s.noTurn = s.noTurn || access == NoTurn
-	return access, access != NoTurn
+	return access, access != NoTurn && access != Resting
+}
+
+// shorterWait returns the shorter of two waits; a is 0 if there is none yet.
+func shorterWait(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
 }
 
 // better reports whether c is a better choice than best. Of plain calls at the same cost, the
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -165,7 +165,7 @@
 		return batch.CallEnded{NotRun: true}, 0, err
 	}
 	resp, reply, sent, err := r.send(exchange{server: a.Server}, req.WithContext(ctx))
-	if errors.Is(err, errServerClosed) {
+	if wasNotAdmitted(err) {
 		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
 	}
 	if err != nil {
@@ -202,9 +202,9 @@
 		}
 		delete(r.pendingFrees, addr)
 		server := r.roster.OpenServerAt(addr)
-		if server == nil || r.isLimited(server) {
-			// A server that gets no new work needs no capacity. At a limited one the call would
-			// take a turn from a piece call; results expire by themselves.
+		if server == nil || r.isLimited(server) || r.access.IsRested(startOf(server.ServerEntry)) {
+			// A server that gets no new work needs no capacity. At a limited or resting one the
+			// call would take the place of a piece call; results expire by themselves.
 			continue
 		}
 		r.activeFrees[addr]++
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -10,6 +10,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
+	"jasmineshed/internal/access"
 
 	"github.com/sirupsen/logrus"
 )
@@ -54,6 +55,23 @@
 	return &refusal{status: http.StatusBadGateway, reason: v.reason}
 }
 
+// refusalAfter returns the final answer after the last attempt v. If all servers of the pool rest
+// now, the caller is told when the first rest ends.
+func (r *Relay) refusalAfter(ctx context.Context, j *job, v outcome) *refusal {
+	refused := r.refusalFor(ctx, j, v)
+	if refused.retryAfter == 0 {
+		return refused
+	}
+	r.mu.Lock()
+	left := r.restLeft(time.Now(), j.pool.ID)
+	r.mu.Unlock()
+	if left > 0 {
+		_, retryAfter := access.Wait{RestLeft: left, Fraction: j.request.Fraction()}.Decide()
+		refused.retryAfter = max(refused.retryAfter, retryAfter)
+	}
+	return refused
+}
+
 // finish writes the refusal, if there is one, and the request's log line.
 func (r *Relay) finish(ctx context.Context, w http.ResponseWriter, j *job, refused *refusal) {
 	took := time.Since(j.began)
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -8,6 +8,7 @@
 	"jasmineshed/internal/accept"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
+	"jasmineshed/internal/picker"
 	"jasmineshed/internal/prefs"
 )
 
@@ -102,9 +103,8 @@
 }
 
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
-// the least that they can take. If no server that could answer is reachable, retryAfter is when
-// one may be tried again.
-func (r *Relay) estimate(j *job, p plan) (request accept.Request, retryAfter time.Duration) {
+// the least that they can take. It returns the choice of the server that would answer.
+func (r *Relay) estimate(j *job, p plan) (accept.Request, picker.Choice) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -120,11 +120,11 @@
 	}
 	c := r.chain(now, p)
 	wait := c.Forecast()
-	request = accept.Request{Route: j.route.ID, MinTime: c.MinTime(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
+	request := accept.Request{Route: j.route.ID, MinTime: c.MinTime(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
 	if r.prefs.Load().Relay.Enabled(prefs.UrgentReserve) {
 		request.MoreUrgent, request.UrgentRanks = r.moreUrgentRoutes(j.route, p.steps[c.Bottleneck()].Pool)
 	}
-	return request, choice.UnreachableFor
+	return request, choice
 }
 
 // moreUrgentRoutes returns the routes of more urgent ranks that have steps in a pool, and the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
+	"jasmineshed/internal/access"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/delta"
 	"jasmineshed/internal/engine"
@@ -97,9 +98,9 @@
 	accept         *accept.Gate
 	poison         *poison.Table
 	limits         *limit.Table
-	// turnBook holds the turns that this VM grants, deniedTurns those that it was denied.
+	// turnBook holds the turns that this VM grants, access when it may send to servers again.
 	turnBook     *turns.Ledger
-	deniedTurns  *turns.Backoff
+	access       *access.Table
 	retryBudgets map[shed.PoolID]*retry.Budget
 	group        *member.Group
 	mesh         mesh
@@ -141,7 +142,7 @@
 		accept:       accept.New(),
 		limits:       limit.New(),
 		turnBook:     turns.NewLedger(),
-		deniedTurns:  turns.NewBackoff(),
+		access:       access.New(),
 		picker:       picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		retryBudgets: map[shed.PoolID]*retry.Budget{},
 		entries:      map[shed.PoolID][]shed.ServerEntry{},
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -139,9 +139,13 @@
 	resp, reply, sent, err := a.relay.send(exchange{
 		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, sendBy: a.began.Add(maxDecisionAge),
 	}, req.WithContext(ctx))
-	if errors.Is(err, errServerClosed) {
+	if wasNotAdmitted(err) {
 		a.err = err
-		return outcome{reason: shed.ReasonServerLeaving}
+		reason := shed.ReasonServerLeaving
+		if errors.Is(err, errServerRests) {
+			reason = reasonResting
+		}
+		return outcome{reason: reason}
 	}
 	if err != nil {
 		a.err, a.serverFailed = err, ctx.Err() == nil
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/access"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/prefs"
 
@@ -85,6 +86,7 @@
 	reasonUnreachable   shed.Reason = "servers_unreachable"
 	reasonCrashes       shed.Reason = "request_crashes_servers"
 	reasonNoTurn        shed.Reason = "servers_limited"
+	reasonResting       shed.Reason = "servers_resting"
 	reasonServed        shed.Reason = "served"
 )
 
@@ -130,7 +132,7 @@
 			return nil
 		}
 		if ctx.Err() != nil || !r.canRetry(j, v) {
-			return r.finalRefusal(out, r.refusalFor(ctx, j, v))
+			return r.finalRefusal(out, r.refusalAfter(ctx, j, v))
 		}
 	}
 }
@@ -171,6 +173,10 @@
 			return choice, refused
 		case choice.Server == nil && choice.UnreachableFor > 0:
 			return choice, r.refuseUnreachable(ctx, j, choice.UnreachableFor)
+		case choice.Server == nil && choice.RestingFor > 0:
+			if refused := r.awaitRest(ctx, j, choice.RestingFor); refused != nil {
+				return choice, refused
+			}
 		case choice.Server == nil && choice.NoTurn && maxWait == 0:
 			maxWait = max(min(maxTurnWait, time.Until(j.deadline)/2), time.Millisecond)
 			denied = nil
@@ -228,6 +234,25 @@
 	return true
 }
 
+// awaitRest waits until the first server's rest ends if the request can then still be answered in
+// time, else it refuses the request.
+func (r *Relay) awaitRest(ctx context.Context, j *job, left time.Duration) *refusal {
+	wait, retryAfter := access.Wait{
+		RestLeft: left, ToTarget: time.Until(j.target), Answer: j.answerTime, Rank: j.rank, Fraction: j.request.Fraction(),
+	}.Decide()
+	if retryAfter == 0 {
+		sleep(ctx, wait)
+		if ctx.Err() == nil {
+			return nil
+		}
+	}
+	refused := r.refusalFor(ctx, j, outcome{reason: reasonResting})
+	if refused.retryAfter > 0 {
+		refused.retryAfter = max(refused.retryAfter, retryAfter)
+	}
+	return refused
+}
+
 // refuseUnreachable refuses a request for which no server can be reached; the caller may retry
 // after retryAfter.
 func (r *Relay) refuseUnreachable(ctx context.Context, j *job, retryAfter time.Duration) *refusal {
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/batch"
 
 	"github.com/sirupsen/logrus"
 )
@@ -21,15 +22,20 @@
 	sendBy time.Time
 }
 
-// errServerClosed: the server accepts no new work, so the request was not sent.
-var errServerClosed = errors.New("server accepts no new work")
+var (
+	// errServerClosed: the server accepts no new work, so the request was not sent.
+	errServerClosed = errors.New("server accepts no new work")
+	// errServerRests: the server wants no request from this VM now, so it was not sent.
+	errServerRests = errors.New("server asked for rest")
+)
 
 // send sends a request to a backend server and applies what the answer says about the server. All
 // requests to backend servers go through it: they were placed some time ago, and meanwhile another
-// answer may have said that the server leaves.
+// answer may have said that the server leaves or wants rest.
 func (r *Relay) send(e exchange, req *http.Request) (resp *http.Response, reply shed.ReplyHead, sent bool, err error) {
-	if !r.isOpen(e.server) {
-		return nil, reply, false, errServerClosed
+	sentAt := time.Now()
+	if err := r.reserve(sentAt, e.server); err != nil {
+		return nil, reply, false, err
 	}
 	resp, sent, err = r.sender.Do(req, e.once, e.sendBy)
 	if err != nil {
@@ -37,20 +43,32 @@
 	}
 	reply = r.cfg.Dialect.ParseReply(resp)
 	if e.id == "" || reply.ID == e.id {
-		r.receiveStatements(e.server, reply)
+		r.receiveStatements(e.server, reply, sentAt)
 	}
 	return resp, reply, true, nil
 }
 
-func (r *Relay) isOpen(s shed.ServerEntry) bool {
+// reserve returns errServerClosed or errServerRests if nothing may be sent to the server now.
+func (r *Relay) reserve(now time.Time, s shed.ServerEntry) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.IsOpen(startOf(s))
+	switch {
+	case !r.roster.IsOpen(startOf(s)):
+		return errServerClosed
+	case !r.access.Reserve(now, startOf(s)):
+		return errServerRests
+	}
+	return nil
+}
+
+// wasNotAdmitted reports whether a request was not sent because its server closed or rests.
+func wasNotAdmitted(err error) bool {
+	return errors.Is(err, errServerClosed) || errors.Is(err, errServerRests)
 }
 
 // receiveStatements applies what an answer says about its server: a rate limit, that it leaves, or
 // that it wants rest. An answer of another server at the same address says nothing about it.
-func (r *Relay) receiveStatements(s shed.ServerEntry, reply shed.ReplyHead) {
+func (r *Relay) receiveStatements(s shed.ServerEntry, reply shed.ReplyHead, sentAt time.Time) {
 	if reply.OtherServer {
 		return
 	}
@@ -61,10 +79,42 @@
 	if reply.Leaving {
 		r.receiveDeparture(s)
 	}
-	if reply.Rest > 0 {
-		r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartedMs, "pool": s.Pool, "rest_ms": reply.Rest.Milliseconds()}).
-			Info("server asks for rest")
+	r.receiveRest(s, reply, sentAt)
+}
+
+// receiveRest records that a server wants rest, or that it accepted a request after one. Peers are
+// not told: a server may turn away one VM and serve the others.
+func (r *Relay) receiveRest(s shed.ServerEntry, reply shed.ReplyHead, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.Rest == 0 {
+		if !reply.NotRun {
+			r.access.Accepted(startOf(s), sentAt)
+		}
+		return
+	}
+	now := time.Now()
+	r.access.Rest(now, startOf(s), reply.Rest)
+	r.stats.rests.Inc(1)
+	r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartedMs, "pool": s.Pool, "rest_ms": reply.Rest.Milliseconds()}).
+		Info("server asks for rest")
+	r.performBatch(r.batcher.Handle(now, batch.ServerRests{Server: s.ID, Left: r.access.RestLeft(now, startOf(s))}))
+}
+
+// restLeft returns how long no request may be sent to any open server of the pool because all of
+// them rest; 0 if one may be sent. The caller holds mu.
+func (r *Relay) restLeft(now time.Time, pool shed.PoolID) time.Duration {
+	least := time.Duration(0)
+	for _, s := range r.roster.OpenServers(pool) {
+		left := r.access.RestLeft(now, startOf(s.ServerEntry))
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
 	}
+	return least
 }
 
 // receiveDeparture records that a server said that it leaves, and tells peers at once: the store
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -14,6 +14,7 @@
 	stateChanges  tally.Counter
 	crashes       tally.Counter
 	turnsDenied   tally.Counter
+	rests         tally.Counter
 	storeCalls    tally.Counter
 	storeFailures tally.Counter
 	pieceCalls    tally.Counter
@@ -31,6 +32,7 @@
 		stateChanges:  s.Counter("beliefs_changed"),
 		crashes:       s.Counter("crashes_under_requests"),
 		turnsDenied:   s.Counter("turns_denied"),
+		rests:         s.Counter("server_rests"),
 		storeCalls:    s.Counter("store_calls"),
 		storeFailures: s.Counter("store_failures"),
 		pieceCalls:    s.Counter("piece_calls"),
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -27,9 +27,13 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	request, retryAfter := r.estimate(j, p)
-	if retryAfter > 0 {
-		return r.refuseUnreachable(ctx, j, retryAfter)
+	request, choice := r.estimate(j, p)
+	switch {
+	case choice.RestingFor > time.Until(j.target):
+		// No server could answer in time, so the pieces would be run in vain.
+		return r.awaitRest(ctx, j, choice.RestingFor)
+	case choice.UnreachableFor > 0:
+		return r.refuseUnreachable(ctx, j, choice.UnreachableFor)
 	}
 	if j.sends == 0 {
 		if refused := r.admitSteps(j, request); refused != nil {
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -175,7 +175,7 @@
 	r.accept.Prune(r.roster.HasRoute)
 	r.limits.Prune(now, r.roster.HasServer)
 	r.turnBook.Prune(now)
-	r.deniedTurns.Prune(now)
+	r.access.Prune(now)
 	if rd.from == roster.FromStore && len(l.Items) > 0 && rd.after > 0 && slices.Contains(watchers, r.mesh.self.VM) {
 		r.forwardChanges(rd.after, watchers)
 	}
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -40,18 +40,23 @@
 	return request, request.Rate > 0
 }
 
-// serverAccess returns the function that tells the picker which servers need a turn, and which
-// have none. The caller holds mu.
-func (r *Relay) serverAccess(now time.Time, pool *shed.RelayPool, denied map[shed.ServerID]bool, maxWait time.Duration) func(*roster.Server) picker.Access {
-	return func(s *roster.Server) picker.Access {
+// serverAccess returns the function that tells the picker which servers need a turn, which have
+// none, and which want rest. The caller holds mu.
+func (r *Relay) serverAccess(
+	now time.Time, pool *shed.RelayPool, denied map[shed.ServerID]bool, maxWait time.Duration,
+) func(*roster.Server) (picker.Access, time.Duration) {
+	return func(s *roster.Server) (picker.Access, time.Duration) {
+		if left := r.access.RestLeft(now, startOf(s.ServerEntry)); left > 0 {
+			return picker.Resting, left
+		}
 		request, limited := r.turnLimit(now, pool, s)
 		switch {
 		case !limited:
-			return picker.Free
-		case denied[s.ID] || maxWait == 0 && r.deniedTurns.Active(now, request.Start):
-			return picker.NoTurn
+			return picker.Free, 0
+		case denied[s.ID] || maxWait == 0 && !r.access.HasTurn(now, request.Start):
+			return picker.NoTurn, 0
 		}
-		return picker.ByTurn
+		return picker.ByTurn, 0
 	}
 }
 
@@ -104,7 +109,7 @@
 func (r *Relay) recordTurn(now time.Time, request turns.Request, got turns.Decision) {
 	if !got.Granted {
 		r.stats.turnsDenied.Inc(1)
-		r.deniedTurns.Denied(now, request.Start, got.Wait)
+		r.access.Denied(now, request.Start, got.Wait)
 	}
 }
 
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -67,31 +67,3 @@
 
 // idleRetention is how long a server without requests for turns is kept.
 const idleRetention = time.Minute
-
-// Backoff is the requester's side: the servers for which it backs off after a denied turn. It is
-// not safe for concurrent use.
-type Backoff struct {
-	until map[shed.ServerStart]time.Time
-}
-
-// NewBackoff returns a Backoff without entries.
-func NewBackoff() *Backoff { return &Backoff{until: map[shed.ServerStart]time.Time{}} }
-
-// Denied records that the next turn of a server is due after wait.
-func (w *Backoff) Denied(now time.Time, s shed.ServerStart, wait time.Duration) {
-	w.until[s] = now.Add(min(max(wait, minBackoff), maxBackoff))
-}
-
-const (
-	// Bounds on the backoff after a denied turn; the upper one exists because a limit may end.
-	minBackoff = 20 * time.Millisecond
-	maxBackoff = time.Second
-)
-
-// Active reports whether turns of a server are not to be requested yet.
-func (w *Backoff) Active(now time.Time, s shed.ServerStart) bool { return now.Before(w.until[s]) }
-
-// Prune removes expired backoffs.
-func (w *Backoff) Prune(now time.Time) {
-	maps.DeleteFunc(w.until, func(_ shed.ServerStart, until time.Time) bool { return !now.Before(until) })
-}
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -43,9 +43,8 @@
 }
 
 type vm struct {
-	id    shed.VM
-	book  *turns.Ledger
-	waits *turns.Backoff
+	id   shed.VM
+	book *turns.Ledger
 	// unreachable: it doesn't answer, since unreachableSince; joinedAt is when it started.
 	unreachable, partitioned bool
 	unreachableSince         time.Time
@@ -64,7 +63,7 @@
 }
 
 func (v *vm) restart() {
-	v.book, v.waits, v.avoidUntil = turns.NewLedger(), turns.NewBackoff(), map[shed.VM]time.Time{}
+	v.book, v.avoidUntil = turns.NewLedger(), map[shed.VM]time.Time{}
 }
 
 // startLoad sends requests at random VMs, perSecond in total.
@@ -241,13 +240,3 @@
 	require.Equal(t, turns.Decision{Granted: true}, b.Take(later, request), "one turn was saved up")
 	require.Equal(t, turns.Decision{Granted: true, Wait: time.Second}, b.Take(later, request))
 }
-
-func TestDeniedServersAreLeftAlone(t *testing.T) {
-	w := turns.NewBackoff()
-	require.False(t, w.Active(start, server))
-	w.Denied(start, server, time.Hour)
-	require.True(t, w.Active(start.Add(900*time.Millisecond), server))
-	require.False(t, w.Active(start.Add(time.Second), server), "a limit may have ended")
-	w.Denied(start, server, 0)
-	require.True(t, w.Active(start.Add(time.Millisecond), server))
-}
--- a/relay.go
+++ b/relay.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A relayed request is one whose body the system never inspects: it is
@@ -244,6 +246,12 @@
 	PieceKey string
 }
 
+// Fraction returns a number from 0 to 1 that is evenly distributed over requests and the same at
+// each call, to spread what requests do over a time.
+func (h *RequestHead) Fraction() float64 {
+	return float64(xxhash.Sum64String(string(h.ID))>>11) / (1 << 53)
+}
+
 // Hop is what the system adds to a relayed request sent to one server.
 type Hop struct {
 	Server ServerEntry
