relay: the store's era comes before its revisions

What callers saw: a key that had been revoked, and the change acknowledged, was accepted for seconds after the store came back from a copy; new routes and servers written then were ignored as well.

Cause: one order of revisions ruled everything. After its return the store's revisions are below those that the VMs know and are given out again: new items counted as old and were ignored; the revision up to which a VM is complete is a maximum and stayed; each watch from there was refused with 410, each list that followed changed nothing, and the VM asked again at once.

Class: an order that is true only within one history is used across two.

Ruled out: a watch that hangs (calls went on, 16 a second each from three VMs); a cache of requests (the log of beliefs has no line of the new versions).

Change: shed.Revision holds the era in its high bits, above the store's own number, so that every comparison, message, difference and cache orders by era first. The adapter reads the header of every answer; a watch answered in a later era reports the history as gone, one in an earlier era is a stale reply and changes nothing. In a new era the roster treats what the copy lacks by kind: the configuration in force stays until one with a higher version number is written; servers get the grace of an outage to register again; closed zones stay closed for 10 s; servers that were leaving stay closed; a server whose entry had been removed is withheld until the store would have dropped it again; an entry that did not change keeps its warmth. Peers read everything across eras, changes don't tell what the new one lacks. A change of era has a log line; status and metrics have the era.

Also found on the way: a VM that knows only the copy skipped a peer's newer configuration unread, since its revision was of the earlier era (HasItem).

Evidence: TestChangesAfterTheStoreIsRestored, TestConfigurationDoesNotGoBackWithTheStore and TestVMThatMissedTheRestore red before, green after. A property test of three rosters over random writes, copies, restores, restarts and exchanges: 20,000 runs green; red without the order by version (TestRestoresInAnyOrder). TestTicksAndListsCostNothing caught a tick that allocated, mended.

Not solved: during an upgrade VMs of the version before, which know no eras, can't order the new revisions against the store's; they follow their upgraded peers and call the store more often until they are replaced.

--- a/ids.go
+++ b/ids.go
@@ -33,10 +33,6 @@
 	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
 }
 
-// Revision orders configurations. It is the platform's own store revision,
-// never a number chosen by an operator. Zero means none.
-type Revision uint64
-
 // RequestID identifies one request. The accepting daemon generates it, unless
 // the caller uses a ticket; then it is the ticket's id.
 type RequestID string
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -254,6 +254,10 @@
 	if !ok {
 		return nil
 	}
+	if f.states[from].AsOf.Era() != own.AsOf.Era() {
+		// Changes don't tell which items the other era lacks.
+		after = 0
+	}
 	f.lastID++
 	p := Pull{ID: f.lastID, From: from, After: after, Known: own.AsOf, Reported: f.states[from].AsOf}
 	f.active = append(f.active, activePull{Pull: p, startedAt: now})
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -40,7 +40,14 @@
 		return
 	}
 	msg := shed.StoreUpdate{After: after, AsOf: r.roster.AsOf()}
-	changes, client := r.changes(after, after), r.client
+	client := r.client
+	if after.Era() != msg.AsOf.Era() {
+		// Peers of an earlier era need everything.
+		msg.Unsent = true
+		client.SendAll(to, msg)
+		return
+	}
+	changes := r.changes(after, after)
 	r.work.Go(func() error {
 		msg.Items = r.packChanges(changes)
 		if valueBytes(msg.Items) > maxUpdateBytes {
@@ -95,9 +102,9 @@
 	items := make([]shed.Item, len(changes))
 	for i, c := range changes {
 		r.mu.Lock()
-		held := r.roster.Item(c.Key)
+		held, known := r.roster.Item(c.Key), r.roster.HasItem(c.Key, c.Revision)
 		r.mu.Unlock()
-		if c.Packed && held.Revision >= c.Revision {
+		if c.Packed && known {
 			items[i] = shed.Item{Key: c.Key, Revision: c.Revision}
 			continue
 		}
@@ -146,7 +153,7 @@
 	r.mu.Lock()
 	m, known := r.mesh.updates[0], r.roster.AsOf()
 	r.mu.Unlock()
-	missed := m.After > known
+	missed := m.After > known || m.AsOf.Era() != known.Era()
 	if !missed && m.AsOf > known {
 		items, err := r.unpackChanges(m.Items)
 		missed = err != nil
@@ -194,10 +201,10 @@
 // to the follower.
 func (r *Relay) pullFromPeer(ctx context.Context, client *peers.Client, p follow.Pull) {
 	began, before := time.Now(), client.BytesReceived()
-	items, asOf, err := r.readPeer(ctx, client, p)
+	items, asOf, err := r.readPeer(ctx, client, &p)
 	// received_bytes distinguishes a peer that sent too little from one that did not answer.
-	log := r.log.WithFields(logrus.Fields{
-		"peer": p.From, "after": p.After, "wanted": p.Reported, "as_of": asOf, "items": len(items),
+	log := r.log.WithFields(revisionFields("after", p.After)).WithFields(revisionFields("as_of", asOf)).WithFields(logrus.Fields{
+		"peer": p.From, "wanted": p.Reported.Number(), "items": len(items),
 		"took_ms": time.Since(began).Milliseconds(), "received_bytes": client.BytesReceived() - before,
 	})
 	if err != nil {
@@ -211,13 +218,19 @@
 	r.handleFollowEvent(time.Now(), follow.PullEnded{Pull: p.ID, Failed: err != nil})
 }
 
-func (r *Relay) readPeer(ctx context.Context, client *peers.Client, p follow.Pull) ([]shed.Item, shed.Revision, error) {
+// readPeer reads what a pull asks for. If the peer has entered another era of the store meanwhile,
+// it reads everything, and changes the pull accordingly: changes don't tell what that era lacks.
+func (r *Relay) readPeer(ctx context.Context, client *peers.Client, p *follow.Pull) ([]shed.Item, shed.Revision, error) {
 	call := peers.ItemsCall{After: p.After, Known: p.Known}
 	for {
 		reply, err := client.Items(ctx, p.From, call)
 		if err != nil {
 			return nil, 0, err
 		}
+		if call.After > 0 && reply.AsOf.Era() != call.After.Era() {
+			call.After, p.After = 0, 0
+			continue
+		}
 		items, err := r.unpackChanges(reply.Items)
 		if errors.Is(err, delta.ErrUnpack) && call.Known > 0 {
 			// The item held here has changed meanwhile or isn't the base that the peer assumed.
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -15,6 +15,7 @@
 	crashes       tally.Counter
 	turnsDenied   tally.Counter
 	rests         tally.Counter
+	storeEra      tally.Gauge
 	storeCalls    tally.Counter
 	storeFailures tally.Counter
 	pieceCalls    tally.Counter
@@ -33,6 +34,7 @@
 		crashes:       s.Counter("crashes_under_requests"),
 		turnsDenied:   s.Counter("turns_denied"),
 		rests:         s.Counter("server_rests"),
+		storeEra:      s.Gauge("store_era"),
 		storeCalls:    s.Counter("store_calls"),
 		storeFailures: s.Counter("store_failures"),
 		pieceCalls:    s.Counter("piece_calls"),
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -14,7 +14,7 @@
 	now := time.Now()
 	out := Status{
 		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
-		Stopping: r.stopping.Load(), OpenRequests: r.open.Load(), AsOf: r.roster.AsOf(),
+		Stopping: r.stopping.Load(), OpenRequests: r.open.Load(), AsOf: r.roster.AsOf().Number(), Era: r.roster.Era(),
 		Peers: r.alivePeers(), Servers: r.picker.Shares(), QueuedPieces: map[shed.PoolID]int{},
 	}
 	if c := r.roster.Catalog(); c != nil {
@@ -31,13 +31,15 @@
 
 // Status is the state that the relay shows to operators.
 type Status struct {
-	VM           shed.VM       `json:"vm"`
-	Zone         shed.ZoneID   `json:"zone"`
-	Ready        bool          `json:"ready"`
-	Stopping     bool          `json:"stopping"`
-	OpenRequests int64         `json:"open"`
-	Version      string        `json:"version"`
-	AsOf         shed.Revision `json:"as_of"`
+	VM           shed.VM     `json:"vm"`
+	Zone         shed.ZoneID `json:"zone"`
+	Ready        bool        `json:"ready"`
+	Stopping     bool        `json:"stopping"`
+	OpenRequests int64       `json:"open"`
+	Version      string      `json:"version"`
+	// AsOf and Era are the number and the era of the store's revision that the VM has.
+	AsOf uint64   `json:"as_of"`
+	Era  shed.Era `json:"store_era"`
 	// StoreAgeMS is the time since the store last answered.
 	StoreAgeMS int64                              `json:"store_age_ms"`
 	Peers      []shed.VM                          `json:"peers"`
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -120,7 +120,7 @@
 	}
 	if errors.Is(err, shed.ErrCompacted) {
 		r.historyCompacted = true
-		r.log.WithField("after", rd.after).Info("store history was compacted; reading all items")
+		r.log.WithFields(revisionFields("after", rd.after)).WithError(err).Info("store lacks the changes since; reading all items")
 		return nil
 	}
 	if err != nil {
@@ -133,8 +133,8 @@
 		r.lastChange = time.Now()
 	}
 	if call == follow.ListReplica || call == follow.ReadChanges {
-		r.log.WithFields(logrus.Fields{"after": rd.after, "as_of": rd.asOf, "items": len(rd.items), "whole": rd.complete}).
-			Info("store read at the start")
+		r.log.WithFields(revisionFields("after", rd.after)).WithFields(revisionFields("as_of", rd.asOf)).
+			WithFields(logrus.Fields{"items": len(rd.items), "whole": rd.complete}).Info("store read at the start")
 	}
 	r.applyReading(rd)
 	return nil
@@ -171,6 +171,7 @@
 		watchers = r.standingWatchers(now)
 	}
 	r.logRosterChanges(r.roster.Apply(now, l))
+	r.stats.storeEra.Update(float64(r.roster.Era()))
 	r.picker.RetainServers(r.roster.HasServer)
 	r.accept.Prune(r.roster.HasRoute)
 	r.limits.Prune(now, r.roster.HasServer)
@@ -207,14 +208,15 @@
 func (r *Relay) hasItem(item shed.Item) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Item(item.Key).Revision >= item.Revision
+	return r.roster.HasItem(item.Key, item.Revision)
 }
 
 // logRosterChanges logs changes of the roster's view. The caller holds mu.
 func (r *Relay) logRosterChanges(changes []roster.Change) {
 	for _, c := range changes {
 		r.stats.stateChanges.Inc(1)
-		fields := logrus.Fields{"reason": c.Reason, "revision": c.Revision}
+		fields := revisionFields("revision", c.Revision)
+		fields["reason"] = c.Reason
 		if c.Key != "" {
 			fields["key"] = c.Key
 		}
@@ -227,3 +229,8 @@
 		r.log.WithFields(fields).Info("belief")
 	}
 }
+
+// revisionFields returns the log fields of a revision: its number under the name, and its era.
+func revisionFields(name string, rev shed.Revision) logrus.Fields {
+	return logrus.Fields{name: rev.Number(), name + "_era": rev.Era()}
+}
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	s := r.servers[start.Server]
-	if s == nil || s.StartedMs != start.StartedMs {
+	if s == nil || startOf(s.ServerEntry) != start {
 		return nil
 	}
 	r.rebuild()
@@ -36,7 +36,7 @@
 
 // departed reports whether the server said in an answer that it leaves.
 func (r *Roster) departed(s *Server) bool {
-	_, ok := r.departures[shed.ServerStart{Server: s.ID, StartedMs: s.StartedMs}]
+	_, ok := r.departures[startOf(s.ServerEntry)]
 	return ok
 }
 
@@ -45,7 +45,7 @@
 func (r *Roster) UnlistedDepartures() []shed.ServerStart {
 	var out []shed.ServerStart
 	for start := range r.departures {
-		if s := r.servers[start.Server]; s != nil && s.StartedMs == start.StartedMs && !s.Leaving {
+		if s := r.servers[start.Server]; s != nil && startOf(s.ServerEntry) == start && !s.Leaving {
 			out = append(out, start)
 		}
 	}
@@ -57,6 +57,9 @@
 
 // pruneDepartures forgets the departures of servers that are no longer listed.
 func (r *Roster) pruneDepartures(now time.Time) {
+	if len(r.departures) == 0 {
+		return
+	}
 	maps.DeleteFunc(r.departures, func(start shed.ServerStart, at time.Time) bool {
 		return r.servers[start.Server] == nil && now.Sub(at) > departureRetention
 	})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,9 +13,13 @@
 
 // Config configures a Roster. Fields left at 0 get the default of their name.
 type Config struct {
-	// LapseGrace is how long an entry that lapsed during a store outage is still used once the
-	// store is back: its server may be alive and about to renew it.
+	// LapseGrace is how long an entry that lapsed during a store outage, or that a restored store
+	// lacks, is still used once the store is back: its server may be alive and about to renew it.
 	LapseGrace time.Duration
+	// ClosedGrace is how long a closed zone that a restored store lacks stays closed: operators
+	// write again what was lost. A zone that is closed too long costs capacity, one that is opened
+	// too soon gets work that must not reach it.
+	ClosedGrace time.Duration
 	// Heartbeat is how often a server renews its entry, which lapses after three missed
 	// heartbeats.
 	Heartbeat time.Duration
@@ -26,6 +30,8 @@
 	// DefaultLapseGrace covers the about two seconds after the store's return within which
 	// the platform guarantees that servers renew a lapsed entry.
 	DefaultLapseGrace = 2200 * time.Millisecond
+	// DefaultClosedGrace covers the time in which operators write again what the store lost.
+	DefaultClosedGrace = 10 * time.Second
 	// DefaultHeartbeat is the setting of the platform's deployments.
 	DefaultHeartbeat = 1200 * time.Millisecond
 )
@@ -69,6 +75,9 @@
 	ZoneReopened      shed.Reason = "zone_reopened"
 	StoreRegained     shed.Reason = "store_regained"
 	StoreLost         shed.Reason = "store_lost"
+	StoreRestored     shed.Reason = "store_restored_from_a_copy"
+	ServerWithheld    shed.Reason = "server_withheld"
+	CatalogOlder      shed.Reason = "older_configuration_ignored"
 	CatalogUnreadable shed.Reason = "configuration_unreadable"
 	ItemUnreadable    shed.Reason = "item_unreadable"
 )
@@ -79,7 +88,8 @@
 	items map[string]Entry
 	// keys are those of items, sorted; nil if they have changed since.
 	keys []string
-	// lapsed are the keys of server entries that vanished during an outage of the store.
+	// lapsed are the keys of items that vanished during an outage of the store or when it came back
+	// from a copy, and have not been written again yet.
 	lapsed map[string]bool
 	// deleted holds the revisions of deletions, so that an older item from a peer doesn't
 	// restore what was deleted.
@@ -97,6 +107,10 @@
 	// departures are the servers that said in an answer that they leave, with the time at which
 	// this daemon last heard it.
 	departures map[shed.ServerStart]time.Time
+	// gone are the starts of servers that were removed, with the store's era at that time, and
+	// withheld those that get no work until a time because a restored store still lists them.
+	gone     map[shed.ServerStart]removal
+	withheld map[shed.ServerStart]time.Time
 	// open are the servers of each pool that may get new work, sorted by id; openAt are the same
 	// by address.
 	open   map[shed.PoolID][]*Server
@@ -117,6 +131,9 @@
 	if cfg.LapseGrace == 0 {
 		cfg.LapseGrace = DefaultLapseGrace
 	}
+	if cfg.ClosedGrace == 0 {
+		cfg.ClosedGrace = DefaultClosedGrace
+	}
 	if cfg.Heartbeat == 0 {
 		cfg.Heartbeat = DefaultHeartbeat
 	}
@@ -130,6 +147,8 @@
 		closed:    map[shed.ZoneID]bool{},
 
 		departures: map[shed.ServerStart]time.Time{},
+		gone:       map[shed.ServerStart]removal{},
+		withheld:   map[shed.ServerStart]time.Time{},
 	}
 }
 
@@ -203,12 +222,13 @@
 // IsOpen reports whether this start of a server may get new work.
 func (r *Roster) IsOpen(start shed.ServerStart) bool {
 	s := r.servers[start.Server]
-	return s != nil && s.StartedMs == start.StartedMs && r.accepts(s)
+	return s != nil && startOf(s.ServerEntry) == start && r.accepts(s)
 }
 
 // accepts reports whether a listed server may get new work.
 func (r *Roster) accepts(s *Server) bool {
-	return !s.Leaving && !r.departed(s) && !r.closed[s.Zone]
+	_, withheld := r.withheld[startOf(s.ServerEntry)]
+	return !s.Leaving && !withheld && !r.departed(s) && !r.closed[s.Zone]
 }
 
 // Version changes whenever the result of OpenServers may have changed.
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -51,6 +51,7 @@
 		out = r.recordStoreAnswer(now, out)
 	}
 	r.hasReplicaData = r.hasReplicaData || update.Source == FromReplica
+	out = r.checkEra(now, out, update)
 	for _, e := range update.Items {
 		if e.Deleted {
 			out = r.removeItem(now, out, source, e.Key, e.Revision)
@@ -93,10 +94,13 @@
 
 func (r *Roster) putItem(now time.Time, out []Change, e Entry) []Change {
 	old, known := r.items[e.Key]
-	if known && e.Revision <= old.Revision {
+	if known && !e.replaces(old) {
 		if e.Revision == old.Revision {
 			delete(r.lapsed, e.Key)
 		}
+		if e.Revision > old.Revision {
+			out = append(out, Change{Reason: CatalogOlder, Key: e.Key, Revision: e.Revision, Version: e.Record.(*shed.Catalog).Version})
+		}
 		return out
 	}
 	if e.Revision <= r.deleted[e.Key] {
@@ -104,7 +108,7 @@
 	}
 	switch f := e.Record.(type) {
 	case *shed.Catalog:
-		if e.Revision < r.catalogRev {
+		if r.catalog != nil && !e.replaces(Entry{Item: shed.Item{Revision: r.catalogRev}, Record: r.catalog}) {
 			return out
 		}
 		r.catalog, r.catalogRev = f, e.Revision
@@ -141,13 +145,37 @@
 	r.keys = nil
 }
 
+// replaces reports whether the entry is newer than another one of the same key. Configurations of
+// different eras are ordered by the operator's number: a restored store may hold one that is older
+// than the one in force, at a newer revision.
+func (e Entry) replaces(old Entry) bool {
+	if e.Revision.Era() == old.Revision.Era() {
+		return e.Revision > old.Revision
+	}
+	c, ok := e.Record.(*shed.Catalog)
+	held, isCatalog := old.Record.(*shed.Catalog)
+	if ok && isCatalog && c.Number != held.Number && c.Number > 0 && held.Number > 0 {
+		return c.Number > held.Number
+	}
+	return e.Revision > old.Revision
+}
+
 // putServer stores a server entry. The entry was written a while ago, so its cold period ends
 // earlier than computed here; the server counts as cold until that upper bound, ColdUntil.
 func (r *Roster) putServer(now time.Time, out []Change, e Entry, server shed.ServerEntry) []Change {
 	old := r.servers[server.ID]
+	if old != nil && old.ServerEntry == server {
+		// A restored store lists it again, unchanged.
+		return out
+	}
+	out = r.recognizeRemoved(now, out, e, old, server)
 	s := &Server{ServerEntry: server}
-	if old != nil && old.StartedMs == server.StartedMs {
+	switch {
+	case old == nil:
+	case old.StartedMs == server.StartedMs:
 		s.ColdUntil = old.ColdUntil
+	default:
+		r.recordGone(now, old.ServerEntry)
 	}
 	if until := now.Add(server.ColdRemaining); server.ColdRemaining > 0 && until.After(s.ColdUntil) {
 		s.ColdUntil = until
@@ -169,22 +197,31 @@
 		return out
 	}
 	if entry, ok := old.Record.(shed.ServerEntry); ok && source == FromStore && !entry.Leaving && now.Before(r.contactSince.Add(r.cfg.LapseGrace)) {
-		if !r.lapsed[key] {
-			r.lapsed[key] = true
-			out = append(out, Change{Reason: ServerLapsed, Key: key, Revision: rev, Server: entry.ID, Zone: entry.Zone})
-		}
-		return out
+		return r.lapse(out, key, rev)
 	}
 	r.deleted[key] = max(rev, old.Revision)
 	return r.dropItem(now, out, key)
 }
 
+// lapse keeps an item that vanished, in case that it is written again.
+func (r *Roster) lapse(out []Change, key string, rev shed.Revision) []Change {
+	if r.lapsed[key] {
+		return out
+	}
+	r.lapsed[key] = true
+	if entry, ok := r.items[key].Record.(shed.ServerEntry); ok {
+		out = append(out, Change{Reason: ServerLapsed, Key: key, Revision: rev, Server: entry.ID, Zone: entry.Zone})
+	}
+	return out
+}
+
 func (r *Roster) dropItem(now time.Time, out []Change, key string) []Change {
 	old := r.items[key]
 	r.deleteItem(key)
 	switch f := old.Record.(type) {
 	case shed.ServerEntry:
 		delete(r.servers, f.ID)
+		r.recordGone(now, f)
 		out = append(out, Change{Reason: ServerGone, Key: key, Revision: old.Revision, Server: f.ID, Zone: f.Zone})
 	case shed.ZoneClosed:
 		r.markZoneCold(now, f.Zone)
@@ -212,7 +249,12 @@
 		listed[e.Key] = true
 	}
 	for _, key := range r.sortedKeys() {
-		if !listed[key] && r.items[key].Revision <= update.AsOf {
+		if listed[key] || r.items[key].Revision > update.AsOf {
+			continue
+		}
+		if r.items[key].Revision.Era() < update.AsOf.Era() {
+			out = r.removeLost(now, out, key)
+		} else {
 			out = r.removeItem(now, out, update.Source, key, 0)
 		}
 	}
@@ -227,17 +269,32 @@
 	return r.keys
 }
 
-// Tick drops lapsed entries once the grace period is over.
+// Tick drops lapsed items once their grace period is over, and no longer withholds servers that the
+// store would have dropped by now if they were dead.
 func (r *Roster) Tick(now time.Time) []Change {
 	r.pruneDepartures(now)
-	if len(r.lapsed) == 0 || now.Before(r.contactSince.Add(r.cfg.LapseGrace)) || now.Sub(r.lastContact) > r.cfg.maxContactGap() {
-		return nil
-	}
+	r.pruneGone(now)
+	released := r.releaseWithheld(now)
 	var out []Change
-	for _, key := range slices.Sorted(maps.Keys(r.lapsed)) {
-		r.deleted[key] = r.items[key].Revision
-		out = r.dropItem(now, out, key)
+	if len(r.lapsed) > 0 && now.Sub(r.lastContact) <= r.cfg.maxContactGap() {
+		for _, key := range slices.Sorted(maps.Keys(r.lapsed)) {
+			if now.Before(r.contactSince.Add(r.lapseGrace(key))) {
+				continue
+			}
+			r.deleted[key] = r.items[key].Revision
+			out = r.dropItem(now, out, key)
+		}
+	}
+	if released || len(out) > 0 {
+		r.rebuild()
 	}
-	r.rebuild()
 	return out
 }
+
+// lapseGrace is how long a lapsed item is kept.
+func (r *Roster) lapseGrace(key string) time.Duration {
+	if _, ok := r.items[key].Record.(shed.ZoneClosed); ok {
+		return r.cfg.ClosedGrace
+	}
+	return r.cfg.LapseGrace
+}
--- a/relay.go
+++ b/relay.go
@@ -21,9 +21,11 @@
 // Catalog is one configuration of the relay: routes, pools, workspaces, limits.
 // It is immutable once built.
 type Catalog struct {
-	// Version is the operator's own number, for logs; catalogs are ordered by the
-	// Revision of their item.
+	// Version is the operator's own version, for logs. Number is its value if it is a number, else
+	// 0. Catalogs are ordered by the Revision of their item within an era of the store, and by
+	// Number across eras.
 	Version string
+	Number  uint64
 	Routes  []Route
 	Pools   map[PoolID]*RelayPool
 	// APIKeys maps API keys to workspaces; empty if callers need no key.
@@ -185,9 +187,11 @@
 	ErrStoreUnreachable = errors.New("store unreachable")
 	// ErrStoreBusy: the store rejected the call.
 	ErrStoreBusy = errors.New("store busy")
-	// ErrCompacted: the store no longer has all changes since the given revision; list
-	// all items again.
+	// ErrCompacted: the store no longer has all changes since the given revision, or has come back
+	// from a copy that never had it; list all items again.
 	ErrCompacted = errors.New("store history gone")
+	// ErrStaleReply: the answer is of an earlier era of the store than one before.
+	ErrStaleReply = errors.New("reply of an earlier era of the store")
 	// ErrBadStoreReply: the answer is malformed.
 	ErrBadStoreReply = errors.New("bad reply of the store")
 	// ErrUnknownRecord: the item holds no record that the system knows.
