follow: at a change of era peers send hashes of what they share

Cause, found in virtual time: at a change of era all VMs read everything once, from the three that read it from the store. 670 VMs and 2,500 servers: 754 KB each, 471 MB from one VM, and the last VM is not done after 6 s (20, 78, 195 VMs: 39, 193, 785 ms).

Ruled out: carrying old revisions on for unchanged items, so that changes across eras are complete: a VM that saw a value that was lost would then keep it unnoticed, with an equal digest.

Change: a value that the restored store has unchanged is sent as its hash to a peer of an earlier era; a receiver that holds another value, or none, reads it whole. Peers that don't know hashes get values.

--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -107,3 +107,18 @@
 		})
 	}
 }
+
+// Guards against a value that is taken for the receiver's own although the receiver has another one
+// or none.
+func TestHashStandsForTheSameValueOnly(t *testing.T) {
+	item := shed.Item{Key: "k", Revision: 9, Value: []byte("value")}
+	c := delta.Hashed(item)
+	require.Empty(t, c.Value)
+	got, err := delta.Restore(c, shed.Item{Key: "k", Revision: 3, Value: []byte("value")})
+	require.NoError(t, err)
+	require.Equal(t, item, got)
+	for _, held := range []shed.Item{{}, {Key: "k", Revision: 3, Value: []byte("other")}, {Key: "k", Revision: 3}} {
+		_, err = delta.Restore(c, held)
+		require.ErrorIs(t, err, delta.ErrUnpack)
+	}
+}
--- a/internal/delta/packer.go
+++ b/internal/delta/packer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	shed "jasmineshed"
 )
 
@@ -67,9 +69,23 @@
 	}
 }
 
-// Restore reverses Pack; held is the receiver's item of the same key. It returns ErrUnpack if
-// held is not the base.
+// Hashed converts an item whose value the receiver has to the form sent between VMs.
+func Hashed(item shed.Item) shed.ItemChange {
+	return shed.ItemChange{Item: shed.Item{Key: item.Key, Revision: item.Revision}, SameAs: hash(item.Value)}
+}
+
+// hash is never 0, which means no hash.
+func hash(value []byte) uint64 { return max(xxhash.Sum64(value), 1) }
+
+// Restore reverses Pack and Hashed; held is the receiver's item of the same key. It returns
+// ErrUnpack if held is not the base, or not the same.
 func Restore(c shed.ItemChange, held shed.Item) (shed.Item, error) {
+	if c.SameAs != 0 {
+		if held.Key != c.Key || hash(held.Value) != c.SameAs {
+			return shed.Item{}, ErrUnpack
+		}
+		return shed.Item{Key: c.Key, Revision: c.Revision, Value: held.Value}, nil
+	}
 	if !c.Packed {
 		return c.Item, nil
 	}
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -23,6 +23,7 @@
 	loadBytes            = 330
 	callBytes            = 60
 	entryBytes           = 300      // an update of one server entry
+	hashedBytes          = 45       // the hash of one
 	maxPush              = 32 << 10 // a larger change is only announced, and pulled by peers
 	pullTimeout          = time.Second
 	watcherCount         = 3
@@ -39,6 +40,10 @@
 	watchers []shed.VM
 	// sizes holds the bytes on the wire of the change at each revision.
 	sizes map[shed.Revision]int
+	// wholeBytes is the size on the wire of all items.
+	wholeBytes int
+	// pullTimeout ends a pull, however much has arrived.
+	pullTimeout time.Duration
 	// lossRate is the fraction of messages that are lost.
 	lossRate float64
 }
@@ -56,7 +61,7 @@
 }
 
 func newSim(n int, lossRate float64) *sim {
-	s := &sim{rnd: rand.New(rand.NewPCG(1, uint64(n))), Clock: vclock.Clock{Now: start}, byID: map[shed.VM]*simVM{}, sizes: map[shed.Revision]int{}, lossRate: lossRate}
+	s := &sim{rnd: rand.New(rand.NewPCG(1, uint64(n))), Clock: vclock.Clock{Now: start}, byID: map[shed.VM]*simVM{}, sizes: map[shed.Revision]int{}, lossRate: lossRate, pullTimeout: pullTimeout}
 	highCapacity := max(watcherCount, n/13)
 	for i := range n {
 		vm := &simVM{id: shed.VM(fmt.Sprint("vm-", i)), rate: smallLink, asOf: 1, contact: start, knownAt: map[shed.Revision]time.Time{}}
@@ -120,7 +125,7 @@
 			s.handle(vm, follow.PullEnded{Pull: p.ID, Failed: failed})
 		}
 	}
-	s.After(pullTimeout, func() { end(true) })
+	s.After(s.pullTimeout, func() { end(true) })
 	s.send(vm, peer, callBytes, func() {
 		asOf, size := peer.asOf, s.changeBytes(p.After, peer.asOf)
 		peer.sentBytes += size
@@ -133,6 +138,9 @@
 
 // changeBytes is the size on the wire of the changes between two revisions.
 func (s *sim) changeBytes(after, asOf shed.Revision) int {
+	if after == 0 || after.Era() != asOf.Era() {
+		return callBytes + s.wholeBytes
+	}
 	total := callBytes
 	for rev := after + 1; rev <= asOf; rev++ {
 		total += s.sizes[rev]
@@ -141,6 +149,10 @@
 }
 
 func (s *sim) advance(vm *simVM, asOf shed.Revision) {
+	if asOf.Era() > vm.asOf.Era() {
+		vm.asOf = asOf
+		vm.knownAt[asOf] = s.Now
+	}
 	for vm.asOf < asOf {
 		vm.asOf++
 		vm.knownAt[vm.asOf] = s.Now
@@ -151,10 +163,15 @@
 func (s *sim) write(size int) shed.Revision {
 	rev := shed.Revision(len(s.sizes) + 2)
 	s.sizes[rev] = size
+	s.tell(rev-1, rev)
+	return rev
+}
+
+// tell has the watchers read the store as of a revision and tell the others what changed.
+func (s *sim) tell(after, rev shed.Revision) {
 	for _, id := range s.watchers {
 		vm := s.byID[id]
 		s.After(5*time.Millisecond, func() {
-			after := rev - 1
 			s.advance(vm, rev)
 			vm.contact = s.Now
 			for _, to := range s.vms {
@@ -164,7 +181,6 @@
 			}
 		})
 	}
-	return rev
 }
 
 func (s *sim) sendUpdate(from, to *simVM, after, asOf shed.Revision) {
@@ -260,3 +276,40 @@
 	}
 	return total / len(s.vms), peak
 }
+
+// The store comes back from a copy, and all VMs read everything once: the watchers from the store,
+// the others from peers with large links. Every VM must live in the new era within three seconds, so
+// that what is written then is in force in time.
+func TestRestoreAtSize(t *testing.T) {
+	for _, c := range []struct{ vms, servers int }{{20, 80}, {78, 300}, {195, 730}, {670, 2500}} {
+		s := newSim(c.vms, 0)
+		// What has not changed is sent as a hash, the configuration as its difference, a few KB.
+		s.wholeBytes = c.servers*hashedBytes + 4<<10
+		// A pull has an idle timeout only.
+		s.pullTimeout = 5 * time.Second
+		s.Run(500 * time.Millisecond)
+		before := s.write(entryBytes)
+		s.Run(300 * time.Millisecond)
+		for _, vm := range s.vms {
+			vm.sentBytes = 0
+		}
+		restored, at := rev(2, 1), s.Now
+		s.tell(before, restored)
+		took := time.Hour
+		for s.Now.Sub(at) < 3*time.Second && took == time.Hour {
+			s.Run(100 * time.Millisecond)
+			took = s.propagationDelay(restored, at)
+		}
+		mean, most := s.sentPerVM()
+		t.Logf("%+v: %d bytes each; last VM after %v; sent: mean %d bytes, most %d", c, s.wholeBytes, took.Round(time.Millisecond), mean, most)
+		require.Less(t, took, 3*time.Second, "%+v", c)
+	}
+}
+
+func rev(era shed.Era, number uint64) shed.Revision {
+	r, err := shed.NewRevision(era, number)
+	if err != nil {
+		panic(err) // The test's own numbers are in range.
+	}
+	return r
+}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -81,6 +81,8 @@
 	// Known is the revision up to which the caller's state is complete; large values are sent as
 	// a delta to their value at that revision, or to an empty one if it is 0.
 	Known shed.Revision `cbor:"2,keyasint,omitempty"`
+	// KnowsHashes: values that the caller has may be replaced by their hash.
+	KnowsHashes bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ItemsReply is the answer to an ItemsCall.
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -59,7 +59,11 @@
 }
 
 // change is an item that a peer lacks, and the version of it that the peer has.
-type change struct{ item, base shed.Item }
+type change struct {
+	item, base shed.Item
+	// hashed: the peer has the value, so its hash is enough.
+	hashed bool
+}
 
 // changes returns the items changed after one revision, for a peer that has everything up to
 // another, known. The caller holds mu.
@@ -76,6 +80,10 @@
 func (r *Relay) packChanges(changes []change) []shed.ItemChange {
 	out := make([]shed.ItemChange, len(changes))
 	for i, c := range changes {
+		if c.hashed {
+			out[i] = delta.Hashed(c.item)
+			continue
+		}
 		out[i] = r.packer.Pack(c.item, c.base)
 	}
 	return out
@@ -93,6 +101,12 @@
 func (r *Relay) Items(call peers.ItemsCall) peers.ItemsReply {
 	r.mu.Lock()
 	asOf, changes := r.roster.AsOf(), r.changes(call.After, call.Known)
+	if call.KnowsHashes && call.Known > 0 && call.Known.Era() < asOf.Era() {
+		// A peer of an earlier era reads everything, most of which it has.
+		for i := range changes {
+			changes[i].hashed = r.roster.IsCarried(changes[i].item.Key)
+		}
+	}
 	r.mu.Unlock()
 	return peers.ItemsReply{AsOf: asOf, Items: r.packChanges(changes)}
 }
@@ -221,7 +235,7 @@
 // readPeer reads what a pull asks for. If the peer has entered another era of the store meanwhile,
 // it reads everything, and changes the pull accordingly: changes don't tell what that era lacks.
 func (r *Relay) readPeer(ctx context.Context, client *peers.Client, p *follow.Pull) ([]shed.Item, shed.Revision, error) {
-	call := peers.ItemsCall{After: p.After, Known: p.Known}
+	call := peers.ItemsCall{After: p.After, Known: p.Known, KnowsHashes: true}
 	for {
 		reply, err := client.Items(ctx, p.From, call)
 		if err != nil {
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"bytes"
 	"maps"
 	"time"
 
@@ -92,6 +93,19 @@
 	maps.DeleteFunc(r.gone, func(_ shed.ServerStart, g removal) bool { return now.Sub(g.at) > goneRetention })
 }
 
+// recordCarried records whether an item has the value that it had in an earlier era.
+func (r *Roster) recordCarried(old, item shed.Item) {
+	if old.Revision > 0 && old.Revision.Era() < item.Revision.Era() && bytes.Equal(old.Value, item.Value) {
+		r.carried[item.Key] = true
+		return
+	}
+	delete(r.carried, item.Key)
+}
+
+// IsCarried reports whether a key's value is that of an earlier era, so that a peer of that era
+// probably has it.
+func (r *Roster) IsCarried(key string) bool { return r.carried[key] }
+
 // HasItem reports whether the roster holds the item of a key as of a revision, or a newer one, so
 // that the item need not be read. Which of two configurations of different eras is newer shows only
 // in their content.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -88,6 +88,8 @@
 	items map[string]Entry
 	// keys are those of items, sorted; nil if they have changed since.
 	keys []string
+	// carried are the keys of items whose value a restored store has unchanged.
+	carried map[string]bool
 	// lapsed are the keys of items that vanished during an outage of the store or when it came back
 	// from a copy, and have not been written again yet.
 	lapsed map[string]bool
@@ -146,6 +148,7 @@
 		servers:   map[shed.ServerID]*Server{},
 		closed:    map[shed.ZoneID]bool{},
 
+		carried:    map[string]bool{},
 		departures: map[shed.ServerStart]time.Time{},
 		gone:       map[shed.ServerStart]removal{},
 		withheld:   map[shed.ServerStart]time.Time{},
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -130,6 +130,7 @@
 		}
 		return append(out, Change{Reason: ItemUnreadable, Key: e.Key, Revision: e.Revision})
 	}
+	r.recordCarried(old.Item, e.Item)
 	r.savePast(r.Item(e.Key))
 	if !known {
 		r.keys = nil
@@ -142,6 +143,7 @@
 func (r *Roster) deleteItem(key string) {
 	delete(r.items, key)
 	delete(r.lapsed, key)
+	delete(r.carried, key)
 	r.keys = nil
 }
 
--- a/relay.go
+++ b/relay.go
@@ -179,6 +179,8 @@
 	// revision Base, or to an empty value if Base is 0.
 	Packed bool     `cbor:"5,keyasint,omitempty"`
 	Base   Revision `cbor:"6,keyasint,omitempty"`
+	// SameAs, if not 0, is the hash of the value, which is left out because the receiver has it.
+	SameAs uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Errors of a Store.
