relay: a request that has part of its answer waits longer for a resting server

Cause, by reading: a request that is sent once more has mostly passed its target, so it was refused whenever all servers rested, however briefly; a stream would end midway.

Also: a server's own failure is not replaced by another try if all other servers rest; a change of the roster's view names its server in the log.

Tests of rests and departures pass with the race detector.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -226,9 +226,10 @@
 func (r *Relay) hasOtherServer(j *job, c picker.Choice) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, s := range r.roster.OpenServers(j.pool.ID) {
-		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) {
-			return r.retryBudget(j.pool.ID).Remaining(time.Now()) > 0
+		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) && r.access.RestLeft(now, startOf(s.ServerEntry)) == 0 {
+			return r.retryBudget(j.pool.ID).Remaining(now) > 0
 		}
 	}
 	return false
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -238,7 +238,7 @@
 // time, else it refuses the request.
 func (r *Relay) awaitRest(ctx context.Context, j *job, left time.Duration) *refusal {
 	wait, retryAfter := access.Wait{
-		RestLeft: left, ToTarget: time.Until(j.target), Answer: j.answerTime, Rank: j.rank, Fraction: j.request.Fraction(),
+		RestLeft: left, ToTarget: r.timeToTarget(j, time.Now()), Answer: j.answerTime, Rank: j.rank, Fraction: j.request.Fraction(),
 	}.Decide()
 	if retryAfter == 0 {
 		sleep(ctx, wait)
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -29,7 +29,7 @@
 	}
 	request, choice := r.estimate(j, p)
 	switch {
-	case choice.RestingFor > time.Until(j.target):
+	case choice.RestingFor > r.timeToTarget(j, time.Now()):
 		// No server could answer in time, so the pieces would be run in vain.
 		return r.awaitRest(ctx, j, choice.RestingFor)
 	case choice.UnreachableFor > 0:
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -220,6 +220,9 @@
 		if c.Key != "" {
 			fields["key"] = c.Key
 		}
+		if c.Server != "" {
+			fields["server"] = c.Server
+		}
 		if c.Zone != "" {
 			fields["zone"] = c.Zone
 		}
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -31,7 +31,7 @@
 	if s.Leaving {
 		return nil
 	}
-	return []Change{{Reason: ServerSaysLeaving, Server: start.Server, Zone: s.Zone, Key: string(start.Server)}}
+	return []Change{{Reason: ServerSaysLeaving, Server: start.Server, Zone: s.Zone}}
 }
 
 // departed reports whether the server said in an answer that it leaves.
