load: serve keeps the rest that a server asked for

Change: the tracker gives the server no capacity until the end of the rest. The later end of two counts; a report doesn't shorten it; another start of the server has asked for none.

Polls of load go on, since they show whether the server has turned cold.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -37,7 +37,7 @@
 	if id, local := c.localCalls[e.Call]; local {
 		delete(c.localCalls, e.Call)
 		e.Server = id
-		c.emit(c.load.RecordEnd(now, e.Call, e.End))
+		c.emit(c.load.RecordEnd(now, e.Call, e))
 		c.emit(c.slots.Release(now, e.Call, e.End))
 	}
 	if to, forwarded := c.forwardedOut[e.Call]; forwarded {
--- a/internal/load/calls.go
+++ b/internal/load/calls.go
@@ -123,7 +123,7 @@
 }
 
 // RecordEnd records how the call ended.
-func (b *Tracker) RecordEnd(now time.Time, id shed.Call, end shed.CallEnd) []shed.Action {
+func (b *Tracker) RecordEnd(now time.Time, id shed.Call, end shed.CallEnded) []shed.Action {
 	c := b.calls[id]
 	if c == nil {
 		return nil
@@ -139,12 +139,15 @@
 	if len(e.endedCalls) > maxEndedCalls {
 		e.endedCalls = e.endedCalls[1:]
 	}
-	switch end {
+	switch end.End {
 	case shed.EndComplete:
 		e.callTimes.add(now.Sub(c.sentAt))
 		e.cold.ownCompleted++
 		e.updateAcceptsLate(now, c)
 	case shed.EndOverloaded:
+		if end.RetryAfter > 0 {
+			e.restUntil = shed.Later(e.restUntil, now.Add(end.RetryAfter))
+		}
 		return b.onOverload(now, e)
 	case shed.EndBroken:
 		return b.suspect(now, e)
--- a/internal/load/full.go
+++ b/internal/load/full.go
@@ -30,8 +30,12 @@
 	return nil
 }
 
-// expireRefusal clears a refusal that no report has cleared within refusalBackoff.
+// expireRefusal clears a refusal that no report has cleared within refusalBackoff, and a rest that is
+// over.
 func (e *serverState) expireRefusal(now time.Time) {
+	if !now.Before(e.restUntil) {
+		e.restUntil = time.Time{}
+	}
 	if !now.Before(e.refusedAt.Add(refusalBackoff)) {
 		e.refusedAt = time.Time{}
 	}
--- a/internal/load/full_test.go
+++ b/internal/load/full_test.go
@@ -60,3 +60,21 @@
 	b.receiveReport(newReport("x", 4, 521, false))
 	require.True(t, b.isCold())
 }
+
+// Guards against calls to a server that asked for rest: a newer report shows free capacity, but the
+// server wants no calls. Another start of it has asked for none.
+func TestServerThatAsksForRest(t *testing.T) {
+	b := newWarmFixture()
+	b.runCallToEnd(time.Millisecond, shed.CallEnded{End: shed.EndOverloaded, RetryAfter: 3 * time.Second})
+	b.runCallToEnd(time.Millisecond, shed.CallEnded{End: shed.EndOverloaded, RetryAfter: time.Second})
+	b.advance(10 * time.Millisecond)
+	b.receiveReport(newReport("x", 5, 530, true))
+	require.Zero(t, b.FreeCapacity(engine))
+	b.advance(2900 * time.Millisecond)
+	require.Zero(t, b.FreeCapacity(engine), "the later end of two rests counts")
+	b.advance(200 * time.Millisecond)
+	require.NotZero(t, b.FreeCapacity(engine))
+	b.runCallToEnd(time.Millisecond, shed.CallEnded{End: shed.EndOverloaded, RetryAfter: 3 * time.Second})
+	b.receiveReport(newReport("y", 1, 0, true))
+	require.NotZero(t, b.FreeCapacity(engine))
+}
--- a/internal/load/tracker.go
+++ b/internal/load/tracker.go
@@ -91,6 +91,9 @@
 	// refusedAt is when the server last refused a call because it was full; zero once a report
 	// was made after that, or refusalBackoff has passed.
 	refusedAt time.Time
+	// restUntil is until when the server wants no calls from this daemon; zero if it asked for no
+	// rest. A report doesn't shorten it.
+	restUntil time.Time
 	// announced is the report that any reader last broadcast to the zone, at announcedAt;
 	// divergedAt is since when the current report differs significantly from it.
 	announced   shed.LoadReport
@@ -256,6 +259,7 @@
 	}
 	if r.Boot != e.report.Boot && e.report.Boot != "" {
 		e.retireBoot()
+		e.restUntil = time.Time{}
 	}
 	out = b.updateCold(now, out, e, r)
 	e.report, e.reportTime = r, at
@@ -328,7 +332,7 @@
 // proves that it can handle it.
 func (b *Tracker) FreeCapacity(server shed.ServerID) int {
 	e := b.servers[server]
-	if e == nil || !e.refusedAt.IsZero() {
+	if e == nil || !e.refusedAt.IsZero() || !e.restUntil.IsZero() {
 		return 0
 	}
 	free := e.usableCapacity() - e.estimateRunning()
--- a/internal/load/tracker_test.go
+++ b/internal/load/tracker_test.go
@@ -60,6 +60,10 @@
 
 // runCall simulates a call whose time to the first token is first.
 func (b *fixture) runCall(first time.Duration, end shed.CallEnd) {
+	b.runCallToEnd(first, shed.CallEnded{End: end})
+}
+
+func (b *fixture) runCallToEnd(first time.Duration, end shed.CallEnded) {
 	b.calls++
 	id := shed.Call{Request: shed.RequestID(fmt.Sprint(b.calls)), Attempt: 1}
 	b.RecordSent(b.now, engine, id)
@@ -212,7 +216,7 @@
 	require.Equal(t, 6, c.Running, "sent since")
 	require.Equal(t, 2, c.OwnCalls)
 	b.advance(time.Second)
-	b.apply(b.RecordEnd(b.now, before, shed.EndComplete))
+	b.apply(b.RecordEnd(b.now, before, shed.CallEnded{End: shed.EndComplete}))
 	c, _ = b.Candidate(b.now, engine)
 	require.Equal(t, 5, c.Running, "ended since")
 }
