--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -202,7 +202,7 @@
 		}
 		delete(r.pendingFrees, addr)
 		server := r.roster.OpenServerAt(addr)
-		if server == nil || r.isLimited(server) || r.access.IsRested(startOf(server.ServerEntry)) {
+		if server == nil || r.isLimited(server) || r.access.IsRested(server.Start()) {
 			// A server that gets no new work needs no capacity. At a limited or resting one the
 			// call would take the place of a piece call; results expire by themselves.
 			continue
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -19,7 +19,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := r.limits.Answered(now, startOf(s), reply.Limit)
+	changes := r.limits.Answered(now, s.Start(), reply.Limit)
 	if len(changes) == 0 {
 		return
 	}
@@ -32,7 +32,7 @@
 }
 
 // isLimited reports whether the server has stated a rate limit. The caller holds mu.
-func (r *Relay) isLimited(s *roster.Server) bool { return r.limits.Rate(startOf(s.ServerEntry)) > 0 }
+func (r *Relay) isLimited(s *roster.Server) bool { return r.limits.Rate(s.Start()) > 0 }
 
 // logLimits logs changed limits and their source.
 func (r *Relay) logLimits(changes []limit.Change, by string) {
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -93,7 +93,7 @@
 	r.stats.crashes.Inc(1)
 	r.log.WithFields(logrus.Fields{"request": id, "fingerprint": ref.Request, "server": s.ID, "born": s.StartedMs}).
 		Info("server ended under a request")
-	r.reportSuspects(r.poison.Crashed(time.Now(), ref.Request, ref.Workspace, startOf(s)))
+	r.reportSuspects(r.poison.Crashed(time.Now(), ref.Request, ref.Workspace, s.Start()))
 }
 
 // assessPieces records for each request of a piece call whether the server crashed or survived.
@@ -128,15 +128,11 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func startOf(s shed.ServerEntry) shed.ServerStart {
-	return shed.ServerStart{Server: s.ID, StartedMs: s.StartedMs}
-}
-
 // serverEnded reports whether a server whose connection broke has ended. Servers close
 // connections for other reasons as well; one that has ended accepts none.
 func (r *Relay) serverEnded(s shed.ServerEntry) bool {
 	r.mu.Lock()
-	known := r.poison.RecentlyCrashed(time.Now(), startOf(s))
+	known := r.poison.RecentlyCrashed(time.Now(), s.Start())
 	r.mu.Unlock()
 	if known {
 		return true
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -228,7 +228,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, s := range r.roster.OpenServers(j.pool.ID) {
-		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) && r.access.RestLeft(now, startOf(s.ServerEntry)) == 0 {
+		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) && r.access.RestLeft(now, s.Start()) == 0 {
 			return r.retryBudget(j.pool.ID).Remaining(now) > 0
 		}
 	}
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -53,9 +53,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case !r.roster.IsOpen(startOf(s)):
+	case !r.roster.IsOpen(s.Start()):
 		return errServerClosed
-	case !r.access.Reserve(now, startOf(s)):
+	case !r.access.Reserve(now, s.Start()):
 		return errServerRests
 	}
 	return nil
@@ -89,16 +89,16 @@
 	defer r.mu.Unlock()
 	if reply.Rest == 0 {
 		if !reply.NotRun {
-			r.access.Accepted(startOf(s), sentAt)
+			r.access.Accepted(s.Start(), sentAt)
 		}
 		return
 	}
 	now := time.Now()
-	r.access.Rest(now, startOf(s), reply.Rest)
+	r.access.Rest(now, s.Start(), reply.Rest)
 	r.stats.rests.Inc(1)
 	r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartedMs, "pool": s.Pool, "rest_ms": reply.Rest.Milliseconds()}).
 		Info("server asks for rest")
-	r.performBatch(r.batcher.Handle(now, batch.ServerRests{Server: s.ID, Left: r.access.RestLeft(now, startOf(s))}))
+	r.performBatch(r.batcher.Handle(now, batch.ServerRests{Server: s.ID, Left: r.access.RestLeft(now, s.Start())}))
 }
 
 // restLeft returns how long no request may be sent to any open server of the pool because all of
@@ -106,7 +106,7 @@
 func (r *Relay) restLeft(now time.Time, pool shed.PoolID) time.Duration {
 	least := time.Duration(0)
 	for _, s := range r.roster.OpenServers(pool) {
-		left := r.access.RestLeft(now, startOf(s.ServerEntry))
+		left := r.access.RestLeft(now, s.Start())
 		if left == 0 {
 			return 0
 		}
@@ -122,12 +122,12 @@
 func (r *Relay) receiveDeparture(s shed.ServerEntry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := r.roster.MarkLeaving(time.Now(), startOf(s))
+	changes := r.roster.MarkLeaving(time.Now(), s.Start())
 	if len(changes) == 0 {
 		return
 	}
 	r.logRosterChanges(changes)
-	r.client.SendAll(r.alivePeers(), shed.LeavingUpdate{Starts: []shed.ServerStart{startOf(s)}})
+	r.client.SendAll(r.alivePeers(), shed.LeavingUpdate{Starts: []shed.ServerStart{s.Start()}})
 }
 
 // receivePeerDepartures records departures that a peer reported. The caller holds mu.
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -27,7 +27,7 @@
 // or the one that applies while it is cold. limited is false if it has none. The caller holds
 // mu.
 func (r *Relay) turnLimit(now time.Time, pool *shed.RelayPool, s *roster.Server) (request turns.Request, limited bool) {
-	request = turns.Request{Start: startOf(s.ServerEntry), Burst: 1}
+	request = turns.Request{Start: s.Start(), Burst: 1}
 	if r.limits.Empty() && !s.Cold(now) {
 		return request, false
 	}
@@ -46,7 +46,7 @@
 	now time.Time, pool *shed.RelayPool, denied map[shed.ServerID]bool, maxWait time.Duration,
 ) func(*roster.Server) (picker.Access, time.Duration) {
 	return func(s *roster.Server) (picker.Access, time.Duration) {
-		if left := r.access.RestLeft(now, startOf(s.ServerEntry)); left > 0 {
+		if left := r.access.RestLeft(now, s.Start()); left > 0 {
 			return picker.Resting, left
 		}
 		request, limited := r.turnLimit(now, pool, s)
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -49,16 +49,16 @@
 
 // recordGone records that a start of a server is no longer listed.
 func (r *Roster) recordGone(now time.Time, s shed.ServerEntry) {
-	r.gone[startOf(s)] = removal{era: r.asOf.Era(), at: now, leaving: s.Leaving}
+	r.gone[s.Start()] = removal{era: r.asOf.Era(), at: now, leaving: s.Leaving}
 }
 
 // recognizeRemoved handles the entry of a server that had left or was removed in an earlier era. One
 // that was leaving gets no work any more. One whose entry was removed is withheld until the store
 // would have dropped the entry of a dead server again.
 func (r *Roster) recognizeRemoved(now time.Time, out []Change, e Entry, old *Server, server shed.ServerEntry) []Change {
-	start := startOf(server)
+	start := server.Start()
 	g, removed := r.gone[start]
-	if old != nil && startOf(old.ServerEntry) == start {
+	if old != nil && old.Start() == start {
 		g, removed = removal{era: r.items[e.Key].Revision.Era(), leaving: old.Leaving}, old.Leaving
 	}
 	if !removed || g.era >= e.Revision.Era() {
@@ -119,7 +119,3 @@
 
 // Era is the store's era as of which the roster is complete.
 func (r *Roster) Era() shed.Era { return r.asOf.Era() }
-
-func startOf(s shed.ServerEntry) shed.ServerStart {
-	return shed.ServerStart{Server: s.ID, StartedMs: s.StartedMs}
-}
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	s := r.servers[start.Server]
-	if s == nil || startOf(s.ServerEntry) != start {
+	if s == nil || s.Start() != start {
 		return nil
 	}
 	r.rebuild()
@@ -36,7 +36,7 @@
 
 // departed reports whether the server said in an answer that it leaves.
 func (r *Roster) departed(s *Server) bool {
-	_, ok := r.departures[startOf(s.ServerEntry)]
+	_, ok := r.departures[s.Start()]
 	return ok
 }
 
@@ -45,7 +45,7 @@
 func (r *Roster) UnlistedDepartures() []shed.ServerStart {
 	var out []shed.ServerStart
 	for start := range r.departures {
-		if s := r.servers[start.Server]; s != nil && startOf(s.ServerEntry) == start && !s.Leaving {
+		if s := r.servers[start.Server]; s != nil && s.Start() == start && !s.Leaving {
 			out = append(out, start)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -225,12 +225,12 @@
 // IsOpen reports whether this start of a server may get new work.
 func (r *Roster) IsOpen(start shed.ServerStart) bool {
 	s := r.servers[start.Server]
-	return s != nil && startOf(s.ServerEntry) == start && r.accepts(s)
+	return s != nil && s.Start() == start && r.accepts(s)
 }
 
 // accepts reports whether a listed server may get new work.
 func (r *Roster) accepts(s *Server) bool {
-	_, withheld := r.withheld[startOf(s.ServerEntry)]
+	_, withheld := r.withheld[s.Start()]
 	return !s.Leaving && !withheld && !r.departed(s) && !r.closed[s.Zone]
 }
 
--- a/relay.go
+++ b/relay.go
@@ -150,6 +150,11 @@
 	StartedMs int64
 }
 
+// Start returns the start of the server that the entry describes.
+func (e ServerEntry) Start() ServerStart {
+	return ServerStart{Server: e.ID, StartedMs: e.StartedMs}
+}
+
 // ZoneClosed records that operators took a zone out of service: nothing more is
 // sent to its servers.
 type ZoneClosed struct{ Zone ZoneID }
