relay: whose forecast a refusal went by, and how connections to servers end

The logs of RECOVER can't tell whether the other VMs refuse by the forecast of a VM that is cut off: "pieces would be late" now names the pool, its coordinator, and whose forecast was used and its age. server_dials counts connections to backend servers by their outcome, so that a path that fails shows without reading each failed attempt. No logic changes.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -103,8 +103,9 @@
 }
 
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
-// the least that they can take. It returns the choice of the server that would answer.
-func (r *Relay) estimate(j *job, p plan) (accept.Request, picker.Choice) {
+// the least that they can take. It returns the choice of the server that would answer, and the pool
+// that the request waits longest for.
+func (r *Relay) estimate(j *job, p plan) (accept.Request, picker.Choice, shed.PoolID) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,10 +122,11 @@
 	c := r.chain(now, p)
 	wait := c.Forecast()
 	request := accept.Request{Route: j.route.ID, MinTime: c.MinTime(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
+	bottleneck := p.steps[c.Bottleneck()].Pool
 	if r.prefs.Load().Relay.Enabled(prefs.UrgentReserve) {
-		request.MoreUrgent, request.UrgentRanks = r.moreUrgentRoutes(j.route, p.steps[c.Bottleneck()].Pool)
+		request.MoreUrgent, request.UrgentRanks = r.moreUrgentRoutes(j.route, bottleneck)
 	}
-	return request, choice
+	return request, choice, bottleneck
 }
 
 // moreUrgentRoutes returns the routes of more urgent ranks that have steps in a pool, and the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -134,7 +134,6 @@
 		log:          logrus.NewEntry(cfg.Log),
 		stats:        newStats(cfg.Metrics.Scope),
 		tracer:       cfg.Tracing.Tracer("jasmineshed/relay"),
-		sender:       engine.NewSender(engine.Config{Dial: cfg.Dial, ConnectTimeout: cfg.Prefs.Relay.Connect}),
 		base:         base,
 		forced:       make(chan struct{}),
 		cancelBase:   halt,
@@ -152,6 +151,7 @@
 		activeFrees:  map[string]int{},
 	}
 	r.prefs.Store(cfg.Prefs)
+	r.sender = engine.NewSender(engine.Config{Dial: r.dialServer, ConnectTimeout: cfg.Prefs.Relay.Connect})
 	r.front = httpd.New(httpd.Config{
 		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
 		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Log: r.log,
@@ -164,6 +164,13 @@
 	return r
 }
 
+// dialServer opens a connection to a backend server.
+func (r *Relay) dialServer(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := r.cfg.Dial(ctx, network, addr)
+	r.stats.recordDial(err)
+	return c, err
+}
+
 // serverEntries returns the open servers of a pool, for the batcher, which doesn't modify them.
 // The caller holds mu.
 func (r *Relay) serverEntries(pool shed.PoolID) []shed.ServerEntry {
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	shed "jasmineshed"
@@ -61,6 +64,23 @@
 	s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_failed").Inc(1)
 }
 
+// recordDial counts a connection attempt to a server by its outcome.
+func (s stats) recordDial(err error) {
+	outcome := "connected"
+	switch {
+	case err == nil:
+	case errors.Is(err, context.Canceled):
+		outcome = "cancelled"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		outcome = "refused"
+	case timedOut(err):
+		outcome = "timed_out"
+	default:
+		outcome = "failed"
+	}
+	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("server_dials").Inc(1)
+}
+
 func (s stats) recordPieceCall(pieces int, took time.Duration) {
 	s.pieceCalls.Inc(1)
 	s.pieces.Inc(int64(pieces))
