--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -15,6 +15,10 @@
 	"jasmineshed/internal/wire"
 )
 
+// ErrNotConnected is returned by a Sender if no connection to the server was established. Nothing
+// was sent, and the request's body is unread.
+var ErrNotConnected = errors.New("connecting")
+
 var (
 	errTooLate       = errors.New("send deadline passed")
 	errWritesBlocked = errors.New("writes on this connection are blocked")
@@ -95,7 +99,7 @@
 		defer cancel()
 		c, err := cfg.Dial(ctx, network, addr)
 		if err != nil {
-			return nil, fmt.Errorf("connecting: %w", err)
+			return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 		}
 		// The TLS handshake writes before assign; wrote starts as true to allow that.
 		return &conn{Conn: c, wrote: true}, nil
@@ -169,6 +173,15 @@
 	return err
 }
 
+// Unwrap returns the connection that the dial function of a Sender returned for c, which net/http
+// reports.
+func Unwrap(c net.Conn) net.Conn {
+	if tracked := trackedConn(c); tracked != nil {
+		return tracked.Conn
+	}
+	return c
+}
+
 func trackedConn(c net.Conn) *conn {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
--- a/internal/fault/path.go
+++ b/internal/fault/path.go
@@ -55,7 +55,7 @@
 		case Hang, Swallow:
 			c.silence()
 		case ResetAll:
-			_ = c.Conn.Close()
+			c.abort()
 		}
 	}
 }
@@ -92,6 +92,7 @@
 	net.Conn
 	path   *Path
 	silent atomic.Bool
+	reset  atomic.Bool
 	once   sync.Once
 	closed chan struct{}
 }
@@ -102,6 +103,12 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// abort resets the connection.
+func (c *pathConn) abort() {
+	c.reset.Store(true)
+	_ = c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *pathConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -109,7 +116,7 @@
 		<-c.closed
 		return 0, net.ErrClosed
 	}
-	if err != nil && PathMode(c.path.mode.Load()) == ResetAll {
+	if c.reset.Load() {
 		return 0, syscall.ECONNRESET
 	}
 	return n, err
@@ -121,7 +128,7 @@
 	case c.silent.Load():
 		return len(b), nil
 	case PathMode(c.path.mode.Load()) == ResetData:
-		_ = c.Conn.Close()
+		c.abort()
 		return 0, syscall.ECONNRESET
 	}
 	n, err := c.Conn.Write(b)
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -92,6 +92,7 @@
 	LimitUpdate *shed.LimitUpdate `cbor:"15,keyasint,omitempty"`
 
 	LeavingUpdate *shed.LeavingUpdate `cbor:"16,keyasint,omitempty"`
+	RestUpdate    *shed.RestUpdate    `cbor:"17,keyasint,omitempty"`
 }
 
 // newEnvelope wraps a control message in an envelope.
@@ -126,6 +127,8 @@
 		e.LimitUpdate = &m
 	case shed.LeavingUpdate:
 		e.LeavingUpdate = &m
+	case shed.RestUpdate:
+		e.RestUpdate = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -163,6 +166,8 @@
 		return *e.LimitUpdate, nil
 	case e.LeavingUpdate != nil:
 		return *e.LeavingUpdate, nil
+	case e.RestUpdate != nil:
+		return *e.RestUpdate, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"time"
 
@@ -124,13 +125,17 @@
 	Items(call ItemsCall) ItemsReply
 	// Turn grants or refuses a turn at a server.
 	Turn(call TurnCall) TurnReply
+	// Connect opens the connection to a server that a peer asked this daemon to carry.
+	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryRefusal)
+	// Disconnected is called once a connection that Connect opened is closed.
+	Disconnected(call CarryCall)
 }
 
 // relayDescription lists the calls for drpc's mux.
 type relayDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (relayDescription) NumMethods() int { return 4 }
+func (relayDescription) NumMethods() int { return 5 }
 
 // Method implements drpc.Description.
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -144,6 +149,8 @@
 			(func(RelayHandler, *ItemsCall, drpc.Stream) error)(nil), true
 	case 3:
 		return rpcTurn, wire, receiveTurn, (func(RelayHandler, *TurnCall, drpc.Stream) error)(nil), true
+	case 4:
+		return rpcCarry, wire, receiveCarry, (func(RelayHandler, *CarryCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -63,6 +63,16 @@
 	return peers.TurnReply{Granted: c.Rate < 10, Wait: c.Patience}
 }
 
+func (s *relayStub) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryRefusal) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", call.Addr)
+	if err != nil {
+		return nil, peers.CarryUnreachable
+	}
+	return c, peers.CarryAccepted
+}
+
+func (s *relayStub) Disconnected(peers.CarryCall) {}
+
 func (s *relayStub) DiscardResults(results []shed.PieceResult) { s.discarded <- len(results) }
 
 // The daemon that requested pieces dies while they run. The answer can't be sent, so the results
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -160,6 +160,12 @@
 // state a middlebox has lost can't be told from a slow stage. stop ends the heartbeats.
 func (s *sender) startHeartbeats(msg drpc.Message) (stop func()) {
 	_ = s.send(msg)
+	return s.startHeartbeatsWhile(msg, func() bool { return true })
+}
+
+// startHeartbeatsWhile sends msg, while due returns true, whenever nothing else was sent for
+// heartbeatInterval. due must not block.
+func (s *sender) startHeartbeatsWhile(msg drpc.Message, due func() bool) (stop func()) {
 	var timer *time.Timer
 	s.mu.Lock()
 	timer = time.AfterFunc(heartbeatInterval, func() {
@@ -168,7 +174,7 @@
 		if s.stopped {
 			return
 		}
-		if time.Since(s.lastSent) >= heartbeatInterval {
+		if time.Since(s.lastSent) >= heartbeatInterval && due() {
 			s.lastSent = time.Now()
 			_ = s.stream.MsgSend(msg, wire)
 		}
--- a/internal/picker/failures.go
+++ b/internal/picker/failures.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// ForgetFailures forgets all failures: they were not the servers' or their zones'.
+func (p *Picker) ForgetFailures() {
+	clear(p.zoneFailures)
+	for _, st := range p.servers {
+		st.failures = failureRate{}
+		st.failedConnections, st.backoffUntil = 0, time.Time{}
+	}
+}
+
 // failureRate is the share of recent calls that failed.
 type failureRate struct {
 	// rate is between 0 and 1, as of at.
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,320 @@
+// Package reach decides over which path requests go from this VM to backend servers: directly, or
+// carried by a peer. It does no I/O and reads no clock.
+//
+// Load pattern: some VMs, or all of a zone, lose their path to the servers for seconds while callers
+// and peers still reach them. Connections hang, are reset, or live on while new ones are refused.
+// None of that alone tells a lost path from a server that crashed, is overloaded or is silent for a
+// second: a path counts as lost only if a peer got further with the same server.
+package reach
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// isolationServers is how many servers must have been out of reach, without one that answered this
+	// VM directly, until all paths of this VM count as lost.
+	isolationServers = 3
+	// doubtTime is how long a server is in doubt after its path failed without a verdict.
+	doubtTime = time.Second
+	// downTime is how long no peer is asked to carry requests to a server that none reached.
+	downTime = time.Second
+	// probeInterval is the time between two probes of a server whose path is lost, or of different
+	// servers while all paths are.
+	probeInterval = 500 * time.Millisecond
+	// maxProbes is how many probes begin at once.
+	maxProbes = 3
+)
+
+// Addr is the address of a backend server, "ip:port".
+type Addr string
+
+// Level is how far a try to reach a server got. A higher one is better.
+type Level uint8
+
+const (
+	// Closed means that no connection was established, or it was closed without an answer.
+	Closed Level = iota
+	// Connected means that the connection stayed open without an answer.
+	Connected
+	// Answered means that an answer arrived.
+	Answered
+)
+
+// Path is how a request gets to a server. The set is closed.
+type Path uint8
+
+const (
+	// Direct means that the request is sent directly, and carried by a peer if no connection is established.
+	Direct Path = iota
+	// DirectOnly means that the request is sent directly or not at all.
+	DirectOnly
+	// Carried means that a peer carries the request, which is sent directly only if no peer can.
+	Carried
+)
+
+// Table is what one VM knows about its paths to servers. It is not safe for concurrent use.
+type Table struct {
+	servers map[Addr]*server
+	// answeredAt is when a server last answered over a new direct connection, heardAt when one sent
+	// something over any.
+	answeredAt, heardAt time.Time
+	// doubtUntil is until when all paths are in doubt.
+	doubtUntil time.Time
+	// lostAt is when a path was last found to be lost.
+	lostAt time.Time
+	// isolatedAt is when all paths were lost; zero if they are not.
+	isolatedAt time.Time
+	// lastProbed is the server that was probed last while all paths are lost, probedAt when.
+	lastProbed Addr
+	probedAt   time.Time
+}
+
+// server is the path to one server.
+type server struct {
+	// lostAt is when the path was lost; zero if it is not. lostLevel is how far this VM got then.
+	lostAt    time.Time
+	lostLevel Level
+	// failedAt is the last failure of the path without a verdict; zero if there is none.
+	failedAt time.Time
+	// unreachedAt is when neither this VM nor a peer established a connection.
+	unreachedAt time.Time
+	// downUntil is until when no peer is asked to carry requests.
+	downUntil time.Time
+	// probing: a probe is in flight. probedAt is when the last one began.
+	probing  bool
+	probedAt time.Time
+}
+
+// New returns a Table in which all paths are good.
+func New() *Table { return &Table{servers: map[Addr]*server{}} }
+
+func (t *Table) server(a Addr) *server {
+	s := t.servers[a]
+	if s == nil {
+		s = &server{}
+		t.servers[a] = s
+	}
+	return s
+}
+
+// Isolated reports whether all paths of this VM are lost.
+func (t *Table) Isolated() bool { return !t.isolatedAt.IsZero() }
+
+// Path returns the path of a request. One that may run only once isn't sent over a path in doubt:
+// it would be lost.
+func (t *Table) Path(now time.Time, a Addr, once bool) Path {
+	if t.Isolated() || t.mayBeIsolated(now) || once && now.Before(t.doubtUntil) {
+		return Carried
+	}
+	s := t.servers[a]
+	switch {
+	case s == nil:
+		return Direct
+	case !s.lostAt.IsZero(), once && s.inDoubt(now):
+		return Carried
+	case now.Before(s.downUntil):
+		return DirectOnly
+	}
+	return Direct
+}
+
+// mayBeIsolated reports whether a path was lost and no server has answered directly since, while
+// probes of other servers are in flight.
+func (t *Table) mayBeIsolated(now time.Time) bool {
+	return t.lostAt.After(t.answeredAt) && now.Sub(t.lostAt) < doubtTime
+}
+
+func (s *server) inDoubt(now time.Time) bool {
+	return !s.failedAt.IsZero() && now.Sub(s.failedAt) < doubtTime
+}
+
+// IsLost reports whether the path to a server is lost: a failure then says nothing of the server.
+func (t *Table) IsLost(a Addr) bool {
+	s := t.servers[a]
+	return t.Isolated() || s != nil && !s.lostAt.IsZero()
+}
+
+// Empty reports whether nothing is known: no path has failed yet.
+func (t *Table) Empty() bool { return len(t.servers) == 0 }
+
+// Suspect throws doubt on the path to a server that is silent, and on all paths if all servers are,
+// unless the server was probed lately.
+func (t *Table) Suspect(now time.Time, a Addr, allSilent bool) {
+	s := t.server(a)
+	if s.probing || now.Sub(s.probedAt) < probeInterval {
+		return
+	}
+	s.failedAt = now
+	if allSilent {
+		t.doubtUntil = now.Add(doubtTime)
+	}
+}
+
+// AnsweredDirectly records an answer over a new direct connection.
+func (t *Table) AnsweredDirectly(now time.Time, a Addr) {
+	t.answeredAt, t.doubtUntil = now, time.Time{}
+	t.restore(a)
+}
+
+// restore ends the loss of the path to a server. If all paths were lost, the others are in doubt for
+// a moment: they may have come back too.
+func (t *Table) restore(a Addr) {
+	if t.Isolated() {
+		for _, s := range t.servers {
+			if !s.lostAt.IsZero() {
+				s.lostAt, s.failedAt = time.Time{}, t.answeredAt
+			}
+		}
+		t.isolatedAt = time.Time{}
+	}
+	if s := t.servers[a]; s != nil {
+		s.lostAt, s.failedAt, s.downUntil, s.unreachedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	}
+}
+
+// Heard records that a server last sent something over a direct connection at a time.
+func (t *Table) Heard(at time.Time) { t.heardAt = at }
+
+// Unreached records that this VM could not connect to a server and no peer tried. listed is as in
+// Compared.
+func (t *Table) Unreached(now time.Time, a Addr, listed int) {
+	t.server(a).unreachedAt = now
+	t.judge(now, listed)
+}
+
+// Failed records that a direct connection failed, broke or fell silent.
+func (t *Table) Failed(now time.Time, a Addr) { t.server(a).failedAt = now }
+
+// Compared records how far this VM and a peer got with the same server at the same time. listed is
+// the number of servers that are listed.
+func (t *Table) Compared(now time.Time, a Addr, direct, carried Level, listed int) {
+	s := t.server(a)
+	switch {
+	case carried > direct:
+		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
+		t.lostAt = now
+		t.judge(now, listed)
+	case direct == Answered:
+		t.AnsweredDirectly(now, a)
+	default:
+		s.failedAt, s.downUntil = time.Time{}, now.Add(downTime)
+		if direct == Closed {
+			t.Unreached(now, a, listed)
+		}
+	}
+}
+
+// judge decides whether all paths are lost.
+func (t *Table) judge(now time.Time, listed int) {
+	lost := 0
+	for _, s := range t.servers {
+		if s.lostAt.After(t.answeredAt) || s.unreachedAt.After(t.answeredAt) && s.unreachedAt.After(t.heardAt) {
+			lost++
+		}
+	}
+	if !t.Isolated() && lost >= min(isolationServers, listed) {
+		t.isolatedAt = now
+	}
+}
+
+// ProbedDirectly records how far a probe of a server whose path is lost got.
+func (t *Table) ProbedDirectly(now time.Time, a Addr, level Level) {
+	s := t.server(a)
+	if level == Answered || !s.lostAt.IsZero() && level > s.lostLevel {
+		t.AnsweredDirectly(now, a)
+	}
+}
+
+// Probe is a probe that is due. If Compare is set, a peer probes the server too.
+type Probe struct {
+	Addr    Addr
+	Compare bool
+}
+
+// DueProbes returns the probes to begin now; each must be ended by EndProbe. listed are the listed
+// servers that may be probed, sorted.
+func (t *Table) DueProbes(now time.Time, listed []Addr) []Probe {
+	if len(t.servers) == 0 || len(listed) == 0 {
+		return nil
+	}
+	if !t.Isolated() {
+		return t.dueServers(now, listed)
+	}
+	if now.Sub(t.probedAt) < probeInterval {
+		return nil
+	}
+	t.probedAt = now
+	return t.nextProbes(now, listed, false)
+}
+
+// begin records that a probe begins.
+func (s *server) begin(now time.Time) { s.probing, s.probedAt = true, now }
+
+// dueServers returns the servers in doubt, those whose path is lost and, if none answered since a
+// path was lost, further ones.
+func (t *Table) dueServers(now time.Time, listed []Addr) []Probe {
+	var out []Probe
+	suspicious := false
+	for _, a := range listed {
+		s := t.servers[a]
+		if s == nil {
+			continue
+		}
+		suspicious = suspicious || s.lostAt.After(t.answeredAt)
+		due := !s.probing && now.Sub(s.probedAt) >= probeInterval && len(out) < maxProbes
+		if due && (s.inDoubt(now) || !s.lostAt.IsZero()) {
+			s.begin(now)
+			out = append(out, Probe{Addr: a, Compare: s.lostAt.IsZero()})
+		}
+	}
+	if suspicious && len(out) < maxProbes && now.Sub(t.probedAt) >= probeInterval {
+		t.probedAt = now
+		out = append(out, t.nextProbes(now, listed, true)...)
+	}
+	return out
+}
+
+// nextProbes returns probes of the next servers in round-robin order, different ones each time.
+func (t *Table) nextProbes(now time.Time, listed []Addr, compare bool) []Probe {
+	var out []Probe
+	first, found := slices.BinarySearch(listed, t.lastProbed)
+	if found {
+		first++
+	}
+	// A stride spreads the probes over pools, whose servers often have adjacent addresses.
+	stride := max(len(listed)/maxProbes, 1)
+	for i := range min(maxProbes, len(listed)) {
+		a := listed[(first+i*stride)%len(listed)]
+		s := t.server(a)
+		if s.probing || compare && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
+			continue
+		}
+		s.begin(now)
+		out = append(out, Probe{Addr: a, Compare: compare})
+	}
+	t.lastProbed = listed[first%len(listed)]
+	return out
+}
+
+// EndProbe records that a probe ended.
+func (t *Table) EndProbe(a Addr) { t.server(a).probing = false }
+
+// Lost returns the servers whose path is lost, sorted.
+func (t *Table) Lost() []Addr {
+	var out []Addr
+	for a, s := range t.servers {
+		if !s.lostAt.IsZero() {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Retain forgets servers that are no longer listed.
+func (t *Table) Retain(listed func(Addr) bool) {
+	maps.DeleteFunc(t.servers, func(a Addr, _ *server) bool { return !listed(a) })
+}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,179 @@
+package reach_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jasmineshed/internal/reach"
+)
+
+const tick = 100 * time.Millisecond
+
+var start = time.Unix(1_700_000_000, 0)
+
+func addrs(n int) []reach.Addr {
+	out := make([]reach.Addr, n)
+	for i := range out {
+		out[i] = reach.Addr(fmt.Sprintf("10.0.%03d.%03d:80", i/100, i%100))
+	}
+	return out
+}
+
+// Guards against a path that counts as lost though no peer got further, and one that doesn't though a
+// peer did.
+func TestVerdicts(t *testing.T) {
+	servers := addrs(9)
+	for _, c := range []struct {
+		name            string
+		direct, carried reach.Level
+		lost            bool
+		path, oncePath  reach.Path
+	}{
+		{"server crashed", reach.Closed, reach.Closed, false, reach.DirectOnly, reach.DirectOnly},
+		{"server is silent", reach.Connected, reach.Connected, false, reach.DirectOnly, reach.DirectOnly},
+		{"server answers", reach.Answered, reach.Closed, false, reach.Direct, reach.Direct},
+		{"connections hang", reach.Closed, reach.Connected, true, reach.Carried, reach.Carried},
+		{"data is dropped", reach.Connected, reach.Answered, true, reach.Carried, reach.Carried},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := reach.New()
+			table.Failed(start, servers[0])
+			require.Equal(t, reach.Carried, table.Path(start, servers[0], true), "in doubt")
+			require.Equal(t, reach.Direct, table.Path(start, servers[0], false))
+			table.Compared(start, servers[0], c.direct, c.carried, len(servers))
+			// Another server answers, so not all paths can be lost.
+			table.AnsweredDirectly(start.Add(tick), servers[1])
+			now := start.Add(2 * tick)
+			require.Equal(t, c.lost, table.IsLost(servers[0]))
+			require.Equal(t, c.path, table.Path(now, servers[0], false))
+			require.Equal(t, c.oncePath, table.Path(now, servers[0], true))
+			require.Equal(t, reach.Direct, table.Path(now, servers[1], true))
+			require.False(t, table.Isolated())
+		})
+	}
+}
+
+// world plays probes against servers of which this VM reaches some.
+type world struct {
+	table     *reach.Table
+	servers   []reach.Addr
+	reachable func(a reach.Addr, now time.Time) bool
+	probes    int
+}
+
+// step runs the probes that are due.
+func (w *world) step(now time.Time) {
+	for _, p := range w.table.DueProbes(now, w.servers) {
+		w.probes++
+		level := reach.Closed
+		if w.reachable(p.Addr, now) {
+			level = reach.Answered
+		}
+		if p.Compare {
+			w.table.Compared(now, p.Addr, level, reach.Answered, len(w.servers))
+		} else {
+			w.table.ProbedDirectly(now, p.Addr, level)
+		}
+		w.table.EndProbe(p.Addr)
+	}
+}
+
+// Guards against a VM that doesn't notice within a second that it lost all paths, or within two that
+// they are back, whatever the number of servers, and against a flood of probes.
+func TestAllPathsAreLostAndComeBack(t *testing.T) {
+	const backAt = 12 * time.Second
+	for _, n := range []int{1, 3, 34, 256, 6000} {
+		t.Run(fmt.Sprint(n, " servers"), func(t *testing.T) {
+			w := &world{table: reach.New(), servers: addrs(n), reachable: func(_ reach.Addr, now time.Time) bool {
+				return now.Sub(start) >= backAt
+			}}
+			w.table.Failed(start, w.servers[0])
+			for at := tick; at <= backAt+2*time.Second; at += tick {
+				w.step(start.Add(at))
+				if at >= time.Second && at < backAt {
+					require.True(t, w.table.Isolated(), at)
+				}
+			}
+			now := start.Add(backAt + 2*time.Second)
+			require.False(t, w.table.Isolated())
+			for _, a := range w.servers {
+				require.Equal(t, reach.Direct, w.table.Path(now, a, false))
+				require.Equal(t, reach.Direct, w.table.Path(now, a, true))
+			}
+			require.LessOrEqual(t, w.probes, 100)
+		})
+	}
+}
+
+// Guards against a VM that takes all paths for lost when those to one zone's servers are.
+func TestSomePathsAreLost(t *testing.T) {
+	w := &world{table: reach.New(), servers: addrs(30)}
+	lost := w.servers[:10]
+	w.reachable = func(a reach.Addr, now time.Time) bool {
+		return !slices.Contains(lost, a) || now.Sub(start) >= 5*time.Second
+	}
+	for at := time.Duration(0); at < 8*time.Second; at += tick {
+		now := start.Add(at)
+		for _, a := range lost {
+			if path := w.table.Path(now, a, false); path == reach.Direct && at < 5*time.Second {
+				w.table.Compared(now, a, reach.Closed, reach.Answered, len(w.servers))
+			}
+		}
+		w.step(now)
+		if at >= time.Second {
+			require.False(t, w.table.Isolated(), at)
+		}
+	}
+	require.Empty(t, w.table.Lost())
+}
+
+// Random failures, verdicts and answers. Guards against requests that may run only once on a path in
+// doubt, against paths that stay lost though a server answered directly, and against probes beside
+// others of the same server.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, servers := reach.New(), addrs(rapid.IntRange(1, 8).Draw(t, "servers"))
+		probing := map[reach.Addr]bool{}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			a := rapid.SampledFrom(servers).Draw(t, "server")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				table.Failed(now, a)
+				require.NotEqual(t, reach.Direct, table.Path(now, a, true))
+			case 1:
+				table.Suspect(now, a, rapid.Bool().Draw(t, "all"))
+			case 2:
+				direct := reach.Level(rapid.IntRange(0, 2).Draw(t, "direct"))
+				carried := reach.Level(rapid.IntRange(0, 2).Draw(t, "carried"))
+				table.Compared(now, a, direct, carried, len(servers))
+				require.True(t, carried <= direct || table.IsLost(a))
+				require.True(t, carried > direct || table.IsLost(a) == (direct < reach.Answered && table.IsLost(a)))
+			case 3:
+				table.AnsweredDirectly(now, a)
+				require.False(t, table.Isolated())
+				require.False(t, table.IsLost(a))
+				require.Equal(t, reach.Direct, table.Path(now, a, true))
+			case 4:
+				for _, p := range table.DueProbes(now, servers) {
+					require.False(t, probing[p.Addr])
+					probing[p.Addr] = true
+				}
+			case 5:
+				if probing[a] {
+					probing[a] = false
+					table.EndProbe(a)
+				}
+			}
+			if table.Isolated() {
+				require.Equal(t, reach.Carried, table.Path(now, a, true))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/carry.go
@@ -0,0 +1,316 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/reach"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// maxCarriers is how many peers are asked to carry one connection.
+	maxCarriers = 3
+	// unreachedTime is how long a peer that couldn't connect to a server isn't asked to again.
+	unreachedTime = time.Second
+	// maxReportedLost bounds the servers without a path in a load report.
+	maxReportedLost = 32
+	// carrierBackoff is how long a peer that declined or gave no answer isn't asked again.
+	carrierBackoff = time.Second
+	// carryTimeout bounds opening a connection that a peer carries: the peer itself may wait for the
+	// timeout of its own attempt.
+	carryTimeout = 500 * time.Millisecond
+	// maxCarried bounds the connections that this VM carries for peers.
+	maxCarried = 1024
+)
+
+// errNoCarrier: no peer carries connections now.
+var errNoCarrier = errors.New("no peer carries the connection")
+
+// carriers is the relay's state about carried connections. It is guarded by Relay.mu.
+type carriers struct {
+	// isolated are the peers that reported that they reach no server.
+	isolated map[shed.VM]bool
+	// backoffUntil is until when a peer isn't asked.
+	backoffUntil map[shed.VM]time.Time
+	// unreachedUntil is until when a peer is not asked to connect to a server.
+	unreachedUntil map[peerServer]time.Time
+	// open are the connections that each peer carries for this VM.
+	open map[shed.VM]map[*carried]struct{}
+	// forPeers counts the connections that this VM carries, by server and peer; total is their sum.
+	forPeers map[shed.ServerStart]map[shed.VM]int
+	total    int
+}
+
+// peerServer is a pair of a peer and a server.
+type peerServer struct {
+	vm   shed.VM
+	addr reach.Addr
+}
+
+// carried is one connection that a peer carries for this VM. conn is nil until it is open.
+type carried struct{ conn *peers.CarriedConn }
+
+func newCarriers() carriers {
+	return carriers{
+		isolated: map[shed.VM]bool{}, backoffUntil: map[shed.VM]time.Time{}, unreachedUntil: map[peerServer]time.Time{},
+		open: map[shed.VM]map[*carried]struct{}{}, forPeers: map[shed.ServerStart]map[shed.VM]int{},
+	}
+}
+
+// dialCarried opens a connection to a server that a peer carries. The error is errNoCarrier if no
+// peer tried, and peers.ErrCarryUnreachable if those that did could not connect either.
+func (r *Relay) dialCarried(ctx context.Context, _, addr string) (net.Conn, error) {
+	var asked []shed.VM
+	failure := errNoCarrier
+	for range maxCarriers {
+		vm, call, ok := r.nextCarrier(addr, asked)
+		if !ok {
+			break
+		}
+		conn, err := r.carryBy(ctx, vm, call)
+		if err == nil {
+			return conn, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		if errors.Is(err, peers.ErrCarryUnreachable) {
+			failure = err
+		}
+		asked = append(asked, vm)
+	}
+	return nil, failure
+}
+
+// nextCarrier chooses the peer to carry a connection to the server at addr: the better of two that
+// are drawn by their capacity.
+func (r *Relay) nextCarrier(addr string, asked []shed.VM) (shed.VM, peers.CarryCall, bool) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	server := r.roster.OpenServerAt(addr)
+	if server == nil {
+		return "", peers.CarryCall{}, false
+	}
+	c := &r.paths.carriers
+	vms := slices.DeleteFunc(r.carrierCandidates(now), func(vm shed.VM) bool {
+		return slices.Contains(asked, vm) || now.Before(c.unreachedUntil[peerServer{vm, reach.Addr(addr)}])
+	})
+	if len(vms) == 0 {
+		return "", peers.CarryCall{}, false
+	}
+	vm, other := r.drawByPower(vms), r.drawByPower(vms)
+	if r.carriedLoad(other) < r.carriedLoad(vm) {
+		vm = other
+	}
+	return vm, peers.CarryCall{Start: server.Start(), Addr: addr}, true
+}
+
+// carrierCandidates returns the peers that may carry connections. The caller holds mu.
+func (r *Relay) carrierCandidates(now time.Time) []shed.VM {
+	c := &r.paths.carriers
+	return slices.DeleteFunc(r.activeVMs(now), func(vm shed.VM) bool {
+		return vm == r.mesh.self.VM || c.isolated[vm] || now.Before(c.backoffUntil[vm]) || now.Before(r.mesh.backoffUntil[vm])
+	})
+}
+
+// carriedLoad is the number of connections that a peer carries for this VM, by its capacity.
+func (r *Relay) carriedLoad(vm shed.VM) float64 {
+	return float64(len(r.paths.carriers.open[vm])) / r.powerOf(vm)
+}
+
+// powerOf returns the capacity of a VM, above 0.
+func (r *Relay) powerOf(vm shed.VM) float64 {
+	m, _ := r.group.Lookup(vm)
+	return max(m.Power, 1)
+}
+
+// drawByPower draws a VM with a probability in proportion to its capacity.
+func (r *Relay) drawByPower(vms []shed.VM) shed.VM {
+	total := 0.0
+	for _, vm := range vms {
+		total += r.powerOf(vm)
+	}
+	at := rand.Float64() * total
+	for _, vm := range vms {
+		if at -= r.powerOf(vm); at < 0 {
+			return vm
+		}
+	}
+	return vms[len(vms)-1]
+}
+
+// carryBy opens a connection through one peer.
+func (r *Relay) carryBy(ctx context.Context, vm shed.VM, call peers.CarryCall) (net.Conn, error) {
+	c := &carried{}
+	r.mu.Lock()
+	client := r.client
+	r.mu.Unlock()
+	conn, err := client.Carry(ctx, vm, call, func() { r.endCarried(vm, c) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+	case errors.Is(err, peers.ErrCarryUnreachable), errors.Is(err, peers.ErrCarryServerClosed):
+		r.paths.carriers.unreachedUntil[peerServer{vm, reach.Addr(call.Addr)}] = time.Now().Add(unreachedTime)
+		return nil, err
+	default:
+		r.paths.carriers.backoffUntil[vm] = time.Now().Add(carrierBackoff)
+		return nil, err
+	}
+	c.conn = conn
+	if r.paths.carriers.open[vm] == nil {
+		r.paths.carriers.open[vm] = map[*carried]struct{}{}
+	}
+	r.paths.carriers.open[vm][c] = struct{}{}
+	return conn, nil
+}
+
+func (r *Relay) endCarried(vm shed.VM, c *carried) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.paths.carriers.open[vm], c)
+	if len(r.paths.carriers.open[vm]) == 0 {
+		delete(r.paths.carriers.open, vm)
+	}
+}
+
+// checkCarriers closes the connections that peers carry which are no longer active: requests on
+// them would wait in vain. The caller holds mu.
+func (r *Relay) checkCarriers(now time.Time) {
+	if len(r.paths.carriers.open) == 0 {
+		return
+	}
+	active := r.activeVMs(now)
+	for vm, open := range r.paths.carriers.open {
+		if slices.Contains(active, vm) {
+			continue
+		}
+		for c := range open {
+			r.work.Go(c.conn.Close)
+		}
+	}
+}
+
+// lostServers returns the servers to which this VM lost its path, for a load report. The caller holds
+// mu.
+func (r *Relay) lostServers() []shed.ServerID {
+	if r.paths.isolated {
+		return nil
+	}
+	var out []shed.ServerID
+	for _, addr := range r.paths.table.Lost() {
+		if s := r.roster.OpenServerAt(string(addr)); s != nil && len(out) < maxReportedLost {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+// receivePaths applies what a peer reported about its paths to servers. The caller holds mu.
+func (r *Relay) receivePaths(now time.Time, vm shed.VM, isolated bool, lost []shed.ServerID) {
+	c := &r.paths.carriers
+	for _, id := range lost {
+		if s, ok := r.roster.Server(id); ok {
+			c.unreachedUntil[peerServer{vm, reach.Addr(s.Addr)}] = now.Add(unreachedTime)
+		}
+	}
+	maps.DeleteFunc(c.unreachedUntil, func(_ peerServer, until time.Time) bool { return now.After(until) })
+	if c.isolated[vm] == isolated {
+		return
+	}
+	c.isolated[vm] = isolated
+	r.mesh.owners = nil
+	r.log.WithFields(logrus.Fields{"peer": vm, "isolated": isolated}).Info("path of a peer to backend servers")
+}
+
+// Connect implements peers.RelayHandler.
+func (r *Relay) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryRefusal) {
+	if refusal := r.admitCarried(call); refusal != peers.CarryAccepted {
+		return nil, refusal
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, r.prefs.Load().Relay.Connect)
+	defer cancel()
+	conn, err := r.dialServer(dialCtx, "tcp", call.Addr)
+	if err != nil {
+		r.Disconnected(call)
+		return nil, peers.CarryUnreachable
+	}
+	r.stats.carriedForPeers.Inc(1)
+	return conn, peers.CarryAccepted
+}
+
+// admitCarried decides whether this VM carries a connection, and counts it if it does.
+func (r *Relay) admitCarried(call peers.CarryCall) peers.CarryRefusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.paths.carriers
+	now := time.Now()
+	server := r.roster.OpenServerAt(call.Addr)
+	switch {
+	case r.stopping.Load(), c.total >= maxCarried, r.paths.table.IsLost(reach.Addr(call.Addr)):
+		return peers.CarryDeclined
+	case server == nil || server.Start() != call.Start:
+		return peers.CarryServerClosed
+	case r.access.RestLeft(now, call.Start) > 0:
+		return peers.CarryServerClosed
+	}
+	if c.forPeers[call.Start] == nil {
+		c.forPeers[call.Start] = map[shed.VM]int{}
+	}
+	c.forPeers[call.Start][call.From.VM]++
+	c.total++
+	return peers.CarryAccepted
+}
+
+// Disconnected implements peers.RelayHandler.
+func (r *Relay) Disconnected(call peers.CarryCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.paths.carriers
+	c.total--
+	byVM := c.forPeers[call.Start]
+	if byVM[call.From.VM]--; byVM[call.From.VM] == 0 {
+		delete(byVM, call.From.VM)
+	}
+	if len(byVM) == 0 {
+		delete(c.forPeers, call.Start)
+	}
+}
+
+// shareRest tells the VMs that share this VM's connections to a server that it asked for rest: the
+// server can't distinguish a carried request from one of the VM that carries it. The caller holds
+// mu.
+func (r *Relay) shareRest(s shed.ServerStart, rest time.Duration, carrier shed.VM) {
+	var to []shed.VM
+	if carrier != "" {
+		to = append(to, carrier)
+	}
+	for vm := range r.paths.carriers.forPeers[s] {
+		to = append(to, vm)
+	}
+	if len(to) > 0 {
+		r.client.SendAll(to, shed.RestUpdate{Start: s, Rest: rest})
+	}
+}
+
+// receivePeerRest applies a rest that a server asked a VM for that shares connections with this one.
+// The caller holds mu.
+func (r *Relay) receivePeerRest(now time.Time, m shed.RestUpdate) {
+	if m.Rest <= 0 {
+		return
+	}
+	r.access.Rest(now, m.Start, min(m.Rest, maxPeerRest))
+}
+
+// maxPeerRest bounds a rest that a peer reports.
+const maxPeerRest = time.Minute
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return batch.CallEnded{NotRun: true}, 0, err
 	}
-	resp, reply, sent, err := r.send(exchange{server: a.Server}, req.WithContext(ctx))
+	resp, reply, sent, err := r.send(&exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.Limit))}, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
 		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
 	}
@@ -230,7 +230,7 @@
 	req, err := r.cfg.Dialect.NewFreeRequest(server.Addr, refs)
 	if err == nil {
 		var resp *http.Response
-		resp, _, _, err = r.send(exchange{server: server}, req.WithContext(ctx))
+		resp, _, _, err = r.send(&exchange{server: server, patience: plainPatience}, req.WithContext(ctx))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResults))
 			_ = resp.Body.Close()
--- a/internal/relay/coordinator.go
+++ b/internal/relay/coordinator.go
@@ -21,11 +21,31 @@
 func (r *Relay) eligibleOwners(now time.Time) []shed.VM {
 	if r.mesh.owners == nil || now.Sub(r.mesh.ownersAt) > activeCacheTime {
 		vms := slices.DeleteFunc(r.activeVMs(now), func(vm shed.VM) bool { return now.Before(r.mesh.backoffUntil[vm]) })
+		if connected := slices.DeleteFunc(slices.Clone(vms), r.isIsolated); len(connected) > 0 {
+			vms = connected
+		}
 		r.mesh.owners, r.mesh.ownersAt = r.highCapacityVMs(vms), now
 	}
 	return r.mesh.owners
 }
 
+// isIsolated reports whether a VM has no path to any server, as far as it is known. The caller holds
+// mu.
+func (r *Relay) isIsolated(vm shed.VM) bool {
+	if vm == r.mesh.self.VM {
+		return r.paths.isolated
+	}
+	return r.paths.carriers.isolated[vm]
+}
+
+// isReplaced reports whether this VM has no path to any server and others, which have one,
+// coordinate in its place.
+func (r *Relay) isReplaced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paths.isolated && !slices.Contains(r.eligibleOwners(time.Now()), r.mesh.self.VM)
+}
+
 // setBackoff sets until when a peer gets no work from this VM. The caller holds mu.
 func (r *Relay) setBackoff(vm shed.VM, until time.Time) {
 	r.mesh.backoffUntil[vm] = until
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -38,6 +38,7 @@
 		Sequence: r.mesh.sequence, HeldBytes: r.batcher.HeldBytes(), Servers: shares, Waits: forecasts,
 		// Messages are encoded later, in another goroutine.
 		ExpectedPieces: maps.Clone(r.expected), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
+		Isolated: r.paths.isolated, Lost: r.lostServers(),
 		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
 	}
 	if len(turn.ForecastTo) > 0 {
@@ -97,6 +98,7 @@
 func (r *Relay) applyLoad(now, reportedAt time.Time, from shed.Peer, m shed.RelayLoad) {
 	r.mesh.lastSequence[from] = m.Sequence
 	r.mesh.lastLoad[from.VM] = shed.Later(r.mesh.lastLoad[from.VM], reportedAt)
+	r.receivePaths(now, from.VM, m.Isolated, m.Lost)
 	r.picker.SetPeerShares(from.VM, m.Servers)
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
 	r.setPeerExpected(from.VM, m.ExpectedPieces)
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -163,6 +163,8 @@
 				r.picker.RemovePeer(a.Peer)
 				r.setPeerExpected(a.Peer, nil)
 				r.mesh.pulse.Forget(a.Peer)
+				delete(r.paths.carriers.isolated, a.Peer)
+				delete(r.paths.carriers.backoffUntil, a.Peer)
 				r.handleFollowEvent(time.Now(), follow.PeerDied{VM: a.Peer})
 			}
 			r.stats.stateChanges.Inc(1)
@@ -200,6 +202,8 @@
 		r.receiveUpdate(now, from.VM, m)
 	case shed.LimitUpdate:
 		r.logLimits(r.limits.Receive(now, m.Limits), string(from.VM))
+	case shed.RestUpdate:
+		r.receivePeerRest(now, m)
 	case shed.LeavingUpdate:
 		r.receivePeerDepartures(now, m.Starts)
 	case shed.CrashUpdate:
@@ -222,6 +226,9 @@
 	if r.stopping.Load() {
 		return peers.PieceAnswer{Results: uniformResults(len(call.Pieces), shed.PieceMoved)}
 	}
+	if r.isReplaced() {
+		return peers.PieceAnswer{Results: uniformResults(len(call.Pieces), shed.PieceMoved)}
+	}
 	results := r.coordinatePieces(ctx, call.Pool, call.Pieces)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,8 +11,10 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/peers"
 	"jasmineshed/internal/poison"
 	"jasmineshed/internal/rank"
+	"jasmineshed/internal/reach"
 
 	"github.com/sirupsen/logrus"
 )
@@ -139,7 +142,7 @@
 	}
 	c, err := r.cfg.Dial(r.base, "tcp", s.Addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || timedOut(err)
+		return (errors.Is(err, syscall.ECONNREFUSED) || timedOut(err)) && r.peersAreRefused(s)
 	}
 	defer func() { _ = c.Close() }()
 	// A proxy in front of an ended server may accept the connection and then close it.
@@ -150,6 +153,24 @@
 	return errors.Is(err, io.EOF)
 }
 
+// peersAreRefused reports whether a peer can't connect to a server either that refused this VM: a
+// VM that lost its path is refused by servers that live.
+func (r *Relay) peersAreRefused(s shed.ServerEntry) bool {
+	ctx, cancel := context.WithTimeout(r.base, carryTimeout)
+	defer cancel()
+	c, err := r.dialCarried(ctx, "tcp", s.Addr)
+	if err == nil {
+		r.comparePaths(reach.Addr(s.Addr), reach.Closed, reach.Connected)
+		return c.Close() != nil
+	}
+	if errors.Is(err, errNoCarrier) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return !r.paths.table.IsLost(reach.Addr(s.Addr))
+	}
+	return errors.Is(err, peers.ErrCarryUnreachable)
+}
+
 // notifyCrashes sends due crash updates to peers. The caller holds mu.
 func (r *Relay) notifyCrashes(now time.Time) {
 	for _, t := range r.poison.DueReports(now, r.alivePeers()) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,7 +68,9 @@
 	tracer trace.Tracer
 	front  *httpd.Server
 	sender *engine.Sender
-	client *peers.Client
+	// carriedSender sends over connections that peers carry.
+	carriedSender *engine.Sender
+	client        *peers.Client
 	// base is the context of background work that belongs to no request.
 	base       context.Context
 	cancelBase context.CancelFunc
@@ -101,6 +103,7 @@
 	// turnBook holds the turns that this VM grants, access when it may send to servers again.
 	turnBook     *turns.Ledger
 	access       *access.Table
+	paths        paths
 	retryBudgets map[shed.PoolID]*retry.Budget
 	group        *member.Group
 	mesh         mesh
@@ -142,6 +145,7 @@
 		limits:       limit.New(),
 		turnBook:     turns.NewLedger(),
 		access:       access.New(),
+		paths:        newPaths(),
 		picker:       picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		retryBudgets: map[shed.PoolID]*retry.Budget{},
 		entries:      map[shed.PoolID][]shed.ServerEntry{},
@@ -152,6 +156,7 @@
 	}
 	r.prefs.Store(cfg.Prefs)
 	r.sender = engine.NewSender(engine.Config{Dial: r.dialServer, ConnectTimeout: cfg.Prefs.Relay.Connect})
+	r.carriedSender = engine.NewSender(engine.Config{Dial: r.dialCarried, ConnectTimeout: carryTimeout})
 	r.front = httpd.New(httpd.Config{
 		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
 		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Log: r.log,
@@ -214,6 +219,7 @@
 	_ = r.work.Wait()
 	_ = r.client.Close()
 	r.sender.Close()
+	r.carriedSender.Close()
 	r.log.WithField("dropped_lines", r.cfg.Lines.Dropped()).Info("relay ends")
 	r.cfg.Lines.Flush()
 	if r.stopping.Load() || errors.Is(err, context.Canceled) {
@@ -304,5 +310,6 @@
 	defer r.mu.Unlock()
 	r.logRosterChanges(r.roster.Tick(now))
 	r.performBatch(r.batcher.Handle(now, batch.Tick{}))
+	r.tickPaths(now)
 	r.tickMesh(now, start)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -59,11 +59,13 @@
 	if v.sent {
 		j.sends++
 	}
+	pathFailed := a.serverFailed && r.isPathFailure(&a.exchange, a.err)
+	a.serverFailed = a.serverFailed && !pathFailed
 	r.assessAttempt(a, v)
 	j.mayHaveRun = j.mayHaveRun || v.mayHaveRun
 	end := picker.End{
 		Failed: a.serverFailed, Unreached: a.serverFailed && !v.sent && timedOut(a.err),
-		Inconclusive: !a.serverFailed && (ctx.Err() != nil || !v.sent),
+		Inconclusive: !a.serverFailed && (ctx.Err() != nil || !v.sent) || pathFailed,
 	}
 	if v.done && !j.route.Streaming {
 		end.Took = time.Since(began)
@@ -75,14 +77,16 @@
 	if !v.done {
 		j.avoid = append(j.avoid, choice.Server.ID)
 		r.stats.recordAttemptFailure(v.reason)
-		r.log.WithFields(logrus.Fields{
+		fields := logrus.Fields{
 			"request": j.request.ID, "server": choice.Server.ID, "zone": choice.Server.Zone, "reason": v.reason,
 			"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": j.sends, "status": a.status,
 			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
-			"cold": choice.Server.Cold(began), "error": errorText(a.err), "fingerprint": j.fingerprint,
-		}).Info("attempt failed")
+			"cold": choice.Server.Cold(began), "error": errorText(a.err), "fingerprint": j.fingerprint, "path_failed": pathFailed,
+		}
+		logPath(fields, &a.exchange)
+		r.log.WithFields(fields).Info("attempt failed")
 	}
-
+	j.carrier = a.exchange.carrier
 	return v
 }
 
@@ -106,8 +110,10 @@
 	timedOut atomic.Bool
 	// serverFailed: the failure is attributed to the server.
 	serverFailed bool
-	status       int
-	err          error
+	// exchange is the request to the server, once it was sent.
+	exchange exchange
+	status   int
+	err      error
 }
 
 func (a *attempt) run(ctx context.Context) outcome {
@@ -136,9 +142,13 @@
 		req.Body = http.NoBody
 	}
 	once := !j.route.Repeatable && !j.route.Resumable
-	resp, reply, sent, err := a.relay.send(exchange{
-		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, sendBy: a.began.Add(maxDecisionAge),
-	}, req.WithContext(ctx))
+	a.exchange = exchange{
+		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, sendBy: a.began.Add(maxDecisionAge), patience: plainPatience,
+	}
+	if j.route.Streaming {
+		a.exchange.patience = streamPatience
+	}
+	resp, reply, sent, err := a.relay.send(&a.exchange, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
 		a.err = err
 		reason := shed.ReasonServerLeaving
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,6 +63,7 @@
 
 	// Fields for the log and the metrics.
 	server      shed.ServerID
+	carrier     shed.VM
 	firstByte   time.Duration
 	prepareTime time.Duration
 	events      int
@@ -117,6 +118,9 @@
 		if refused := r.rejectSuspect(j); refused != nil {
 			return r.finalRefusal(out, refused)
 		}
+		if refused := r.rejectUnreachable(ctx, j); refused != nil {
+			return r.finalRefusal(out, refused)
+		}
 		if len(j.route.Steps) > 0 && !j.inputsReady {
 			if refused := r.prepare(ctx, j); refused != nil {
 				return r.finalRefusal(out, r.adjustRefusal(j, refused))
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -20,6 +20,10 @@
 	once bool
 	// sendBy is when the first byte must have been sent; zero for no limit.
 	sendBy time.Time
+	// patience is how long the server may send nothing without doubt on the path to it.
+	patience time.Duration
+	// carrier is the peer that carried the request; empty if it was sent directly.
+	carrier shed.VM
 }
 
 var (
@@ -32,18 +36,18 @@
 // send sends a request to a backend server and applies what the answer says about the server. All
 // requests to backend servers go through it: they were placed some time ago, and meanwhile another
 // answer may have said that the server leaves or wants rest.
-func (r *Relay) send(e exchange, req *http.Request) (resp *http.Response, reply shed.ReplyHead, sent bool, err error) {
+func (r *Relay) send(e *exchange, req *http.Request) (resp *http.Response, reply shed.ReplyHead, sent bool, err error) {
 	sentAt := time.Now()
 	if err := r.reserve(sentAt, e.server); err != nil {
 		return nil, reply, false, err
 	}
-	resp, sent, err = r.sender.Do(req, e.once, e.sendBy)
+	resp, sent, err = r.transmit(e, req)
 	if err != nil {
 		return nil, reply, sent, err
 	}
 	reply = r.cfg.Dialect.ParseReply(resp)
 	if e.id == "" || reply.ID == e.id {
-		r.receiveStatements(e.server, reply, sentAt)
+		r.receiveStatements(e, reply, sentAt)
 	}
 	return resp, reply, true, nil
 }
@@ -68,7 +72,8 @@
 
 // receiveStatements applies what an answer says about its server: a rate limit, that it leaves, or
 // that it wants rest. An answer of another server at the same address says nothing about it.
-func (r *Relay) receiveStatements(s shed.ServerEntry, reply shed.ReplyHead, sentAt time.Time) {
+func (r *Relay) receiveStatements(e *exchange, reply shed.ReplyHead, sentAt time.Time) {
+	s := e.server
 	if reply.OtherServer {
 		return
 	}
@@ -79,12 +84,13 @@
 	if reply.Leaving {
 		r.receiveDeparture(s)
 	}
-	r.receiveRest(s, reply, sentAt)
+	r.receiveRest(e, reply, sentAt)
 }
 
-// receiveRest records that a server wants rest, or that it accepted a request after one. Peers are
-// not told: a server may turn away one VM and serve the others.
-func (r *Relay) receiveRest(s shed.ServerEntry, reply shed.ReplyHead, sentAt time.Time) {
+// receiveRest records that a server wants rest, or that it accepted a request after one. Other peers
+// than those that share connections are not told: a server may turn away one VM and serve the others.
+func (r *Relay) receiveRest(e *exchange, reply shed.ReplyHead, sentAt time.Time) {
+	s := e.server
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if reply.Rest == 0 {
@@ -95,6 +101,7 @@
 	}
 	now := time.Now()
 	r.access.Rest(now, s.Start(), reply.Rest)
+	r.shareRest(s.Start(), reply.Rest, e.carrier)
 	r.stats.rests.Inc(1)
 	r.log.WithFields(logrus.Fields{"server": s.ID, "born": s.StartedMs, "pool": s.Pool, "rest_ms": reply.Rest.Milliseconds()}).
 		Info("server asks for rest")
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -13,17 +13,22 @@
 
 // stats are the relay's metrics.
 type stats struct {
-	scope         tally.Scope
-	stateChanges  tally.Counter
-	crashes       tally.Counter
-	turnsDenied   tally.Counter
-	rests         tally.Counter
-	storeEra      tally.Gauge
-	storeCalls    tally.Counter
-	storeFailures tally.Counter
-	pieceCalls    tally.Counter
-	pieces        tally.Counter
-	pieceTime     tally.Histogram
+	scope        tally.Scope
+	stateChanges tally.Counter
+	crashes      tally.Counter
+	turnsDenied  tally.Counter
+	rests        tally.Counter
+	storeEra     tally.Gauge
+	// carriedRequests counts the requests that peers carried for this VM, carriedForPeers the
+	// connections that this VM opened for peers.
+	carriedRequests tally.Counter
+	carriedForPeers tally.Counter
+	isolated        tally.Gauge
+	storeCalls      tally.Counter
+	storeFailures   tally.Counter
+	pieceCalls      tally.Counter
+	pieces          tally.Counter
+	pieceTime       tally.Histogram
 }
 
 // latencyBuckets are the bounds of the latency histograms.
@@ -32,17 +37,20 @@
 func newStats(scope tally.Scope) stats {
 	s := scope.SubScope("relay")
 	return stats{
-		scope:         s,
-		stateChanges:  s.Counter("beliefs_changed"),
-		crashes:       s.Counter("crashes_under_requests"),
-		turnsDenied:   s.Counter("turns_denied"),
-		rests:         s.Counter("server_rests"),
-		storeEra:      s.Gauge("store_era"),
-		storeCalls:    s.Counter("store_calls"),
-		storeFailures: s.Counter("store_failures"),
-		pieceCalls:    s.Counter("piece_calls"),
-		pieces:        s.Counter("pieces"),
-		pieceTime:     s.Histogram("piece_call_time", latencyBuckets),
+		scope:           s,
+		stateChanges:    s.Counter("beliefs_changed"),
+		crashes:         s.Counter("crashes_under_requests"),
+		turnsDenied:     s.Counter("turns_denied"),
+		rests:           s.Counter("server_rests"),
+		storeEra:        s.Gauge("store_era"),
+		carriedRequests: s.Counter("requests_carried"),
+		carriedForPeers: s.Counter("connections_for_peers"),
+		isolated:        s.Gauge("isolated"),
+		storeCalls:      s.Counter("store_calls"),
+		storeFailures:   s.Counter("store_failures"),
+		pieceCalls:      s.Counter("piece_calls"),
+		pieces:          s.Counter("pieces"),
+		pieceTime:       s.Histogram("piece_call_time", latencyBuckets),
 	}
 }
 
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reach"
 )
 
 // Status implements oper.StatusSource.
@@ -20,6 +21,7 @@
 	if c := r.roster.Catalog(); c != nil {
 		out.Version = c.Version
 	}
+	out.Isolated, out.LostServers = r.paths.isolated, r.paths.table.Lost()
 	if at := r.roster.LastContact(); !at.IsZero() {
 		out.StoreAgeMS = now.Sub(at).Milliseconds()
 	}
@@ -41,9 +43,13 @@
 	AsOf uint64   `json:"as_of"`
 	Era  shed.Era `json:"store_era"`
 	// StoreAgeMS is the time since the store last answered.
-	StoreAgeMS int64                              `json:"store_age_ms"`
-	Peers      []shed.VM                          `json:"peers"`
-	Servers    map[shed.ServerID]shed.ServerShare `json:"servers"`
+	StoreAgeMS int64     `json:"store_age_ms"`
+	Peers      []shed.VM `json:"peers"`
+	// Isolated is set if this VM has no path to any backend server; LostServers are the addresses of
+	// the servers to which it has none.
+	Isolated    bool                               `json:"isolated"`
+	LostServers []reach.Addr                       `json:"lost_servers,omitempty"`
+	Servers     map[shed.ServerID]shed.ServerShare `json:"servers"`
 	// QueuedPieces is the number of pieces queued here, by pool.
 	QueuedPieces map[shed.PoolID]int `json:"gathers"`
 }
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -160,7 +160,7 @@
 		"timely_ms": request.Timely.Milliseconds(), "last_ms": request.Last.Milliseconds(), "answer_ms": request.Answer.Milliseconds(),
 		"urgent_ranks": request.UrgentRanks, "to_aim_ms": request.ToTarget.Milliseconds(), "to_end_ms": request.ToDeadline.Milliseconds(),
 		"after_ms": v.RetryAfter.Milliseconds(), "bottleneck": pool, "coordinator": coordinator,
-		"forecast_from": forecast.from, "forecast_age_ms": now.Sub(forecast.at).Milliseconds(),
+		"forecast_from": forecast.from,
 	}).Info("pieces would be late")
 	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, retryAfter: v.RetryAfter}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -222,6 +223,9 @@
 // OpenServerAt returns the server at an address if it may get new work, else nil.
 func (r *Roster) OpenServerAt(addr string) *Server { return r.openAt[addr] }
 
+// OpenAddrs returns the addresses of the servers that accept new work, in any order.
+func (r *Roster) OpenAddrs() []string { return slices.Collect(maps.Keys(r.openAt)) }
+
 // IsOpen reports whether this start of a server may get new work.
 func (r *Roster) IsOpen(start shed.ServerStart) bool {
 	s := r.servers[start.Server]
--- a/message.go
+++ b/message.go
@@ -156,6 +156,11 @@
 	Limits []ServerLimit `cbor:"14,keyasint,omitempty"`
 	// Leaving are the servers that said that they leave while their entries don't say so.
 	Leaving []ServerStart `cbor:"15,keyasint,omitempty"`
+	// Isolated is set if the sender has no path to any backend server.
+	Isolated bool `cbor:"16,keyasint,omitempty"`
+	// Lost are servers to which the sender lost its path though it reaches others; not all if there
+	// are many.
+	Lost []ServerID `cbor:"17,keyasint,omitempty"`
 	// ForwardToAll is set if the load is sent only to the receiver, which forwards it to all.
 	ForwardToAll bool `cbor:"12,keyasint,omitempty"`
 	// Forwarded are loads of other VMs that the sender forwards.
@@ -214,6 +219,14 @@
 	Unsent bool `cbor:"4,keyasint,omitempty"`
 }
 
+// RestUpdate reports a rest that a server asked for to a VM that shares connections to it with the
+// sender: one carries them for the other.
+type RestUpdate struct {
+	Start ServerStart   `cbor:"1,keyasint"`
+	Rest  time.Duration `cbor:"2,keyasint"`
+}
+
+func (RestUpdate) message()   {}
 func (StoreUpdate) message()  {}
 func (RelayLoad) message()    {}
 func (ResultsFreed) message() {}
--- a/relay.go
+++ b/relay.go
@@ -385,6 +385,8 @@
 	// has a result for each piece.
 	NewPiecesRequest(server ServerEntry, pieces []Piece) (*http.Request, error)
 	ParseResults(body []byte, pieces int) ([]PieceResult, error)
+	// NewProbeRequest returns a request that a server answers at once and never runs.
+	NewProbeRequest(addr string) (*http.Request, error)
 	// NewFreeRequest returns a call that releases results.
 	NewFreeRequest(addr string, refs []ResultRef) (*http.Request, error)
 	// Producer returns the address of the server that produced and holds the result.
