relay: servers that nobody reaches are no lost path

And a request to a dark server waited for a peer's attempt too.

Change: only a peer that got further makes a path lost. Where nobody reaches servers and none has sent anything for a second, requests are refused at once, and probes go on. After a connection attempt that timed out a request is tried through a peer only if no server is heard from; else a probe finds out while the request goes to another server.

--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -27,8 +27,13 @@
 	DropBoth
 	// Refuse closes new connections at once. Open ones continue.
 	Refuse
+	// Hold keeps everything until the mode changes, also new connections.
+	Hold
 )
 
+// holdPoll is how often a held connection checks whether the mode has changed.
+const holdPoll = 10 * time.Millisecond
+
 // slowDelay is the delay of each read in mode Delay: far above the latency of loopback,
 // below all timeouts.
 const slowDelay = 60 * time.Millisecond
@@ -43,12 +48,16 @@
 	mu     sync.Mutex
 	target string
 	links  map[*link]struct{}
+	// modes are the modes of connections from single IP addresses, in place of the proxy's own.
+	modes map[string]Mode
 }
 
 // link is one connection through the proxy.
 type link struct {
 	proxy          *Proxy
 	client, server net.Conn
+	// from is the IP address that the connection comes from.
+	from string
 	// dropIn and dropOut are whether all further data in the direction is dropped. They
 	// are never reset: lost bytes can't arrive later, nor can the bytes after them.
 	dropIn, dropOut atomic.Bool
@@ -61,7 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for a proxy: %w", err)
 	}
-	p := &Proxy{listener: l, target: to, links: map[*link]struct{}{}}
+	p := &Proxy{listener: l, target: to, links: map[*link]struct{}{}, modes: map[string]Mode{}}
 	p.group.Go(p.serve)
 	return p, nil
 }
@@ -75,7 +84,43 @@
 // SetMode changes the mode, also for open connections.
 func (p *Proxy) SetMode(m Mode) { p.mode.Store(uint32(m)) }
 
-func (p *Proxy) currentMode() Mode { return Mode(p.mode.Load()) }
+// SetModeFrom changes the mode of connections from one IP address, also of open ones; Forward leaves
+// them to the mode of the proxy.
+func (p *Proxy) SetModeFrom(ip string, m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes[ip] = m
+}
+
+// modeFrom returns the mode of connections from an IP address.
+func (p *Proxy) modeFrom(ip string) Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.modes[ip]; m != Forward {
+		return m
+	}
+	return Mode(p.mode.Load())
+}
+
+// hold waits while connections from an IP address are held, and returns their mode.
+func (p *Proxy) hold(ip string) Mode {
+	for {
+		m := p.modeFrom(ip)
+		if m != Hold {
+			return m
+		}
+		time.Sleep(holdPoll)
+	}
+}
+
+// sourceIP returns the IP address that a connection comes from.
+func sourceIP(c net.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
 
 func (p *Proxy) serve() error {
 	for {
@@ -84,7 +129,7 @@
 			// The proxy was closed.
 			return nil
 		}
-		if p.currentMode() == Refuse {
+		if p.modeFrom(sourceIP(client)) == Refuse {
 			_ = client.Close()
 			continue
 		}
@@ -96,12 +141,14 @@
 }
 
 func (p *Proxy) openLink(client net.Conn) {
+	from := sourceIP(client)
+	p.hold(from)
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = client.Close()
 		return
 	}
-	l := &link{proxy: p, client: client, server: server}
+	l := &link{proxy: p, client: client, server: server, from: from}
 	p.mu.Lock()
 	p.links[l] = struct{}{}
 	p.mu.Unlock()
@@ -115,7 +162,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		mode := l.proxy.currentMode()
+		mode := l.proxy.hold(l.from)
 		if mode == Delay {
 			time.Sleep(slowDelay)
 		}
@@ -177,8 +224,14 @@
 }
 
 // Reset resets all open connections on both sides.
-func (p *Proxy) Reset() {
+func (p *Proxy) Reset() { p.ResetFrom("") }
+
+// ResetFrom resets the open connections from one IP address, or all if it is empty.
+func (p *Proxy) ResetFrom(ip string) {
 	for _, l := range p.openLinks() {
+		if ip != "" && l.from != ip {
+			continue
+		}
 		for _, c := range []net.Conn{l.client, l.server} {
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -11,16 +11,21 @@
 	"maps"
 	"slices"
 	"time"
+
+	shed "jasmineshed"
 )
 
 const (
-	// isolationServers is how many servers must have been out of reach, without one that answered this
-	// VM directly, until all paths of this VM count as lost.
+	// isolationServers is how many servers a peer must have reached in place of this VM, without
+	// one that answered this VM directly, until all paths of this VM count as lost; and how many
+	// nobody must have reached until requests are hopeless.
 	isolationServers = 3
 	// doubtTime is how long a server is in doubt after its path failed without a verdict.
 	doubtTime = time.Second
 	// downTime is how long no peer is asked to carry requests to a server that none reached.
 	downTime = time.Second
+	// hopelessSilence is how long no server may have sent anything until requests are hopeless.
+	hopelessSilence = time.Second
 	// probeInterval is the time between two probes of a server whose path is lost, or of different
 	// servers while all paths are.
 	probeInterval = 500 * time.Millisecond
@@ -67,7 +72,9 @@
 	lostAt time.Time
 	// isolatedAt is when all paths were lost; zero if they are not.
 	isolatedAt time.Time
-	// lastProbed is the server that was probed last while all paths are lost, probedAt when.
+	// hopeless: neither this VM nor a peer that it asked reaches servers.
+	hopeless bool
+	// lastProbed is the server that was probed last in turn, probedAt when.
 	lastProbed Addr
 	probedAt   time.Time
 }
@@ -79,7 +86,7 @@
 	lostLevel Level
 	// failedAt is the last failure of the path without a verdict; zero if there is none.
 	failedAt time.Time
-	// unreachedAt is when neither this VM nor a peer established a connection.
+	// unreachedAt is when neither this VM nor a peer got an answer.
 	unreachedAt time.Time
 	// downUntil is until when no peer is asked to carry requests.
 	downUntil time.Time
@@ -103,6 +110,10 @@
 // Isolated reports whether all paths of this VM are lost.
 func (t *Table) Isolated() bool { return !t.isolatedAt.IsZero() }
 
+// Hopeless reports whether neither this VM nor any peer that it asked reaches servers, so that requests
+// are better refused than tried.
+func (t *Table) Hopeless() bool { return t.hopeless }
+
 // Path returns the path of a request. One that may run only once isn't sent over a path in doubt:
 // it would be lost.
 func (t *Table) Path(now time.Time, a Addr, once bool) Path {
@@ -155,7 +166,7 @@
 
 // AnsweredDirectly records an answer over a new direct connection.
 func (t *Table) AnsweredDirectly(now time.Time, a Addr) {
-	t.answeredAt, t.doubtUntil = now, time.Time{}
+	t.answeredAt, t.doubtUntil, t.hopeless = now, time.Time{}, false
 	t.restore(a)
 }
 
@@ -178,11 +189,21 @@
 // Heard records that a server last sent something over a direct connection at a time.
 func (t *Table) Heard(at time.Time) { t.heardAt = at }
 
-// Unreached records that this VM could not connect to a server and no peer tried. listed is as in
-// Compared.
+// Unreached records that this VM could not connect to a server and no peer got further. listed is as
+// in Compared.
 func (t *Table) Unreached(now time.Time, a Addr, listed int) {
 	t.server(a).unreachedAt = now
-	t.judge(now, listed)
+	since := shed.Later(t.answeredAt, t.heardAt)
+	if now.Sub(since) < hopelessSilence {
+		return
+	}
+	unreached := 0
+	for _, s := range t.servers {
+		if s.unreachedAt.After(since) {
+			unreached++
+		}
+	}
+	t.hopeless = unreached >= min(isolationServers, listed)
 }
 
 // Failed records that a direct connection failed, broke or fell silent.
@@ -195,15 +216,13 @@
 	switch {
 	case carried > direct:
 		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
-		t.lostAt = now
+		t.lostAt, t.hopeless = now, false
 		t.judge(now, listed)
 	case direct == Answered:
 		t.AnsweredDirectly(now, a)
 	default:
 		s.failedAt, s.downUntil = time.Time{}, now.Add(downTime)
-		if direct == Closed {
-			t.Unreached(now, a, listed)
-		}
+		t.Unreached(now, a, listed)
 	}
 }
 
@@ -211,7 +230,7 @@
 func (t *Table) judge(now time.Time, listed int) {
 	lost := 0
 	for _, s := range t.servers {
-		if s.lostAt.After(t.answeredAt) || s.unreachedAt.After(t.answeredAt) && s.unreachedAt.After(t.heardAt) {
+		if s.lostAt.After(t.answeredAt) {
 			lost++
 		}
 	}
@@ -240,14 +259,14 @@
 	if len(t.servers) == 0 || len(listed) == 0 {
 		return nil
 	}
-	if !t.Isolated() {
+	if !t.Isolated() && !t.hopeless {
 		return t.dueServers(now, listed)
 	}
 	if now.Sub(t.probedAt) < probeInterval {
 		return nil
 	}
 	t.probedAt = now
-	return t.nextProbes(now, listed, false)
+	return t.nextProbes(now, listed, t.hopeless)
 }
 
 // begin records that a probe begins.
@@ -289,7 +308,7 @@
 	for i := range min(maxProbes, len(listed)) {
 		a := listed[(first+i*stride)%len(listed)]
 		s := t.server(a)
-		if s.probing || compare && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
+		if s.probing || compare && !t.hopeless && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
 			continue
 		}
 		s.begin(now)
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -101,7 +101,7 @@
 		}
 	}
 	resp, sent, err = r.transmitDirectly(e, req)
-	if path != reach.Direct || !errors.Is(err, engine.ErrNotConnected) || req.Context().Err() != nil {
+	if path != reach.Direct || !errors.Is(err, engine.ErrNotConnected) || req.Context().Err() != nil || r.isServerDark(err) {
 		return resp, sent, err
 	}
 	carriedResp, carriedSent, carriedErr := r.transmitCarried(e, req)
@@ -116,6 +116,14 @@
 	return carriedResp, carriedSent, carriedErr
 }
 
+// isServerDark reports whether a connection attempt timed out while other servers are heard from. Most
+// likely that server is down, and a peer would wait in vain too; a probe finds out.
+func (r *Relay) isServerDark(err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return timedOut(err) && time.Since(r.paths.heardAt) < vmSilence
+}
+
 // levelOf returns how far an exchange got.
 func levelOf(sent bool, err error) reach.Level {
 	switch {
@@ -253,10 +261,11 @@
 	r.checkIsolation()
 }
 
-// rejectUnreachable refuses a request if this VM has no path to any server and no peer can carry it.
+// rejectUnreachable refuses a request if neither this VM nor a peer that can carry it reaches any
+// server.
 func (r *Relay) rejectUnreachable(ctx context.Context, j *job) *refusal {
 	r.mu.Lock()
-	hopeless := r.paths.isolated && len(r.carrierCandidates(time.Now())) == 0
+	hopeless := r.paths.table.Hopeless() || r.paths.isolated && len(r.carrierCandidates(time.Now())) == 0
 	r.mu.Unlock()
 	if !hopeless {
 		return nil
@@ -268,7 +277,12 @@
 func (r *Relay) comparePaths(addr reach.Addr, direct, carried reach.Level) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	was := r.paths.table.IsLost(addr)
 	r.paths.table.Compared(time.Now(), addr, direct, carried, len(r.serverAddrs()))
+	if lost := r.paths.table.IsLost(addr); lost != was {
+		r.stats.stateChanges.Inc(1)
+		r.log.WithFields(logrus.Fields{"addr": addr, "lost": lost, "direct": direct, "carried": carried}).Info("path to a server")
+	}
 	r.checkIsolation()
 }
 
@@ -339,6 +353,7 @@
 
 // probePath finds out whether the path to a server is lost.
 func (r *Relay) probePath(p reach.Probe, server shed.ServerEntry) {
+	r.stats.pathProbes.Inc(1)
 	direct, _ := r.probe(r.sender, server)
 	carried, carrierFound := reach.Closed, true
 	if p.Compare && direct < reach.Answered {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,7 +129,7 @@
 // New creates a Relay; Run runs it.
 func New(cfg Config) *Relay {
 	if cfg.Dial == nil {
-		cfg.Dial = httpd.Dialer(cfg.Prefs.Relay.Connect, cfg.Prefs.Relay.Silence).DialContext
+		cfg.Dial = newServerDialer(cfg.Prefs).DialContext
 	}
 	base, halt := context.WithCancel(context.Background())
 	r := &Relay{
@@ -169,6 +169,15 @@
 	return r
 }
 
+// newServerDialer returns the dialer of connections to backend servers.
+func newServerDialer(p *prefs.Prefs) *net.Dialer {
+	d := httpd.Dialer(p.Relay.Connect, p.Relay.Silence)
+	if p.Relay.Source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.Relay.Source)}
+	}
+	return d
+}
+
 // dialServer opens a connection to a backend server.
 func (r *Relay) dialServer(ctx context.Context, network, addr string) (net.Conn, error) {
 	c, err := r.cfg.Dial(ctx, network, addr)
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -24,6 +24,7 @@
 	carriedRequests tally.Counter
 	carriedForPeers tally.Counter
 	isolated        tally.Gauge
+	pathProbes      tally.Counter
 	storeCalls      tally.Counter
 	storeFailures   tally.Counter
 	pieceCalls      tally.Counter
@@ -46,6 +47,7 @@
 		carriedRequests: s.Counter("requests_carried"),
 		carriedForPeers: s.Counter("connections_for_peers"),
 		isolated:        s.Gauge("isolated"),
+		pathProbes:      s.Counter("path_probes"),
 		storeCalls:      s.Counter("store_calls"),
 		storeFailures:   s.Counter("store_failures"),
 		pieceCalls:      s.Counter("piece_calls"),
