--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -97,6 +97,7 @@
 	Ready        string        `ini:"ready" unit:"ip:port" check:"listen" doc:"Listener for the load balancer's readiness probe: 200 if this VM accepts requests, else 503, on any path."`
 	Watch        time.Duration `ini:"watch" unit:"duration" min:"100ms" max:"30s" doc:"Longest time that one watch of the store waits for a change. A dead connection is detected after this plus read_timeout of [platform]."`
 	Connect      time.Duration `ini:"connect" unit:"duration" min:"10ms" max:"1m" doc:"Timeout of opening a connection to a backend server or to the store."`
+	Source       string        `ini:"source" unit:"ip" check:"ip,empty" doc:"Local address of connections to backend servers; empty lets the system choose."`
 	Silence      time.Duration `ini:"silence" unit:"duration" min:"100ms" max:"10m" doc:"How long sent bytes may stay unacknowledged on a connection before it is closed."`
 	RepeatRatio  float64       `ini:"repeat_ratio" unit:"0 to 1" min:"0" max:"1" doc:"Retry budget of the fleet for a pool, as a fraction of the pool's requests."`
 	RepeatSlack  float64       `ini:"repeat_slack" unit:"count" min:"0" max:"1000000" doc:"Retries that the fleet may send beyond that fraction within repeat_window."`
--- a/internal/prefs/value.go
+++ b/internal/prefs/value.go
@@ -135,6 +135,10 @@
 		return checkAddress(text, true)
 	case "url":
 		return checkURL(text)
+	case "ip":
+		if _, err := netip.ParseAddr(text); err != nil {
+			return fmt.Errorf("%q is no IP number", text)
+		}
 	case "name":
 		if !namePattern.MatchString(text) {
 			return fmt.Errorf("%q is no name: 1 to 64 letters, digits, dots, dashes and underscores", text)
