relay: a VM without a path keeps the rests of the peers that carry for it

Cause: a pool asked for rest. The VMs that would carry requests refused, since the servers rest for them; the VM without a path, which had not been asked, took that for "no peer can carry" and sent the requests over its lost path, where those that run once are lost, or refused them.

Change: the refusal says how much longer the server rests; the VM adopts that, so its requests wait for the end of the rest as those of other VMs do. Nothing is sent directly over a path that is known to be lost: probes find out when it is back.

--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -46,28 +46,35 @@
 	ErrCarryDeclined = errors.New("peer carries no connection")
 	// ErrCarryUnreachable is returned if a peer could not connect to the server.
 	ErrCarryUnreachable = errors.New("peer can't connect to the server")
-	// ErrCarryServerClosed is returned if a peer knows that the server accepts no work from it.
-	ErrCarryServerClosed = errors.New("server accepts no work from the peer")
 )
 
+// CarryClosedError is returned if a peer knows that the server accepts no work from it. Rest is how
+// much longer, if the server asked it for rest.
+type CarryClosedError struct{ Rest time.Duration }
+
+// Error implements error.
+func (e CarryClosedError) Error() string { return "server accepts no work from the peer" }
+
+// CarryStatus is the first reply to a CarryCall.
+type CarryStatus struct {
+	Refusal CarryRefusal `cbor:"1,keyasint,omitempty"`
+	// Rest is how much longer the server wants no request from this daemon, for CarryServerClosed.
+	Rest time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // err returns the error of a refusal; nil if there is none.
-func (r CarryRefusal) err() error {
-	switch r {
+func (s CarryStatus) err() error {
+	switch s.Refusal {
 	case CarryAccepted:
 		return nil
 	case CarryUnreachable:
 		return ErrCarryUnreachable
 	case CarryServerClosed:
-		return ErrCarryServerClosed
+		return CarryClosedError{Rest: s.Rest}
 	}
 	return ErrCarryDeclined
 }
 
-// carryStatus is the first reply to a CarryCall.
-type carryStatus struct {
-	Refusal CarryRefusal `cbor:"1,keyasint,omitempty"`
-}
-
 // carryChunk holds bytes of a carried connection, in either direction. An empty one is a heartbeat.
 type carryChunk struct {
 	Bytes []byte `cbor:"1,keyasint,omitempty"`
@@ -81,13 +88,13 @@
 func receiveCarry(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
 	call, stream := in1.(*CarryCall), in2.(drpc.Stream)
 	out := &sender{stream: stream}
-	conn, refusal := srv.(RelayHandler).Connect(stream.Context(), *call)
-	if refusal != CarryAccepted {
-		return nil, out.send(&carryStatus{Refusal: refusal})
+	conn, status := srv.(RelayHandler).Connect(stream.Context(), *call)
+	if status.Refusal != CarryAccepted {
+		return nil, out.send(&status)
 	}
 	defer srv.(RelayHandler).Disconnected(*call)
 	defer func() { _ = conn.Close() }()
-	if err := out.send(&carryStatus{}); err != nil {
+	if err := out.send(&status); err != nil {
 		return nil, err
 	}
 	// awaiting: the server has sent nothing since the caller did.
@@ -190,12 +197,12 @@
 	if err := s.send(call); err != nil {
 		return err
 	}
-	var status carryStatus
+	var status CarryStatus
 	if err := s.recv(&status); err != nil {
 		return err
 	}
 	s.idleTimer.Stop()
-	return status.Refusal.err()
+	return status.err()
 }
 
 // Carrier returns the peer that carries the connection.
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -126,7 +126,7 @@
 	// Turn grants or refuses a turn at a server.
 	Turn(call TurnCall) TurnReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
-	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryRefusal)
+	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
 	// Disconnected is called once a connection that Connect opened is closed.
 	Disconnected(call CarryCall)
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -63,12 +63,12 @@
 	return peers.TurnReply{Granted: c.Rate < 10, Wait: c.Patience}
 }
 
-func (s *relayStub) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryRefusal) {
+func (s *relayStub) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryStatus) {
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", call.Addr)
 	if err != nil {
-		return nil, peers.CarryUnreachable
+		return nil, peers.CarryStatus{Refusal: peers.CarryUnreachable}
 	}
-	return c, peers.CarryAccepted
+	return c, peers.CarryStatus{}
 }
 
 func (s *relayStub) Disconnected(peers.CarryCall) {}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -67,9 +67,10 @@
 }
 
 // dialCarried opens a connection to a server that a peer carries. The error is errNoCarrier if no
-// peer tried, and peers.ErrCarryUnreachable if those that did could not connect either.
+// peer could be asked, and peers.ErrCarryUnreachable if one of those that were could not connect.
 func (r *Relay) dialCarried(ctx context.Context, _, addr string) (net.Conn, error) {
 	var asked []shed.VM
+	var closed peers.CarryClosedError
 	failure := errNoCarrier
 	for range maxCarriers {
 		vm, call, ok := r.nextCarrier(addr, asked)
@@ -83,14 +84,27 @@
 		if ctx.Err() != nil {
 			return nil, err
 		}
-		if errors.Is(err, peers.ErrCarryUnreachable) {
+		if errors.Is(err, peers.ErrCarryUnreachable) || errors.As(err, &closed) && errors.Is(failure, errNoCarrier) {
 			failure = err
 		}
 		asked = append(asked, vm)
 	}
+	if errors.As(failure, &closed) && closed.Rest > 0 {
+		r.adoptRest(addr, closed.Rest)
+	}
 	return nil, failure
 }
 
+// adoptRest lets this VM's requests wait, as those of the peers that would carry them do, for the end
+// of the rest that a server asked these for.
+func (r *Relay) adoptRest(addr string, rest time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.roster.OpenServerAt(addr); s != nil {
+		r.access.Rest(time.Now(), s.Start(), min(rest, maxPeerRest))
+	}
+}
+
 // nextCarrier chooses the peer to carry a connection to the server at addr: the better of two that
 // are drawn by their capacity.
 func (r *Relay) nextCarrier(addr string, asked []shed.VM) (shed.VM, peers.CarryCall, bool) {
@@ -158,9 +172,10 @@
 	conn, err := client.Carry(ctx, vm, call, func() { r.endCarried(vm, c) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var closed peers.CarryClosedError
 	switch {
 	case err == nil:
-	case errors.Is(err, peers.ErrCarryUnreachable), errors.Is(err, peers.ErrCarryServerClosed):
+	case errors.Is(err, peers.ErrCarryUnreachable), errors.As(err, &closed):
 		r.paths.carriers.unreachedUntil[peerServer{vm, reach.Addr(call.Addr)}] = time.Now().Add(unreachedTime)
 		return nil, err
 	default:
@@ -234,42 +249,41 @@
 }
 
 // Connect implements peers.RelayHandler.
-func (r *Relay) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryRefusal) {
-	if refusal := r.admitCarried(call); refusal != peers.CarryAccepted {
-		return nil, refusal
+func (r *Relay) Connect(ctx context.Context, call peers.CarryCall) (net.Conn, peers.CarryStatus) {
+	status := r.admitCarried(call)
+	if status.Refusal != peers.CarryAccepted {
+		return nil, status
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, r.prefs.Load().Relay.Connect)
 	defer cancel()
 	conn, err := r.dialServer(dialCtx, "tcp", call.Addr)
 	if err != nil {
 		r.Disconnected(call)
-		return nil, peers.CarryUnreachable
+		return nil, peers.CarryStatus{Refusal: peers.CarryUnreachable}
 	}
 	r.stats.carriedForPeers.Inc(1)
-	return conn, peers.CarryAccepted
+	return conn, status
 }
 
 // admitCarried decides whether this VM carries a connection, and counts it if it does.
-func (r *Relay) admitCarried(call peers.CarryCall) peers.CarryRefusal {
+func (r *Relay) admitCarried(call peers.CarryCall) peers.CarryStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.paths.carriers
 	now := time.Now()
-	server := r.roster.OpenServerAt(call.Addr)
+	server, rest := r.roster.OpenServerAt(call.Addr), r.access.RestLeft(now, call.Start)
 	switch {
 	case r.stopping.Load(), c.total >= maxCarried, r.paths.table.IsLost(reach.Addr(call.Addr)):
-		return peers.CarryDeclined
-	case server == nil || server.Start() != call.Start:
-		return peers.CarryServerClosed
-	case r.access.RestLeft(now, call.Start) > 0:
-		return peers.CarryServerClosed
+		return peers.CarryStatus{Refusal: peers.CarryDeclined}
+	case server == nil || server.Start() != call.Start || rest > 0:
+		return peers.CarryStatus{Refusal: peers.CarryServerClosed, Rest: rest}
 	}
 	if c.forPeers[call.Start] == nil {
 		c.forPeers[call.Start] = map[shed.VM]int{}
 	}
 	c.forPeers[call.Start][call.From.VM]++
 	c.total++
-	return peers.CarryAccepted
+	return peers.CarryStatus{}
 }
 
 // Disconnected implements peers.RelayHandler.
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -96,7 +96,7 @@
 	r.mu.Unlock()
 	if path == reach.Carried {
 		resp, sent, err = r.transmitCarried(e, req)
-		if !errors.Is(err, errNoCarrier) {
+		if !errors.Is(err, errNoCarrier) || r.isPathLost(addr) {
 			return resp, sent, err
 		}
 	}
@@ -116,6 +116,13 @@
 	return carriedResp, carriedSent, carriedErr
 }
 
+// isPathLost reports whether the path to a server is lost.
+func (r *Relay) isPathLost(addr reach.Addr) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paths.table.IsLost(addr)
+}
+
 // isServerDark reports whether a connection attempt timed out while other servers are heard from. Most
 // likely that server is down, and a peer would wait in vain too; a probe finds out.
 func (r *Relay) isServerDark(err error) bool {
@@ -248,9 +255,7 @@
 	if errors.Is(err, errPathLost) {
 		return true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.paths.table.IsLost(reach.Addr(e.server.Addr))
+	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.isPathLost(reach.Addr(e.server.Addr))
 }
 
 // recordUnreached records that this VM can't connect to a server and no peer can be asked.
