relay: permits for servers that are brittle

Each server falls, comes back, is rushed at and falls again.

Cause: nothing read the header. Each VM sees a place free and all take it at once; what a server turns away goes to the next one.

Ways weighed: a share of the places for each VM (internal/slots): fewer places than VMs in a large fleet, and idle ones where load is uneven; turns by rate: service times vary, so queues overflow; load reports: 0.1 to 0.6 s old, a request takes 30 ms. Chosen: the VM that would lend turns grants permits (internal/permit, pure), one place at a server each, given back when the attempt ends, by rank in its queue. A start of a server begins with one and gets one more with each accepted request, up to its slots and one; a rejection lowers that for 2 s. A permit is leased until the request's deadline. A server that has said nothing yet counts as brittle while another of its pool does. What fits nowhere waits 0.4 s at most and is refused with a time to come back. The statement travels with the limits of servers.

Not covered: calls for pieces (one VM sends them, one at a time for each server).

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -21,21 +21,21 @@
 
 func TestLastAnswerCounts(t *testing.T) {
 	tb := limit.New()
-	require.Empty(t, tb.Answered(at(0), one, 0), "no limit, as before")
-	require.Equal(t, []limit.Change{{Start: one, Rate: 2}}, tb.Answered(at(1), one, 2))
-	require.Empty(t, tb.Answered(at(2), one, 2))
-	require.Equal(t, []limit.Change{{Start: one, Rate: 3}}, tb.Answered(at(3), one, 3))
+	require.Empty(t, tb.Answered(at(0), one, 0, false), "no limit, as before")
+	require.Equal(t, []limit.Change{{Start: one, Rate: 2}}, tb.Answered(at(1), one, 2, false))
+	require.Empty(t, tb.Answered(at(2), one, 2, false))
+	require.Equal(t, []limit.Change{{Start: one, Rate: 3}}, tb.Answered(at(3), one, 3, false))
 	require.Equal(t, shed.Rate(3), tb.Rate(one))
 	require.Zero(t, tb.Rate(shed.ServerStart{Server: "s1", StartedMs: 2}), "a new start has named none")
-	require.Equal(t, []limit.Change{{Start: one}}, tb.Answered(at(4), one, 0))
+	require.Equal(t, []limit.Change{{Start: one}}, tb.Answered(at(4), one, 0, false))
 	require.Zero(t, tb.Rate(one))
 }
 
 // A delayed report of a peer must not restore a limit that has ended since.
 func TestOldUpdatesDontRestoreALimit(t *testing.T) {
 	tb := limit.New()
-	tb.Answered(at(0), one, 2)
-	tb.Answered(at(100), one, 0)
+	tb.Answered(at(0), one, 2, false)
+	tb.Answered(at(100), one, 0, false)
 	require.Empty(t, tb.Receive(at(200), []shed.ServerLimit{{Start: one, Rate: 2, Age: 150 * time.Millisecond}}))
 	require.Zero(t, tb.Rate(one))
 	require.NotEmpty(t, tb.Receive(at(300), []shed.ServerLimit{{Start: one, Rate: 5, Age: 10 * time.Millisecond}}))
@@ -44,7 +44,7 @@
 
 func TestServersThatAreGoneAreForgotten(t *testing.T) {
 	tb := limit.New()
-	tb.Answered(at(0), one, 2)
+	tb.Answered(at(0), one, 2, false)
 	tb.Prune(at(1), func(shed.ServerID) bool { return true })
 	require.NotZero(t, tb.Rate(one))
 	tb.Prune(at(2), func(shed.ServerID) bool { return false })
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -93,6 +93,8 @@
 
 	LeavingUpdate *shed.LeavingUpdate `cbor:"16,keyasint,omitempty"`
 	RestUpdate    *shed.RestUpdate    `cbor:"17,keyasint,omitempty"`
+
+	PermitReturned *shed.PermitReturned `cbor:"18,keyasint,omitempty"`
 }
 
 // newEnvelope wraps a control message in an envelope.
@@ -129,6 +131,8 @@
 		e.LeavingUpdate = &m
 	case shed.RestUpdate:
 		e.RestUpdate = &m
+	case shed.PermitReturned:
+		e.PermitReturned = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -168,6 +172,8 @@
 		return *e.LeavingUpdate, nil
 	case e.RestUpdate != nil:
 		return *e.RestUpdate, nil
+	case e.PermitReturned != nil:
+		return *e.PermitReturned, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -125,6 +125,10 @@
 	Items(call ItemsCall) ItemsReply
 	// Turn grants or refuses a turn at a server.
 	Turn(call TurnCall) TurnReply
+	// Permit grants or refuses a permit for a brittle server; it may wait.
+	Permit(ctx context.Context, call PermitCall) PermitReply
+	// ReturnPermit takes a permit back.
+	ReturnPermit(m shed.PermitReturned)
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
 	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
 	// Disconnected is called once a connection that Connect opened is closed.
@@ -135,7 +139,7 @@
 type relayDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (relayDescription) NumMethods() int { return 5 }
+func (relayDescription) NumMethods() int { return 6 }
 
 // Method implements drpc.Description.
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -151,6 +155,8 @@
 		return rpcTurn, wire, receiveTurn, (func(RelayHandler, *TurnCall, drpc.Stream) error)(nil), true
 	case 4:
 		return rpcCarry, wire, receiveCarry, (func(RelayHandler, *CarryCall, drpc.Stream) error)(nil), true
+	case 5:
+		return rpcPermit, wire, receivePermit, (func(RelayHandler, *PermitCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -71,6 +71,12 @@
 	return c, peers.CarryStatus{}
 }
 
+func (s *relayStub) Permit(context.Context, peers.PermitCall) peers.PermitReply {
+	return peers.PermitReply{}
+}
+
+func (s *relayStub) ReturnPermit(shed.PermitReturned) {}
+
 func (s *relayStub) Disconnected(peers.CarryCall) {}
 
 func (s *relayStub) DiscardResults(results []shed.PieceResult) { s.discarded <- len(results) }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -19,14 +19,14 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := r.limits.Answered(now, s.Start(), reply.Limit)
+	changes := r.limits.Answered(now, s.Start(), reply.Limit, reply.Brittle)
 	if len(changes) == 0 {
 		return
 	}
 	r.logLimits(changes, "answer")
 	update := shed.LimitUpdate{}
 	for _, c := range changes {
-		update.Limits = append(update.Limits, shed.ServerLimit{Start: c.Start, Rate: c.Rate, Lifted: c.Rate == 0})
+		update.Limits = append(update.Limits, shed.ServerLimit{Start: c.Start, Rate: c.Rate, Brittle: c.Brittle, Lifted: c.Rate == 0 && !c.Brittle})
 	}
 	r.client.SendAll(r.alivePeers(), update)
 }
@@ -39,7 +39,7 @@
 	for _, c := range changes {
 		r.stats.stateChanges.Inc(1)
 		r.log.WithFields(logrus.Fields{
-			"server": c.Start.Server, "born": c.Start.StartedMs, "per_second": c.Rate, "ended": c.Rate == 0, "by": by,
+			"server": c.Start.Server, "born": c.Start.StartedMs, "per_second": c.Rate, "brittle": c.Brittle, "ended": c.Rate == 0 && !c.Brittle, "by": by,
 		}).Info("server limit")
 	}
 }
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -11,6 +11,7 @@
 	"jasmineshed/internal/follow"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
+	"jasmineshed/internal/permit"
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/pulse"
 
@@ -202,6 +203,8 @@
 		r.receiveUpdate(now, from.VM, m)
 	case shed.LimitUpdate:
 		r.logLimits(r.limits.Receive(now, m.Limits), string(from.VM))
+	case shed.PermitReturned:
+		r.notifyPermits(r.permits.Return(now, m.Start, permit.ID(m.ID), m.Rejected))
 	case shed.RestUpdate:
 		r.receivePeerRest(now, m)
 	case shed.LeavingUpdate:
--- /dev/null
+++ b/internal/relay/permits.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/permit"
+	"jasmineshed/internal/roster"
+)
+
+const (
+	// minLease is the shortest lease of a permit.
+	minLease = 100 * time.Millisecond
+)
+
+// heldPermit is a permit of a request; the zero value is none.
+type heldPermit struct {
+	owner shed.VM
+	start shed.ServerStart
+	id    permit.ID
+}
+
+// brittlePools returns the pools of which a server is brittle. The caller holds mu.
+func (r *Relay) brittlePools() map[shed.PoolID]bool {
+	var out map[shed.PoolID]bool
+	for _, start := range r.limits.BrittleServers() {
+		if s, ok := r.roster.Server(start.Server); ok {
+			if out == nil {
+				out = map[shed.PoolID]bool{}
+			}
+			out[s.Pool] = true
+		}
+	}
+	return out
+}
+
+// isBrittle reports whether a server falls over if it has to turn away requests: by its own word, or
+// if it has said nothing yet and others of its pool are brittle. The caller holds mu.
+func (r *Relay) isBrittle(s *roster.Server, pools map[shed.PoolID]bool) bool {
+	brittle, known := r.limits.Brittle(s.Start())
+	return brittle || !known && pools[s.Pool]
+}
+
+// takePermit requests a permit for a brittle server and waits for it at most patience.
+func (r *Relay) takePermit(ctx context.Context, j *job, s *roster.Server, patience time.Duration) (heldPermit, bool) {
+	now := time.Now()
+	call := peers.PermitCall{
+		Start: s.Start(), Slots: s.Slots, Rank: max(j.rank, 0), Patience: patience, Lease: max(j.deadline.Sub(now), minLease),
+	}
+	r.mu.Lock()
+	owner, ok := r.owner(now, "turns "+string(s.ID))
+	client := r.client
+	r.mu.Unlock()
+	if !ok {
+		return heldPermit{}, false
+	}
+	var reply peers.PermitReply
+	var err error
+	if owner == r.mesh.self.VM {
+		reply = r.Permit(ctx, call)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, patience+turnTimeout)
+		reply, err = client.Permit(callCtx, owner, call)
+		cancel()
+	}
+	switch {
+	case err == nil && reply.Granted:
+		return heldPermit{owner: owner, start: call.Start, id: permit.ID(reply.ID)}, true
+	case err == nil && reply.Moved:
+		r.backOffPeer(owner)
+	case err != nil && ctx.Err() == nil:
+		r.log.WithField("peer", owner).WithError(err).Info("peer that grants permits gives no answer")
+		r.backOffUnresponsivePeers(owner)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.turnsDenied.Inc(1)
+	r.access.Denied(time.Now(), call.Start, reply.Wait)
+	return heldPermit{}, false
+}
+
+// returnPermit gives the request's permit back, if it has one. rejected is set if the server turned
+// the request away for want of room.
+func (r *Relay) returnPermit(j *job, rejected bool) {
+	p := j.permit
+	j.permit = heldPermit{}
+	if p.owner == "" {
+		return
+	}
+	m := shed.PermitReturned{Start: p.start, ID: uint64(p.id), Rejected: rejected}
+	if p.owner == r.mesh.self.VM {
+		r.ReturnPermit(m)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.client.Send(p.owner, m)
+}
+
+// Permit implements peers.RelayHandler.
+func (r *Relay) Permit(ctx context.Context, call peers.PermitCall) peers.PermitReply {
+	if r.stopping.Load() {
+		return peers.PermitReply{Moved: true}
+	}
+	r.mu.Lock()
+	got := r.permits.Take(time.Now(), permit.Request(call))
+	if !got.Queued {
+		r.mu.Unlock()
+		return peers.PermitReply{Granted: got.Granted, ID: uint64(got.ID), Wait: got.Wait}
+	}
+	granted := make(chan struct{})
+	r.permitWaiters[got.ID] = granted
+	r.mu.Unlock()
+	timer := time.NewTimer(call.Patience)
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return peers.PermitReply{Granted: true, ID: uint64(got.ID)}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.permitWaiters, got.ID)
+	// A permit that was granted just now is given back, too.
+	r.notifyPermits(r.permits.Return(time.Now(), call.Start, got.ID, false))
+	return peers.PermitReply{}
+}
+
+// ReturnPermit implements peers.RelayHandler.
+func (r *Relay) ReturnPermit(m shed.PermitReturned) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notifyPermits(r.permits.Return(time.Now(), m.Start, permit.ID(m.ID), m.Rejected))
+}
+
+// notifyPermits lets the requests go on that were granted permits. The caller holds mu.
+func (r *Relay) notifyPermits(granted []permit.ID) {
+	for _, id := range granted {
+		if waiter := r.permitWaiters[id]; waiter != nil {
+			delete(r.permitWaiters, id)
+			close(waiter)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/oper"
 	"jasmineshed/internal/peers"
+	"jasmineshed/internal/permit"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/poison"
 	"jasmineshed/internal/prefs"
@@ -101,15 +102,18 @@
 	poison         *poison.Table
 	limits         *limit.Table
 	// turnBook holds the turns that this VM grants, access when it may send to servers again.
-	turnBook     *turns.Ledger
-	access       *access.Table
-	paths        paths
-	retryBudgets map[shed.PoolID]*retry.Budget
-	group        *member.Group
-	mesh         mesh
-	packer       delta.Packer
-	jobs         map[batch.JobID]chan []shed.PieceResult
-	lastJob      batch.JobID
+	turnBook *turns.Ledger
+	access   *access.Table
+	// permits are those that this VM has granted, permitWaiters the requests that wait for one.
+	permits       *permit.Ledger
+	permitWaiters map[permit.ID]chan struct{}
+	paths         paths
+	retryBudgets  map[shed.PoolID]*retry.Budget
+	group         *member.Group
+	mesh          mesh
+	packer        delta.Packer
+	jobs          map[batch.JobID]chan []shed.PieceResult
+	lastJob       batch.JobID
 	// expected is how many pieces the requests here will request from each pool once the
 	// preceding steps are done; entries of 0 are deleted.
 	expected map[shed.PoolID]int
@@ -133,26 +137,28 @@
 	}
 	base, halt := context.WithCancel(context.Background())
 	r := &Relay{
-		cfg:          cfg,
-		log:          logrus.NewEntry(cfg.Log),
-		stats:        newStats(cfg.Metrics.Scope),
-		tracer:       cfg.Tracing.Tracer("jasmineshed/relay"),
-		base:         base,
-		forced:       make(chan struct{}),
-		cancelBase:   halt,
-		roster:       roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
-		accept:       accept.New(),
-		limits:       limit.New(),
-		turnBook:     turns.NewLedger(),
-		access:       access.New(),
-		paths:        newPaths(),
-		picker:       picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
-		retryBudgets: map[shed.PoolID]*retry.Budget{},
-		entries:      map[shed.PoolID][]shed.ServerEntry{},
-		jobs:         map[batch.JobID]chan []shed.PieceResult{},
-		expected:     map[shed.PoolID]int{},
-		pendingFrees: map[string][]shed.ResultRef{},
-		activeFrees:  map[string]int{},
+		cfg:           cfg,
+		log:           logrus.NewEntry(cfg.Log),
+		stats:         newStats(cfg.Metrics.Scope),
+		tracer:        cfg.Tracing.Tracer("jasmineshed/relay"),
+		base:          base,
+		forced:        make(chan struct{}),
+		cancelBase:    halt,
+		roster:        roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
+		accept:        accept.New(),
+		limits:        limit.New(),
+		turnBook:      turns.NewLedger(),
+		access:        access.New(),
+		paths:         newPaths(),
+		permits:       permit.NewLedger(),
+		picker:        picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
+		retryBudgets:  map[shed.PoolID]*retry.Budget{},
+		entries:       map[shed.PoolID][]shed.ServerEntry{},
+		jobs:          map[batch.JobID]chan []shed.PieceResult{},
+		permitWaiters: map[permit.ID]chan struct{}{},
+		expected:      map[shed.PoolID]int{},
+		pendingFrees:  map[string][]shed.ResultRef{},
+		activeFrees:   map[string]int{},
 	}
 	r.prefs.Store(cfg.Prefs)
 	r.sender = engine.NewSender(engine.Config{Dial: r.dialServer, ConnectTimeout: cfg.Prefs.Relay.Connect})
@@ -319,6 +325,7 @@
 	defer r.mu.Unlock()
 	r.logRosterChanges(r.roster.Tick(now))
 	r.performBatch(r.batcher.Handle(now, batch.Tick{}))
+	r.notifyPermits(r.permits.Tick(now))
 	r.tickPaths(now)
 	r.tickMesh(now, start)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -56,6 +56,7 @@
 	j.server = choice.Server.ID
 	a := &attempt{relay: r, job: j, out: out, choice: choice, began: began, cancel: cancel}
 	v := a.run(ctx)
+	r.returnPermit(j, v.reason == reasonServerFull)
 	if v.sent {
 		j.sends++
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -10,6 +10,7 @@
 	"jasmineshed/internal/access"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/roster"
 
 	"go.opentelemetry.io/otel/attribute"
 )
@@ -62,8 +63,10 @@
 	trial bool
 
 	// Fields for the log and the metrics.
-	server      shed.ServerID
-	carrier     shed.VM
+	server  shed.ServerID
+	carrier shed.VM
+	// permit is the permit that the request holds for a brittle server, if any.
+	permit      heldPermit
 	firstByte   time.Duration
 	prepareTime time.Duration
 	events      int
@@ -192,17 +195,35 @@
 			return choice, r.refusalFor(ctx, j, outcome{reason: reason})
 		case !choice.ByTurn:
 			return choice, nil
-		case !r.takeTurn(ctx, j.pool, choice.Server, maxWait):
+		case !r.takePlace(ctx, j, choice.Server, maxWait):
 			if denied == nil {
 				denied = map[shed.ServerID]bool{}
 			}
 			denied[choice.Server.ID] = true
 		case r.place(j, choice):
 			return choice, nil
+		default:
+			r.returnPermit(j, false)
 		}
 	}
 }
 
+// takePlace requests what sending to the server needs, a turn or a permit, and waits for it.
+func (r *Relay) takePlace(ctx context.Context, j *job, s *roster.Server, maxWait time.Duration) bool {
+	r.mu.Lock()
+	brittle := r.isBrittle(s, r.brittlePools())
+	r.mu.Unlock()
+	if !r.takeTurn(ctx, j.pool, s, maxWait) {
+		return false
+	}
+	if !brittle {
+		return true
+	}
+	var ok bool
+	j.permit, ok = r.takePermit(ctx, j, s, maxWait)
+	return ok
+}
+
 // pick picks a server, and places the request there unless it needs a turn first.
 func (r *Relay) pick(j *job, denied map[shed.ServerID]bool, maxWait time.Duration) (picker.Choice, *refusal) {
 	now := time.Now()
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -45,13 +45,14 @@
 func (r *Relay) serverAccess(
 	now time.Time, pool *shed.RelayPool, denied map[shed.ServerID]bool, maxWait time.Duration,
 ) func(*roster.Server) (picker.Access, time.Duration) {
+	brittle := r.brittlePools()
 	return func(s *roster.Server) (picker.Access, time.Duration) {
 		if left := r.access.RestLeft(now, s.Start()); left > 0 {
 			return picker.Resting, left
 		}
 		request, limited := r.turnLimit(now, pool, s)
 		switch {
-		case !limited:
+		case !limited && !r.isBrittle(s, brittle):
 			return picker.Free, 0
 		case denied[s.ID] || maxWait == 0 && !r.access.HasTurn(now, request.Start):
 			return picker.NoTurn, 0
--- a/relay.go
+++ b/relay.go
@@ -306,6 +306,9 @@
 	// valid.
 	Limit    Rate
 	BadLimit string
+	// Brittle is set if the server falls over when it has to turn away more than a few requests a
+	// second.
+	Brittle bool
 	// Leaving is set if the server accepts no new work.
 	Leaving bool
 	// Rest is how long the server wants no request from this VM; 0 if it asks for none.
