relay: requests leave a server that is silent for a moment

A sound server may fall silent for a second and go on, which is no disruption. What callers saw: TestServerSilentForAMoment, three silences of 1.2 s at one of three servers: 5 of 306 requests that may be repeated failed at their deadline of 1 s, and new ones went to the silent server all the while.

Cause: silence counts only once a request has failed by it. Class: as for rests, what is known of a server isn't used until something is lost.

Change: a server that has sent nothing to anybody's request for that request's patience (0.4 s for a plain one) is avoided by new requests if others are there; plain requests that may be repeated are cancelled there and sent to another server while the retry budget has room and another send is allowed. Requests that run once and streams wait. That counts neither as a failure of the server nor as a crash; the first byte ends it.

--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -35,6 +36,10 @@
 	piecesPatience = 0.33
 )
 
+// errServerSilent is the cause of a request cancelled because its server sends nothing at all, while
+// another one may still answer in time.
+var errServerSilent = errors.New("server is silent")
+
 // errPathLost is the cause of a request cancelled because the path to its server is lost.
 var errPathLost = errors.New("path to the server is lost")
 
@@ -43,10 +48,12 @@
 	addr reach.Addr
 	// patience is how long the server may send nothing without doubt on the path.
 	patience time.Duration
-	// repeatable: the request may be cancelled and sent again.
-	repeatable bool
-	cancel     context.CancelCauseFunc
-	begunAt    time.Time
+	// repeatable: the request may be cancelled and sent again. movable: that is also worth it while
+	// the server is only silent.
+	repeatable, movable bool
+	pool                shed.PoolID
+	cancel              context.CancelCauseFunc
+	begunAt             time.Time
 	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
 	// has sent nothing.
 	heardAfter atomic.Int64
@@ -75,6 +82,10 @@
 	flights map[*flight]struct{}
 	// heardAt is when any server last sent something over a direct connection, as of the last check.
 	heardAt time.Time
+	// heardFrom is when each server last sent something over a direct connection; silent are those
+	// that have sent nothing to anybody's request for its patience, as of the last tick.
+	heardFrom map[reach.Addr]time.Time
+	silent    map[reach.Addr]bool
 	// addrs are the addresses of the listed servers, sorted, as of the roster's version addrsVersion.
 	addrs        []reach.Addr
 	addrsVersion uint64
@@ -84,7 +95,10 @@
 }
 
 func newPaths() paths {
-	return paths{table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers()}
+	return paths{
+		table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers(),
+		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]bool{},
+	}
 }
 
 // transmit sends a request to its server, directly or carried by a peer. If sent is false, no byte
@@ -164,14 +178,17 @@
 		fresh.Store(!info.Reused)
 	}})
 	ctx, cancel := context.WithCancelCause(ctx)
-	f := &flight{addr: reach.Addr(e.server.Addr), patience: e.patience, repeatable: !e.once, cancel: cancel, begunAt: time.Now()}
+	f := &flight{
+		addr: reach.Addr(e.server.Addr), patience: e.patience, repeatable: !e.once, movable: e.movable, pool: e.server.Pool,
+		cancel: cancel, begunAt: time.Now(),
+	}
 	r.beginFlight(f)
 	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, e.sendBy)
 	if err != nil {
 		r.endFlight(f)
 		r.recordDirectFailure(f, sent, err)
-		if errors.Is(context.Cause(ctx), errPathLost) {
-			err = errPathLost
+		if cause := context.Cause(ctx); errors.Is(cause, errPathLost) || errors.Is(cause, errServerSilent) {
+			err = cause
 		}
 		cancel(nil)
 		return nil, sent, err
@@ -225,7 +242,17 @@
 		return
 	}
 	delete(r.paths.flights, f)
-	r.paths.heardAt = shed.Later(r.paths.heardAt, f.heardAt())
+	r.recordHeard(f)
+}
+
+// recordHeard records when a flight last heard from its server. The caller holds mu.
+func (r *Relay) recordHeard(f *flight) {
+	at := f.heardAt()
+	if at.IsZero() {
+		return
+	}
+	r.paths.heardAt = shed.Later(r.paths.heardAt, at)
+	r.paths.heardFrom[f.addr] = shed.Later(r.paths.heardFrom[f.addr], at)
 }
 
 func (r *Relay) recordDirectAnswer(addr reach.Addr) {
@@ -252,7 +279,7 @@
 // isPathFailure reports whether a request failed because of the path to its server, so that the
 // failure says nothing of the server.
 func (r *Relay) isPathFailure(e *exchange, err error) bool {
-	if errors.Is(err, errPathLost) {
+	if errors.Is(err, errPathLost) || errors.Is(err, errServerSilent) {
 		return true
 	}
 	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.isPathLost(reach.Addr(e.server.Addr))
@@ -299,7 +326,9 @@
 			r.paths.addrs = append(r.paths.addrs, reach.Addr(addr))
 		}
 		slices.Sort(r.paths.addrs)
-		r.paths.table.Retain(func(a reach.Addr) bool { return r.roster.OpenServerAt(string(a)) != nil })
+		gone := func(a reach.Addr) bool { return r.roster.OpenServerAt(string(a)) == nil }
+		r.paths.table.Retain(func(a reach.Addr) bool { return !gone(a) })
+		maps.DeleteFunc(r.paths.heardFrom, func(a reach.Addr, _ time.Time) bool { return gone(a) })
 	}
 	return r.paths.addrs
 }
@@ -335,8 +364,10 @@
 // is lost. The caller holds mu.
 func (r *Relay) checkSilence(now time.Time) {
 	for f := range r.paths.flights {
-		r.paths.heardAt = shed.Later(r.paths.heardAt, f.heardAt())
+		r.recordHeard(f)
 	}
+	clear(r.paths.silent)
+	moved := map[shed.PoolID]int{}
 	r.paths.table.Heard(r.paths.heardAt)
 	quiet := now.Sub(r.paths.heardAt)
 	for f := range r.paths.flights {
@@ -350,12 +381,36 @@
 			}
 			continue
 		}
+		if now.Sub(r.paths.heardFrom[f.addr]) >= f.patience {
+			r.paths.silent[f.addr] = true
+			r.moveFlight(now, f, moved)
+		}
 		if quiet >= vmSilence || silence >= 2*f.patience {
 			r.paths.table.Suspect(now, f.addr, quiet >= vmSilence)
 		}
 	}
 }
 
+// moveFlight cancels a request at a silent server if it can be sent to another one. moved counts the
+// requests cancelled at the same time, which will draw on the retry budget. The caller holds mu.
+func (r *Relay) moveFlight(now time.Time, f *flight, moved map[shed.PoolID]int) {
+	if f.movable && len(r.roster.OpenServers(f.pool)) > 1 && r.retryBudget(f.pool).Remaining(now) > moved[f.pool] {
+		moved[f.pool]++
+		f.cancel(errServerSilent)
+	}
+}
+
+// silentServers returns the servers of a pool that are silent. The caller holds mu.
+func (r *Relay) silentServers(pool shed.PoolID) []shed.ServerID {
+	var out []shed.ServerID
+	for addr := range r.paths.silent {
+		if s := r.roster.OpenServerAt(string(addr)); s != nil && s.Pool == pool {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
 // probePath finds out whether the path to a server is lost.
 func (r *Relay) probePath(p reach.Probe, server shed.ServerEntry) {
 	r.stats.pathProbes.Inc(1)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -148,6 +148,8 @@
 	}
 	if j.route.Streaming {
 		a.exchange.patience = streamPatience
+	} else {
+		a.exchange.movable = j.route.Repeatable && j.sends+1 < j.route.MaxSends
 	}
 	resp, reply, sent, err := a.relay.send(&a.exchange, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -235,9 +235,10 @@
 	}
 	want := r.wantFor(j)
 	want.Isolate, want.Access = isolate, r.serverAccess(now, j.pool, denied, maxWait)
+	want.Avoid = slices.Concat(want.Avoid, r.silentServers(j.pool.ID))
 	servers := r.roster.OpenServers(j.pool.ID)
 	choice := r.picker.Pick(now, want, servers)
-	if choice.Server == nil && len(j.avoid) > 0 && !choice.NoTurn {
+	if choice.Server == nil && len(want.Avoid) > 0 && !choice.NoTurn {
 		// A server that failed is better than none.
 		want.Avoid = nil
 		choice = r.picker.Pick(now, want, servers)
