httpd: what TCP_USER_TIMEOUT means for idle connections

With TCP_USER_TIMEOUT set, Linux gives an idle connection up at the first keep-alive probe that is due after that time, whatever the count of probes; the comment said about 15 seconds for all.

To peers neither was set: calls end by their heartbeats, but carried connections send none while a stream goes on, and lingered. They get the same dialer with 5 s. serve's own dialers to engines and the platform set none; their calls have idle timeouts and time limits of their own: checked, unchanged.

No test drops packets: that needs privileges.

--- a/internal/httpd/listen.go
+++ b/internal/httpd/listen.go
@@ -10,14 +10,25 @@
 	"golang.org/x/sys/unix"
 )
 
-// Keep-alive probes of an idle connection: they close it about 15 seconds after its other end
-// is lost.
+// Keep-alive probes of an idle connection. With TCP_USER_TIMEOUT set, as here, Linux ignores their
+// count: the connection is closed at the first probe that is due after the timeout, and after one was
+// sent. IdleLimit is when that is.
 const (
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 3 * time.Second
 	keepAliveCount    = 3
 )
 
+// IdleLimit returns how long after its other end was lost an idle connection is closed whose bytes may
+// stay unacknowledged for userTimeout. The time counts from the last byte received.
+func IdleLimit(userTimeout time.Duration) time.Duration {
+	limit := keepAliveIdle + keepAliveInterval
+	for limit < userTimeout {
+		limit += keepAliveInterval
+	}
+	return limit
+}
+
 // KeepAlive is the keep-alive configuration of the connections of this system.
 var KeepAlive = net.KeepAliveConfig{
 	Enable:   true,
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/httpd"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
@@ -21,6 +22,9 @@
 const (
 	// dialTimeout bounds connecting to a peer; the round trip to a peer takes milliseconds.
 	dialTimeout = 500 * time.Millisecond
+	// sendTimeout is how long sent bytes may stay unacknowledged on a connection to a peer. A call
+	// ends sooner, by its heartbeats; this closes the connections of calls that send none.
+	sendTimeout = 5 * time.Second
 	// controlTimeout bounds one control message.
 	controlTimeout = time.Second
 	// heartbeatTimeout is the longest time without any message on a stream before its connection
@@ -115,8 +119,7 @@
 }
 
 func dialTCP(ctx context.Context, to shed.VM) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", string(to))
+	return httpd.Dialer(dialTimeout, sendTimeout).DialContext(ctx, "tcp", string(to))
 }
 
 func (c *Client) connKey(to shed.VM) connKey {
