relay: a VM that stops waits for the connections that it carries

Cause: the stop waited for this VM's own requests only, and the VM without a path closed all connections of a peer that leaves. Now it closes the unused ones of a stopping peer, which ends once it carries none, or its drain time is over.

Probes look at all servers only while a path is lost or in doubt.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -148,8 +148,18 @@
 	return t.Isolated() || s != nil && !s.lostAt.IsZero()
 }
 
-// Empty reports whether nothing is known: no path has failed yet.
-func (t *Table) Empty() bool { return len(t.servers) == 0 }
+// NeedsProbes reports whether probes may be due: a path is lost or in doubt.
+func (t *Table) NeedsProbes(now time.Time) bool {
+	if t.Isolated() || t.hopeless {
+		return true
+	}
+	for _, s := range t.servers {
+		if !s.lostAt.IsZero() || s.inDoubt(now) {
+			return true
+		}
+	}
+	return false
+}
 
 // Suspect throws doubt on the path to a server that is silent, and on all paths if all servers are,
 // unless the server was probed lately.
@@ -256,7 +266,7 @@
 // DueProbes returns the probes to begin now; each must be ended by EndProbe. listed are the listed
 // servers that may be probed, sorted.
 func (t *Table) DueProbes(now time.Time, listed []Addr) []Probe {
-	if len(t.servers) == 0 || len(listed) == 0 {
+	if len(listed) == 0 || !t.NeedsProbes(now) {
 		return nil
 	}
 	if !t.Isolated() && !t.hopeless {
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -200,7 +200,8 @@
 }
 
 // checkCarriers closes the connections that peers carry which are no longer active: requests on
-// them would wait in vain. The caller holds mu.
+// them would wait in vain. Of those that a stopping peer carries only unused ones are closed. The
+// caller holds mu.
 func (r *Relay) checkCarriers(now time.Time) {
 	if len(r.paths.carriers.open) == 0 {
 		return
@@ -210,6 +211,14 @@
 		if slices.Contains(active, vm) {
 			continue
 		}
+		if m, _ := r.group.Lookup(vm); m.Status == shed.StatusLeaving {
+			// It ends once the requests that it carries have.
+			r.work.Go(func() error {
+				r.carriedSender.Close()
+				return nil
+			})
+			continue
+		}
 		for c := range open {
 			r.work.Go(c.conn.Close)
 		}
@@ -301,6 +310,19 @@
 	}
 }
 
+// awaitCarried waits until this VM carries no connection any more, or ctx is done.
+func (r *Relay) awaitCarried(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		total := r.paths.carriers.total
+		r.mu.Unlock()
+		if total == 0 {
+			return
+		}
+		sleep(ctx, stopPoll)
+	}
+}
+
 // shareRest tells the VMs that share this VM's connections to a server that it asked for rest: the
 // server can't distinguish a carried request from one of the VM that carries it. The caller holds
 // mu.
--- /dev/null
+++ b/internal/relay/flight.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/reach"
+)
+
+const (
+	// vmSilence is how long no server may have sent this VM anything until a request without an
+	// answer throws doubt on the path. While others send, it takes twice the request's patience.
+	vmSilence = 300 * time.Millisecond
+	// plainPatience and streamPatience are how long an answer and a stream's next event may take
+	// without doubt on the path; for an answer to pieces it is piecesPatience of the call's limit.
+	plainPatience  = 400 * time.Millisecond
+	streamPatience = time.Second
+	piecesPatience = 0.33
+)
+
+// errServerSilent is the cause of a request cancelled because its server sends nothing at all, while
+// another one may still answer in time.
+var errServerSilent = errors.New("server is silent")
+
+// flight is a request in flight over a direct connection.
+type flight struct {
+	addr reach.Addr
+	// patience is how long the server may send nothing without doubt on the path.
+	patience time.Duration
+	// repeatable: the request may be cancelled and sent again. movable: that is also worth it while
+	// the server is only silent.
+	repeatable, movable bool
+	pool                shed.PoolID
+	cancel              context.CancelCauseFunc
+	begunAt             time.Time
+	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
+	// has sent nothing.
+	heardAfter atomic.Int64
+}
+
+// heard records that the server sent something.
+func (f *flight) heard() { f.heardAfter.Store(max(int64(time.Since(f.begunAt)), 1)) }
+
+// heardAt returns when the server last sent something; zero if it has sent nothing.
+func (f *flight) heardAt() time.Time {
+	if after := f.heardAfter.Load(); after > 0 {
+		return f.begunAt.Add(time.Duration(after))
+	}
+	return time.Time{}
+}
+
+// silence returns how long the server has sent nothing.
+func (f *flight) silence(now time.Time) time.Duration {
+	return now.Sub(shed.Later(f.begunAt, f.heardAt()))
+}
+
+// flightBody is the body of an answer over a direct connection. Close ends the flight.
+type flightBody struct {
+	io.ReadCloser
+	relay  *Relay
+	flight *flight
+	ctx    context.Context
+}
+
+// Read implements io.Reader.
+func (b *flightBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.flight.heard()
+	}
+	if err != nil && !errors.Is(err, io.EOF) && errors.Is(context.Cause(b.ctx), errPathLost) {
+		err = errPathLost
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *flightBody) Close() error {
+	b.relay.endFlight(b.flight)
+	err := b.ReadCloser.Close()
+	b.flight.cancel(nil)
+	return err
+}
+
+func (r *Relay) beginFlight(f *flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paths.flights[f] = struct{}{}
+}
+
+func (r *Relay) endFlight(f *flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.paths.flights[f]; !ok {
+		return
+	}
+	delete(r.paths.flights, f)
+	r.recordHeard(f)
+}
+
+// recordHeard records when a flight last heard from its server. The caller holds mu.
+func (r *Relay) recordHeard(f *flight) {
+	at := f.heardAt()
+	if at.IsZero() {
+		return
+	}
+	r.paths.heardAt = shed.Later(r.paths.heardAt, at)
+	r.paths.heardFrom[f.addr] = shed.Later(r.paths.heardFrom[f.addr], at)
+}
+
+// checkSilence throws doubt on the paths of requests without an answer, and cancels those whose path
+// is lost. The caller holds mu.
+func (r *Relay) checkSilence(now time.Time) {
+	for f := range r.paths.flights {
+		r.recordHeard(f)
+	}
+	clear(r.paths.silent)
+	moved := map[shed.PoolID]int{}
+	r.paths.table.Heard(r.paths.heardAt)
+	quiet := now.Sub(r.paths.heardAt)
+	for f := range r.paths.flights {
+		silence := f.silence(now)
+		if silence < f.patience {
+			continue
+		}
+		if r.paths.table.IsLost(f.addr) {
+			if f.repeatable {
+				f.cancel(errPathLost)
+			}
+			continue
+		}
+		if now.Sub(r.paths.heardFrom[f.addr]) >= f.patience {
+			r.paths.silent[f.addr] = true
+			r.moveFlight(now, f, moved)
+		}
+		if quiet >= vmSilence || silence >= 2*f.patience {
+			r.paths.table.Suspect(now, f.addr, quiet >= vmSilence)
+		}
+	}
+}
+
+// moveFlight cancels a request at a silent server if it can be sent to another one. moved counts the
+// requests cancelled at the same time, which will draw on the retry budget. The caller holds mu.
+func (r *Relay) moveFlight(now time.Time, f *flight, moved map[shed.PoolID]int) {
+	if f.movable && len(r.roster.OpenServers(f.pool)) > 1 && r.retryBudget(f.pool).Remaining(now) > moved[f.pool] {
+		moved[f.pool]++
+		f.cancel(errServerSilent)
+	}
+}
+
+// silentServers returns the servers of a pool that are silent. The caller holds mu.
+func (r *Relay) silentServers(pool shed.PoolID) []shed.ServerID {
+	var out []shed.ServerID
+	for addr := range r.paths.silent {
+		if s := r.roster.OpenServerAt(string(addr)); s != nil && s.Pool == pool {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -58,6 +58,7 @@
 	sleep(drainCtx, balancerNoticeTime)
 	r.log.WithField("open", r.open.Load()).Info("stop: listener closes")
 	err := r.front.Shutdown(drainCtx)
+	r.awaitCarried(drainCtx)
 	r.log.WithFields(logrus.Fields{
 		"open": r.open.Load(), "spent_ms": time.Since(stopStart).Milliseconds(), "error": errorText(err),
 	}).Info("stop: requests are answered, or cut off")
