reach: requests that nobody can serve are refused for a moment, then one is tried

Found by reading the diff: once no server was reached by anybody, requests were refused until a probe was answered; servers that limit their requests, rest or are cold are not probed, so a VM with only such servers would have refused for good (TestHopelessEnds, red before by construction: there was no end). Now that ends after 2 s, and where only such servers are listed they are probed.

By reading: whether requests are hopeless was only decided when a request or a probe failed after a second of silence, and with all servers in backoff none did, so a request could try three servers for 0.2 s each. Servers that nobody reached are now probed on while no other sends anything.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -26,6 +26,8 @@
 	downTime = time.Second
 	// hopelessSilence is how long no server may have sent anything until requests are hopeless.
 	hopelessSilence = time.Second
+	// hopelessTime is how long requests are then hopeless; after it one finds out, if no probe has.
+	hopelessTime = 2 * time.Second
 	// probeInterval is the time between two probes of a server whose path is lost, or of different
 	// servers while all paths are.
 	probeInterval = 500 * time.Millisecond
@@ -72,8 +74,8 @@
 	lostAt time.Time
 	// isolatedAt is when all paths were lost; zero if they are not.
 	isolatedAt time.Time
-	// hopeless: neither this VM nor a peer that it asked reaches servers.
-	hopeless bool
+	// hopelessUntil is until when requests are hopeless, unless a server is reached before.
+	hopelessUntil time.Time
 	// lastProbed is the server that was probed last in turn, probedAt when.
 	lastProbed Addr
 	probedAt   time.Time
@@ -112,7 +114,7 @@
 
 // Hopeless reports whether neither this VM nor any peer that it asked reaches servers, so that requests
 // are better refused than tried.
-func (t *Table) Hopeless() bool { return t.hopeless }
+func (t *Table) Hopeless(now time.Time) bool { return now.Before(t.hopelessUntil) }
 
 // Path returns the path of a request. One that may run only once isn't sent over a path in doubt:
 // it would be lost.
@@ -150,17 +152,23 @@
 
 // NeedsProbes reports whether probes may be due: a path is lost or in doubt.
 func (t *Table) NeedsProbes(now time.Time) bool {
-	if t.Isolated() || t.hopeless {
+	if t.Isolated() || t.Hopeless(now) {
 		return true
 	}
 	for _, s := range t.servers {
-		if !s.lostAt.IsZero() || s.inDoubt(now) {
+		if !s.lostAt.IsZero() || s.inDoubt(now) || t.isQuiet(now, s) {
 			return true
 		}
 	}
 	return false
 }
 
+// isQuiet reports whether nobody reached a server lately and no other has sent this VM anything since.
+func (t *Table) isQuiet(now time.Time, s *server) bool {
+	since := shed.Later(t.answeredAt, t.heardAt)
+	return s.unreachedAt.After(since) && now.Sub(since) >= hopelessSilence/2
+}
+
 // Suspect throws doubt on the path to a server that is silent, and on all paths if all servers are,
 // unless the server was probed lately.
 func (t *Table) Suspect(now time.Time, a Addr, allSilent bool) {
@@ -176,7 +184,7 @@
 
 // AnsweredDirectly records an answer over a new direct connection.
 func (t *Table) AnsweredDirectly(now time.Time, a Addr) {
-	t.answeredAt, t.doubtUntil, t.hopeless = now, time.Time{}, false
+	t.answeredAt, t.doubtUntil, t.hopelessUntil = now, time.Time{}, time.Time{}
 	t.restore(a)
 }
 
@@ -213,7 +221,9 @@
 			unreached++
 		}
 	}
-	t.hopeless = unreached >= min(isolationServers, listed)
+	if unreached >= min(isolationServers, listed) {
+		t.hopelessUntil = now.Add(hopelessTime)
+	}
 }
 
 // Failed records that a direct connection failed, broke or fell silent.
@@ -226,7 +236,7 @@
 	switch {
 	case carried > direct:
 		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
-		t.lostAt, t.hopeless = now, false
+		t.lostAt, t.hopelessUntil = now, time.Time{}
 		t.judge(now, listed)
 	case direct == Answered:
 		t.AnsweredDirectly(now, a)
@@ -269,14 +279,14 @@
 	if len(listed) == 0 || !t.NeedsProbes(now) {
 		return nil
 	}
-	if !t.Isolated() && !t.hopeless {
+	if !t.Isolated() && !t.Hopeless(now) {
 		return t.dueServers(now, listed)
 	}
 	if now.Sub(t.probedAt) < probeInterval {
 		return nil
 	}
 	t.probedAt = now
-	return t.nextProbes(now, listed, t.hopeless)
+	return t.nextProbes(now, listed, t.Hopeless(now))
 }
 
 // begin records that a probe begins.
@@ -294,7 +304,7 @@
 		}
 		suspicious = suspicious || s.lostAt.After(t.answeredAt)
 		due := !s.probing && now.Sub(s.probedAt) >= probeInterval && len(out) < maxProbes
-		if due && (s.inDoubt(now) || !s.lostAt.IsZero()) {
+		if due && (s.inDoubt(now) || !s.lostAt.IsZero() || t.isQuiet(now, s)) {
 			s.begin(now)
 			out = append(out, Probe{Addr: a, Compare: s.lostAt.IsZero()})
 		}
@@ -318,7 +328,7 @@
 	for i := range min(maxProbes, len(listed)) {
 		a := listed[(first+i*stride)%len(listed)]
 		s := t.server(a)
-		if s.probing || compare && !t.hopeless && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
+		if s.probing || compare && !t.Hopeless(now) && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
 			continue
 		}
 		s.begin(now)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -110,6 +110,24 @@
 	}
 }
 
+// Guards against requests that are refused for good though no probe is ever answered: after a moment
+// one is tried.
+func TestHopelessEnds(t *testing.T) {
+	table, servers := reach.New(), addrs(3)
+	now := start
+	for _, a := range servers {
+		require.False(t, table.Hopeless(now))
+		now = now.Add(tick)
+		table.Unreached(now, a, len(servers))
+	}
+	require.True(t, table.Hopeless(now))
+	require.False(t, table.Hopeless(now.Add(2*time.Second)))
+	table.Unreached(now.Add(2*time.Second), servers[0], len(servers))
+	require.True(t, table.Hopeless(now.Add(2*time.Second)))
+	table.AnsweredDirectly(now.Add(2*time.Second), servers[1])
+	require.False(t, table.Hopeless(now.Add(2*time.Second)))
+}
+
 // Guards against a VM that takes all paths for lost when those to one zone's servers are.
 func TestSomePathsAreLost(t *testing.T) {
 	w := &world{table: reach.New(), servers: addrs(30)}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -192,8 +192,9 @@
 // rejectUnreachable refuses a request if neither this VM nor a peer that can carry it reaches any
 // server.
 func (r *Relay) rejectUnreachable(ctx context.Context, j *job) *refusal {
+	now := time.Now()
 	r.mu.Lock()
-	hopeless := r.paths.table.Hopeless() || r.paths.isolated && len(r.carrierCandidates(time.Now())) == 0
+	hopeless := r.paths.table.Hopeless(now) || r.paths.isolated && len(r.carrierCandidates(now)) == 0
 	r.mu.Unlock()
 	if !hopeless {
 		return nil
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -29,15 +29,20 @@
 }
 
 // probableAddrs returns the servers that may be probed: not those that limit their requests or want
-// none. The caller holds mu.
+// none, if there are others. The caller holds mu.
 func (r *Relay) probableAddrs(now time.Time) []reach.Addr {
 	if !r.paths.table.NeedsProbes(now) {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(r.serverAddrs()), func(a reach.Addr) bool {
+	all := r.serverAddrs()
+	free := slices.DeleteFunc(slices.Clone(all), func(a reach.Addr) bool {
 		s := r.roster.OpenServerAt(string(a))
 		return s.Cold(now) || r.isLimited(s) || r.access.IsRested(s.Start())
 	})
+	if len(free) == 0 {
+		return all
+	}
+	return free
 }
 
 // probePath finds out whether the path to a server is lost.
