--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// Guards against requests that try one server after the other though nobody reaches any: all servers are
+// in backoff, so no request fails, and only probes can find that out.
+func TestHopelessIsFoundByProbes(t *testing.T) {
+	table, servers := reach.New(), addrs(3)
+	table.Heard(start)
+	for _, a := range servers {
+		table.Compared(start.Add(tick), a, reach.Closed, reach.Closed, len(servers))
+	}
+	for at := 2 * tick; at <= 1500*time.Millisecond; at += tick {
+		for _, p := range table.DueProbes(start.Add(at), servers) {
+			table.Compared(start.Add(at), p.Addr, reach.Closed, reach.Closed, len(servers))
+			table.EndProbe(p.Addr)
+		}
+	}
+	require.True(t, table.Hopeless(start.Add(1500*time.Millisecond)))
+}
+
 // Guards against requests that are refused for good though no probe is ever answered: after a moment
 // one is tried.
 func TestHopelessEnds(t *testing.T) {
