relay, reach, peers: what is known of a path is kept once

The address is derived in one place (exchange.addr). - why a request was cancelled was looked up in two ways, and the one while a body is read knew only lost paths: a plain answer cut off because its server fell silent counted as the server's failure. One function (cancelCause) serves both. - a rest that a peer reports and one that a refusal to carry names were applied by two functions. - the number of carried connections beside the counts that it sums; a struct around a connection only to have a key for it; whether all paths are lost, as a time that nobody read. - which servers need a probe, and since when none has given a sign, stood twice in reach. Probes that are due were looked for twice in each tick. - opening a stream to a peer and sending the call stood in Turn, Items, Pieces and now Permit and Carry: Client.startCall.

No bound, check or message changes. Tests of reach, peers and of paths on real relays are green.

--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -155,7 +155,7 @@
 	end    error
 
 	closeOnce sync.Once
-	onClose   func()
+	onClose   func(*CarriedConn)
 }
 
 var _ net.Conn = (*CarriedConn)(nil)
@@ -171,16 +171,16 @@
 
 // Carry opens a connection to a backend server through a peer; ctx bounds the set-up only. If there
 // is an error, nothing was sent to the server. onClose is called once the connection is closed.
-func (c *Client) Carry(ctx context.Context, to shed.VM, call CarryCall, onClose func()) (*CarriedConn, error) {
+func (c *Client) Carry(ctx context.Context, to shed.VM, call CarryCall, onClose func(*CarriedConn)) (*CarriedConn, error) {
 	call.From = c.cfg.Self
 	connCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	s, err := c.openStream(connCtx, to, rpcCarry, false)
+	s, err := c.startCall(connCtx, to, rpcCarry, &call)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	err = s.connect(&call)
+	err = s.awaitConnected()
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -192,11 +192,8 @@
 	return &CarriedConn{stream: s, cancel: cancel, server: carriedAddr(call.Addr), onClose: onClose}, nil
 }
 
-// connect sends the call and waits until the peer is connected to the server.
-func (s *stream) connect(call *CarryCall) error {
-	if err := s.send(call); err != nil {
-		return err
-	}
+// awaitConnected waits until the peer is connected to the server.
+func (s *stream) awaitConnected() error {
 	var status CarryStatus
 	if err := s.recv(&status); err != nil {
 		return err
@@ -270,7 +267,7 @@
 		c.stream.close()
 		c.cancel()
 		if c.onClose != nil {
-			c.onClose()
+			c.onClose(c)
 		}
 	})
 	return nil
--- a/internal/peers/permit.go
+++ b/internal/peers/permit.go
@@ -56,14 +56,11 @@
 
 // Permit requests a permit from a peer.
 func (c *Client) Permit(ctx context.Context, to shed.VM, call PermitCall) (PermitReply, error) {
-	s, err := c.openStream(ctx, to, rpcPermit, false)
+	s, err := c.startCall(ctx, to, rpcPermit, &call)
 	if err != nil {
 		return PermitReply{}, err
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
-		return PermitReply{}, err
-	}
 	for {
 		var reply PermitReply
 		if err := s.recv(&reply); err != nil || !reply.Pending {
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -195,14 +195,11 @@
 
 // Turn requests a turn at a server from a peer.
 func (c *Client) Turn(ctx context.Context, to shed.VM, call TurnCall) (TurnReply, error) {
-	s, err := c.openStream(ctx, to, rpcTurn, false)
+	s, err := c.startCall(ctx, to, rpcTurn, &call)
 	if err != nil {
 		return TurnReply{}, err
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
-		return TurnReply{}, err
-	}
 	var reply TurnReply
 	err = s.recv(&reply)
 	return reply, err
@@ -215,15 +212,12 @@
 // running them again is harmless.
 func (c *Client) Pieces(ctx context.Context, to shed.VM, call PieceCall) (PieceAnswer, error) {
 	call.From = c.cfg.Self
-	s, err := c.openStream(ctx, to, rpcPieces, false)
+	packed := call.pack()
+	s, err := c.startCall(ctx, to, rpcPieces, &packed)
 	if err != nil {
 		return PieceAnswer{}, err
 	}
 	defer s.close()
-	packed := call.pack()
-	if err := s.send(&packed); err != nil {
-		return PieceAnswer{}, err
-	}
 	for {
 		var reply pieceReply
 		if err := s.recv(&reply); err != nil {
@@ -242,14 +236,11 @@
 // heartbeatTimeout, not when the whole transfer takes long: otherwise a large configuration over
 // a low-bandwidth link would be aborted and restarted each time, and never be complete.
 func (c *Client) Items(ctx context.Context, to shed.VM, call ItemsCall) (ItemsReply, error) {
-	s, err := c.openStream(ctx, to, rpcItems, false)
+	s, err := c.startCall(ctx, to, rpcItems, &call)
 	if err != nil {
 		return ItemsReply{}, err
 	}
 	defer s.close()
-	if err := s.send(&call); err != nil {
-		return ItemsReply{}, err
-	}
 	var reply ItemsReply
 	err = readParts(part{}, func(p *part) error { return s.recv(p) }, &reply)
 	return reply, err
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -45,6 +45,19 @@
 	return s, nil
 }
 
+// startCall opens a stream to the peer and sends the call.
+func (c *Client) startCall(ctx context.Context, to shed.VM, rpc string, call drpc.Message) (*stream, error) {
+	s, err := c.openStream(ctx, to, rpc, false)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.send(call); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
 // onTimeout ends the stream. Cancelling its context closes the connection, so that it is not
 // reused.
 func (s *stream) onTimeout() {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -72,8 +72,8 @@
 	doubtUntil time.Time
 	// lostAt is when a path was last found to be lost.
 	lostAt time.Time
-	// isolatedAt is when all paths were lost; zero if they are not.
-	isolatedAt time.Time
+	// isolated: all paths are lost.
+	isolated bool
 	// hopelessUntil is until when requests are hopeless, unless a server is reached before.
 	hopelessUntil time.Time
 	// lastProbed is the server that was probed last in turn, probedAt when.
@@ -110,7 +110,7 @@
 }
 
 // Isolated reports whether all paths of this VM are lost.
-func (t *Table) Isolated() bool { return !t.isolatedAt.IsZero() }
+func (t *Table) Isolated() bool { return t.isolated }
 
 // Hopeless reports whether neither this VM nor any peer that it asked reaches servers, so that requests
 // are better refused than tried.
@@ -156,19 +156,26 @@
 		return true
 	}
 	for _, s := range t.servers {
-		if !s.lostAt.IsZero() || s.inDoubt(now) || t.isQuiet(now, s) {
+		if t.needsProbe(now, s) {
 			return true
 		}
 	}
 	return false
 }
 
+// needsProbe reports whether the path to a server is lost or in doubt, or nobody reaches it.
+func (t *Table) needsProbe(now time.Time, s *server) bool {
+	return !s.lostAt.IsZero() || s.inDoubt(now) || t.isQuiet(now, s)
+}
+
 // isQuiet reports whether nobody reached a server lately and no other has sent this VM anything since.
 func (t *Table) isQuiet(now time.Time, s *server) bool {
-	since := shed.Later(t.answeredAt, t.heardAt)
-	return s.unreachedAt.After(since) && now.Sub(since) >= hopelessSilence/2
+	return s.unreachedAt.After(t.lastSign()) && now.Sub(t.lastSign()) >= hopelessSilence/2
 }
 
+// lastSign returns when a server last showed that this VM has a path to it.
+func (t *Table) lastSign() time.Time { return shed.Later(t.answeredAt, t.heardAt) }
+
 // Suspect throws doubt on the path to a server that is silent, and on all paths if all servers are,
 // unless the server was probed lately.
 func (t *Table) Suspect(now time.Time, a Addr, allSilent bool) {
@@ -197,27 +204,29 @@
 				s.lostAt, s.failedAt = time.Time{}, t.answeredAt
 			}
 		}
-		t.isolatedAt = time.Time{}
+		t.isolated = false
 	}
 	if s := t.servers[a]; s != nil {
 		s.lostAt, s.failedAt, s.downUntil, s.unreachedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
-// Heard records that a server last sent something over a direct connection at a time.
-func (t *Table) Heard(at time.Time) { t.heardAt = at }
+// Heard records that a server sent something over a direct connection at a time.
+func (t *Table) Heard(at time.Time) { t.heardAt = shed.Later(t.heardAt, at) }
+
+// Silence returns how long no server has sent this VM anything.
+func (t *Table) Silence(now time.Time) time.Duration { return now.Sub(t.heardAt) }
 
 // Unreached records that this VM could not connect to a server and no peer got further. listed is as
 // in Compared.
 func (t *Table) Unreached(now time.Time, a Addr, listed int) {
 	t.server(a).unreachedAt = now
-	since := shed.Later(t.answeredAt, t.heardAt)
-	if now.Sub(since) < hopelessSilence {
+	if now.Sub(t.lastSign()) < hopelessSilence {
 		return
 	}
 	unreached := 0
 	for _, s := range t.servers {
-		if s.unreachedAt.After(since) {
+		if s.unreachedAt.After(t.lastSign()) {
 			unreached++
 		}
 	}
@@ -237,7 +246,7 @@
 	case carried > direct:
 		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
 		t.lostAt, t.hopelessUntil = now, time.Time{}
-		t.judge(now, listed)
+		t.judge(listed)
 	case direct == Answered:
 		t.AnsweredDirectly(now, a)
 	default:
@@ -247,16 +256,14 @@
 }
 
 // judge decides whether all paths are lost.
-func (t *Table) judge(now time.Time, listed int) {
+func (t *Table) judge(listed int) {
 	lost := 0
 	for _, s := range t.servers {
 		if s.lostAt.After(t.answeredAt) {
 			lost++
 		}
 	}
-	if !t.Isolated() && lost >= min(isolationServers, listed) {
-		t.isolatedAt = now
-	}
+	t.isolated = t.isolated || lost >= min(isolationServers, listed)
 }
 
 // ProbedDirectly records how far a probe of a server whose path is lost got.
@@ -276,7 +283,7 @@
 // DueProbes returns the probes to begin now; each must be ended by EndProbe. listed are the listed
 // servers that may be probed, sorted.
 func (t *Table) DueProbes(now time.Time, listed []Addr) []Probe {
-	if len(listed) == 0 || !t.NeedsProbes(now) {
+	if len(listed) == 0 {
 		return nil
 	}
 	if !t.Isolated() && !t.Hopeless(now) {
@@ -304,7 +311,7 @@
 		}
 		suspicious = suspicious || s.lostAt.After(t.answeredAt)
 		due := !s.probing && now.Sub(s.probedAt) >= probeInterval && len(out) < maxProbes
-		if due && (s.inDoubt(now) || !s.lostAt.IsZero() || t.isQuiet(now, s)) {
+		if due && t.needsProbe(now, s) {
 			s.begin(now)
 			out = append(out, Probe{Addr: a, Compare: s.lostAt.IsZero()})
 		}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -44,10 +44,20 @@
 	// unreachedUntil is until when a peer is not asked to connect to a server.
 	unreachedUntil map[peerServer]time.Time
 	// open are the connections that each peer carries for this VM.
-	open map[shed.VM]map[*carried]struct{}
-	// forPeers counts the connections that this VM carries, by server and peer; total is their sum.
+	open map[shed.VM]map[*peers.CarriedConn]struct{}
+	// forPeers counts the connections that this VM carries, by server and peer.
 	forPeers map[shed.ServerStart]map[shed.VM]int
-	total    int
+}
+
+// total is the number of connections that this VM carries.
+func (c *carriers) total() int {
+	n := 0
+	for _, byVM := range c.forPeers {
+		for _, conns := range byVM {
+			n += conns
+		}
+	}
+	return n
 }
 
 // peerServer is a pair of a peer and a server.
@@ -56,13 +66,10 @@
 	addr reach.Addr
 }
 
-// carried is one connection that a peer carries for this VM. conn is nil until it is open.
-type carried struct{ conn *peers.CarriedConn }
-
 func newCarriers() carriers {
 	return carriers{
 		isolated: map[shed.VM]bool{}, backoffUntil: map[shed.VM]time.Time{}, unreachedUntil: map[peerServer]time.Time{},
-		open: map[shed.VM]map[*carried]struct{}{}, forPeers: map[shed.ServerStart]map[shed.VM]int{},
+		open: map[shed.VM]map[*peers.CarriedConn]struct{}{}, forPeers: map[shed.ServerStart]map[shed.VM]int{},
 	}
 }
 
@@ -90,18 +97,18 @@
 		asked = append(asked, vm)
 	}
 	if errors.As(failure, &closed) && closed.Rest > 0 {
-		r.adoptRest(addr, closed.Rest)
+		// This VM's requests wait as those of the peers that would carry them do.
+		r.receiveRestAt(addr, closed.Rest)
 	}
 	return nil, failure
 }
 
-// adoptRest lets this VM's requests wait, as those of the peers that would carry them do, for the end
-// of the rest that a server asked these for.
-func (r *Relay) adoptRest(addr string, rest time.Duration) {
+// receiveRestAt applies a rest that the server at addr asked a peer for.
+func (r *Relay) receiveRestAt(addr string, rest time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.roster.OpenServerAt(addr); s != nil {
-		r.access.Rest(time.Now(), s.Start(), min(rest, maxPeerRest))
+		r.receivePeerRest(time.Now(), shed.RestUpdate{Start: s.Start(), Rest: rest})
 	}
 }
 
@@ -165,11 +172,10 @@
 
 // carryBy opens a connection through one peer.
 func (r *Relay) carryBy(ctx context.Context, vm shed.VM, call peers.CarryCall) (net.Conn, error) {
-	c := &carried{}
 	r.mu.Lock()
 	client := r.client
 	r.mu.Unlock()
-	conn, err := client.Carry(ctx, vm, call, func() { r.endCarried(vm, c) })
+	conn, err := client.Carry(ctx, vm, call, r.endCarried)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var closed peers.CarryClosedError
@@ -182,18 +188,18 @@
 		r.paths.carriers.backoffUntil[vm] = time.Now().Add(carrierBackoff)
 		return nil, err
 	}
-	c.conn = conn
 	if r.paths.carriers.open[vm] == nil {
-		r.paths.carriers.open[vm] = map[*carried]struct{}{}
+		r.paths.carriers.open[vm] = map[*peers.CarriedConn]struct{}{}
 	}
-	r.paths.carriers.open[vm][c] = struct{}{}
+	r.paths.carriers.open[vm][conn] = struct{}{}
 	return conn, nil
 }
 
-func (r *Relay) endCarried(vm shed.VM, c *carried) {
+func (r *Relay) endCarried(conn *peers.CarriedConn) {
+	vm := conn.Carrier()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.paths.carriers.open[vm], c)
+	delete(r.paths.carriers.open[vm], conn)
 	if len(r.paths.carriers.open[vm]) == 0 {
 		delete(r.paths.carriers.open, vm)
 	}
@@ -220,7 +226,7 @@
 			continue
 		}
 		for c := range open {
-			r.work.Go(c.conn.Close)
+			r.work.Go(c.Close)
 		}
 	}
 }
@@ -282,7 +288,7 @@
 	now := time.Now()
 	server, rest := r.roster.OpenServerAt(call.Addr), r.access.RestLeft(now, call.Start)
 	switch {
-	case r.stopping.Load(), c.total >= maxCarried, r.paths.table.IsLost(reach.Addr(call.Addr)):
+	case r.stopping.Load(), c.total() >= maxCarried, r.paths.table.IsLost(reach.Addr(call.Addr)):
 		return peers.CarryStatus{Refusal: peers.CarryDeclined}
 	case server == nil || server.Start() != call.Start || rest > 0:
 		return peers.CarryStatus{Refusal: peers.CarryServerClosed, Rest: rest}
@@ -291,7 +297,6 @@
 		c.forPeers[call.Start] = map[shed.VM]int{}
 	}
 	c.forPeers[call.Start][call.From.VM]++
-	c.total++
 	return peers.CarryStatus{}
 }
 
@@ -300,7 +305,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.paths.carriers
-	c.total--
 	byVM := c.forPeers[call.Start]
 	if byVM[call.From.VM]--; byVM[call.From.VM] == 0 {
 		delete(byVM, call.From.VM)
@@ -314,7 +318,7 @@
 func (r *Relay) awaitCarried(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		total := r.paths.carriers.total
+		total := r.paths.carriers.total()
 		r.mu.Unlock()
 		if total == 0 {
 			return
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -84,9 +84,7 @@
 	if j.server != "" {
 		fields["server"] = j.server
 	}
-	if j.carrier != "" {
-		fields["carrier"] = j.carrier
-	}
+	logCarrier(fields, j.carrier)
 	if len(j.request.Pieces) > 0 {
 		fields["pieces"], fields["prepared_ms"], fields["zone"] = j.request.Pieces, j.prepareTime.Milliseconds(), j.zone
 		fields["foreseen_ms"], fields["answer_ms"] = j.predicted.Milliseconds(), j.answerTime.Milliseconds()
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -8,7 +8,6 @@
 	"time"
 
 	shed "jasmineshed"
-	"jasmineshed/internal/reach"
 )
 
 const (
@@ -28,15 +27,9 @@
 
 // flight is a request in flight over a direct connection.
 type flight struct {
-	addr reach.Addr
-	// patience is how long the server may send nothing without doubt on the path.
-	patience time.Duration
-	// repeatable: the request may be cancelled and sent again. movable: that is also worth it while
-	// the server is only silent.
-	repeatable, movable bool
-	pool                shed.PoolID
-	cancel              context.CancelCauseFunc
-	begunAt             time.Time
+	*exchange
+	cancel  context.CancelCauseFunc
+	begunAt time.Time
 	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
 	// has sent nothing.
 	heardAfter atomic.Int64
@@ -72,12 +65,20 @@
 	if n > 0 {
 		b.flight.heard()
 	}
-	if err != nil && !errors.Is(err, io.EOF) && errors.Is(context.Cause(b.ctx), errPathLost) {
-		err = errPathLost
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = cancelCause(b.ctx, err)
 	}
 	return n, err
 }
 
+// cancelCause returns why a request's context was cancelled here, or err if it wasn't.
+func cancelCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errPathLost) || errors.Is(cause, errServerSilent) {
+		return cause
+	}
+	return err
+}
+
 // Close implements io.Closer.
 func (b *flightBody) Close() error {
 	b.relay.endFlight(b.flight)
@@ -108,8 +109,8 @@
 	if at.IsZero() {
 		return
 	}
-	r.paths.heardAt = shed.Later(r.paths.heardAt, at)
-	r.paths.heardFrom[f.addr] = shed.Later(r.paths.heardFrom[f.addr], at)
+	r.paths.table.Heard(at)
+	r.paths.heardFrom[f.addr()] = shed.Later(r.paths.heardFrom[f.addr()], at)
 }
 
 // checkSilence throws doubt on the paths of requests without an answer, and cancels those whose path
@@ -120,25 +121,24 @@
 	}
 	clear(r.paths.silent)
 	moved := map[shed.PoolID]int{}
-	r.paths.table.Heard(r.paths.heardAt)
-	quiet := now.Sub(r.paths.heardAt)
+	allSilent := r.paths.table.Silence(now) >= vmSilence
 	for f := range r.paths.flights {
 		silence := f.silence(now)
 		if silence < f.patience {
 			continue
 		}
-		if r.paths.table.IsLost(f.addr) {
-			if f.repeatable {
+		if r.paths.table.IsLost(f.addr()) {
+			if !f.once {
 				f.cancel(errPathLost)
 			}
 			continue
 		}
-		if now.Sub(r.paths.heardFrom[f.addr]) >= f.patience {
-			r.paths.silent[f.addr] = true
+		if now.Sub(r.paths.heardFrom[f.addr()]) >= f.patience {
+			r.paths.silent[f.addr()] = true
 			r.moveFlight(now, f, moved)
 		}
-		if quiet >= vmSilence || silence >= 2*f.patience {
-			r.paths.table.Suspect(now, f.addr, quiet >= vmSilence)
+		if allSilent || silence >= 2*f.patience {
+			r.paths.table.Suspect(now, f.addr(), allSilent)
 		}
 	}
 }
@@ -146,8 +146,9 @@
 // moveFlight cancels a request at a silent server if it can be sent to another one. moved counts the
 // requests cancelled at the same time, which will draw on the retry budget. The caller holds mu.
 func (r *Relay) moveFlight(now time.Time, f *flight, moved map[shed.PoolID]int) {
-	if f.movable && len(r.roster.OpenServers(f.pool)) > 1 && r.retryBudget(f.pool).Remaining(now) > moved[f.pool] {
-		moved[f.pool]++
+	pool := f.server.Pool
+	if f.movable && len(r.roster.OpenServers(pool)) > 1 && r.retryBudget(pool).Remaining(now) > moved[pool] {
+		moved[pool]++
 		f.cancel(errServerSilent)
 	}
 }
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	shed "jasmineshed"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/peers"
@@ -30,8 +31,6 @@
 	table *reach.Table
 	// flights are the requests in flight over direct connections.
 	flights map[*flight]struct{}
-	// heardAt is when any server last sent something over a direct connection, as of the last check.
-	heardAt time.Time
 	// heardFrom is when each server last sent something over a direct connection; silent are those
 	// that have sent nothing to anybody's request for its patience, as of the last tick.
 	heardFrom map[reach.Addr]time.Time
@@ -54,7 +53,7 @@
 // transmit sends a request to its server, directly or carried by a peer. If sent is false, no byte
 // of it was sent.
 func (r *Relay) transmit(e *exchange, req *http.Request) (resp *http.Response, sent bool, err error) {
-	addr := reach.Addr(e.server.Addr)
+	addr := e.addr()
 	r.mu.Lock()
 	path := r.paths.table.Path(time.Now(), addr, e.once)
 	r.mu.Unlock()
@@ -92,7 +91,7 @@
 func (r *Relay) isServerDark(err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return timedOut(err) && time.Since(r.paths.heardAt) < vmSilence
+	return timedOut(err) && r.paths.table.Silence(time.Now()) < vmSilence
 }
 
 // levelOf returns how far an exchange got.
@@ -128,24 +127,19 @@
 		fresh.Store(!info.Reused)
 	}})
 	ctx, cancel := context.WithCancelCause(ctx)
-	f := &flight{
-		addr: reach.Addr(e.server.Addr), patience: e.patience, repeatable: !e.once, movable: e.movable, pool: e.server.Pool,
-		cancel: cancel, begunAt: time.Now(),
-	}
+	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
 	r.beginFlight(f)
 	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, e.sendBy)
 	if err != nil {
 		r.endFlight(f)
 		r.recordDirectFailure(f, sent, err)
-		if cause := context.Cause(ctx); errors.Is(cause, errPathLost) || errors.Is(cause, errServerSilent) {
-			err = cause
-		}
+		err = cancelCause(ctx, err)
 		cancel(nil)
 		return nil, sent, err
 	}
 	f.heard()
 	if fresh.Load() {
-		r.recordDirectAnswer(f.addr)
+		r.recordDirectAnswer(e.addr())
 	}
 	resp.Body = &flightBody{ReadCloser: resp.Body, relay: r, flight: f, ctx: ctx}
 	return resp, sent, nil
@@ -165,10 +159,10 @@
 	defer r.mu.Unlock()
 	switch {
 	case sent && f.silence(now) >= f.patience:
-		r.paths.table.Suspect(now, f.addr, now.Sub(r.paths.heardAt) >= vmSilence)
+		r.paths.table.Suspect(now, f.addr(), r.paths.table.Silence(now) >= vmSilence)
 	case errors.Is(err, context.Canceled), sent && !closedByServer(err):
 	default:
-		r.paths.table.Failed(now, f.addr)
+		r.paths.table.Failed(now, f.addr())
 	}
 }
 
@@ -178,7 +172,7 @@
 	if errors.Is(err, errPathLost) || errors.Is(err, errServerSilent) {
 		return true
 	}
-	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.isPathLost(reach.Addr(e.server.Addr))
+	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.isPathLost(e.addr())
 }
 
 // recordUnreached records that this VM can't connect to a server and no peer can be asked.
@@ -258,9 +252,9 @@
 	}
 }
 
-// logPath adds the carrier of a request to its log line.
-func logPath(fields logrus.Fields, e *exchange) {
-	if e.carrier != "" {
-		fields["carrier"] = e.carrier
+// logCarrier adds the peer that carried a request to its log line, if one did.
+func logCarrier(fields logrus.Fields, carrier shed.VM) {
+	if carrier != "" {
+		fields["carrier"] = carrier
 	}
 }
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -164,9 +164,7 @@
 		return c.Close() != nil
 	}
 	if errors.Is(err, errNoCarrier) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return !r.paths.table.IsLost(reach.Addr(s.Addr))
+		return !r.isPathLost(reach.Addr(s.Addr))
 	}
 	return errors.Is(err, peers.ErrCarryUnreachable)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -84,7 +84,7 @@
 			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
 			"cold": choice.Server.Cold(began), "error": errorText(a.err), "fingerprint": j.fingerprint, "path_failed": pathFailed,
 		}
-		logPath(fields, &a.exchange)
+		logCarrier(fields, a.exchange.carrier)
 		r.log.WithFields(fields).Info("attempt failed")
 	}
 	j.carrier = a.exchange.carrier
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -7,6 +7,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/reach"
 
 	"github.com/sirupsen/logrus"
 )
@@ -28,6 +29,9 @@
 	carrier shed.VM
 }
 
+// addr returns the address of the exchange's server.
+func (e *exchange) addr() reach.Addr { return reach.Addr(e.server.Addr) }
+
 var (
 	// errServerClosed: the server accepts no new work, so the request was not sent.
 	errServerClosed = errors.New("server accepts no new work")
