relay: turns and permits share what they do when denied or unanswered

Passing over an owner that moved or gave no answer, and holding back requests after a denial, stood in turns and in permits (passOverOwner, recordDenied). A permit was taken back in three places (receivePermit). Whether a pool is brittle was a map of all pools, built for each choice to ask it for one. A coordinator that stops and one that is replaced gave the same answer in two branches. Behaviour is the same; tests of limits, rests and brittle servers are green.

--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -11,7 +11,6 @@
 	"jasmineshed/internal/follow"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/peers"
-	"jasmineshed/internal/permit"
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/pulse"
 
@@ -204,7 +203,7 @@
 	case shed.LimitUpdate:
 		r.logLimits(r.limits.Receive(now, m.Limits), string(from.VM))
 	case shed.PermitReturned:
-		r.notifyPermits(r.permits.Return(now, m.Start, permit.ID(m.ID), m.Rejected))
+		r.receivePermit(now, m)
 	case shed.RestUpdate:
 		r.receivePeerRest(now, m)
 	case shed.LeavingUpdate:
@@ -226,10 +225,7 @@
 
 // Pieces implements peers.RelayHandler.
 func (r *Relay) Pieces(ctx context.Context, call peers.PieceCall) peers.PieceAnswer {
-	if r.stopping.Load() {
-		return peers.PieceAnswer{Results: uniformResults(len(call.Pieces), shed.PieceMoved)}
-	}
-	if r.isReplaced() {
+	if r.stopping.Load() || r.isReplaced() {
 		return peers.PieceAnswer{Results: uniformResults(len(call.Pieces), shed.PieceMoved)}
 	}
 	results := r.coordinatePieces(ctx, call.Pool, call.Pieces)
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -10,10 +11,8 @@
 	"jasmineshed/internal/roster"
 )
 
-const (
-	// minLease is the shortest lease of a permit.
-	minLease = 100 * time.Millisecond
-)
+// minLease is the shortest lease of a permit.
+const minLease = 100 * time.Millisecond
 
 // heldPermit is a permit of a request; the zero value is none.
 type heldPermit struct {
@@ -22,25 +21,19 @@
 	id    permit.ID
 }
 
-// brittlePools returns the pools of which a server is brittle. The caller holds mu.
-func (r *Relay) brittlePools() map[shed.PoolID]bool {
-	var out map[shed.PoolID]bool
-	for _, start := range r.limits.BrittleServers() {
-		if s, ok := r.roster.Server(start.Server); ok {
-			if out == nil {
-				out = map[shed.PoolID]bool{}
-			}
-			out[s.Pool] = true
-		}
-	}
-	return out
+// isPoolBrittle reports whether a server of the pool is brittle. The caller holds mu.
+func (r *Relay) isPoolBrittle(pool shed.PoolID) bool {
+	return slices.ContainsFunc(r.limits.BrittleServers(), func(start shed.ServerStart) bool {
+		s, ok := r.roster.Server(start.Server)
+		return ok && s.Pool == pool
+	})
 }
 
 // isBrittle reports whether a server falls over if it has to turn away requests: by its own word, or
-// if it has said nothing yet and others of its pool are brittle. The caller holds mu.
-func (r *Relay) isBrittle(s *roster.Server, pools map[shed.PoolID]bool) bool {
+// if it has said nothing yet and its pool is brittle. The caller holds mu.
+func (r *Relay) isBrittle(s *roster.Server, pool bool) bool {
 	brittle, known := r.limits.Brittle(s.Start())
-	return brittle || !known && pools[s.Pool]
+	return brittle || !known && pool
 }
 
 // takePermit requests a permit for a brittle server and waits for it at most patience.
@@ -68,16 +61,12 @@
 	switch {
 	case err == nil && reply.Granted:
 		return heldPermit{owner: owner, start: call.Start, id: permit.ID(reply.ID)}, true
-	case err == nil && reply.Moved:
-		r.backOffPeer(owner)
-	case err != nil && ctx.Err() == nil:
-		r.log.WithField("peer", owner).WithError(err).Info("peer that grants permits gives no answer")
-		r.backOffUnresponsivePeers(owner)
+	case err != nil || reply.Moved:
+		r.passOverOwner(ctx, owner, err, "peer that grants permits gives no answer")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stats.turnsDenied.Inc(1)
-	r.access.Denied(time.Now(), call.Start, reply.Wait)
+	r.recordDenied(time.Now(), call.Start, reply.Wait)
 	return heldPermit{}, false
 }
 
@@ -125,7 +114,7 @@
 	defer r.mu.Unlock()
 	delete(r.permitWaiters, got.ID)
 	// A permit that was granted just now is given back, too.
-	r.notifyPermits(r.permits.Return(time.Now(), call.Start, got.ID, false))
+	r.receivePermit(time.Now(), shed.PermitReturned{Start: call.Start, ID: uint64(got.ID)})
 	return peers.PermitReply{}
 }
 
@@ -133,7 +122,12 @@
 func (r *Relay) ReturnPermit(m shed.PermitReturned) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.notifyPermits(r.permits.Return(time.Now(), m.Start, permit.ID(m.ID), m.Rejected))
+	r.receivePermit(time.Now(), m)
+}
+
+// receivePermit takes a permit back and passes it on. The caller holds mu.
+func (r *Relay) receivePermit(now time.Time, m shed.PermitReturned) {
+	r.notifyPermits(r.permits.Return(now, m.Start, permit.ID(m.ID), m.Rejected))
 }
 
 // notifyPermits lets the requests go on that were granted permits. The caller holds mu.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -211,7 +211,7 @@
 // takePlace requests what sending to the server needs, a turn or a permit, and waits for it.
 func (r *Relay) takePlace(ctx context.Context, j *job, s *roster.Server, maxWait time.Duration) bool {
 	r.mu.Lock()
-	brittle := r.isBrittle(s, r.brittlePools())
+	brittle := r.isBrittle(s, r.isPoolBrittle(j.pool.ID))
 	r.mu.Unlock()
 	if !r.takeTurn(ctx, j.pool, s, maxWait) {
 		return false
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -45,7 +45,7 @@
 func (r *Relay) serverAccess(
 	now time.Time, pool *shed.RelayPool, denied map[shed.ServerID]bool, maxWait time.Duration,
 ) func(*roster.Server) (picker.Access, time.Duration) {
-	brittle := r.brittlePools()
+	brittle := r.isPoolBrittle(pool.ID)
 	return func(s *roster.Server) (picker.Access, time.Duration) {
 		if left := r.access.RestLeft(now, s.Start()); left > 0 {
 			return picker.Resting, left
@@ -94,26 +94,38 @@
 	callCtx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
 	got, err := client.Turn(callCtx, owner, peers.TurnCall(request))
-	switch {
-	case err == nil && !got.Moved:
+	if err == nil && !got.Moved {
 		return turns.Decision{Granted: got.Granted, Wait: got.Wait}
+	}
+	r.passOverOwner(ctx, owner, err, "peer that lends turns gives no answer")
+	return turns.Decision{Wait: ownerLostWait}
+}
+
+// passOverOwner stops asking an owner of turns or permits for a while: one that has no more to grant,
+// or that gave no answer, which is logged with msg.
+func (r *Relay) passOverOwner(ctx context.Context, owner shed.VM, err error, msg string) {
+	switch {
 	case err == nil:
 		r.backOffPeer(owner)
 	case ctx.Err() == nil:
-		r.log.WithField("peer", owner).WithError(err).Info("peer that lends turns gives no answer")
+		r.log.WithField("peer", owner).WithError(err).Info(msg)
 		r.backOffUnresponsivePeers(owner)
 	}
-	return turns.Decision{Wait: ownerLostWait}
 }
 
 // recordTurn holds back requests to a server whose turn was denied. The caller holds mu.
 func (r *Relay) recordTurn(now time.Time, request turns.Request, got turns.Decision) {
 	if !got.Granted {
-		r.stats.turnsDenied.Inc(1)
-		r.access.Denied(now, request.Start, got.Wait)
+		r.recordDenied(now, request.Start, got.Wait)
 	}
 }
 
+// recordDenied holds back requests to a server that this VM may not send to now. The caller holds mu.
+func (r *Relay) recordDenied(now time.Time, start shed.ServerStart, wait time.Duration) {
+	r.stats.turnsDenied.Inc(1)
+	r.access.Denied(now, start, wait)
+}
+
 // awaitTurn waits until a granted turn is due.
 func (r *Relay) awaitTurn(ctx context.Context, got turns.Decision) bool {
 	if got.Granted && got.Wait > 0 {
