relay: the coordinator is looked up for the log of a refusal only

The log line "pieces would be late" had made each admitted request look up the coordinator, a hash for each VM, though only a refusal logs it.

--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -148,13 +148,15 @@
 	request.ToTarget, request.ToDeadline = j.target.Sub(now), j.deadline.Sub(now)
 	r.mu.Lock()
 	v := r.accept.Decide(request)
-	forecast := r.mesh.forecasts[pool]
-	coordinator, _ := r.coordinator(now, pool)
 	r.mu.Unlock()
 	j.predicted = request.Timely + request.Answer
 	if v.Admitted {
 		return nil
 	}
+	r.mu.Lock()
+	forecast := r.mesh.forecasts[pool]
+	coordinator, _ := r.coordinator(now, pool)
+	r.mu.Unlock()
 	r.log.WithFields(logrus.Fields{
 		"request": j.request.ID, "route": request.Route, "needs_ms": v.NeededTime.Milliseconds(), "least_ms": request.MinTime.Milliseconds(),
 		"timely_ms": request.Timely.Milliseconds(), "last_ms": request.Last.Milliseconds(), "answer_ms": request.Answer.Milliseconds(),
