relay: log lines name the software version of servers and the stream that a request resumes

Cause: the lines of a request said neither at which version it ran nor which stream it resumes, so the record of the incident can't tell a caller that resumes at another VM from a VM that resumes inside one answer.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -92,6 +92,10 @@
 	}
 	if j.route != nil && j.route.Streaming {
 		fields["first_ms"], fields["events"] = j.firstByte.Milliseconds(), j.events
+		fields["server_version"] = j.serverVersion
+	}
+	if j.request.LastEventID != "" {
+		fields["resumes"], fields["last_event"] = j.request.Resumes, j.request.LastEventID
 	}
 	if refused == nil {
 		r.stats.recordRequest(j, reasonServed, took)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -53,7 +53,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	j.server = choice.Server.ID
+	j.server, j.serverVersion = choice.Server.ID, choice.Server.Version
 	a := &attempt{relay: r, job: j, out: out, choice: choice, began: began, cancel: cancel}
 	v := a.run(ctx)
 	r.returnPermit(j, v.reason == reasonServerFull)
@@ -80,6 +80,7 @@
 		r.stats.recordAttemptFailure(v.reason)
 		fields := logrus.Fields{
 			"request": j.request.ID, "server": choice.Server.ID, "zone": choice.Server.Zone, "reason": v.reason,
+			"server_version": choice.Server.Version, "events": j.events,
 			"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": j.sends, "status": a.status,
 			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
 			"cold": choice.Server.Cold(began), "error": errorText(a.err), "fingerprint": j.fingerprint, "path_failed": pathFailed,
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,8 +63,9 @@
 	trial bool
 
 	// Fields for the log and the metrics.
-	server  shed.ServerID
-	carrier shed.VM
+	server        shed.ServerID
+	serverVersion shed.SoftwareVersion
+	carrier       shed.VM
 	// permit is the permit that the request holds for a brittle server, if any.
 	permit      heldPermit
 	firstByte   time.Duration
--- a/relay.go
+++ b/relay.go
@@ -148,8 +148,14 @@
 	// StartedMs distinguishes starts under one id: the Unix time of the start in
 	// milliseconds, 0 if not specified.
 	StartedMs int64
+	// Version is the version of the server's software; empty if not specified. Versions have no
+	// order.
+	Version SoftwareVersion
 }
 
+// SoftwareVersion is the version of a backend server's software.
+type SoftwareVersion string
+
 // Start returns the start of the server that the entry describes.
 func (e ServerEntry) Start() ServerStart {
 	return ServerStart{Server: e.ID, StartedMs: e.StartedMs}
@@ -246,6 +252,9 @@
 	Budget time.Duration
 	// LastEventID is the id of the last event that the caller received; empty if none.
 	LastEventID string
+	// Resumes is the id of the attempt that brought the caller the first event of the stream that
+	// it resumes; empty if none.
+	Resumes RequestID
 	// Prompt lists the parts of the prompt in order; the last one is specific to the
 	// request or its session.
 	Prompt []PromptPart
