relay: a stream goes on only at the software version that began it

Cause: nothing knew the version of a server, and a VM that got a resumed stream had no way to know where it began, so each choice took any server. Class: the state of a session lives in one process, and what goes on elsewhere starts from nothing. Ruled out: a server that starts again under its id with another version (all ids were new). Change: Relay.candidates is the one list from which a server is chosen; a request is bound to a version from its first event on, or before anything is done if it resumes a stream. The origin of a stream is told to three VMs by rendezvous as its first event goes out; a VM that doesn't know it asks five. Nobody knows: refused as not run, unless only one version was listed as long as a stream lives. No server of it left: broken off or refused at once.

--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -95,6 +95,7 @@
 	RestUpdate    *shed.RestUpdate    `cbor:"17,keyasint,omitempty"`
 
 	PermitReturned *shed.PermitReturned `cbor:"18,keyasint,omitempty"`
+	StreamBegan    *shed.StreamBegan    `cbor:"19,keyasint,omitempty"`
 }
 
 // newEnvelope wraps a control message in an envelope.
@@ -133,6 +134,8 @@
 		e.RestUpdate = &m
 	case shed.PermitReturned:
 		e.PermitReturned = &m
+	case shed.StreamBegan:
+		e.StreamBegan = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -174,6 +177,8 @@
 		return *e.RestUpdate, nil
 	case e.PermitReturned != nil:
 		return *e.PermitReturned, nil
+	case e.StreamBegan != nil:
+		return *e.StreamBegan, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -129,6 +129,8 @@
 	Permit(ctx context.Context, call PermitCall) PermitReply
 	// ReturnPermit takes a permit back.
 	ReturnPermit(m shed.PermitReturned)
+	// StreamOrigin returns the origin of a stream, if this daemon knows it.
+	StreamOrigin(call OriginCall) OriginReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
 	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
 	// Disconnected is called once a connection that Connect opened is closed.
@@ -139,7 +141,7 @@
 type relayDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (relayDescription) NumMethods() int { return 6 }
+func (relayDescription) NumMethods() int { return 7 }
 
 // Method implements drpc.Description.
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -157,6 +159,8 @@
 		return rpcCarry, wire, receiveCarry, (func(RelayHandler, *CarryCall, drpc.Stream) error)(nil), true
 	case 5:
 		return rpcPermit, wire, receivePermit, (func(RelayHandler, *PermitCall, drpc.Stream) error)(nil), true
+	case 6:
+		return rpcOrigin, wire, receiveOrigin, (func(RelayHandler, *OriginCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -77,6 +77,8 @@
 
 func (s *relayStub) ReturnPermit(shed.PermitReturned) {}
 
+func (s *relayStub) StreamOrigin(peers.OriginCall) peers.OriginReply { return peers.OriginReply{} }
+
 func (s *relayStub) Disconnected(peers.CarryCall) {}
 
 func (s *relayStub) DiscardResults(results []shed.PieceResult) { s.discarded <- len(results) }
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -210,6 +210,8 @@
 		r.receivePeerDepartures(now, m.Starts)
 	case shed.CrashUpdate:
 		r.reportSuspects(r.poison.Receive(now, m))
+	case shed.StreamBegan:
+		r.origins.Record(now, m.Key, m.Origin)
 	case shed.ResultsFreed:
 		r.performBatch(r.batcher.Handle(now, batch.FreeRequested{Refs: m.Refs}))
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -114,7 +114,7 @@
 	}
 	want := r.wantFor(j)
 	want.Access = r.serverAccess(now, j.pool, nil, 0)
-	choice := r.picker.Pick(now, want, r.roster.OpenServers(j.pool.ID))
+	choice := r.picker.Pick(now, want, r.candidates(now, j))
 	if choice.Server != nil {
 		j.zone = choice.Server.Zone
 		j.answerTime = min(choice.Time, maxPredictedAnswerTime) + r.picker.Overrun()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	"jasmineshed/internal/limit"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/oper"
+	"jasmineshed/internal/origin"
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/permit"
 	"jasmineshed/internal/picker"
@@ -100,6 +101,7 @@
 	entriesVersion uint64
 	accept         *accept.Gate
 	poison         *poison.Table
+	origins        *origin.Table
 	limits         *limit.Table
 	// turnBook holds the turns that this VM grants, access when it may send to servers again.
 	turnBook *turns.Ledger
@@ -146,6 +148,7 @@
 		cancelBase:    halt,
 		roster:        roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
 		accept:        accept.New(),
+		origins:       origin.New(),
 		limits:        limit.New(),
 		turnBook:      turns.NewLedger(),
 		access:        access.New(),
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -241,7 +241,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for _, s := range r.roster.OpenServers(j.pool.ID) {
+	for _, s := range r.candidates(now, j) {
 		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) && r.access.RestLeft(now, s.Start()) == 0 {
 			return r.retryBudget(j.pool.ID).Remaining(now) > 0
 		}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -58,6 +58,10 @@
 	// predicted is the time to the answer as predicted at admission, for the log.
 	predicted time.Duration
 
+	// origin is where the request's stream began; nil until its first event, or until it is found
+	// out for a stream that the request resumes.
+	origin *shed.StreamOrigin
+
 	fingerprint shed.Fingerprint
 	// trial: the request may crash its server, and is sent once as a probe.
 	trial bool
@@ -93,6 +97,11 @@
 	reasonNoTurn        shed.Reason = "servers_limited"
 	reasonResting       shed.Reason = "servers_resting"
 	reasonServed        shed.Reason = "served"
+	// Reasons for which a stream can't be resumed: nobody knows at which software version it began,
+	// no server of that version is left, or the route no longer leads to the pool where it began.
+	reasonUnknownVersion shed.Reason = "stream_version_unknown"
+	reasonVersionGone    shed.Reason = "stream_version_gone"
+	reasonPoolMoved      shed.Reason = "stream_pool_not_on_route"
 )
 
 // serve handles one caller's request.
@@ -118,7 +127,13 @@
 	defer cancel()
 	defer r.releaseInputs(j)
 	out := &output{w: w, control: http.NewResponseController(w)}
+	if refused := r.findOrigin(ctx, j); refused != nil {
+		return refused
+	}
 	for {
+		if refused := r.rejectUnresumable(ctx, j); refused != nil {
+			return r.finalRefusal(out, refused)
+		}
 		if refused := r.rejectSuspect(j); refused != nil {
 			return r.finalRefusal(out, refused)
 		}
@@ -237,7 +252,7 @@
 	want := r.wantFor(j)
 	want.Isolate, want.Access = isolate, r.serverAccess(now, j.pool, denied, maxWait)
 	want.Avoid = slices.Concat(want.Avoid, r.silentServers(j.pool.ID))
-	servers := r.roster.OpenServers(j.pool.ID)
+	servers := r.candidates(now, j)
 	choice := r.picker.Pick(now, want, servers)
 	if choice.Server == nil && len(want.Avoid) > 0 && !choice.NoTurn {
 		// A server that failed is better than none.
@@ -254,7 +269,7 @@
 func (r *Relay) place(j *job, choice picker.Choice) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !slices.Contains(r.roster.OpenServers(j.pool.ID), choice.Server) {
+	if !slices.Contains(r.candidates(time.Now(), j), choice.Server) {
 		return false
 	}
 	r.recordPlacement(time.Now(), j, r.wantFor(j), choice)
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -18,7 +18,9 @@
 	crashes      tally.Counter
 	turnsDenied  tally.Counter
 	rests        tally.Counter
-	storeEra     tally.Gauge
+	// originFailures counts the peers that gave no answer when asked for the origin of a stream.
+	originFailures tally.Counter
+	storeEra       tally.Gauge
 	// carriedRequests counts the requests that peers carried for this VM, carriedForPeers the
 	// connections that this VM opened for peers.
 	carriedRequests tally.Counter
@@ -43,6 +45,7 @@
 		crashes:         s.Counter("crashes_under_requests"),
 		turnsDenied:     s.Counter("turns_denied"),
 		rests:           s.Counter("server_rests"),
+		originFailures:  s.Counter("stream_origin_calls_failed"),
 		storeEra:        s.Gauge("store_era"),
 		carriedRequests: s.Counter("requests_carried"),
 		carriedForPeers: s.Counter("connections_for_peers"),
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,6 +72,7 @@
 		a.relay.mu.Unlock()
 	}
 	if !a.out.started {
+		a.relay.recordOrigin(a.job, a.exchange.server)
 		copyHeader(a.out.w.Header(), resp.Header)
 		a.out.w.WriteHeader(resp.StatusCode)
 		a.out.started = true
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -50,6 +50,7 @@
 // recordGone records that a start of a server is no longer listed.
 func (r *Roster) recordGone(now time.Time, s shed.ServerEntry) {
 	r.gone[s.Start()] = removal{era: r.asOf.Era(), at: now, leaving: s.Leaving}
+	r.recordPastVersion(now, s)
 }
 
 // recognizeRemoved handles the entry of a server that had left or was removed in an earlier era. One
@@ -87,6 +88,7 @@
 }
 
 func (r *Roster) pruneGone(now time.Time) {
+	r.prunePastVersions(now)
 	if len(r.gone) == 0 {
 		return
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -124,7 +124,12 @@
 	// lastContact is when the store last answered; contactSince is since when it has answered
 	// without a gap.
 	lastContact, contactSince time.Time
-	storeLost                 bool
+	// firstContact is when the store first answered. What was listed before is not known.
+	firstContact time.Time
+	// pastVersions holds, for each pool, the software versions of servers that were removed, with the
+	// time of the last removal.
+	pastVersions map[shed.PoolID]map[shed.SoftwareVersion]time.Time
+	storeLost    bool
 	// hasReplicaData: some items come from a replica of the store.
 	hasReplicaData bool
 }
@@ -153,6 +158,8 @@
 		departures: map[shed.ServerStart]time.Time{},
 		gone:       map[shed.ServerStart]removal{},
 		withheld:   map[shed.ServerStart]time.Time{},
+
+		pastVersions: map[shed.PoolID]map[shed.SoftwareVersion]time.Time{},
 	}
 }
 
--- a/internal/roster/share.go
+++ b/internal/roster/share.go
@@ -90,10 +90,17 @@
 // equals the peer's.
 func (r *Roster) Confirm(at time.Time) {
 	if at.After(r.lastContact) {
-		r.lastContact = at
+		r.setLastContact(at)
 	}
 }
 
+func (r *Roster) setLastContact(at time.Time) {
+	if r.lastContact.IsZero() {
+		r.firstContact = at
+	}
+	r.lastContact = at
+}
+
 func (r *Roster) holds(key string) bool {
 	_, ok := r.items[key]
 	return ok
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -75,7 +75,7 @@
 	if r.lastContact.IsZero() || now.Sub(r.lastContact) > r.cfg.maxContactGap() {
 		r.contactSince = now
 	}
-	r.lastContact = now
+	r.setLastContact(now)
 	if r.storeLost {
 		r.storeLost = false
 		out = append(out, Change{Reason: StoreRegained, Revision: r.asOf})
@@ -176,6 +176,7 @@
 	case old == nil:
 	case old.StartedMs == server.StartedMs:
 		s.ColdUntil = old.ColdUntil
+		r.recordPastVersion(now, old.ServerEntry)
 	default:
 		r.recordGone(now, old.ServerEntry)
 	}
