relay: a stream that is resumed after its last event is complete

What callers saw: 502 after the servers tried had each answered 200 without an event. Cause: an answer that ends before its first event counted as broken off. A caller that resumes after the last event has nothing left to get. Change: the answer to a request with a last event may end without one, unless it ends with its connection and its server has ended: then the rest may be missing. TestStreamResumedAfterItsLastEventEnds: 502 before, 200 and one run after. TestStreamThatEndsWithItsConnection was green before: answers without a length or chunks are complete after an event, broken off inside one. Ruled out: that such streams mix versions (they hold no second event).

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -34,7 +34,8 @@
 	for {
 		event, err := readEvent(events)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) == 0 && a.out.started {
+			if errors.Is(err, io.EOF) && len(event) == 0 && (a.out.started || a.isEmptyRest(resp)) {
+				a.startAnswer(resp)
 				return outcome{done: true, sent: true, mayHaveRun: true}
 			}
 			a.err = err
@@ -71,14 +72,7 @@
 		a.relay.picker.RecordFirstEvent(a.choice, time.Since(a.began))
 		a.relay.mu.Unlock()
 	}
-	if !a.out.started {
-		a.relay.recordOrigin(a.job, a.exchange.server)
-		copyHeader(a.out.w.Header(), resp.Header)
-		a.out.w.WriteHeader(resp.StatusCode)
-		a.out.started = true
-		a.job.firstByte = time.Since(a.job.began)
-		a.relay.releaseInputs(a.job)
-	}
+	a.startAnswer(resp)
 	if _, err := a.out.w.Write(event); err != nil {
 		return err
 	}
@@ -89,6 +83,30 @@
 	return a.out.control.Flush()
 }
 
+// startAnswer sends the caller the head of the answer, unless that was done before.
+func (a *attempt) startAnswer(resp *http.Response) {
+	if a.out.started {
+		return
+	}
+	a.relay.recordOrigin(a.job, a.exchange.server)
+	copyHeader(a.out.w.Header(), resp.Header)
+	a.out.w.WriteHeader(resp.StatusCode)
+	a.out.started = true
+	a.job.firstByte = time.Since(a.job.began)
+	a.relay.releaseInputs(a.job)
+}
+
+// isEmptyRest reports whether an answer that ended without an event is complete: the caller has all
+// events of the stream that it resumes. If the answer ended with its connection, the server may have
+// ended instead.
+func (a *attempt) isEmptyRest(resp *http.Response) bool {
+	if a.job.request.LastEventID == "" {
+		return false
+	}
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return !endsWithConnection || !a.relay.serverEnded(a.exchange.server)
+}
+
 // readEvent reads through the empty line that ends an event. At the stream's end it returns
 // io.EOF with the rest of a broken event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
