--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -85,12 +85,30 @@
 		defer r.mu.Unlock()
 		r.reportSuspects(r.poison.Ran(time.Now(), a.job.fingerprint))
 	case v.sent && a.serverFailed && r.isCrash(a.err, a.choice.Server.ServerEntry):
+		r.logInterrupted(a)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.recordCrash(a.job.request.ID, shed.RequestRef{Request: a.job.fingerprint, Workspace: a.job.workspace}, a.choice.Server.ServerEntry)
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// logInterrupted logs what a request that a server's end interrupted has in common with others, and how
+// far its answer had come.
+func (r *Relay) logInterrupted(a *attempt) {
+	prompt := a.job.request.Prompt
+	parts := make([]string, 0, min(len(prompt), maxLoggedParts))
+	for _, p := range prompt[:cap(parts)] {
+		parts = append(parts, p.ID)
+	}
+	r.log.WithFields(logrus.Fields{
+		"request": a.job.request.ID, "server": a.choice.Server.ID, "workspace": a.job.workspace, "parts": parts, "all_parts": len(prompt),
+		"begun": a.begun, "status": a.status,
+	}).Info("request interrupted by the end of its server")
+}
+
 // recordCrash records that a server ended while it ran a request. The caller holds mu.
 func (r *Relay) recordCrash(id shed.RequestID, ref shed.RequestRef, s shed.ServerEntry) {
 	r.stats.crashes.Inc(1)
