poison: a part of prompts that crashes servers is refused

Cause: the unit that was blamed was the whole request, and no two were alike, so none reached the limit. Class: evidence is counted by a key finer than the cause. Ruled out: crashes that aren't seen (each was, by two to four VMs); the storm guard alone (no fingerprint had three crashes). Change: the table knows kinds of suspects; parts of prompts (in a pool, not the last) are one. A crash counts against the parts of requests whose answer had not begun, an answer that begins anywhere clears its parts, and a part is refused for three crashes that only it explains, or five that nothing explains better, 0.1 s after the last report. Parts get no isolation; trials come after 60 s, then six times as rarely.

--- a/crash.go
+++ b/crash.go
@@ -34,9 +34,22 @@
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// Suspect is a request during which servers crashed.
+// SuspectKind is the kind of what may crash servers. The set is closed.
+type SuspectKind uint8
+
+const (
+	// SuspectRequest is a request, or its pieces in a pool.
+	SuspectRequest SuspectKind = iota
+	// SuspectPart is a part of prompts, in a pool. Requests of several workspaces may share it.
+	SuspectPart
+)
+
+// Suspect is a request or a part of prompts during which servers crashed.
 type Suspect struct {
-	Request   Fingerprint   `cbor:"1,keyasint"`
+	Request Fingerprint `cbor:"1,keyasint"`
+	// Kind is the kind of what Request identifies.
+	Kind SuspectKind `cbor:"5,keyasint,omitempty"`
+	// Workspace is the one whose request was interrupted first.
 	Workspace WorkspaceID   `cbor:"2,keyasint,omitempty"`
 	Crashes   []ServerCrash `cbor:"3,keyasint,omitempty"`
 	// SurvivedAgo is the time since a server ran the request without crashing; nil if no such
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -29,6 +29,10 @@
 // reassess returns the change in a request's state, if any, given its previous crash count.
 func (t *Table) reassess(now time.Time, s *suspect, before int) []Change {
 	n := s.crashCount()
+	if s.kind == shed.SuspectPart {
+		// The state is logged as of when the evidence has settled.
+		now = now.Add(settleTime)
+	}
 	change := Change{Request: s.request, Workspace: s.workspace, Crashes: n}
 	switch {
 	case n < suspectThreshold && s.quarantined:
@@ -37,7 +41,7 @@
 	case n >= suspectThreshold && n != before && t.quarantineTime(now, s) > 0:
 		s.quarantined = true
 		change.Reason, change.RefusedFor = Quarantined, t.quarantineTime(now, s)
-	case n == suspectThreshold && before < n:
+	case n == suspectThreshold && before < n && s.kind == shed.SuspectRequest:
 		change.Reason = Suspected
 	default:
 		return nil
@@ -52,6 +56,9 @@
 	if beyond < 0 {
 		return 0
 	}
+	if s.kind == shed.SuspectPart {
+		return t.partQuarantine(now, s)
+	}
 	if !t.isCulprit(now, s) {
 		if beyond < ambiguousMargin {
 			return 0
@@ -98,7 +105,7 @@
 
 // crashLimit is the number of crashes from which the request can be a culprit.
 func (t *Table) crashLimit(s *suspect) int {
-	if s.lastRun.IsZero() {
+	if s.lastRun.IsZero() || s.kind == shed.SuspectPart {
 		return t.cfg.Limit
 	}
 	return ranWellFactor * t.cfg.Limit
@@ -107,7 +114,12 @@
 // isAmbiguous reports whether another request is at least as likely to have crashed a server.
 func (t *Table) isAmbiguous(s *suspect, start shed.ServerStart) bool {
 	for _, other := range t.suspects {
-		if other != s && other.isAttributable(start) && other.crashCount() >= s.crashCount() {
+		if other == s || !other.isAttributable(start) {
+			continue
+		}
+		// A part that only this request has shares all of its crashes.
+		n := other.crashCount()
+		if n > s.crashCount() || n == s.crashCount() && other.kind == s.kind {
 			return true
 		}
 	}
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -43,6 +43,30 @@
 	return f
 }
 
+// PartFingerprint returns the fingerprint of a part of prompts in a pool. It doesn't include the
+// workspace: requests of all workspaces that share the part crash the same servers.
+func PartFingerprint(pool shed.PoolID, part string) shed.Fingerprint {
+	h := sha256.New()
+	for _, field := range []string{"part", string(pool), part} {
+		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(field))))
+		h.Write([]byte(field))
+	}
+	return shed.Fingerprint(h.Sum(nil)[:len(shed.Fingerprint{})])
+}
+
+// PartFingerprints returns the fingerprints of the parts of a prompt that requests may share, which
+// are all but the last.
+func PartFingerprints(pool shed.PoolID, prompt []shed.PromptPart) []shed.Fingerprint {
+	if len(prompt) < 2 {
+		return nil
+	}
+	out := make([]shed.Fingerprint, len(prompt)-1)
+	for i := range out {
+		out[i] = PartFingerprint(pool, prompt[i].ID)
+	}
+	return out
+}
+
 // sortedQuery sorts the arguments of a query; one that can't be parsed is returned as it is.
 func sortedQuery(query string) string {
 	args, err := url.ParseQuery(query)
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -114,7 +114,7 @@
 		m.RecentCrashes = m.RecentCrashes[:min(len(m.RecentCrashes), maxEndsPerMessage)]
 	}
 	for _, s := range suspects {
-		out := shed.Suspect{Request: s.request, Workspace: s.workspace}
+		out := shed.Suspect{Request: s.request, Kind: s.kind, Workspace: s.workspace}
 		out.Crashes = crashesByAge(now, s.crashes)
 		if !s.lastRun.IsZero() {
 			age := now.Sub(s.lastRun)
--- a/internal/poison/sim_test.go
+++ b/internal/poison/sim_test.go
@@ -18,6 +18,8 @@
 	latency           = 2 * time.Millisecond
 	// runTime is how long a request runs, crashDelay how long a culprit runs until the crash.
 	runTime, crashDelay = 400 * time.Millisecond, 100 * time.Millisecond
+	// beginTime is how long it runs until its answer begins.
+	beginTime = 150 * time.Millisecond
 	// downTime is how long a server is down after a crash.
 	downTime = 2 * time.Second
 	// maxSends is the number of servers to which one attempt of a caller may be sent.
@@ -39,6 +41,9 @@
 	loss    float64
 	// culprits are the requests that crash servers.
 	culprits map[shed.Fingerprint]*culprit
+	// prompts holds the parts of requests that have some, badParts those that crash servers.
+	prompts  map[shed.Fingerprint][]shed.Fingerprint
+	badParts map[shed.Fingerprint]*culprit
 	// served, refused and failed count the attempts of other requests.
 	served, refused, failed int
 }
@@ -65,6 +70,8 @@
 	vm      *simVM
 	request shed.Fingerprint
 	ended   bool
+	// begun: the answer has begun.
+	begun bool
 	// onEnd is called when the request ends, with whether the server crashed.
 	onEnd func(crashed bool)
 }
@@ -72,6 +79,8 @@
 // culprit counts the effects of a request that crashes servers.
 type culprit struct {
 	crashes int
+	// limit is the number of crashes that it may cause until it is known.
+	limit int
 	// limitReachedAt is when the number of crashes reached the limit. lateSends counts sends
 	// more than settleTime later, by VMs that were not disturbed within settleTime.
 	limitReachedAt time.Time
@@ -81,7 +90,8 @@
 }
 
 func newSim(seed uint64, vms, servers int) *sim {
-	s := &sim{rnd: rand.New(rand.NewPCG(seed, uint64(vms))), Clock: vclock.Clock{Now: start}, culprits: map[shed.Fingerprint]*culprit{}}
+	s := &sim{rnd: rand.New(rand.NewPCG(seed, uint64(vms))), Clock: vclock.Clock{Now: start}, culprits: map[shed.Fingerprint]*culprit{},
+		prompts: map[shed.Fingerprint][]shed.Fingerprint{}, badParts: map[shed.Fingerprint]*culprit{}}
 	for i := range vms {
 		v := &simVM{id: shed.VM(fmt.Sprintf("vm-%03d", i)), disturbedAt: start.Add(-time.Hour)}
 		s.vms = append(s.vms, v)
@@ -163,17 +173,20 @@
 
 // attempt is one attempt of a caller at a VM; done is called with its result.
 func (s *sim) attempt(v *simVM, request shed.Fingerprint, sends int, done func(served, refused bool)) {
-	table := v.table
-	if table.Decide(s.Now, request, func() int { return s.turn(v) }).Refused {
-		done(false, true)
-		return
+	table, parts := v.table, s.prompts[request]
+	for _, f := range append([]shed.Fingerprint{request}, parts...) {
+		if table.Decide(s.Now, f, func() int { return s.turn(v) }).Refused {
+			done(false, true)
+			return
+		}
 	}
 	server := s.randomServer()
 	if server == nil {
 		done(false, false)
 		return
 	}
-	if c := s.culprits[request]; c != nil {
+	c := s.culpritOf(request)
+	if c != nil {
 		s.recordSend(v, c)
 	}
 	r := &simRun{vm: v, request: request}
@@ -183,7 +196,11 @@
 			done(true, false)
 			return
 		}
-		if len(table.Crashed(s.Now, request, "w", server.start)) > 0 && table == v.table {
+		changes := table.Crashed(s.Now, request, "w", server.start)
+		if !r.begun {
+			changes = append(changes, table.CrashedParts(s.Now, parts, "w", server.start)...)
+		}
+		if len(changes) > 0 && table == v.table {
 			s.tick(v)
 		}
 		if sends+1 < maxSends {
@@ -193,10 +210,15 @@
 		done(false, false)
 	}
 	server.runs = append(server.runs, r)
-	if s.culprits[request] != nil {
-		s.After(crashDelay, func() { s.crashBy(server, r) })
+	if c != nil {
+		s.After(crashDelay, func() { s.crashBy(server, r, c) })
 		return
 	}
+	s.After(beginTime, func() {
+		if r.begun = !r.ended; r.begun {
+			table.RanParts(s.Now, parts)
+		}
+	})
 	s.After(runTime, func() {
 		if !r.ended {
 			r.ended = true
@@ -206,6 +228,16 @@
 	})
 }
 
+// culpritOf returns the request, or the part of its prompt, that crashes servers; nil if there is none.
+func (s *sim) culpritOf(request shed.Fingerprint) *culprit {
+	for _, f := range s.prompts[request] {
+		if c := s.badParts[f]; c != nil {
+			return c
+		}
+	}
+	return s.culprits[request]
+}
+
 func (s *sim) recordSend(v *simVM, c *culprit) {
 	c.lastSentAt = s.Now
 	if !c.limitReachedAt.IsZero() && s.Now.Sub(c.limitReachedAt) > settleTime && s.Now.Sub(v.disturbedAt) > settleTime {
@@ -228,12 +260,11 @@
 }
 
 // crashBy crashes a server by a request that runs on it.
-func (s *sim) crashBy(server *simServer, r *simRun) {
+func (s *sim) crashBy(server *simServer, r *simRun, c *culprit) {
 	if r.ended {
 		return
 	}
-	c := s.culprits[r.request]
-	if c.crashes++; c.crashes == limit {
+	if c.crashes++; c.crashes == c.limit {
 		c.limitReachedAt = s.Now
 	}
 	s.crash(server)
@@ -261,7 +292,7 @@
 // startCulprit periodically sends a request that crashes servers, at random VMs.
 func (s *sim) startCulprit(n int, period time.Duration) *culprit {
 	request := fingerprintOf("culprit", n)
-	c := &culprit{}
+	c := &culprit{limit: limit}
 	s.culprits[request] = c
 	s.every(period, func() { s.attempt(s.randomVM(), request, 0, func(bool, bool) {}) })
 	return c
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -21,7 +21,7 @@
 	trialStagger = 2 * time.Second
 	// Bounds on the suspects, on the crashes kept per suspect, and on each of the two
 	// generations of requests that ran without a crash.
-	maxSuspects, maxCrashes, maxRuns = 1024, 16, 4096
+	maxSuspects, maxCrashes, maxRuns = 1024, 16, 16384
 )
 
 // Config configures a Table.
@@ -57,6 +57,7 @@
 // suspect is a request under which servers crashed.
 type suspect struct {
 	request   shed.Fingerprint
+	kind      shed.SuspectKind
 	workspace shed.WorkspaceID
 	// crashes are the server crashes under it. Only those after lastRun count; the others
 	// are kept so that the order in which updates are received doesn't matter.
@@ -132,7 +133,8 @@
 	}
 	quarantine := t.quarantineTime(now, s)
 	if quarantine == 0 {
-		return Verdict{Isolate: true}
+		// Many sound requests share a part until it is known which one crashes servers.
+		return Verdict{Isolate: s.kind == shed.SuspectRequest}
 	}
 	trialAt := s.lastCrash().Add(quarantine + time.Duration(turn())*trialStagger)
 	if left := shed.Later(trialAt, s.trialUntil).Sub(now); left > 0 {
@@ -147,6 +149,27 @@
 	return t.merge(now, shed.Suspect{Request: f, Workspace: ws, Crashes: []shed.ServerCrash{{Start: server}}}, fromLocal)
 }
 
+// CrashedParts records that a server crashed before it began to answer a request of this VM, whose
+// prompt has these parts.
+func (t *Table) CrashedParts(now time.Time, parts []shed.Fingerprint, ws shed.WorkspaceID, server shed.ServerStart) []Change {
+	var out []Change
+	for _, f := range parts {
+		in := shed.Suspect{Request: f, Kind: shed.SuspectPart, Workspace: ws, Crashes: []shed.ServerCrash{{Start: server}}}
+		out = append(out, t.merge(now, in, fromLocal)...)
+	}
+	return out
+}
+
+// RanParts records that a server began to answer a request of this VM, whose prompt has these parts: none
+// of them crashed it.
+func (t *Table) RanParts(now time.Time, parts []shed.Fingerprint) []Change {
+	var out []Change
+	for _, f := range parts {
+		out = append(out, t.Ran(now, f)...)
+	}
+	return out
+}
+
 // Ran records that a server ran a request of this VM without crashing.
 func (t *Table) Ran(now time.Time, f shed.Fingerprint) []Change {
 	if len(t.recentRuns) >= maxRuns {
@@ -193,7 +216,7 @@
 		if len(in.Crashes) == 0 || !t.ensureCapacity(in.Workspace) {
 			return nil
 		}
-		s = &suspect{request: in.Request, workspace: in.Workspace, crashes: map[shed.ServerStart]time.Time{}}
+		s = &suspect{request: in.Request, kind: in.Kind, workspace: in.Workspace, crashes: map[shed.ServerStart]time.Time{}}
 		t.suspects[in.Request] = s
 		t.perWorkspace[in.Workspace]++
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -105,6 +105,9 @@
 	if j.fingerprint != (shed.Fingerprint{}) {
 		fields["fingerprint"] = j.fingerprint
 	}
+	if j.blamed != (shed.Fingerprint{}) {
+		fields["blamed"] = j.blamed
+	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		refused.reason = shed.ReasonCallerGone
 	}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -43,6 +43,7 @@
 	for _, f := range j.suspectFingerprints() {
 		v := r.poison.Decide(now, f, func() int { return r.trialRank(f) })
 		if v.Refused {
+			j.blamed = f
 			return false, r.adjustRefusal(j, &refusal{status: http.StatusServiceUnavailable, reason: reasonCrashes, retryAfter: v.RetryAfter})
 		}
 		j.trial = j.trial || v.Trial
@@ -51,10 +52,18 @@
 	return isolate, nil
 }
 
-// suspectFingerprints returns what may crash servers: the request itself, and its pieces until
-// they are complete.
+// partFingerprints returns the fingerprints of the parts of the prompt that other requests may share.
+func (j *job) partFingerprints() []shed.Fingerprint {
+	if j.parts == nil {
+		j.parts = poison.PartFingerprints(j.pool.ID, j.request.Prompt)
+	}
+	return j.parts
+}
+
+// suspectFingerprints returns what may crash servers: the request itself, the parts of its prompt, and
+// its pieces until they are complete.
 func (j *job) suspectFingerprints() []shed.Fingerprint {
-	out := []shed.Fingerprint{j.fingerprint}
+	out := append([]shed.Fingerprint{j.fingerprint}, j.partFingerprints()...)
 	if j.inputsReady {
 		return out
 	}
@@ -84,11 +93,17 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.reportSuspects(r.poison.Ran(time.Now(), a.job.fingerprint))
+		if !a.begun {
+			r.reportSuspects(r.poison.RanParts(time.Now(), a.job.partFingerprints()))
+		}
 	case v.sent && a.serverFailed && r.isCrash(a.err, a.choice.Server.ServerEntry):
 		r.logInterrupted(a)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.recordCrash(a.job.request.ID, shed.RequestRef{Request: a.job.fingerprint, Workspace: a.job.workspace}, a.choice.Server.ServerEntry)
+		if !a.begun {
+			r.reportSuspects(r.poison.CrashedParts(time.Now(), a.job.partFingerprints(), a.job.workspace, a.choice.Server.Start()))
+		}
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,6 +63,10 @@
 	origin *shed.StreamOrigin
 
 	fingerprint shed.Fingerprint
+	// parts are the fingerprints of the prompt's shared parts; use partFingerprints.
+	parts []shed.Fingerprint
+	// blamed is the fingerprint for which the request was refused, if it was.
+	blamed shed.Fingerprint
 	// trial: the request may crash its server, and is sent once as a probe.
 	trial bool
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,7 @@
 	if !a.begun {
 		a.relay.mu.Lock()
 		a.markBegun()
+		a.relay.reportSuspects(a.relay.poison.RanParts(time.Now(), a.job.partFingerprints()))
 		a.relay.picker.RecordFirstEvent(a.choice, time.Since(a.began))
 		a.relay.mu.Unlock()
 	}
