poison: an answer that ends with its connection clears a request only if its server lives

What callers saw: a request that crashes its servers, every second time between two events of an answer without a length or chunks, crashed 24 servers in 30 tries and was never refused: each such end looked like an answer that went well and cleared it. Cause: the end of such an answer can't be told from the end of its server. Change: such an end neither clears nor counts, unless servers have crashed under the request before: then its server is tried, and its end is one more crash. That costs a connection for suspects only. TestHiddenCrashClearsNoRequest: 24 servers before, 3 after (bound 6). Not covered: a request whose every crash is hidden so; it is never suspected (docs/design/poison.md).

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -89,6 +89,8 @@
 func (r *Relay) assessAttempt(a *attempt, v outcome) {
 	a.job.trial = a.job.trial && !v.sent
 	switch {
+	case v.done && a.endsWithConnection:
+		r.assessUnframed(a)
 	case v.done || a.status != 0 && v.reason == shed.ReasonServerError:
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -100,13 +102,38 @@
 		r.logInterrupted(a)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.recordCrash(a.job.request.ID, shed.RequestRef{Request: a.job.fingerprint, Workspace: a.job.workspace}, a.choice.Server.ServerEntry)
+		r.recordCrash(a.job.request.ID, a.job.requestRef(), a.choice.Server.ServerEntry)
 		if !a.begun {
 			r.reportSuspects(r.poison.CrashedParts(time.Now(), a.job.partFingerprints(), a.job.workspace, a.choice.Server.Start()))
 		}
 	}
 }
 
+// assessUnframed records how a request ran whose complete answer ended with its connection. A server that
+// crashed between two events ends its connections, too, so such an end clears a suspect only if its
+// server is alive.
+func (r *Relay) assessUnframed(a *attempt) {
+	r.mu.Lock()
+	suspect := r.poison.IsSuspect(a.job.fingerprint)
+	r.mu.Unlock()
+	if !suspect {
+		return
+	}
+	ended := r.serverEnded(a.choice.Server.ServerEntry)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ended {
+		r.recordCrash(a.job.request.ID, a.job.requestRef(), a.choice.Server.ServerEntry)
+		return
+	}
+	r.reportSuspects(r.poison.Ran(time.Now(), a.job.fingerprint))
+}
+
+// requestRef identifies the request when servers crash while running it.
+func (j *job) requestRef() shed.RequestRef {
+	return shed.RequestRef{Request: j.fingerprint, Workspace: j.workspace}
+}
+
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 16
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -115,7 +115,9 @@
 	// exchange is the request to the server, once it was sent.
 	exchange exchange
 	status   int
-	err      error
+	// endsWithConnection: the answer has neither a length nor chunks.
+	endsWithConnection bool
+	err                error
 }
 
 func (a *attempt) run(ctx context.Context) outcome {
@@ -169,6 +171,7 @@
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	a.endsWithConnection = endsWithConnection(resp)
 	return a.handleAnswer(ctx, resp, reply)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -104,8 +104,13 @@
 	if a.job.request.LastEventID == "" {
 		return false
 	}
-	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return !endsWithConnection || !a.relay.serverEnded(a.exchange.server)
+	return !endsWithConnection(resp) || !a.relay.serverEnded(a.exchange.server)
+}
+
+// endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its
+// server can't be told from its own.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // readEvent reads through the empty line that ends an event. At the stream's end it returns
