relay: log lines say which part of a prompt was blamed

A refused request's line had the fingerprint of the part but not its id, which the lines of interrupted requests have; the suspect's line didn't say whether it is a request or a part. Log only: kind, blamed_part.

--- a/crash.go
+++ b/crash.go
@@ -44,6 +44,20 @@
 	SuspectPart
 )
 
+// String returns the kind as logged.
+func (k SuspectKind) String() string {
+	switch k {
+	case SuspectRequest:
+		return "request"
+	case SuspectPart:
+		return "part"
+	}
+	return "unknown"
+}
+
+// MarshalText implements encoding.TextMarshaler, for logs.
+func (k SuspectKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
 // Suspect is a request or a part of prompts during which servers crashed.
 type Suspect struct {
 	Request Fingerprint `cbor:"1,keyasint"`
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -33,7 +33,7 @@
 		// The state is logged as of when the evidence has settled.
 		now = now.Add(settleTime)
 	}
-	change := Change{Request: s.request, Workspace: s.workspace, Crashes: n}
+	change := Change{Request: s.request, Kind: s.kind, Workspace: s.workspace, Crashes: n}
 	switch {
 	case n < suspectThreshold && s.quarantined:
 		s.quarantined = false
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -94,6 +94,7 @@
 type Change struct {
 	Reason    shed.Reason
 	Request   shed.Fingerprint
+	Kind      shed.SuspectKind
 	Workspace shed.WorkspaceID
 	// Crashes is the number of crashes counted against it.
 	Crashes int
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -107,6 +107,9 @@
 	}
 	if j.blamed != (shed.Fingerprint{}) {
 		fields["blamed"] = j.blamed
+		if part := j.blamedPart(); part != "" {
+			fields["blamed_part"] = part
+		}
 	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		refused.reason = shed.ReasonCallerGone
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -60,6 +60,14 @@
 	return j.parts
 }
 
+// blamedPart returns the id of the part for which the request was refused; empty if it was not for a part.
+func (j *job) blamedPart() string {
+	if at := slices.Index(j.parts, j.blamed); at >= 0 {
+		return j.request.Prompt[at].ID
+	}
+	return ""
+}
+
 // suspectFingerprints returns what may crash servers: the request itself, the parts of its prompt, and
 // its pieces until they are complete.
 func (j *job) suspectFingerprints() []shed.Fingerprint {
@@ -141,8 +149,8 @@
 // far its answer had come.
 func (r *Relay) logInterrupted(a *attempt) {
 	prompt := a.job.request.Prompt
-	parts := make([]string, 0, min(len(prompt), maxLoggedParts))
-	for _, p := range prompt[:cap(parts)] {
+	var parts []string
+	for _, p := range prompt[:min(len(prompt), maxLoggedParts)] {
 		parts = append(parts, p.ID)
 	}
 	r.log.WithFields(logrus.Fields{
@@ -245,7 +253,7 @@
 	for _, c := range changes {
 		r.stats.stateChanges.Inc(1)
 		r.log.WithFields(logrus.Fields{
-			"reason": c.Reason, "fingerprint": c.Request, "workspace": c.Workspace, "crashes": c.Crashes, "for_ms": c.RefusedFor.Milliseconds(),
+			"reason": c.Reason, "kind": c.Kind, "fingerprint": c.Request, "workspace": c.Workspace, "crashes": c.Crashes, "for_ms": c.RefusedFor.Milliseconds(),
 		}).Warn("suspect")
 	}
 }
