--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -24,8 +24,10 @@
 // not attributed to it.
 func (t *Table) partQuarantine(now time.Time, s *suspect) time.Duration {
 	own, tied := t.attributedCrashes(now, s)
-	isCulprit := own >= t.cfg.Limit && t.unexplainedCrashes(now) <= s.crashCount()
-	// A storm or another part that comes with it does not explain so many crashes without an answer.
+	// Requests with a part that ran well may be on several crashing servers before another VM's answer
+	// clears it.
+	isCulprit := own >= t.cfg.Limit && s.lastRun.IsZero() && t.unexplainedCrashes(now) <= s.crashCount()
+	// Neither that, nor a storm, nor another part that comes with it explains so many crashes.
 	if !isCulprit && own+tied < t.cfg.Limit+ambiguousMargin {
 		return 0
 	}
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -206,6 +206,17 @@
 	require.Equal(t, poison.Verdict{}, tb.Decide(trialAt.Add(3*time.Second), bad, firstTurn))
 }
 
+// A part that ran well a moment ago is on three servers that end at once, before any VM's answer clears
+// it: it is not refused, unless it goes on to crash servers.
+func TestPartThatRanWellNeedsMore(t *testing.T) {
+	tb, first := newTable(), partOf("first")
+	tb.RanParts(at(0), []shed.Fingerprint{first})
+	for i := range partLimit {
+		tb.CrashedParts(at(10+i), []shed.Fingerprint{first, partOf(fmt.Sprint("other", i))}, "w", shed.ServerStart{Server: shed.ServerID(fmt.Sprint(i))})
+		require.Equal(t, i+1 == partLimit, tb.Decide(at(200), first, firstTurn).Refused, "%d servers", i+1)
+	}
+}
+
 // Parts are told apart by pool, and a prompt's last part is its request's own.
 func TestPartFingerprints(t *testing.T) {
 	prompt := []shed.PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}
