poison: a VM that missed the report of a clearing answer is told

Cause: servers out of reach had counted as ended there, and the VM was cut off when answers cleared the part at the others. Reports are sent twice; a cleared suspect is not reminded of, and the reminders of the VM that lags changed nothing at the others, so it never heard. Class: a union that is spread by changes only doesn't heal what was lost. Change: an update that counts crashes which the receiver knows to be cleared is answered to its sender. TestMissedClearingIsRepeated: refused before, cleared after.

--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -217,6 +217,31 @@
 	}
 }
 
+// Guards against a VM that refuses a sound part for good: it missed the reports of the answer that cleared the
+// part at all others. Its next reminder is answered.
+func TestMissedClearingIsRepeated(t *testing.T) {
+	stuck, other, first := newTable(), newTable(), partOf("first")
+	for i := range partLimit {
+		stuck.CrashedParts(at(i), []shed.Fingerprint{first}, "w", shed.ServerStart{Server: shed.ServerID(fmt.Sprint(i))})
+	}
+	peers := []shed.VM{"a", "b"}
+	for _, r := range stuck.DueReports(at(10), peers) {
+		other.Receive(at(10), r.Update)
+	}
+	other.RanParts(at(20), []shed.Fingerprint{first})
+	for i := range 5 {
+		other.DueReports(at(30+100*i), peers) // All of them are lost.
+	}
+	require.True(t, stuck.Decide(at(1000), first, firstTurn).Refused)
+	for _, r := range stuck.DueReports(at(1500), peers) {
+		other.Receive(at(1500), r.Update)
+		if c, ok := other.Correction(at(1501), r.Update); ok {
+			stuck.Receive(at(1501), c)
+		}
+	}
+	require.Equal(t, poison.Verdict{}, stuck.Decide(at(1502), first, firstTurn))
+}
+
 // Parts are told apart by pool, and a prompt's last part is its request's own.
 func TestPartFingerprints(t *testing.T) {
 	prompt := []shed.PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -90,6 +90,22 @@
 	return []Report{{To: to, Update: t.message(now, known, false)}}
 }
 
+// Correction returns what the sender of an update has missed: runs without a crash after crashes that count
+// for it. Only reminders are answered, which go to few peers: each of the receivers of another update would
+// send the same. ok is false if there is nothing to correct.
+func (t *Table) Correction(now time.Time, m shed.CrashUpdate) (out shed.CrashUpdate, ok bool) {
+	if m.All {
+		return out, false
+	}
+	var missed []*suspect
+	for _, in := range m.Suspects {
+		if s := t.suspects[in.Request]; s != nil && s.isClearedSince(now, in) {
+			missed = append(missed, s)
+		}
+	}
+	return t.message(now, missed, false), len(missed) > 0
+}
+
 // mostRelevant returns the most relevant of the matching suspects, as many as fit in a message.
 func (t *Table) mostRelevant(match func(*suspect) bool) []*suspect {
 	var out []*suspect
--- a/internal/poison/sim_test.go
+++ b/internal/poison/sim_test.go
@@ -159,11 +159,21 @@
 			s.After(latency, func() {
 				to.table.Receive(s.Now, t.Update)
 				s.tick(to)
+				s.correct(to, v, t.Update)
 			})
 		}
 	}
 }
 
+// correct answers an update with what its sender has missed.
+func (s *sim) correct(v, to *simVM, m shed.CrashUpdate) {
+	c, ok := v.table.Correction(s.Now, m)
+	if !ok || !canReach(v, to) || s.rnd.Float64() < s.loss {
+		return
+	}
+	s.After(latency, func() { to.table.Receive(s.Now, c) })
+}
+
 // turn is a VM's position in the order of VMs that may try a request after its quarantine.
 func (s *sim) turn(v *simVM) int {
 	at := slices.Index(s.peersOf(v), v.id)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -242,6 +242,19 @@
 	return t.reassess(now, s, before)
 }
 
+// isClearedSince reports whether a run without a crash, which the sender of an update doesn't know of, came
+// after crashes that count for the sender.
+func (s *suspect) isClearedSince(now time.Time, in shed.Suspect) bool {
+	var senderRun time.Time
+	if in.SurvivedAgo != nil {
+		senderRun = now.Add(-*in.SurvivedAgo)
+	}
+	return slices.ContainsFunc(in.Crashes, func(c shed.ServerCrash) bool {
+		at := now.Add(-c.Age)
+		return at.After(senderRun) && s.lastRun.After(at)
+	})
+}
+
 // localRun is when a request of this VM last ran without a crash; zero if unknown.
 func (t *Table) localRun(f shed.Fingerprint) time.Time {
 	if at, ok := t.recentRuns[f]; ok {
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -210,8 +210,9 @@
 		r.receivePeerDepartures(now, m.Starts)
 	case shed.CrashUpdate:
 		r.reportSuspects(r.poison.Receive(now, m))
-		// An answer here may clear what a peer suspects, so this can't wait for the next tick.
-		r.notifyCrashes(now)
+		if c, ok := r.poison.Correction(now, m); ok {
+			r.client.Send(from.VM, c)
+		}
 	case shed.StreamBegan:
 		r.origins.Record(now, m.Key, m.Origin)
 	case shed.ResultsFreed:
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -247,7 +247,8 @@
 // reportSuspects logs changes about requests that may crash servers, and notifies peers at
 // once. The caller holds mu.
 func (r *Relay) reportSuspects(changes []poison.Change) {
-	if len(changes) > 0 {
+	if !r.poison.Empty() {
+		// An answer here may clear what a peer suspects, so this can't wait for the next tick.
 		r.notifyCrashes(time.Now())
 	}
 	for _, c := range changes {
