poison: crashes are ascribed to parts that were never answered first

Cause: a sound part that most prompts share is on the crashes of every culprit.

Ruled out: a longer settle time, which only moves the moment; a higher limit for shared parts, which delays finding a bad one.

Change: a suspect that was never answered and has two crashes or more explains a crash before a part that was answered, whatever their counts.

--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -56,17 +56,29 @@
 	return own, tied
 }
 
-// mostCrashes is the highest crash count of the other suspects that were on a server as it crashed.
+// mostCrashes is the highest crash count of the other suspects that were on a server as it crashed. One
+// that explains the crash better counts as having more crashes than s.
 func (t *Table) mostCrashes(s *suspect, start shed.ServerStart) int {
 	most := 0
 	for _, other := range t.suspects {
-		if other != s && other.isAttributable(start) {
-			most = max(most, other.crashCount())
+		if other == s || !other.isAttributable(start) {
+			continue
+		}
+		most = max(most, other.crashCount())
+		if other.explainsBetter(s) {
+			most = max(most, s.crashCount()+1)
 		}
 	}
 	return most
 }
 
+// explainsBetter reports whether a crash is ascribed to a suspect rather than to another one on the same
+// server, whatever their counts: it was never answered and the other one was. A sound part that most prompts
+// share has the crashes of all culprits, so it has more than any of them until an answer clears it.
+func (s *suspect) explainsBetter(other *suspect) bool {
+	return s.lastRun.IsZero() && !other.lastRun.IsZero() && s.crashCount() >= suspectThreshold
+}
+
 // failedTrials counts the crashes since the part was found out, without those of requests that were under
 // way at that time.
 func (t *Table) failedTrials(s *suspect) int {
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -249,3 +249,15 @@
 	require.NotEqual(t, partOf("a"), poison.PartFingerprint("q", "a"))
 	require.Empty(t, poison.PartFingerprints("p", prompt[:1]))
 }
+
+// Guards against refusing a sound part for the crashes of several culprits: it is on all of them and ran well
+// before, while each culprit has fewer crashes and was never answered.
+func TestSharedPartIsNotBlamedForSeveralCulprits(t *testing.T) {
+	tb, shared := newTable(), partOf("shared")
+	tb.RanParts(at(0), []shed.Fingerprint{shared})
+	for i := range 2 * partLimit {
+		culprit := partOf(fmt.Sprint("culprit", i%3))
+		tb.CrashedParts(at(10+i), []shed.Fingerprint{shared, culprit}, "w", shed.ServerStart{Server: shed.ServerID(fmt.Sprint(i))})
+	}
+	require.Equal(t, poison.Verdict{}, tb.Decide(at(200), shared, firstTurn))
+}
