--- a/dialect.go
+++ b/dialect.go
@@ -27,6 +27,10 @@
 	ParseResults(body []byte, pieces int) ([]PieceResult, error)
 	// NewProbeRequest returns a request that a server answers at once and never runs.
 	NewProbeRequest(addr string) (*http.Request, error)
+	// NewReportRequest returns a call that a server answers with its state without a slot, and
+	// ParseReport parses the answer.
+	NewReportRequest(server ServerEntry) (*http.Request, error)
+	ParseReport(body []byte) (ServerReport, error)
 	// NewFreeRequest returns a call that releases results.
 	NewFreeRequest(addr string, refs []ResultRef) (*http.Request, error)
 	// Producer returns the address of the server that produced and holds the result.
@@ -35,6 +39,15 @@
 	EventID(event []byte) string
 }
 
+// ServerReport is what a backend server reports of its state.
+type ServerReport struct {
+	// FreeBytes is the free result capacity of a server that runs pieces.
+	FreeBytes int64
+}
+
+// ErrBadReport is returned by a Dialect for a report that can't be parsed or lacks the free capacity.
+var ErrBadReport = errors.New("bad report of a server")
+
 // ErrBadRequestHead is returned by a Dialect for a request with an invalid head, such as one
 // without exactly one id.
 var ErrBadRequestHead = errors.New("bad request head")
--- a/message.go
+++ b/message.go
@@ -161,12 +161,23 @@
 	// Lost are servers to which the sender lost its path though it reaches others; not all if there
 	// are many.
 	Lost []ServerID `cbor:"17,keyasint,omitempty"`
+	// WorkTimes are the work times of servers that VMs have read from answers since the last report.
+	WorkTimes []WorkTime `cbor:"18,keyasint,omitempty"`
 	// ForwardToAll is set if the load is sent only to the receiver, which forwards it to all.
 	ForwardToAll bool `cbor:"12,keyasint,omitempty"`
 	// Forwarded are loads of other VMs that the sender forwards.
 	Forwarded []ForwardedLoad `cbor:"13,keyasint,omitempty"`
 }
 
+// WorkTime is how long work took on a server's machine when a VM read it from an answer.
+type WorkTime struct {
+	Start ServerStart `cbor:"1,keyasint"`
+	// Percent is relative to the usual time; above 0.
+	Percent int `cbor:"2,keyasint"`
+	// Age is the time since it was read.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // ForwardedLoad is the load of a VM other than the sender.
 type ForwardedLoad struct {
 	// From is the process whose load it is.
@@ -195,6 +206,12 @@
 	Slow float64 `cbor:"4,keyasint,omitempty"`
 	// Rate is the throughput of the pool with full calls, in pieces per second.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
+	// FreeBytes is the pool's free result capacity, PendingBytes the size of the results of pending
+	// pieces, and ByteRate how many bytes of results per second the pool has capacity for; ByteRate is
+	// 0 if the capacity can't bind or isn't known.
+	FreeBytes    int64   `cbor:"6,keyasint,omitempty"`
+	PendingBytes int64   `cbor:"7,keyasint,omitempty"`
+	ByteRate     float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // PromptPlaced reports that a server processes a prompt; Chain holds the hashes of
--- a/relay.go
+++ b/relay.go
@@ -308,6 +308,9 @@
 	// Running and Waiting are the server's load; Running is below 0 if not
 	// specified.
 	Running, Waiting int
+	// WorkTime is how long work takes on the server's machine at this moment, relative to the usual
+	// time; 0 if not specified.
+	WorkTime float64
 	// ColdRemaining is the server's remaining cold time.
 	ColdRemaining time.Duration
 	// Limit is the request rate that the server accepts from all VMs together; 0 for no
