Engines are weighed by the work time that their servers state

Ruled out: a VM's own readings alone. Each VM sends a request to a given engine only every 40 s.

Change: internal/speed keeps the median of a server's last five samples and decides which ones are shared; internal/fanout reports them as it reports placed prompts, and a hub drops those that it has queued already; internal/picker multiplies the work on an engine and the rendezvous cost by the slowness, and a copy of KV cache costs at least 4 us per token. The relay reads, sends, receives, logs and measures the samples. [relay] without = server_speed disables all of it.

Estimates are bounded to 0.2 to 10.

Runs: tests of internal/speed, internal/fanout and internal/picker pass. Effect on load not measured yet.

--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -40,6 +40,8 @@
 	idleInterval = 300 * time.Millisecond
 	// maxPlaced bounds the placed prompts that are queued for reporting.
 	maxPlaced = 4096
+	// maxWorkTimes bounds the queued work times: at 50 a second in the fleet, what 20 s bring.
+	maxWorkTimes = 1000
 )
 
 // View is a VM's view of its fleet and itself.
@@ -64,6 +66,8 @@
 	Forwarded []shed.ForwardedLoad
 	// Placed are the prompts placed since the last report to the VMs in To.
 	Placed []shed.PromptPlaced
+	// WorkTimes are the work times read since then.
+	WorkTimes []shed.WorkTime
 }
 
 // forwardedLoad is another VM's load to forward.
@@ -78,6 +82,12 @@
 	placedAt time.Time
 }
 
+// queuedWorkTime is a work time to report. It was read at readAt and is reported since queuedAt.
+type queuedWorkTime struct {
+	shed.WorkTime
+	readAt, queuedAt time.Time
+}
+
 // Fanout is one VM's state. It is not safe for concurrent use.
 type Fanout struct {
 	self shed.VM
@@ -93,6 +103,7 @@
 	lastBusy  time.Time
 	forwarded map[shed.VM]forwardedLoad
 	placed    []placedPrompt
+	workTimes []queuedWorkTime
 }
 
 // New returns the state of a VM that has sent no report.
@@ -107,12 +118,29 @@
 	}
 }
 
+// RecordWorkTime queues a work time for reporting, unless it is queued already: a hub receives most of
+// them twice.
+func (f *Fanout) RecordWorkTime(now time.Time, w shed.WorkTime) {
+	next := queuedWorkTime{WorkTime: w, readAt: now.Add(-max(w.Age, 0)), queuedAt: now}
+	if len(f.workTimes) < maxWorkTimes && !slices.ContainsFunc(f.workTimes, next.repeats) {
+		f.workTimes = append(f.workTimes, next)
+	}
+}
+
+// repeats reports whether both are the same work time, whose age depends on the delay of the report.
+func (w queuedWorkTime) repeats(other queuedWorkTime) bool {
+	return w.Start == other.Start && w.Percent == other.Percent && w.readAt.Sub(other.readAt).Abs() < roundInterval
+}
+
 // Forward queues a peer's load that this VM is to forward.
 func (f *Fanout) Forward(now time.Time, from shed.Peer, load shed.RelayLoad) {
 	for _, p := range load.Placed {
 		f.RecordPlacement(now, p)
 	}
-	load.Placed, load.Forwarded, load.ForwardToAll = nil, nil, false
+	for _, w := range load.WorkTimes {
+		f.RecordWorkTime(now, w)
+	}
+	load.Placed, load.WorkTimes, load.Forwarded, load.ForwardToAll = nil, nil, nil, false
 	// The VM's state of the store is of use to its hub only.
 	load.AsOf, load.Digest, load.ConfirmedAgo, load.Catalog = 0, 0, 0, 0
 	// So are its server limits: the hub merges them and reports its own.
@@ -149,6 +177,10 @@
 	for _, p := range f.placed {
 		round.Placed = append(round.Placed, p.PromptPlaced)
 	}
+	for _, w := range f.workTimes {
+		w.Age = now.Sub(w.readAt)
+		round.WorkTimes = append(round.WorkTimes, w.WorkTime)
+	}
 	if !viaHub {
 		round.Forwarded = f.forwardedLoads(now)
 	}
@@ -158,6 +190,7 @@
 // dropSent drops what has been reported to all peers.
 func (f *Fanout) dropSent(before time.Time) {
 	f.placed = slices.DeleteFunc(f.placed, func(p placedPrompt) bool { return p.placedAt.Before(before) })
+	f.workTimes = slices.DeleteFunc(f.workTimes, func(w queuedWorkTime) bool { return w.queuedAt.Before(before) })
 	for vm, load := range f.forwarded {
 		if load.receivedAt.Before(before) {
 			delete(f.forwarded, vm)
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -262,30 +262,42 @@
 	require.LessOrEqual(t, v.maxPerTick, 2*24)
 }
 
-// A placed prompt that a hub forwards reaches each peer once or twice.
+// A placed prompt and a work time that a hub forwards reach each peer once or twice, and the age of the
+// work time leads to the time at which it was read.
 func TestPlacedPromptsReachAll(t *testing.T) {
 	f := newFleet(195, 15)
 	hub, member := f.nodes[0], f.nodes[100]
-	received := map[shed.VM]int{}
+	received, workTimes := map[shed.VM]int{}, map[shed.VM]int{}
 	f.run(time.Second)
+	readAt := f.now.Add(-time.Second)
 	member.fanout.RecordPlacement(f.now, shed.PromptPlaced{Server: "i-1"})
+	member.fanout.RecordWorkTime(f.now, shed.WorkTime{Start: shed.ServerStart{Server: "i-1"}, Percent: 160, Age: time.Second})
 	for f.now = f.now.Add(tick); len(received) == 0; f.now = f.now.Add(tick) {
 		if t := member.fanout.NextRound(f.now, f.view(member)); len(t.Placed) > 0 {
-			hub.fanout.Forward(f.now, shed.Peer{VM: member.id}, shed.RelayLoad{Placed: t.Placed})
-			received[hub.id] = 1
+			hub.fanout.Forward(f.now, shed.Peer{VM: member.id}, shed.RelayLoad{Placed: t.Placed, WorkTimes: t.WorkTimes})
+			// The same work time again, as in the next report.
+			hub.fanout.Forward(f.now, shed.Peer{VM: member.id}, shed.RelayLoad{WorkTimes: t.WorkTimes})
+			received[hub.id], workTimes[hub.id] = 1, 1
 		}
 	}
 	for range 20 {
 		f.now = f.now.Add(tick)
-		if t := hub.fanout.NextRound(f.now, f.view(hub)); len(t.Placed) > 0 {
-			for _, vm := range t.To {
-				received[vm]++
-			}
+		round := hub.fanout.NextRound(f.now, f.view(hub))
+		for _, vm := range round.To {
+			received[vm] += len(round.Placed)
+			workTimes[vm] += len(round.WorkTimes)
+		}
+		for _, w := range round.WorkTimes {
+			require.Equal(t, readAt, f.now.Add(-w.Age))
+		}
+		for _, load := range round.Forwarded {
+			require.Empty(t, load.Load.WorkTimes)
 		}
 	}
 	require.Len(t, received, 195)
-	for vm, n := range received {
-		require.LessOrEqual(t, n, 2, vm)
+	for _, n := range f.nodes {
+		require.Contains(t, []int{1, 2}, received[n.id], n.id)
+		require.Contains(t, []int{1, 2}, workTimes[n.id], n.id)
 	}
 }
 
--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -14,6 +14,12 @@
 // fetchSetupTime is the fixed time of a fetch besides the transfer.
 const fetchSetupTime = 5 * time.Millisecond
 
+// DefaultMinFetchCost is the usual Request.MinFetchCost. With a fast link a copy takes so little time
+// that any load on the engine with the prefix would be a reason for one, but copies occupy memory on
+// both engines and evict other prefixes, which are then read again. A link of 260 Gbit/s takes that
+// long for 160 KB a token anyway.
+const DefaultMinFetchCost = 4 * time.Microsecond
+
 // crossZoneFetchFactor is how much longer a fetch from another zone takes.
 const crossZoneFetchFactor = 2
 
@@ -106,3 +112,8 @@
 	}
 	return fetchSetupTime + took
 }
+
+// extraFetchCost is by how much the least cost of the fetch planned in c exceeds the time it takes.
+func (c *Choice) extraFetchCost(w *Request) time.Duration {
+	return max(time.Duration(c.Fetched)*w.MinFetchCost-c.fetchTime(w.FetchRate), 0)
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -89,6 +89,11 @@
 	// Access returns whether a server accepts requests, and for Resting how much longer it
 	// doesn't; nil if all do.
 	Access func(*roster.Server) (Access, time.Duration)
+	// Slowness returns how long work takes on an engine, relative to the usual time; nil if it is the
+	// usual time on all.
+	Slowness func(*roster.Server) float64
+	// MinFetchCost is the least cost of fetching a token of KV cache; 0 for none beyond the time.
+	MinFetchCost time.Duration
 }
 
 // Access is whether a server accepts one more request. The set is closed.
@@ -114,6 +119,8 @@
 	Cost time.Duration
 	// Time is the predicted time without the penalties.
 	Time time.Duration
+	// Slowness is how long work takes on the engine, relative to the usual time; 0 for plain calls.
+	Slowness float64
 	// Missing counts the prompt tokens that the server has to read, Fetched those that it
 	// fetches from CacheSource instead, which is nil if there is none.
 	Missing, Fetched shed.Tokens
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -103,6 +103,19 @@
 	return fastest
 }
 
+// slowness returns how long work takes on an engine, relative to the usual time.
+func (s *search) slowness(server *roster.Server) float64 {
+	if s.request.Slowness == nil {
+		return 1
+	}
+	return s.request.Slowness(server)
+}
+
+// slowed returns how long work takes that usually takes so long.
+func slowed(usual time.Duration, slowness float64) time.Duration {
+	return time.Duration(float64(usual) * slowness)
+}
+
 func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
 	for _, a := range avoid {
 		if a == id {
@@ -120,10 +133,12 @@
 		var reread shed.Tokens
 		c.Missing, reread = s.missingTokens(st)
 		reread -= s.sources.planFetch(&c, server, reread)
-		c.Time = p.readTime(c.Missing) + c.fetchTime(w.FetchRate) + p.readTime(reading) + time.Duration(running)*runningRequestCost
-		c.Cost = c.Time
+		c.Slowness = s.slowness(server)
+		work := p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runningRequestCost
+		c.Time = slowed(work, c.Slowness) + c.fetchTime(w.FetchRate)
+		c.Cost = c.Time + c.extraFetchCost(w)
 		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += rendezvousCost(server, s.chain, p.readTime(c.Missing))
+		c.Cost += slowed(rendezvousCost(server, s.chain, p.readTime(c.Missing)), c.Slowness)
 	} else {
 		took := st.callTime.predict(now, s.fastest)
 		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -94,6 +94,9 @@
 		fields["first_ms"], fields["events"] = j.firstByte.Milliseconds(), j.events
 		fields["server_version"] = j.serverVersion
 	}
+	if j.slowness > 0 {
+		fields["slowness"] = j.slowness
+	}
 	if j.request.LastEventID != "" {
 		fields["resumes"], fields["last_event"] = j.request.Resumes, j.request.LastEventID
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -46,6 +46,7 @@
 	}
 	if len(turn.To) > 0 {
 		load.Placed, load.Forwarded, load.ForwardToAll = turn.Placed, turn.Forwarded, turn.ForwardToAll
+		load.WorkTimes = turn.WorkTimes
 		r.client.SendAll(turn.To, load)
 	}
 }
@@ -107,6 +108,7 @@
 	for _, p := range m.Placed {
 		r.picker.RecordPeerPrefix(now, p.Server, p.Chain)
 	}
+	r.receivePeerWorkTimes(now, m.WorkTimes)
 	for pool, w := range r.mesh.forecasts {
 		if w.from == from.VM && !w.at.After(reportedAt) {
 			delete(r.mesh.forecasts, pool)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,7 @@
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
+	"jasmineshed/internal/speed"
 	"jasmineshed/internal/telem"
 	"jasmineshed/internal/turns"
 
@@ -96,6 +97,9 @@
 	roster  *roster.Roster
 	picker  *picker.Picker
 	batcher *batch.Batcher
+	speeds  *speed.Table
+	// speedsShownAt is when the metrics of speeds were last updated.
+	speedsShownAt time.Time
 	// entries are the open servers of each pool as of the roster's version entriesVersion.
 	entries        map[shed.PoolID][]shed.ServerEntry
 	entriesVersion uint64
@@ -155,6 +159,7 @@
 		paths:         newPaths(),
 		permits:       permit.NewLedger(),
 		picker:        picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
+		speeds:        speed.New(),
 		retryBudgets:  map[shed.PoolID]*retry.Budget{},
 		entries:       map[shed.PoolID][]shed.ServerEntry{},
 		jobs:          map[batch.JobID]chan []shed.PieceResult{},
@@ -330,5 +335,6 @@
 	r.performBatch(r.batcher.Handle(now, batch.Tick{}))
 	r.notifyPermits(r.permits.Tick(now))
 	r.tickPaths(now)
+	r.showSpeeds(now)
 	r.tickMesh(now, start)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -53,7 +53,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	j.server, j.serverVersion = choice.Server.ID, choice.Server.Version
+	j.server, j.serverVersion, j.slowness = choice.Server.ID, choice.Server.Version, choice.Slowness
 	a := &attempt{relay: r, job: j, out: out, choice: choice, began: began, cancel: cancel}
 	v := a.run(ctx)
 	r.returnPermit(j, v.reason == reasonServerFull)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -73,7 +73,9 @@
 	// Fields for the log and the metrics.
 	server        shed.ServerID
 	serverVersion shed.SoftwareVersion
-	carrier       shed.VM
+	// slowness is how long work took on that server when it was chosen, relative to the usual time.
+	slowness float64
+	carrier  shed.VM
 	// permit is the permit that the request holds for a brittle server, if any.
 	permit      heldPermit
 	firstByte   time.Duration
@@ -320,6 +322,7 @@
 	if j.pool.Engine != nil && r.prefs.Load().Relay.Enabled(prefs.KVFetch) {
 		w.FetchRate = j.pool.Engine.FetchRate
 	}
+	r.weighSpeed(j.pool, &w)
 	if j.largeInputs {
 		w.Zone, w.ZoneCost = j.zone, time.Duration(max(len(j.inputs), 1))*crossZoneCost
 	}
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -18,6 +18,8 @@
 	crashes      tally.Counter
 	turnsDenied  tally.Counter
 	rests        tally.Counter
+	// workTimesShared counts the work times that this VM read and shared with its peers.
+	workTimesShared tally.Counter
 	// originFailures counts the peers that gave no answer when asked for the origin of a stream.
 	originFailures tally.Counter
 	storeEra       tally.Gauge
@@ -45,6 +47,7 @@
 		crashes:         s.Counter("crashes_under_requests"),
 		turnsDenied:     s.Counter("turns_denied"),
 		rests:           s.Counter("server_rests"),
+		workTimesShared: s.Counter("work_times_shared"),
 		originFailures:  s.Counter("stream_origin_calls_failed"),
 		storeEra:        s.Gauge("store_era"),
 		carriedRequests: s.Counter("requests_carried"),
@@ -99,3 +102,10 @@
 	s.pieces.Inc(int64(pieces))
 	s.pieceTime.RecordDuration(took)
 }
+
+// recordSpeeds shows the estimated work times of a pool's fastest and slowest engine.
+func (s stats) recordSpeeds(pool shed.PoolID, fastest, slowest float64) {
+	scope := s.scope.Tagged(map[string]string{"pool": string(pool)})
+	scope.Gauge("fastest_server").Update(fastest)
+	scope.Gauge("slowest_server").Update(slowest)
+}
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -173,6 +173,7 @@
 	r.logRosterChanges(r.roster.Apply(now, l))
 	r.stats.storeEra.Update(float64(r.roster.Era()))
 	r.picker.RetainServers(r.roster.HasServer)
+	r.speeds.Retain(r.roster.HasServer)
 	r.accept.Prune(r.roster.HasRoute)
 	r.limits.Prune(now, r.roster.HasServer)
 	r.turnBook.Prune(now)
