subset: the prefix of a prompt is kept on few engines, more of them fast ones

Cause: where copies of KV cache take milliseconds, all VMs choose the engine that was idle at the last load report, and none of them sees what the others send in the half second until the next one. Engines' work times made it worse: with predicted times weighed by them alone, the fastest third got 80 in 100 of the requests and the first event was late for 13 in 100 there (2.6 in 100 on the engines of usual speed).

Change: internal/subset chooses three engines for each prefix by weighted rendezvous hashing, an engine's share going with the square of its speed; others cost 400 ms more. In force where engines fetch a token in less than 4 us or state work times; `[relay] without = prefix_subset` disables it. A copied token costs at least 8 us there.

--- a/internal/picker/fetch.go
+++ b/internal/picker/fetch.go
@@ -14,11 +14,19 @@
 // fetchSetupTime is the fixed time of a fetch besides the transfer.
 const fetchSetupTime = 5 * time.Millisecond
 
-// DefaultMinFetchCost is the usual Request.MinFetchCost. With a fast link a copy takes so little time
-// that any load on the engine with the prefix would be a reason for one, but copies occupy memory on
-// both engines and evict other prefixes, which are then read again. A link of 260 Gbit/s takes that
-// long for 160 KB a token anyway.
-const DefaultMinFetchCost = 4 * time.Microsecond
+// DefaultMinFetchCost is the usual Request.MinFetchCost with fast links. A copy takes so little time
+// there that any load on the engine with the prefix would be a reason for one, but copies occupy memory
+// on both engines and evict other prefixes, which are then read again.
+const DefaultMinFetchCost = 8 * time.Microsecond
+
+// fastFetchTime is the time to fetch a token below which a link is fast. A link of 260 Gbit/s takes
+// longer for 160 KB a token.
+const fastFetchTime = 4 * time.Microsecond
+
+// IsFastFetch reports whether engines that fetch so many tokens per millisecond have fast links.
+func IsFastFetch(rate float64) bool {
+	return rate > 0 && float64(time.Millisecond)/rate < float64(fastFetchTime)
+}
 
 // crossZoneFetchFactor is how much longer a fetch from another zone takes.
 const crossZoneFetchFactor = 2
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -92,6 +92,8 @@
 	// Slowness returns how long work takes on an engine, relative to the usual time; nil if it is the
 	// usual time on all.
 	Slowness func(*roster.Server) float64
+	// Subset keeps the prompt's prefix on a small subset of the engines.
+	Subset bool
 	// MinFetchCost is the least cost of fetching a token of KV cache; 0 for none beyond the time.
 	MinFetchCost time.Duration
 }
@@ -146,6 +148,7 @@
 		s.countTokens()
 		s.cached = p.prefixes.cached(now, w.Prompt, chain)
 		s.sources = s.findCacheSources()
+		s.chooseSubset()
 	} else {
 		s.fastest = s.fastestCallTime()
 	}
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -5,6 +5,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/roster"
+	"jasmineshed/internal/subset"
 )
 
 // search is one search for a server.
@@ -23,6 +24,8 @@
 	// cached is how many tokens of the shared parts each server has cached, if any.
 	cached  map[*state]shed.Tokens
 	sources cacheSources
+	// subset are the engines that the prompt's prefix is kept on, if the request asks for it.
+	subset subset.Subset
 	// measureUpTo is the maximum cost of a server to be measured; 0 if none is.
 	measureUpTo time.Duration
 	// noTurn: a server was skipped for lack of a turn. restingFor is the time until the first of
@@ -45,7 +48,7 @@
 		if !ok {
 			continue
 		}
-		c := s.evaluate(server, st)
+		c := s.evaluate(i)
 		c.ByTurn = access == ByTurn
 		if bestState == nil || s.better(&c, st, &best, bestState) {
 			best, bestState = c, st
@@ -116,6 +119,24 @@
 	return time.Duration(float64(usual) * slowness)
 }
 
+// chooseSubset chooses the engines that the prompt's prefix is kept on.
+func (s *search) chooseSubset() {
+	if !s.request.Subset || len(s.chain) == 0 {
+		return
+	}
+	s.subset = subset.Choose(s.chain[len(s.chain)-1], len(s.servers), func(i int) subset.Engine {
+		return subset.Engine{ID: s.servers[i].ID, Slowness: s.slowness(s.servers[i])}
+	})
+}
+
+// affinityCost is the cost of an engine that should not get the prompt's prefix.
+func (s *search) affinityCost(at int, c *Choice) time.Duration {
+	if s.request.Subset && len(s.chain) > 0 {
+		return s.subset.Cost(at, s.cached[s.states[at]] >= s.sharedTokens)
+	}
+	return slowed(rendezvousCost(s.servers[at], s.chain, s.picker.readTime(c.Missing)), c.Slowness)
+}
+
 func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
 	for _, a := range avoid {
 		if a == id {
@@ -125,7 +146,8 @@
 	return false
 }
 
-func (s *search) evaluate(server *roster.Server, st *state) Choice {
+func (s *search) evaluate(at int) Choice {
+	server, st := s.servers[at], s.states[at]
 	p, w, now := s.picker, s.request, s.now
 	running, reading := st.ownRunning+st.peers.Running, st.ownReading+st.peers.Reading
 	c := Choice{Server: server}
@@ -138,7 +160,7 @@
 		c.Time = slowed(work, c.Slowness) + c.fetchTime(w.FetchRate)
 		c.Cost = c.Time + c.extraFetchCost(w)
 		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += slowed(rendezvousCost(server, s.chain, p.readTime(c.Missing)), c.Slowness)
+		c.Cost += s.affinityCost(at, &c)
 	} else {
 		took := st.callTime.predict(now, s.fastest)
 		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -108,7 +108,7 @@
 	Heartbeat    time.Duration `ini:"heartbeat" unit:"duration" min:"100ms" max:"1m" doc:"How often a backend server renews its entry in the store; the entry expires after three missed heartbeats."`
 	Power        float64       `ini:"power" unit:"number" min:"0" max:"1000000000" doc:"Capacity of this VM relative to the others, for example its link in Mbit/s. The VMs with at least half of the highest value coordinate batches of pieces and watch the store for all."`
 	Reload       time.Duration `ini:"reload" unit:"duration" min:"100ms" max:"1h" doc:"How often the settings file is checked for changes; SIGHUP triggers a check at once."`
-	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve server_speed result_capacity reservations,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes; server_speed weighs engines by the work time that they state; result_capacity includes the capacity for results in forecasts; reservations gives refused callers a time from which their pieces are kept for them."`
+	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve server_speed prefix_subset result_capacity reservations,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes; server_speed weighs engines by the work time that they state; prefix_subset keeps each prefix of prompts on a few engines; result_capacity includes the capacity for results in forecasts; reservations gives refused callers a time from which their pieces are kept for them."`
 }
 
 // Values of Relay.Without.
@@ -117,6 +117,7 @@
 	KVFetch        = "kv_fetch"
 	UrgentReserve  = "urgent_reserve"
 	ServerSpeed    = "server_speed"
+	PrefixSubset   = "prefix_subset"
 	ResultCapacity = "result_capacity"
 	Reservations   = "reservations"
 )
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -323,6 +323,7 @@
 		w.FetchRate = j.pool.Engine.FetchRate
 	}
 	r.weighSpeed(j.pool, &w)
+	r.limitCopies(j.pool, &w)
 	if j.largeInputs {
 		w.Zone, w.ZoneCost = j.zone, time.Duration(max(len(j.inputs), 1))*crossZoneCost
 	}
--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -64,7 +64,6 @@
 	}
 	now := time.Now()
 	w.Slowness = func(s *roster.Server) float64 { return r.speeds.Slowness(now, s.Start()) }
-	w.MinFetchCost = picker.DefaultMinFetchCost
 }
 
 // showSpeeds updates the metrics of the fastest and the slowest engine of each pool. The caller holds
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -50,6 +50,9 @@
 // Percent converts a work time relative to the usual one to the unit of shed.WorkTime.
 func Percent(workTime float64) int { return max(int(math.Round(100*workTime)), 1) }
 
+// Empty reports whether no server has stated how long work takes.
+func (t *Table) Empty() bool { return len(t.servers) == 0 }
+
 // Slowness returns how long work takes on a server, relative to the usual time; 1 if that isn't known.
 func (t *Table) Slowness(now time.Time, start shed.ServerStart) float64 {
 	st := t.servers[start.Server]
