--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -35,7 +35,8 @@
 	r.logSpeeds(changes)
 }
 
-// receivePeerWorkTimes records work times that peers read. The caller holds mu.
+// receivePeerWorkTimes records work times that peers read. The changes aren't logged: the VM that read the
+// work time logs them, and each VM would repeat that. The caller holds mu.
 func (r *Relay) receivePeerWorkTimes(now time.Time, samples []shed.WorkTime) {
 	if !r.prefs.Load().Relay.Enabled(prefs.ServerSpeed) {
 		return
@@ -43,7 +44,7 @@
 	for _, w := range samples {
 		// A start that the roster doesn't list has ended, or isn't known here yet.
 		if r.roster.IsOpen(w.Start) {
-			r.logSpeeds(r.speeds.Receive(now, []shed.WorkTime{w}))
+			r.speeds.Receive(now, []shed.WorkTime{w})
 		}
 	}
 }
