picker: a request's own reading counts at the usual speed when engines are compared

Cause: with the whole predicted time multiplied by the slowness, as in docs/load/hard_load.md, all VMs prefer the fast engines until reports of the load there arrive.

Change: Choice.Time is multiplied as the page says. Choice.Cost counts the request's own reading at the usual speed; the others' reading, running requests and the rendezvous cost are multiplied.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -115,7 +115,7 @@
 type Choice struct {
 	Server *roster.Server
 	// Cost is the predicted time to the first token or the answer, plus penalties expressed as
-	// a time.
+	// a time. It counts the reading of the request's own prompt at the usual speed.
 	Cost time.Duration
 	// Time is the predicted time without the penalties.
 	Time time.Duration
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -134,11 +134,12 @@
 		c.Missing, reread = s.missingTokens(st)
 		reread -= s.sources.planFetch(&c, server, reread)
 		c.Slowness = s.slowness(server)
-		work := p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runningRequestCost
-		c.Time = slowed(work, c.Slowness) + c.fetchTime(w.FetchRate)
-		c.Cost = c.Time + c.extraFetchCost(w)
-		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += slowed(rendezvousCost(server, s.chain, p.readTime(c.Missing)), c.Slowness)
+		own, others := p.readTime(c.Missing), p.readTime(reading)+time.Duration(running)*runningRequestCost
+		c.Time = slowed(own+others, c.Slowness) + c.fetchTime(w.FetchRate)
+		// The request's own reading counts at the usual speed. At the engine's speed, all VMs would prefer
+		// the fast engines until they hear of the load there, 0.4 s later, which is then above their rate.
+		c.Cost = own + slowed(others+rendezvousCost(server, s.chain, own), c.Slowness) + c.fetchTime(w.FetchRate)
+		c.Cost += c.extraFetchCost(w) + min(time.Duration(reread)*rereadCost, maxRereadCost)
 	} else {
 		took := st.callTime.predict(now, s.fastest)
 		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
