--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -121,7 +121,7 @@
 
 // chooseSubset chooses the engines that the prompt's prefix is kept on.
 func (s *search) chooseSubset() {
-	if !s.request.Subset || len(s.chain) == 0 {
+	if !s.keepsSubset() {
 		return
 	}
 	s.subset = subset.Choose(s.chain[len(s.chain)-1], len(s.servers), func(i int) subset.Engine {
@@ -129,14 +129,20 @@
 	})
 }
 
-// affinityCost is the cost of an engine that should not get the prompt's prefix.
-func (s *search) affinityCost(at int, c *Choice) time.Duration {
-	if s.request.Subset && len(s.chain) > 0 {
-		return s.subset.Cost(at, s.cached[s.states[at]] >= s.sharedTokens)
-	}
-	return slowed(rendezvousCost(s.servers[at], s.chain, s.picker.readTime(c.Missing)), c.Slowness)
+// affinityCost is the cost of reading the request's prompt at an engine, which takes so long at the usual
+// speed, and of an engine that should not get its prefix.
+func (s *search) affinityCost(at int, c *Choice, reading time.Duration) time.Duration {
+	if s.keepsSubset() {
+		return slowed(reading, c.Slowness) + s.subset.Cost(at, s.cached[s.states[at]] >= s.sharedTokens)
+	}
+	// Without a subset, all VMs would prefer the fast engines until they hear of the load there, 0.4 s
+	// later, which is then above their rate. So the reading counts at the usual speed.
+	return reading + slowed(rendezvousCost(s.servers[at], s.chain, reading), c.Slowness)
 }
 
+// keepsSubset reports whether the prompt's prefix is kept on a subset of the engines.
+func (s *search) keepsSubset() bool { return s.request.Subset && len(s.chain) > 0 }
+
 func avoided(avoid []shed.ServerID, id shed.ServerID) bool {
 	for _, a := range avoid {
 		if a == id {
@@ -156,11 +162,10 @@
 		c.Missing, reread = s.missingTokens(st)
 		reread -= s.sources.planFetch(&c, server, reread)
 		c.Slowness = s.slowness(server)
-		work := p.readTime(c.Missing) + p.readTime(reading) + time.Duration(running)*runningRequestCost
-		c.Time = slowed(work, c.Slowness) + c.fetchTime(w.FetchRate)
-		c.Cost = c.Time + c.extraFetchCost(w)
-		c.Cost += min(time.Duration(reread)*rereadCost, maxRereadCost)
-		c.Cost += s.affinityCost(at, &c)
+		own, others := p.readTime(c.Missing), p.readTime(reading)+time.Duration(running)*runningRequestCost
+		c.Time = slowed(own+others, c.Slowness) + c.fetchTime(w.FetchRate)
+		c.Cost = slowed(others, c.Slowness) + c.fetchTime(w.FetchRate) + c.extraFetchCost(w)
+		c.Cost += s.affinityCost(at, &c, own) + min(time.Duration(reread)*rereadCost, maxRereadCost)
 	} else {
 		took := st.callTime.predict(now, s.fastest)
 		c.Cost = took + took*time.Duration(running)/time.Duration(max(server.Slots, 1))
