Result capacity: new coordinators ask servers what they hold

Cause: a VM that begins to coordinate a pool assumed that servers are empty.

Ruled out: waiting for "no capacity" answers to correct the assumption, which is the behaviour so far: each refusal costs a call. Asking at every job, since such calls have a price.

Change: internal/room accounts for the capacity of each server (known results, results of calls without an answer, results of other VMs, unknown results). The batcher asks each server once per start of coordination, or again after another VM coordinated the pool; calls wait for the answer for 100 ms at most. What the answer shows beyond the known results counts as held, decreasing until the retention time is over. Refused pieces are counted.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/room"
 )
 
 const (
@@ -44,9 +45,6 @@
 	// lateMargin is how far beyond its target a piece must be predicted to end before it is
 	// rejected: for most requests the prediction is that much too long.
 	lateMargin = 200 * time.Millisecond
-	// usableCapacityShare is the share of a server's result capacity that is used; result
-	// sizes are approximate.
-	usableCapacityShare = 0.92
 )
 
 func (JobAdded) event()      {}
@@ -55,13 +53,15 @@
 func (FreeRequested) event() {}
 func (FreeEnded) event()     {}
 func (HeldElsewhere) event() {}
+func (SurveyEnded) event()   {}
 func (ServerRests) event()   {}
 func (Stopped) event()       {}
 func (Tick) event()          {}
 
-func (Send) action() {}
-func (Done) action() {}
-func (Free) action() {}
+func (Send) action()   {}
+func (Done) action()   {}
+func (Free) action()   {}
+func (Survey) action() {}
 
 // Batcher batches pieces into calls. It is not safe for concurrent use.
 type Batcher struct {
@@ -73,7 +73,7 @@
 	producers    map[shed.ServerID]*producer
 	nextID       CallID
 	lastSubgroup int
-	surveyed     []server
+	scratch      []server
 	// order holds the groups in the order of their first use.
 	order []*group
 }
@@ -85,6 +85,10 @@
 	pending []*piece
 	// slowness is the pool's slowness when it was last dispatched.
 	slowness float64
+	// stay is how long its results stay on their servers.
+	stay room.Stay
+	// lastJob is when the last job was added.
+	lastJob time.Time
 }
 
 // job is one request for pieces by a daemon.
@@ -184,11 +188,13 @@
 		out = b.movePending(out)
 	case HeldElsewhere:
 		b.recordHeldElsewhere(now, ev)
+	case SurveyEnded:
+		b.recordSurvey(now, ev)
 	case ServerRests:
 		b.recordRest(now, ev)
 	case FreeEnded:
 		for _, ref := range ev.Refs {
-			b.forgetResult(ref)
+			b.forgetResult(now, ref)
 		}
 	case Tick:
 		b.expireResults(now)
@@ -207,7 +213,7 @@
 		b.groups[ev.Pool] = g
 		b.order = append(b.order, g)
 	}
-	g.limits = ev.Limits
+	b.beginCoordination(now, g, ev.Limits)
 	j := &job{id: ev.Job, group: g, results: make([]shed.PieceResult, len(ev.Pieces)), unsettled: len(ev.Pieces)}
 	b.jobs[ev.Job] = j
 	for i, p := range ev.Pieces {
@@ -241,7 +247,7 @@
 	if c.suspected {
 		m.suspectedCalls--
 	}
-	m.heldBytes -= c.bytes
+	m.capacity.Release(c.bytes)
 	if len(ev.Results) != len(c.pieces) {
 		b.recordFailure(now, m, c, ev)
 		if ev.Crashed {
@@ -271,15 +277,17 @@
 	p.inFlight--
 	switch r.End {
 	case shed.PieceComplete:
-		m.heldBytes += p.Bytes
-		b.held[r.Ref] = heldResult{server: c.server.ID, bytes: p.Bytes, expires: now.Add(c.group.limits.ResultRetention)}
+		m.capacity.Reserve(p.Bytes)
+		b.held[r.Ref] = heldResult{
+			server: c.server.ID, group: c.group, bytes: p.Bytes, since: now, expires: now.Add(c.group.limits.ResultRetention),
+		}
 		if p.settled || p.job.dropped {
 			return append(out, Free{Refs: []shed.ResultRef{r.Ref}})
 		}
 		return b.settle(out, p, r)
 	case shed.PieceNoCapacity:
 		// The server holds more than this VM has accounted for, so it gets less for a while.
-		m.unaccounted = append(m.unaccounted, unaccountedBytes{bytes: p.Bytes, expires: now.Add(c.group.limits.ResultRetention / 2)})
+		m.capacity.AddUnaccounted(now, p.Bytes, c.group.limits.ResultRetention/2)
 		return b.requeue(out, p)
 	case shed.PieceFailed:
 		p.countFailure()
@@ -311,7 +319,7 @@
 // long been idle.
 func (b *Batcher) hedgeSuspectCalls(now time.Time) {
 	for _, g := range b.order {
-		for _, s := range b.survey(g.pool) {
+		for _, s := range b.poolServers(now, g.pool) {
 			c := b.calls[s.producer.running]
 			if c == nil || c.suspected || now.Before(c.suspectAt) {
 				continue
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -13,7 +13,7 @@
 	if len(g.pending) == 0 {
 		return out
 	}
-	servers := b.survey(g.pool)
+	servers := b.poolServers(now, g.pool)
 	g.slowness = slowness(now, servers)
 	out = b.rejectLate(now, out, g, servers)
 	usableServers, reachableServers := 0, 0
@@ -39,6 +39,9 @@
 			continue
 		}
 		usableServers++
+		if out = b.survey(now, out, g, s); m.capacity.AwaitsSurvey(now) {
+			continue
+		}
 		if m.running == 0 {
 			idle = append(idle, s)
 		} else {
@@ -204,7 +207,7 @@
 	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0) {
 		at--
 	}
-	if at < 0 || !s.producer.canHold(now, g.limits, g.pending[at].Bytes) {
+	if at < 0 || !s.producer.capacity.CanHold(now, g.limits, g.pending[at].Bytes) {
 		return out
 	}
 	return b.startCall(now, out, g, s, []*piece{g.pending[at]})
@@ -213,7 +216,7 @@
 // fillCall fills a call with the most urgent pieces whose results fit the server's free
 // capacity.
 func (b *Batcher) fillCall(now time.Time, out []Action, g *group, servers []server, s server) []Action {
-	freeBytes := s.producer.freeBytes(now, g.limits)
+	freeBytes := s.producer.capacity.Free(now, g.limits)
 	schedule := b.zoneSchedule(now, g, servers)
 	var chosen, rest []*piece
 	var bytes int64
@@ -247,7 +250,7 @@
 	for _, p := range pieces {
 		c.bytes += p.Bytes
 	}
-	m.heldBytes += c.bytes
+	m.capacity.Reserve(c.bytes)
 	b.nextID++
 	m.running = b.nextID
 	b.calls[b.nextID] = c
--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -55,6 +55,14 @@
 	Retention time.Duration
 }
 
+// SurveyEnded is the end of a Survey.
+type SurveyEnded struct {
+	Survey
+	// Answered is set if the server has reported its free capacity, FreeBytes.
+	Answered  bool
+	FreeBytes int64
+}
+
 // ServerRests means that a server wants no call from this VM for the time left.
 type ServerRests struct {
 	Server shed.ServerID
@@ -92,5 +100,13 @@
 // Free requests that results be released at the server that holds them.
 type Free struct{ Refs []shed.ResultRef }
 
+// Survey asks a server for its free result capacity. The driver ends it with one SurveyEnded. A VM
+// that begins to coordinate a pool does so once per server: after a restart of all VMs, servers
+// refused 1,800 pieces in 4 s since they still held results of the processes before.
+type Survey struct {
+	Pool   shed.PoolID
+	Server shed.ServerEntry
+}
+
 // Servers returns the servers of a pool that may get new work, sorted by id.
 type Servers func(shed.PoolID) []shed.ServerEntry
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -1,10 +1,10 @@
 package batch
 
 import (
-	"slices"
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/room"
 )
 
 // producer is the state of one server as seen by this VM.
@@ -21,17 +21,11 @@
 	restUntil time.Time
 	// unreached is set if the last call did not reach the server.
 	unreached bool
-	// heldBytes is the size of results that it holds, or will hold once its call ends.
-	heldBytes int64
-	// unaccounted are results that it may hold without this VM knowing them: of calls whose
-	// answer was lost, or of calls by another VM.
-	unaccounted []unaccountedBytes
+	// capacity accounts for the results that it holds.
+	capacity room.Server
 	// suspectedCalls counts suspect calls in flight beside which the server may get another
 	// one.
 	suspectedCalls int
-	// heldForOthers is what it holds for other VMs that coordinate the pool or did so
-	// recently.
-	heldForOthers map[shed.VM]heldElsewhere
 }
 
 // isUnreachable reports whether the server could not be reached and its backoff has not ended.
@@ -44,42 +38,6 @@
 // availableAt is when the server may get calls again.
 func (m *producer) availableAt() time.Time { return shed.Later(m.backoffUntil, m.restUntil) }
 
-type heldElsewhere struct {
-	bytes      int64
-	reportedAt time.Time
-	retention  time.Duration
-}
-
-type unaccountedBytes struct {
-	bytes   int64
-	expires time.Time
-}
-
-// usedBytes is how much of the server's result capacity is used.
-func (m *producer) usedBytes(now time.Time) int64 {
-	m.unaccounted = slices.DeleteFunc(m.unaccounted, func(u unaccountedBytes) bool { return now.After(u.expires) })
-	used := m.heldBytes
-	for _, u := range m.unaccounted {
-		used += u.bytes
-	}
-	for _, o := range m.heldForOthers {
-		// What was held at the report expires or is released within the retention period.
-		left := 1 - float64(now.Sub(o.reportedAt))/float64(o.retention)
-		used += int64(float64(o.bytes) * max(left, 0))
-	}
-	return used
-}
-
-// freeBytes is the server's free result capacity.
-func (m *producer) freeBytes(now time.Time, l shed.BatchLimits) int64 {
-	return int64(float64(l.ResultCapacity)*usableCapacityShare) - m.usedBytes(now)
-}
-
-// canHold reports whether the server has capacity for one more result.
-func (m *producer) canHold(now time.Time, l shed.BatchLimits, bytes int64) bool {
-	return l.ResultCapacity == 0 || bytes <= m.freeBytes(now, l)
-}
-
 // server is a server of a pool with its state.
 type server struct {
 	entry    *shed.ServerEntry
@@ -88,21 +46,23 @@
 	index int
 }
 
-// survey returns the servers of a pool that may get new work; the slice is valid until the next
+// poolServers returns the servers of a pool that may get new work; the slice is valid until the next
 // call.
-func (b *Batcher) survey(pool shed.PoolID) []server {
+func (b *Batcher) poolServers(now time.Time, pool shed.PoolID) []server {
 	entries := b.servers(pool)
-	b.surveyed = b.surveyed[:0]
+	b.scratch = b.scratch[:0]
 	for i := range entries {
-		b.surveyed = append(b.surveyed, server{entry: &entries[i], producer: b.producer(&entries[i]), index: i})
+		b.scratch = append(b.scratch, server{entry: &entries[i], producer: b.producer(now, &entries[i]), index: i})
 	}
-	return b.surveyed
+	return b.scratch
 }
 
 type heldResult struct {
-	server  shed.ServerID
-	bytes   int64
-	expires time.Time
+	server shed.ServerID
+	group  *group
+	bytes  int64
+	// since is when its call ended.
+	since, expires time.Time
 }
 
 // recordFailure backs off from the server for a while, so that the other servers, or another
@@ -114,7 +74,7 @@
 		return
 	}
 	if !ev.NotRun {
-		m.unaccounted = append(m.unaccounted, unaccountedBytes{bytes: c.bytes, expires: now.Add(c.group.limits.ResultRetention)})
+		m.capacity.AddUnaccounted(now, c.bytes, c.group.limits.ResultRetention)
 	}
 	if c.suspected && m.consecutiveFailures == 0 {
 		// The server answered a later call, so it is alive and only this answer was lost.
@@ -134,14 +94,15 @@
 	return append(out, Free{Refs: refs})
 }
 
-func (b *Batcher) forgetResult(ref shed.ResultRef) {
+func (b *Batcher) forgetResult(now time.Time, ref shed.ResultRef) {
 	h, ok := b.held[ref]
 	if !ok {
 		return
 	}
 	delete(b.held, ref)
+	h.group.stay.Add(now.Sub(h.since))
 	if m := b.producers[h.server]; m != nil {
-		m.heldBytes -= h.bytes
+		m.capacity.Release(h.bytes)
 	}
 }
 
@@ -162,11 +123,7 @@
 
 func (b *Batcher) recordHeldElsewhere(now time.Time, ev HeldElsewhere) {
 	for id, bytes := range ev.Held {
-		m := b.producerByID(id)
-		if m.heldForOthers == nil {
-			m.heldForOthers = map[shed.VM]heldElsewhere{}
-		}
-		m.heldForOthers[ev.From] = heldElsewhere{bytes: bytes, reportedAt: now, retention: ev.Retention}
+		b.producerByID(id).capacity.SetOther(now, ev.From, bytes, ev.Retention)
 	}
 }
 
@@ -174,8 +131,8 @@
 func (b *Batcher) HeldBytes() map[shed.ServerID]int64 {
 	out := map[shed.ServerID]int64{}
 	for id, m := range b.producers {
-		if m.heldBytes > 0 {
-			out[id] = m.heldBytes
+		if bytes := m.capacity.Known(); bytes > 0 {
+			out[id] = bytes
 		}
 	}
 	return out
@@ -185,12 +142,12 @@
 func (b *Batcher) expireResults(now time.Time) {
 	for ref, h := range b.held {
 		if now.After(h.expires) {
-			b.forgetResult(ref)
+			b.forgetResult(now, ref)
 		}
 	}
 }
 
-func (b *Batcher) producer(s *shed.ServerEntry) *producer {
+func (b *Batcher) producer(now time.Time, s *shed.ServerEntry) *producer {
 	m := b.producers[s.ID]
 	if m == nil {
 		m = &producer{startedMs: s.StartedMs, slowness: 1}
@@ -201,7 +158,9 @@
 	}
 	if m.startedMs != s.StartedMs {
 		// A restarted server holds no earlier results.
-		*m = producer{startedMs: s.StartedMs, slowness: 1, running: m.running, heldBytes: b.runningBytes(m.running)}
+		*m = producer{startedMs: s.StartedMs, slowness: 1, running: m.running}
+		m.capacity.Reserve(b.runningBytes(m.running))
+		m.capacity.SkipSurvey(now)
 		for ref, h := range b.held {
 			if h.server == s.ID {
 				delete(b.held, ref)
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -44,7 +44,7 @@
 
 // PredictWait predicts how long one more piece of the pool would take.
 func (b *Batcher) PredictWait(now time.Time, pool shed.PoolID, limits shed.BatchLimits) Forecast {
-	return b.predictWait(now, pool, limits, b.survey(pool))
+	return b.predictWait(now, pool, limits, b.poolServers(now, pool))
 }
 
 func (b *Batcher) predictWait(now time.Time, pool shed.PoolID, limits shed.BatchLimits, servers []server) Forecast {
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -9,6 +9,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/room"
 	"jasmineshed/internal/roster"
 
 	"github.com/sirupsen/logrus"
@@ -37,7 +38,7 @@
 	r.lastJob++
 	id := r.lastJob
 	r.jobs[id] = done
-	r.performBatch(r.batcher.Handle(time.Now(), batch.JobAdded{Job: id, Pool: poolID, Limits: *pool.Batch, Pieces: pieces}))
+	r.performBatch(r.batcher.Handle(time.Now(), batch.JobAdded{Job: id, Pool: poolID, Limits: r.batchLimits(pool), Pieces: pieces}))
 	r.mu.Unlock()
 	select {
 	case results := <-done:
@@ -89,8 +90,12 @@
 
 // performBatch performs the batcher's actions. The caller holds mu.
 func (r *Relay) performBatch(acts []batch.Action) {
+	surveys := false
 	for _, act := range acts {
 		switch a := act.(type) {
+		case batch.Survey:
+			surveys = true
+			r.startSurvey(a)
 		case batch.Send:
 			r.work.Go(func() error {
 				r.callPieces(a)
@@ -109,6 +114,9 @@
 			r.flushFrees()
 		}
 	}
+	if surveys {
+		r.wakeBatcher(room.SurveyWait)
+	}
 }
 
 // callPieces runs one piece call and passes its outcome to the batcher.
@@ -126,7 +134,7 @@
 		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "crashed": end.Crashed, "error": errorText(err), "first": a.Pieces[0].Request}).
 			Warn("call for pieces failed")
 	} else {
-		logResults(entry, end.Results)
+		r.logResults(entry, end.Results)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -134,13 +142,14 @@
 	r.performBatch(r.batcher.Handle(time.Now(), end))
 }
 
-// logResults logs an answered piece call: at Info level only if pieces failed, since there are
+// logResults counts and logs an answered piece call: at Info level only if pieces failed, since there are
 // many calls.
-func logResults(entry *logrus.Entry, results []shed.PieceResult) {
+func (r *Relay) logResults(entry *logrus.Entry, results []shed.PieceResult) {
 	count := map[shed.PieceEnd]int{}
 	for _, res := range results {
 		count[res.End]++
 	}
+	r.stats.noCapacity.Inc(int64(count[shed.PieceNoCapacity]))
 	entry = entry.WithFields(logrus.Fields{
 		"late": count[shed.PieceLate], "inputs_gone": count[shed.PieceInputsGone],
 		"no_room": count[shed.PieceNoCapacity], "failed": count[shed.PieceFailed],
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -31,7 +31,9 @@
 	storeFailures   tally.Counter
 	pieceCalls      tally.Counter
 	pieces          tally.Counter
-	pieceTime       tally.Histogram
+	// noCapacity counts pieces that a server refused for lack of result capacity.
+	noCapacity tally.Counter
+	pieceTime  tally.Histogram
 }
 
 // latencyBuckets are the bounds of the latency histograms.
@@ -55,6 +57,7 @@
 		storeFailures:   s.Counter("store_failures"),
 		pieceCalls:      s.Counter("piece_calls"),
 		pieces:          s.Counter("pieces"),
+		noCapacity:      s.Counter("pieces_without_capacity"),
 		pieceTime:       s.Histogram("piece_call_time", latencyBuckets),
 	}
 }
--- a/relay.go
+++ b/relay.go
@@ -128,6 +128,9 @@
 	CallTime, PieceTime time.Duration
 	// ResultCapacity is the maximum size in bytes of the results that the server holds.
 	ResultCapacity int64
+	// LargestResult is the size in bytes of the largest result of the routes that use the pool; 0 if
+	// not specified.
+	LargestResult int64
 	// ResultRetention is how long the server keeps a result that was not freed.
 	ResultRetention time.Duration
 }
