Result capacity: the forecast of steps includes the wait for it

Cause: forecasts counted calls alone.

Ruled out: counting all free bytes as available. Converting expected pieces to bytes by the size of the step that asks: a large step would then wait for small ones.

Change: the coordinator learns how long results stay after their call and adds free bytes, bytes of pending pieces and bytes a second to its forecast. The end of a step is the later of the two forecasts for its own result size; VMs report the bytes of the pieces that admitted requests still expect (RelayLoad, key 20). Results of less than half the largest one don't queue behind pending ones. All is 0, as from an older VM, where the capacity can't bind. Gauges of free bytes and of the mean stay per pool.

Conclusion: requests that would wait too long for capacity are refused at the door.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -94,7 +94,8 @@
 // works on them.
 func (b *Batcher) rejectLate(now time.Time, out []Action, g *group, servers []server) []Action {
 	var kept []*piece
-	overloaded := b.predictWait(now, g.pool, g.limits, servers).Last > overloadWait
+	f := b.predictWait(now, g.pool, g.limits, servers)
+	overloaded := max(f.Last, f.Room.Wait(g.limits, 1, g.limits.LargestResult, 0)) > overloadWait
 	for _, p := range g.pending {
 		if p.settled || p.job.dropped {
 			continue
--- a/internal/batch/room_test.go
+++ b/internal/batch/room_test.go
@@ -241,3 +241,20 @@
 	r.play(100, time.Second)
 	require.Equal(t, 2*poolServers, r.surveys)
 }
+
+// The forecast must show that the capacity for results is used up, and none of it where the capacity
+// can't bind.
+func TestForecastOfCapacity(t *testing.T) {
+	r := newRoomReplay(t, largeResults)
+	r.play(730, 3*time.Second)
+	f := r.b.PredictWait(r.now, "p", largeResults)
+	t.Logf("%+v, stay %v", f, r.b.MeanStay("p"))
+	require.InDelta(t, heldFor+freeRoundTrip, r.b.MeanStay("p"), float64(time.Millisecond))
+	require.InDelta(t, poolServers*61.64e6/0.732, f.Room.ByteRate, 0.1*poolServers*61.64e6/0.732)
+	require.Greater(t, f.Room.PendingBytes, int64(100*resultBytes))
+	require.Less(t, f.Room.FreeBytes, int64(0.2*poolServers*61.64e6), "most of it is in use or released during calls")
+	require.Equal(t, f, batch.NewForecast(f.Wait("p")), "peers get all of it")
+	unlimited := largeResults
+	unlimited.LargestResult = 0
+	require.Zero(t, r.b.PredictWait(r.now, "p", unlimited).Room)
+}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/room"
 )
 
 // Forecast predicts, from now, how long one more piece of the pool would take.
@@ -15,6 +16,31 @@
 	Slow float64
 	// Rate is how many pieces the pool makes per second in full calls; 0 if unknown.
 	Rate float64
+	// Room predicts the capacity for results. Timely and Last don't include the wait for it, which
+	// depends on the size of the results.
+	Room room.Forecast
+}
+
+// NewForecast returns the forecast that a coordinator sent.
+func NewForecast(w shed.PieceWait) Forecast {
+	return Forecast{
+		Timely: w.Timely, Last: w.Last, Slow: w.Slow, Rate: w.Rate,
+		Room: room.Forecast{FreeBytes: w.FreeBytes, PendingBytes: w.PendingBytes, ByteRate: w.ByteRate},
+	}
+}
+
+// Wait returns the forecast in the form in which it is sent.
+func (f Forecast) Wait(pool shed.PoolID) shed.PieceWait {
+	return shed.PieceWait{
+		Pool: pool, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate,
+		FreeBytes: f.Room.FreeBytes, PendingBytes: f.Room.PendingBytes, ByteRate: f.Room.ByteRate,
+	}
+}
+
+// After returns the forecast at a later time if no further pieces arrive.
+func (f Forecast) After(d time.Duration) Forecast {
+	f.Timely, f.Last, f.Room = f.Timely-d, f.Last-d, f.Room.After(d)
+	return f
 }
 
 const (
@@ -69,7 +95,7 @@
 		return Forecast{Timely: NoServers, Last: NoServers}
 	}
 	slow := slowness(now, servers)
-	timely, all := b.backlog(now, pool)
+	timely, all, pendingBytes := b.backlog(now, pool)
 	wait := func(n int) time.Duration {
 		queue := time.Duration(0)
 		if n >= limits.MaxPieces {
@@ -77,14 +103,42 @@
 		}
 		return earliestFree + queue + scale(expectedTime(limits, min(n+1, limits.MaxPieces)), slow) + networkTime
 	}
-	return Forecast{Timely: wait(timely), Last: wait(all), Slow: slow, Rate: rate * float64(time.Second)}
+	return Forecast{
+		Timely: wait(timely), Last: wait(all), Slow: slow, Rate: rate * float64(time.Second),
+		Room: b.predictRoom(now, pool, limits, servers, pendingBytes),
+	}
+}
+
+// predictRoom predicts the capacity for results if it can bind. A result occupies capacity from the
+// start of its call until it has been released.
+func (b *Batcher) predictRoom(now time.Time, pool shed.PoolID, limits shed.BatchLimits, servers []server, pendingBytes int64) room.Forecast {
+	if !room.CanBind(limits) {
+		return room.Forecast{}
+	}
+	f := room.Forecast{PendingBytes: pendingBytes}
+	stay := b.MeanStay(pool)
+	for _, s := range servers {
+		if m := s.producer; !m.isUnreachable(now) {
+			f.Add(now, &m.capacity, limits, scale(expectedTime(limits, limits.MaxPieces), m.slowness), stay, m.running != 0)
+		}
+	}
+	return f
+}
+
+// MeanStay returns how long results of the pool stay on their servers after their call.
+func (b *Batcher) MeanStay(pool shed.PoolID) time.Duration {
+	if g := b.groups[pool]; g != nil {
+		return g.stay.Mean()
+	}
+	return 0
 }
 
-// backlog counts the pending pieces: those that can meet their target, and all.
-func (b *Batcher) backlog(now time.Time, pool shed.PoolID) (timely, all int) {
+// backlog counts the pending pieces: those that can meet their target, with the size of their results,
+// and all.
+func (b *Batcher) backlog(now time.Time, pool shed.PoolID) (timely, all int, timelyBytes int64) {
 	g := b.groups[pool]
 	if g == nil {
-		return 0, 0
+		return 0, 0, 0
 	}
 	soonest := g.earliestCompletion(now)
 	for _, p := range g.pending {
@@ -94,9 +148,10 @@
 		all++
 		if !p.job.target.Before(soonest) {
 			timely++
+			timelyBytes += p.Bytes
 		}
 	}
-	return timely, all
+	return timely, all, timelyBytes
 }
 
 // NoServers is what PredictWait predicts for a pool without servers.
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -25,6 +25,8 @@
 	// ExpectedPieces is the number of pieces that admitted requests will send to the pool once
 	// their earlier steps are done.
 	ExpectedPieces int
+	// ResultBytes is the size of the result of one piece, ExpectedBytes that of all expected pieces.
+	ResultBytes, ExpectedBytes int64
 }
 
 // Chain holds all steps of a request.
@@ -50,7 +52,24 @@
 	return float64(s.Servers*s.Limits.MaxPieces) / max(full, time.Millisecond).Seconds()
 }
 
-// forecastEnd predicts when the step is done if its dependencies are done at start.
+// fullTime is how long a full call takes, at the recent speed of the servers.
+func (s *Step) fullTime() time.Duration {
+	full := Step{Pieces: s.Limits.MaxPieces, Limits: s.Limits, Forecast: s.Forecast}
+	return full.minTime()
+}
+
+// capacityEnd predicts when the step is done if it waits for capacity for its results; 0 if it need
+// not. Pieces that wait run in full calls, as in the forecast of calls.
+func (s *Step) capacityEnd() time.Duration {
+	wait := s.Forecast.Room.Wait(s.Limits, s.Pieces, s.ResultBytes, s.ExpectedBytes)
+	if wait == 0 {
+		return 0
+	}
+	return wait + s.fullTime()
+}
+
+// forecastEnd predicts when the step is done if its dependencies are done at start: it waits for
+// calls, and for capacity for its results.
 //
 // Expected pieces count as if they were queued, since the queues of pools late in a chain are
 // still empty when a burst begins. With queued pieces alone, most of the requests refused in
@@ -61,9 +80,10 @@
 	}
 	ahead := time.Duration(float64(s.ExpectedPieces) / s.rate() * float64(time.Second))
 	ahead += time.Duration(s.Pieces-1) * s.Limits.PieceTime
+	capacity := s.capacityEnd()
 	return batch.Forecast{
-		Timely: max(s.Forecast.Timely+ahead, start.Timely+s.minTime()),
-		Last:   max(s.Forecast.Last+ahead, start.Last+s.minTime()),
+		Timely: max(s.Forecast.Timely+ahead, capacity, start.Timely+s.minTime()),
+		Last:   max(s.Forecast.Last+ahead, capacity, start.Last+s.minTime()),
 	}
 }
 
--- a/internal/chain/replay_test.go
+++ b/internal/chain/replay_test.go
@@ -137,8 +137,9 @@
 		p := r.pools[k.pools[i]]
 		c[i].Limits, c[i].Servers, c[i].Forecast = p.limits, p.servers, r.b.PredictWait(r.now, k.pools[i], p.limits)
 		if !r.ignoreExpected {
-			c[i].ExpectedPieces = r.expected[k.pools[i]]
+			c[i].ExpectedPieces, c[i].ExpectedBytes = r.expected[k.pools[i]], int64(r.expected[k.pools[i]])*k.bytes[i]
 		}
+		c[i].ResultBytes = k.bytes[i]
 	}
 	return c
 }
@@ -150,7 +151,7 @@
 		doneAt: make([]time.Time, n), results: make([][]shed.ResultRef, n),
 	}
 	c := r.chain(k)
-	if r.admission && c.Forecast().Timely > k.target {
+	if r.admission && c.Forecast().Timely+k.answerTime > k.target {
 		r.tally[k.name].refused++
 		return
 	}
@@ -192,18 +193,21 @@
 	for _, act := range actions {
 		switch a := act.(type) {
 		case batch.Send:
-			l := r.limitsOf(a)
+			l := r.limitsOf(a.Server)
 			r.calls = append(r.calls, running{send: a, ends: r.now.Add(l.CallTime + time.Duration(len(a.Pieces))*l.PieceTime)})
 		case batch.Done:
 			r.stepDone(a)
+		case batch.Survey:
+			free := r.limitsOf(a.Server).ResultCapacity
+			r.perform(r.b.Handle(r.now, batch.SurveyEnded{Survey: a, Answered: true, FreeBytes: free}))
 		case batch.Free:
 			r.perform(r.b.Handle(r.now, batch.FreeEnded(a)))
 		}
 	}
 }
 
-func (r *replay) limitsOf(a batch.Send) shed.BatchLimits {
-	return r.pools[shed.PoolID(a.Server.ID[:len(a.Server.ID)-1])].limits
+func (r *replay) limitsOf(s shed.ServerEntry) shed.BatchLimits {
+	return r.pools[shed.PoolID(s.ID[:len(s.ID)-1])].limits
 }
 
 func (r *replay) stepDone(a batch.Done) {
@@ -314,6 +318,28 @@
 	require.GreaterOrEqual(t, withExpected.timely, waitingOnly.timely*9/10)
 }
 
+// A burst of 1.4 times the requests for whose results the servers have capacity, while they could make
+// all of them, of the most urgent kind of customer A: results have to be ready 0.8 s after the request
+// and are held for 0.45 s. If only calls count in the forecast, requests are admitted that come late.
+func TestCapacityForResultsIsForeseen(t *testing.T) {
+	callsOnly, withCapacity := burstOfResults(0), burstOfResults(3_000_000)
+	t.Logf("calls only: %+v; with capacity: %+v", callsOnly, withCapacity)
+	require.Greater(t, callsOnly.late+callsOnly.abandoned, 4*(withCapacity.late+withCapacity.abandoned))
+	require.Greater(t, withCapacity.timely, 2*callsOnly.timely)
+}
+
+func burstOfResults(largest int64) tally {
+	r := newReplay(map[shed.PoolID]poolConfig{"large": {servers: 6, limits: shed.BatchLimits{
+		MaxPieces: 12, CallTime: 150 * ms, PieceTime: 11 * ms, ResultCapacity: 67_000_000, ResultRetention: 4 * time.Second, LargestResult: largest,
+	}}})
+	r.admission = true
+	r.play([]kind{{
+		name: "urgent", perSec: 115, target: 1250 * ms, answerTime: 450 * ms,
+		steps: []chain.Step{{Pieces: 2}}, pools: []shed.PoolID{"large"}, bytes: []int64{3_000_000},
+	}}, 6*time.Second)
+	return *r.tally["urgent"]
+}
+
 func burst(ignoreExpected bool) tally {
 	r := newReplay(map[shed.PoolID]poolConfig{"one": {limits: limits, servers: 2}, "two": {limits: limits, servers: 2}})
 	r.admission, r.ignoreExpected = true, ignoreExpected
--- a/internal/relay/expected.go
+++ b/internal/relay/expected.go
@@ -9,18 +9,18 @@
 func (r *Relay) addExpectedPieces(j *job, p plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.expected = map[shed.PoolID]int{}
+	j.expected, j.expectedBytes = map[shed.PoolID]int{}, map[shed.PoolID]int64{}
 	for i, s := range p.steps {
-		j.expected[s.Pool] += p.pieces[i]
-		r.expected[s.Pool] += p.pieces[i]
+		r.countExpected(j, s.Pool, p.pieces[i], int64(p.pieces[i])*s.ResultBytes)
 	}
 }
 
-// removeExpectedPieces subtracts pieces that are being requested now.
-func (r *Relay) removeExpectedPieces(j *job, pool shed.PoolID, pieces int) {
+// removeExpectedPieces subtracts the pieces of a step that are being requested now.
+func (r *Relay) removeExpectedPieces(j *job, s shed.RouteStep, pieces int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.subtractExpected(j, pool, min(pieces, j.expected[pool]))
+	n := min(pieces, j.expected[s.Pool])
+	r.countExpected(j, s.Pool, -n, -int64(n)*s.ResultBytes)
 }
 
 // clearExpectedPieces subtracts a request's remaining expected pieces.
@@ -28,26 +28,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for pool, n := range j.expected {
-		r.subtractExpected(j, pool, n)
+		r.countExpected(j, pool, -n, -j.expectedBytes[pool])
 	}
 }
 
-func (r *Relay) subtractExpected(j *job, pool shed.PoolID, n int) {
-	j.expected[pool] -= n
-	if r.expected[pool] -= n; r.expected[pool] == 0 {
+// countExpected adds to a request's expected pieces, or subtracts from them. The caller holds mu.
+func (r *Relay) countExpected(j *job, pool shed.PoolID, n int, bytes int64) {
+	j.expected[pool] += n
+	j.expectedBytes[pool] += bytes
+	r.expectedBytes[pool] += bytes
+	if r.expected[pool] += n; r.expected[pool] == 0 {
 		delete(r.expected, pool)
+		delete(r.expectedBytes, pool)
 	}
 }
 
-// setPeerExpected replaces the expected pieces reported by a peer. The caller holds mu.
-func (r *Relay) setPeerExpected(from shed.VM, expected map[shed.PoolID]int) {
+// setPeerExpected replaces the expected pieces reported by a peer, and the size of their results. The
+// caller holds mu.
+func (r *Relay) setPeerExpected(from shed.VM, expected map[shed.PoolID]int, bytes map[shed.PoolID]int64) {
 	for pool, n := range r.mesh.expected[from] {
 		r.mesh.expectedSum[pool] -= n
+		r.mesh.expectedBytesSum[pool] -= r.mesh.expectedBytes[from][pool]
 	}
 	for pool, n := range expected {
 		r.mesh.expectedSum[pool] += n
+		r.mesh.expectedBytesSum[pool] += bytes[pool]
 	}
-	r.mesh.expected[from] = expected
+	r.mesh.expected[from], r.mesh.expectedBytes[from] = expected, bytes
 }
 
 // expectedPieces returns how many pieces all admitted requests known here will still request
@@ -55,3 +62,8 @@
 func (r *Relay) expectedPieces(pool shed.PoolID) int {
 	return r.expected[pool] + r.mesh.expectedSum[pool]
 }
+
+// expectedResultBytes returns the size of the results of these pieces. The caller holds mu.
+func (r *Relay) expectedResultBytes(pool shed.PoolID) int64 {
+	return r.expectedBytes[pool] + r.mesh.expectedBytesSum[pool]
+}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -37,7 +37,7 @@
 	load := shed.RelayLoad{
 		Sequence: r.mesh.sequence, HeldBytes: r.batcher.HeldBytes(), Servers: shares, Waits: forecasts,
 		// Messages are encoded later, in another goroutine.
-		ExpectedPieces: maps.Clone(r.expected), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
+		ExpectedPieces: maps.Clone(r.expected), ExpectedBytes: maps.Clone(r.expectedBytes), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
 		Isolated: r.paths.isolated, Lost: r.lostServers(),
 		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
 	}
@@ -63,8 +63,9 @@
 
 // ownForecast forecasts the wait in one of these pools.
 func (r *Relay) ownForecast(now time.Time, pool *shed.RelayPool) shed.PieceWait {
-	f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
-	return shed.PieceWait{Pool: pool.ID, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate}
+	f := r.batcher.PredictWait(now, pool.ID, r.batchLimits(pool))
+	r.stats.recordRoom(pool.ID, f.Room, r.batcher.MeanStay(pool.ID))
+	return f.Wait(pool.ID)
 }
 
 // receiveLoad applies a peer's load report and the reports that it forwards.
@@ -101,7 +102,7 @@
 	r.receivePaths(now, from.VM, m.Isolated, m.Lost)
 	r.picker.SetPeerShares(from.VM, m.Servers)
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
-	r.setPeerExpected(from.VM, m.ExpectedPieces)
+	r.setPeerExpected(from.VM, m.ExpectedPieces, m.ExpectedBytes)
 	r.receivePeerLimits(now, reportedAt, from.VM, m.Limits)
 	r.receivePeerDepartures(now, m.Leaving)
 	for _, p := range m.Placed {
@@ -134,9 +135,7 @@
 	if old := r.mesh.forecasts[w.Pool]; old.from == from && old.at.After(at) {
 		return
 	}
-	r.mesh.forecasts[w.Pool] = peerForecast{
-		from: from, at: at, Forecast: batch.Forecast{Timely: w.Timely, Last: w.Last, Slow: w.Slow, Rate: w.Rate},
-	}
+	r.mesh.forecasts[w.Pool] = peerForecast{from: from, at: at, Forecast: batch.NewForecast(w)}
 }
 
 func (r *Relay) receiveHeldBytes(now time.Time, from shed.VM, held map[shed.ServerID]int64) {
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -82,9 +82,12 @@
 	updates []storeUpdate
 	// applying: data from the store or a peer is being applied.
 	applying bool
-	// expected is what each peer reported as its expected pieces, expectedSum the sum.
-	expected    map[shed.VM]map[shed.PoolID]int
-	expectedSum map[shed.PoolID]int
+	// expected is what each peer reported as its expected pieces, expectedSum the sum; expectedBytes
+	// and expectedBytesSum are the size of their results.
+	expected         map[shed.VM]map[shed.PoolID]int
+	expectedSum      map[shed.PoolID]int
+	expectedBytes    map[shed.VM]map[shed.PoolID]int64
+	expectedBytesSum map[shed.PoolID]int64
 	// pieceCalls are the piece calls in flight at each peer, by call number.
 	pieceCalls    map[shed.VM]map[uint64]peerCall
 	lastPieceCall uint64
@@ -107,6 +110,7 @@
 		pieceCalls:   map[shed.VM]map[uint64]peerCall{},
 		pulse:        pulse.New(),
 		expected:     map[shed.VM]map[shed.PoolID]int{}, expectedSum: map[shed.PoolID]int{},
+		expectedBytes: map[shed.VM]map[shed.PoolID]int64{}, expectedBytesSum: map[shed.PoolID]int64{},
 	}
 	r.mesh.follower, r.mesh.fanout = follow.New(r.mesh.self.VM), fanout.New(r.mesh.self.VM)
 	r.joinMesh()
@@ -161,7 +165,7 @@
 			if a.Reason == member.ReasonPeerDead {
 				// A dead process has no requests on servers any more.
 				r.picker.RemovePeer(a.Peer)
-				r.setPeerExpected(a.Peer, nil)
+				r.setPeerExpected(a.Peer, nil, nil)
 				r.mesh.pulse.Forget(a.Peer)
 				delete(r.paths.carriers.isolated, a.Peer)
 				delete(r.paths.carriers.backoffUntil, a.Peer)
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -82,8 +82,9 @@
 		if !pool.RunsPieces() {
 			continue
 		}
-		c[i].Limits, c[i].Servers = *pool.Batch, len(r.roster.OpenServers(s.Pool))
+		c[i].Limits, c[i].Servers = r.batchLimits(pool), len(r.roster.OpenServers(s.Pool))
 		c[i].Forecast, c[i].ExpectedPieces = r.forecast(now, pool), r.expectedPieces(s.Pool)
+		c[i].ResultBytes, c[i].ExpectedBytes = s.ResultBytes, r.expectedResultBytes(s.Pool)
 	}
 	return c
 }
@@ -92,14 +93,13 @@
 // one less the time since.
 func (r *Relay) forecast(now time.Time, pool *shed.RelayPool) batch.Forecast {
 	if vm, _ := r.coordinator(now, pool.ID); vm == r.mesh.self.VM {
-		return r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+		return r.batcher.PredictWait(now, pool.ID, r.batchLimits(pool))
 	}
 	w, ok := r.mesh.forecasts[pool.ID]
 	if !ok {
 		return batch.Forecast{}
 	}
-	age := now.Sub(w.at)
-	return batch.Forecast{Timely: w.Timely - age, Last: w.Last - age, Slow: w.Slow, Rate: w.Rate}
+	return w.Forecast.After(now.Sub(w.at))
 }
 
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,8 +117,10 @@
 	jobs          map[batch.JobID]chan []shed.PieceResult
 	lastJob       batch.JobID
 	// expected is how many pieces the requests here will request from each pool once the
-	// preceding steps are done; entries of 0 are deleted.
-	expected map[shed.PoolID]int
+	// preceding steps are done, expectedBytes the size of their results; entries of 0 pieces are
+	// deleted.
+	expected      map[shed.PoolID]int
+	expectedBytes map[shed.PoolID]int64
 	// pendingFrees are results to be freed, by the address of their producer; activeFrees
 	// counts the free calls in flight per address.
 	pendingFrees map[string][]shed.ResultRef
@@ -160,6 +162,7 @@
 		jobs:          map[batch.JobID]chan []shed.PieceResult{},
 		permitWaiters: map[permit.ID]chan struct{}{},
 		expected:      map[shed.PoolID]int{},
+		expectedBytes: map[shed.PoolID]int64{},
 		pendingFrees:  map[string][]shed.ResultRef{},
 		activeFrees:   map[string]int{},
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,8 +51,10 @@
 	coordinators map[shed.ResultRef]shed.VM
 	zone         shed.ZoneID
 	largeInputs  bool
-	// expected are the pieces of steps that have not begun, by pool. Guarded by Relay.mu.
-	expected map[shed.PoolID]int
+	// expected are the pieces of steps that have not begun, by pool, expectedBytes the size of their
+	// results. Guarded by Relay.mu.
+	expected      map[shed.PoolID]int
+	expectedBytes map[shed.PoolID]int64
 	// answerTime is the predicted time to the server's first event.
 	answerTime time.Duration
 	// predicted is the time to the answer as predicted at admission, for the log.
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/room"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -102,3 +103,13 @@
 	s.pieces.Inc(int64(pieces))
 	s.pieceTime.RecordDuration(took)
 }
+
+// recordRoom records the capacity for results of a pool that this VM coordinates, if it can bind.
+func (s stats) recordRoom(pool shed.PoolID, f room.Forecast, stay time.Duration) {
+	if f.ByteRate == 0 {
+		return
+	}
+	scope := s.scope.Tagged(map[string]string{"pool": string(pool)})
+	scope.Gauge("result_free_bytes").Update(float64(f.FreeBytes))
+	scope.Gauge("result_stay_seconds").Update(stay.Seconds())
+}
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -215,7 +215,7 @@
 // runStep runs the pieces of one step.
 func (r *Relay) runStep(ctx context.Context, j *job, p plan, at int, results [][]shed.ResultRef) ([]shed.ResultRef, error) {
 	s := p.steps[at]
-	r.removeExpectedPieces(j, s.Pool, p.pieces[at])
+	r.removeExpectedPieces(j, s, p.pieces[at])
 	pieces := make([]shed.Piece, p.pieces[at])
 	now := time.Now()
 	after := r.minTimeAfter(j, p, at)
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -33,7 +33,7 @@
 // Forecast predicts the capacity for results of a pool; its zero value means that the capacity can't
 // bind or isn't known.
 type Forecast struct {
-	// FreeBytes is the free capacity, PendingBytes the size of the results of pending pieces that
+	// FreeBytes is the free capacity beyond what is released during calls, PendingBytes the size of the results of pending pieces that
 	// can still meet their target.
 	FreeBytes, PendingBytes int64
 	// ByteRate is how many bytes of results per second the pool has capacity for; 0 if unknown.
@@ -46,12 +46,21 @@
 	return f
 }
 
-// Add adds a server with a free capacity, and the throughput that the rest of its capacity allows
-// if a result occupies it for occupied.
-func (f *Forecast) Add(now time.Time, s *Server, l shed.BatchLimits, occupied time.Duration) {
-	f.FreeBytes += max(s.Free(now, l), 0)
+// Add adds a server. A result occupies its capacity during its call and then for stay, so what isn't
+// held for other VMs allows a throughput of capacity / (call + stay).
+//
+// While the server runs a call, capacity that is released is unused until the call ends. That is part
+// of the throughput: if it counted as free too, a pool with a long queue would always be predicted to
+// have a fifth of its capacity free.
+func (f *Forecast) Add(now time.Time, s *Server, l shed.BatchLimits, call, stay time.Duration, running bool) {
 	foreign, released := s.foreign(now)
-	f.ByteRate += float64(max(Usable(l)-foreign, 0))/max(occupied, time.Millisecond).Seconds() + released
+	rate := float64(max(Usable(l)-foreign, 0)) / max(call+stay, time.Millisecond).Seconds()
+	free := s.Free(now, l)
+	if running {
+		free -= int64(rate * call.Seconds() / 2)
+	}
+	f.FreeBytes += max(free, 0)
+	f.ByteRate += rate + released
 }
 
 // Wait predicts how long pieces with results of the given size wait for capacity, behind the pending
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -18,6 +18,8 @@
 	}
 )
 
+const call = 282 * time.Millisecond
+
 // A pool whose servers hold the results of two full calls or whose results have no size must be
 // served as without the model.
 func TestCanBind(t *testing.T) {
@@ -94,12 +96,13 @@
 // Nineteen servers hold 20 results each for 0.73 s, so they make 520 results a second. Small results
 // must not be predicted to wait behind large ones.
 func TestWait(t *testing.T) {
+	const stay = 448 * time.Millisecond
 	var full, idle room.Forecast
 	for range 19 {
 		var s room.Server
-		idle.Add(start, &s, limits, 730*time.Millisecond)
+		idle.Add(start, &s, limits, call, stay, false)
 		s.Reserve(60_000_000)
-		full.Add(start, &s, limits, 730*time.Millisecond)
+		full.Add(start, &s, limits, call, stay, true)
 	}
 	full.PendingBytes = 780_000_000
 	require.InDelta(t, 520*3e6, full.ByteRate, 0.03*520*3e6)
@@ -112,7 +115,7 @@
 		{"idle", idle, 3_000_000, 0, 0},
 		{"full", full, 3_000_000, 0, 475 * time.Millisecond},
 		{"pieces still to come", full, 3_000_000, 780_000_000, 960 * time.Millisecond},
-		{"half a second later", full.After(300 * time.Millisecond), 3_000_000, 0, 175 * time.Millisecond},
+		{"later", full.After(300 * time.Millisecond), 3_000_000, 0, 175 * time.Millisecond},
 		{"small result", full, 8000, 780_000_000, 0},
 		{"no result", full, 0, 0, 0},
 		{"unknown", room.Forecast{PendingBytes: 1 << 40}, 3_000_000, 0, 0},
@@ -133,9 +136,12 @@
 	s.BeginSurvey(start)
 	s.RecordSurvey(start, limits, 37_000_000)
 	var f room.Forecast
-	f.Add(start, &s, limits, time.Second)
+	f.Add(start, &s, limits, call, time.Second-call, false)
 	require.InDelta(t, 61.64e6-30e6+30e6/4, f.ByteRate, 1e4)
 	require.Equal(t, int64(31_640_000), f.FreeBytes)
+	f = room.Forecast{}
+	f.Add(start, &s, limits, call, time.Second-call, true)
+	require.Equal(t, int64(31_640_000-31_640_000*0.282/2), f.FreeBytes, "less what is released during a call")
 }
 
 // The mean must follow a change within some hundred results.
--- a/message.go
+++ b/message.go
@@ -152,6 +152,8 @@
 	// ExpectedPieces is the number of pieces that the sender's requests will need from each
 	// pool once their earlier steps are done.
 	ExpectedPieces map[PoolID]int `cbor:"10,keyasint,omitempty"`
+	// ExpectedBytes is the size of the results of these pieces; 0 from an older VM.
+	ExpectedBytes map[PoolID]int64 `cbor:"20,keyasint,omitempty"`
 	// Limits are the limits of servers that the sender knows of.
 	Limits []ServerLimit `cbor:"14,keyasint,omitempty"`
 	// Leaving are the servers that said that they leave while their entries don't say so.
@@ -206,8 +208,8 @@
 	Slow float64 `cbor:"4,keyasint,omitempty"`
 	// Rate is the throughput of the pool with full calls, in pieces per second.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
-	// FreeBytes is the pool's free result capacity, PendingBytes the size of the results of pending
-	// pieces, and ByteRate how many bytes of results per second the pool has capacity for; ByteRate is
+	// FreeBytes is the pool's free result capacity beyond what is released during calls, PendingBytes the
+	// size of the results of pending pieces that can still meet their target, and ByteRate how many bytes of results per second the pool has capacity for; ByteRate is
 	// 0 if the capacity can't bind or isn't known.
 	FreeBytes    int64   `cbor:"6,keyasint,omitempty"`
 	PendingBytes int64   `cbor:"7,keyasint,omitempty"`
