Result capacity: unknown results that are freed or known elsewhere count once

Cause: a coordinator that was restarted alone counts results as unknown that other VMs still free through it within half a second, and ones that another VM reports a moment later. Both kept servers idle until the retention time was over.

Change: the end of a free call names the server; freed results that the batcher doesn't know reduce its unknown results, by the largest size since theirs isn't known. The first report of another VM reduces them too.

Result: TestUnknownResultsThatAreFreed and TestReleaseUnknown are green; they don't compile before.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -193,6 +193,7 @@
 	case ServerRests:
 		b.recordRest(now, ev)
 	case FreeEnded:
+		b.releaseUnknown(now, ev)
 		for _, ref := range ev.Refs {
 			b.forgetResult(now, ref)
 		}
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -26,6 +26,7 @@
 	now     time.Time
 	servers []shed.ServerEntry
 	sends   []batch.Send
+	surveys []batch.Survey
 	done    map[batch.JobID][]shed.PieceResult
 	freed   []shed.ResultRef
 	made    int
@@ -45,6 +46,8 @@
 		switch a := act.(type) {
 		case batch.Send:
 			tb.sends = append(tb.sends, a)
+		case batch.Survey:
+			tb.surveys = append(tb.surveys, a)
 		case batch.Done:
 			require.NotContains(tb.t, tb.done, a.Job, "a job is answered once")
 			tb.done[a.Job] = a.Results
--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -43,7 +43,11 @@
 type FreeRequested struct{ Refs []shed.ResultRef }
 
 // FreeEnded means that the servers have been notified, and their capacity is free again.
-type FreeEnded struct{ Refs []shed.ResultRef }
+type FreeEnded struct {
+	Refs []shed.ResultRef
+	// Server held the results, if it is set. It may have held them for an earlier process of this VM.
+	Server shed.ServerEntry
+}
 
 // HeldElsewhere reports what servers hold for another VM. A VM that starts to coordinate a
 // pool uses it to know the used capacity: without it, many pieces were refused for lack of
--- a/internal/batch/room_test.go
+++ b/internal/batch/room_test.go
@@ -258,3 +258,20 @@
 	unlimited.LargestResult = 0
 	require.Zero(t, r.b.PredictWait(r.now, "p", unlimited).Room)
 }
+
+// This VM was restarted while it coordinated the pool. Other VMs still free their results through it, so
+// the capacity of those must not count as used until the retention time is over.
+func TestUnknownResultsThatAreFreed(t *testing.T) {
+	tb := newHarness(t, "a")
+	l := limits
+	l.LargestResult = 200
+	pieces := []shed.Piece{{Bytes: 200, Budget: 5 * time.Second, Target: time.Second}}
+	tb.handle(batch.JobAdded{Job: 1, Pool: "p", Limits: l, Pieces: pieces})
+	survey := batch.Survey{Pool: "p", Server: tb.servers[0]}
+	require.Equal(t, []batch.Survey{survey}, tb.surveys)
+	tb.handle(batch.SurveyEnded{Survey: survey, Answered: true})
+	require.Empty(t, tb.sends, "the server is full")
+	tb.handle(batch.FreeEnded{Refs: []shed.ResultRef{"s0/1", "s0/2"}, Server: tb.servers[0]})
+	require.Equal(t, int64(600), tb.b.UnknownBytes(tb.now, "s0"))
+	require.Len(t, tb.sends, 1)
+}
--- a/internal/batch/survey.go
+++ b/internal/batch/survey.go
@@ -54,6 +54,20 @@
 	m.capacity.RecordSurvey(now, g.limits, ev.FreeBytes)
 }
 
+// releaseUnknown counts results of an earlier process of this VM as freed. Their size isn't known; each
+// counts as the largest one, since a server that is taken for full is idle.
+func (b *Batcher) releaseUnknown(now time.Time, ev FreeEnded) {
+	g, m := b.groups[ev.Server.Pool], b.producers[ev.Server.ID]
+	if g == nil || m == nil {
+		return
+	}
+	for _, ref := range ev.Refs {
+		if _, known := b.held[ref]; !known {
+			m.capacity.ReleaseUnknown(now, g.limits.LargestResult)
+		}
+	}
+}
+
 // UnknownBytes returns the size of the results on a server that no VM knows, according to its report.
 func (b *Batcher) UnknownBytes(now time.Time, id shed.ServerID) int64 {
 	if m := b.producers[id]; m != nil {
--- a/internal/chain/replay_test.go
+++ b/internal/chain/replay_test.go
@@ -201,7 +201,7 @@
 			free := r.limitsOf(a.Server).ResultCapacity
 			r.perform(r.b.Handle(r.now, batch.SurveyEnded{Survey: a, Answered: true, FreeBytes: free}))
 		case batch.Free:
-			r.perform(r.b.Handle(r.now, batch.FreeEnded(a)))
+			r.perform(r.b.Handle(r.now, batch.FreeEnded{Refs: a.Refs}))
 		}
 	}
 }
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -224,7 +224,7 @@
 			if r.activeFrees[addr]--; r.activeFrees[addr] == 0 {
 				delete(r.activeFrees, addr)
 			}
-			r.performBatch(r.batcher.Handle(time.Now(), batch.FreeEnded{Refs: refs}))
+			r.performBatch(r.batcher.Handle(time.Now(), batch.FreeEnded{Refs: refs, Server: server.ServerEntry}))
 			r.flushFrees()
 			return nil
 		})
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -156,3 +156,16 @@
 	}
 	require.InDelta(t, 1, s.Mean().Seconds(), 0.03)
 }
+
+// Unknown results that another VM turns out to hold, or that are freed, must not count twice.
+func TestReleaseUnknown(t *testing.T) {
+	var s room.Server
+	s.BeginSurvey(start)
+	s.RecordSurvey(start, limits, 37_000_000)
+	s.SetOther(start, "vm2", 20_000_000, limits.ResultRetention)
+	require.Equal(t, int64(30_000_000), s.Used(start))
+	s.SetOther(start, "vm2", 25_000_000, limits.ResultRetention)
+	require.Equal(t, int64(35_000_000), s.Used(start), "a later report is of new results")
+	s.ReleaseUnknown(start, 50_000_000)
+	require.Equal(t, int64(25_000_000), s.Used(start))
+}
--- a/internal/room/server.go
+++ b/internal/room/server.go
@@ -71,11 +71,15 @@
 }
 
 // SetOther replaces what the server holds for another VM. Results held at the time of the report
-// expire or are freed within the retention time.
+// expire or are freed within the retention time. The first report of a VM may be of results that the
+// server reported as well.
 func (s *Server) SetOther(now time.Time, vm shed.VM, bytes int64, retention time.Duration) {
 	if s.others == nil {
 		s.others = map[shed.VM]claim{}
 	}
+	if s.others[vm].left(now) == 0 {
+		s.ReleaseUnknown(now, bytes)
+	}
 	s.others[vm] = claim{bytes: bytes, from: now, until: now.Add(retention)}
 	s.othersAt = now
 }
@@ -153,3 +157,10 @@
 
 // Unknown is how much is used by results that the server reported and that no VM knows.
 func (s *Server) Unknown(now time.Time) int64 { return s.unknown.left(now) }
+
+// ReleaseUnknown counts unknown results as freed, or as known from elsewhere.
+func (s *Server) ReleaseUnknown(now time.Time, bytes int64) {
+	if left := s.unknown.left(now); left > 0 {
+		s.unknown = claim{bytes: max(left-bytes, 0), from: now, until: s.unknown.until}
+	}
+}
--- a/message.go
+++ b/message.go
@@ -152,7 +152,8 @@
 	// ExpectedPieces is the number of pieces that the sender's requests will need from each
 	// pool once their earlier steps are done.
 	ExpectedPieces map[PoolID]int `cbor:"10,keyasint,omitempty"`
-	// ExpectedBytes is the size of the results of these pieces; 0 from an older VM.
+	// ExpectedBytes is the size of the results of these pieces, for pools whose result capacity can
+	// bind.
 	ExpectedBytes map[PoolID]int64 `cbor:"20,keyasint,omitempty"`
 	// Limits are the limits of servers that the sender knows of.
 	Limits []ServerLimit `cbor:"14,keyasint,omitempty"`
