--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -99,7 +99,7 @@
 	if !ok {
 		return batch.Forecast{}
 	}
-	return w.Forecast.After(now.Sub(w.at))
+	return w.After(now.Sub(w.at))
 }
 
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
