--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -43,7 +43,11 @@
 type FreeRequested struct{ Refs []shed.ResultRef }
 
 // FreeEnded means that the servers have been notified, and their capacity is free again.
-type FreeEnded struct{ Refs []shed.ResultRef }
+type FreeEnded struct {
+	Refs []shed.ResultRef
+	// Server held the results, if it is set. It may have held them for an earlier process of this VM.
+	Server shed.ServerEntry
+}
 
 // HeldElsewhere reports what servers hold for another VM. A VM that starts to coordinate a
 // pool uses it to know the used capacity: without it, many pieces were refused for lack of
@@ -55,6 +59,14 @@
 	Retention time.Duration
 }
 
+// SurveyEnded is the end of a Survey.
+type SurveyEnded struct {
+	Survey
+	// Answered is set if the server has reported its free capacity, FreeBytes.
+	Answered  bool
+	FreeBytes int64
+}
+
 // ServerRests means that a server wants no call from this VM for the time left.
 type ServerRests struct {
 	Server shed.ServerID
@@ -92,5 +104,13 @@
 // Free requests that results be released at the server that holds them.
 type Free struct{ Refs []shed.ResultRef }
 
+// Survey asks a server for its free result capacity. The driver ends it with one SurveyEnded. A VM
+// that begins to coordinate a pool does so once per server: after a restart of all VMs, servers
+// refused 1,800 pieces in 4 s since they still held results of the processes before.
+type Survey struct {
+	Pool   shed.PoolID
+	Server shed.ServerEntry
+}
+
 // Servers returns the servers of a pool that may get new work, sorted by id.
 type Servers func(shed.PoolID) []shed.ServerEntry
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/room"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -33,7 +34,9 @@
 	storeFailures   tally.Counter
 	pieceCalls      tally.Counter
 	pieces          tally.Counter
-	pieceTime       tally.Histogram
+	// noCapacity counts pieces that a server refused for lack of result capacity.
+	noCapacity tally.Counter
+	pieceTime  tally.Histogram
 }
 
 // latencyBuckets are the bounds of the latency histograms.
@@ -58,6 +61,7 @@
 		storeFailures:   s.Counter("store_failures"),
 		pieceCalls:      s.Counter("piece_calls"),
 		pieces:          s.Counter("pieces"),
+		noCapacity:      s.Counter("pieces_without_capacity"),
 		pieceTime:       s.Histogram("piece_call_time", latencyBuckets),
 	}
 }
@@ -109,3 +113,13 @@
 	scope.Gauge("fastest_server").Update(fastest)
 	scope.Gauge("slowest_server").Update(slowest)
 }
+
+// recordRoom records the capacity for results of a pool that this VM coordinates, if it can bind.
+func (s stats) recordRoom(pool shed.PoolID, f room.Forecast, stay time.Duration) {
+	if f.ByteRate == 0 {
+		return
+	}
+	scope := s.scope.Tagged(map[string]string{"pool": string(pool)})
+	scope.Gauge("result_free_bytes").Update(float64(f.FreeBytes))
+	scope.Gauge("result_stay_seconds").Update(stay.Seconds())
+}
