resv: reservations for requests with steps that can't be in time

Cause: callers that are refused in a burst retry once, without priority over new requests, and most are refused again; a VM without a forecast admits everybody (docs/load/hard_load.md, measurements).

Ruled out: promising times by due order alone, since an urgent request would then always come after the less urgent ones that asked first and a promise can't be postponed.

Change: the pure package resv has the coordinator's ledger and the VM's side of the decision. The drpc call Reserve asks for a reservation when admission control refuses a request or when a VM has no recent forecast. Forecasts of a coordinator contain the pieces promised for the next second. [relay] without = reservations restores the old decisions.

Table tests of resv, peers, accept and chain pass.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -84,6 +84,13 @@
 	return v
 }
 
+// Granted records that a request that Decide refused was admitted after all.
+func (g *Gate) Granted(route shed.RouteID) {
+	own := g.share(route)
+	own.add(true)
+	g.shares[route] = own
+}
+
 // reserveWeight is the part of the reserve for more urgent routes that applies, from 0 to 1.
 //
 // Load pattern: a lasting overload, mostly of urgent requests. With the whole reserve, nothing
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -129,6 +129,8 @@
 	Permit(ctx context.Context, call PermitCall) PermitReply
 	// ReturnPermit takes a permit back.
 	ReturnPermit(m shed.PermitReturned)
+	// Reserve admits a request that needs pieces, or promises it a time.
+	Reserve(call ReserveCall) ReserveReply
 	// StreamOrigin returns the origin of a stream, if this daemon knows it.
 	StreamOrigin(call OriginCall) OriginReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
@@ -141,7 +143,7 @@
 type relayDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (relayDescription) NumMethods() int { return 7 }
+func (relayDescription) NumMethods() int { return 8 }
 
 // Method implements drpc.Description.
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -161,6 +163,8 @@
 		return rpcPermit, wire, receivePermit, (func(RelayHandler, *PermitCall, drpc.Stream) error)(nil), true
 	case 6:
 		return rpcOrigin, wire, receiveOrigin, (func(RelayHandler, *OriginCall, drpc.Stream) error)(nil), true
+	case 7:
+		return rpcReserve, wire, receiveReserve, (func(RelayHandler, *ReserveCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -75,6 +75,10 @@
 	return peers.PermitReply{}
 }
 
+func (s *relayStub) Reserve(c peers.ReserveCall) peers.ReserveReply {
+	return peers.ReserveReply{Wait: c.ToDeadline / 3}
+}
+
 func (s *relayStub) ReturnPermit(shed.PermitReturned) {}
 
 func (s *relayStub) StreamOrigin(peers.OriginCall) peers.OriginReply { return peers.OriginReply{} }
@@ -115,8 +119,8 @@
 	require.NoError(t, client.Close())
 }
 
-// Requests for turns with invalid values are refused: with a rate of 0 no turn would ever be
-// granted.
+// Calls for turns and reservations with invalid values are refused: with a rate of 0 no turn would ever be
+// granted, and without pieces any number of reservations would be.
 func TestTurnCalls(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -133,6 +137,14 @@
 		_, err = client.Turn(t.Context(), to, bad)
 		require.Error(t, err, "%+v", bad)
 	}
+	call := peers.ReserveCall{Pieces: 1, ToTarget: -time.Second, ToDeadline: 3 * time.Second}
+	got, err := client.Reserve(t.Context(), to, call)
+	require.NoError(t, err)
+	require.Equal(t, peers.ReserveReply{Wait: time.Second}, got)
+	for _, bad := range []peers.ReserveCall{{}, {ToDeadline: 1}, {Pieces: 1}, {Pieces: 1, ToDeadline: 1, Rank: -1}, {Pieces: 1, ToDeadline: 1, Needed: -1}} {
+		_, err = client.Reserve(t.Context(), to, bad)
+		require.Error(t, err, "%+v", bad)
+	}
 	stop()
 	_ = g.Wait()
 	require.NoError(t, client.Close())
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -34,6 +34,7 @@
 		r.mu.Unlock()
 		return failedResults(len(pieces))
 	}
+	r.recordArrival(poolID, pieces)
 	r.lastJob++
 	id := r.lastJob
 	r.jobs[id] = done
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -63,7 +63,7 @@
 
 // ownForecast forecasts the wait in one of these pools.
 func (r *Relay) ownForecast(now time.Time, pool *shed.RelayPool) shed.PieceWait {
-	f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+	f := r.predictWait(now, pool)
 	return shed.PieceWait{Pool: pool.ID, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -92,7 +92,7 @@
 // one less the time since.
 func (r *Relay) forecast(now time.Time, pool *shed.RelayPool) batch.Forecast {
 	if vm, _ := r.coordinator(now, pool.ID); vm == r.mesh.self.VM {
-		return r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+		return r.predictWait(now, pool)
 	}
 	w, ok := r.mesh.forecasts[pool.ID]
 	if !ok {
@@ -105,7 +105,7 @@
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
 // the least that they can take. It returns the choice of the server that would answer, and the pool
 // that the request waits longest for.
-func (r *Relay) estimate(j *job, p plan) (accept.Request, picker.Choice, shed.PoolID) {
+func (r *Relay) estimate(j *job, p plan) (accept.Request, picker.Choice, bottleneck) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,11 +122,11 @@
 	c := r.chain(now, p)
 	wait := c.Forecast()
 	request := accept.Request{Route: j.route.ID, MinTime: c.MinTime(), Timely: wait.Timely, Last: wait.Last, Answer: j.answerTime}
-	bottleneck := p.steps[c.Bottleneck()].Pool
+	busiest := findBottleneck(p, c)
 	if r.prefs.Load().Relay.Enabled(prefs.UrgentReserve) {
-		request.MoreUrgent, request.UrgentRanks = r.moreUrgentRoutes(j.route, bottleneck)
+		request.MoreUrgent, request.UrgentRanks = r.moreUrgentRoutes(j.route, busiest.pool)
 	}
-	return request, choice, bottleneck
+	return request, choice, busiest
 }
 
 // moreUrgentRoutes returns the routes of more urgent ranks that have steps in a pool, and the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,7 @@
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/poison"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/resv"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
 	"jasmineshed/internal/telem"
@@ -109,13 +110,17 @@
 	// permits are those that this VM has granted, permitWaiters the requests that wait for one.
 	permits       *permit.Ledger
 	permitWaiters map[permit.ID]chan struct{}
-	paths         paths
-	retryBudgets  map[shed.PoolID]*retry.Budget
-	group         *member.Group
-	mesh          mesh
-	packer        delta.Packer
-	jobs          map[batch.JobID]chan []shed.PieceResult
-	lastJob       batch.JobID
+	// ledgers are the reservations of the pools that this VM coordinates, asker decides which other
+	// coordinators are asked for them.
+	ledgers      map[shed.PoolID]*resv.Ledger
+	asker        *resv.Asker
+	paths        paths
+	retryBudgets map[shed.PoolID]*retry.Budget
+	group        *member.Group
+	mesh         mesh
+	packer       delta.Packer
+	jobs         map[batch.JobID]chan []shed.PieceResult
+	lastJob      batch.JobID
 	// expected is how many pieces the requests here will request from each pool once the
 	// preceding steps are done; entries of 0 are deleted.
 	expected map[shed.PoolID]int
@@ -157,6 +162,8 @@
 		picker:        picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		retryBudgets:  map[shed.PoolID]*retry.Budget{},
 		entries:       map[shed.PoolID][]shed.ServerEntry{},
+		ledgers:       map[shed.PoolID]*resv.Ledger{},
+		asker:         resv.NewAsker(),
 		jobs:          map[batch.JobID]chan []shed.PieceResult{},
 		permitWaiters: map[permit.ID]chan struct{}{},
 		expected:      map[shed.PoolID]int{},
@@ -329,6 +336,7 @@
 	r.logRosterChanges(r.roster.Tick(now))
 	r.performBatch(r.batcher.Handle(now, batch.Tick{}))
 	r.notifyPermits(r.permits.Tick(now))
+	r.tickReservations(now)
 	r.tickPaths(now)
 	r.tickMesh(now, start)
 }
--- /dev/null
+++ b/internal/relay/reserve.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/accept"
+	"jasmineshed/internal/batch"
+	"jasmineshed/internal/chain"
+	"jasmineshed/internal/peers"
+	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/resv"
+
+	"github.com/sirupsen/logrus"
+)
+
+// bottleneck is the pool that a request waits longest for.
+type bottleneck struct {
+	pool shed.PoolID
+	// pieces is how many pieces the request needs from the pool, queue how long they would queue there.
+	pieces int
+	queue  time.Duration
+}
+
+// findBottleneck returns the bottleneck of a plan.
+func findBottleneck(p plan, c chain.Chain) bottleneck {
+	at := c.Bottleneck()
+	b := bottleneck{pool: p.steps[at].Pool, queue: c.QueueTime(at)}
+	for i, s := range p.steps {
+		if s.Pool == b.pool {
+			b.pieces += p.pieces[i]
+		}
+	}
+	return b
+}
+
+// verdict is an admission decision with what it was based on.
+type verdict struct {
+	accept.Verdict
+	coordinator shed.VM
+	outcome     resv.Outcome
+}
+
+// decideSteps decides whether a request is admitted. If its own forecast is against it, or if there is no
+// recent one, the pool's coordinator is asked.
+func (r *Relay) decideSteps(ctx context.Context, j *job, request accept.Request, b bottleneck) verdict {
+	now := time.Now()
+	r.mu.Lock()
+	own := r.accept.Decide(request)
+	vm, ok := r.coordinator(now, b.pool)
+	ask := ok && r.prefs.Load().Relay.Enabled(prefs.Reservations) &&
+		(!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) && (vm == r.mesh.self.VM || r.asker.MayAsk(now, vm))
+	client := r.client
+	r.mu.Unlock()
+	v := verdict{Verdict: own, coordinator: vm, outcome: resv.OutcomeLocal}
+	if !ask {
+		return v
+	}
+	answer := r.requestReservation(ctx, client, vm, peers.ReserveCall{
+		Pool: b.pool, Request: j.requestRef(), Pieces: b.pieces, Rank: max(j.rank, 0),
+		ToTarget: request.ToTarget, ToDeadline: request.ToDeadline, Needed: own.NeededTime, Queue: b.queue,
+	})
+	v.Verdict, v.outcome = resv.Combine(own, answer)
+	r.log.WithFields(logrus.Fields{
+		"request": j.request.ID, "fingerprint": j.fingerprint, "pool": b.pool, "coordinator": vm, "granted": answer.Granted,
+		"wait_ms": answer.Wait.Milliseconds(), "reason": v.outcome, "took_ms": time.Since(now).Milliseconds(),
+	}).Info("reservation")
+	if v.outcome == resv.OutcomeGranted && !own.Admitted {
+		r.mu.Lock()
+		r.accept.Granted(request.Route)
+		r.mu.Unlock()
+	}
+	return v
+}
+
+// isForecastFresh reports whether this VM knows how busy a pool is: by a recent forecast, or because its
+// coordinator reported lately, which names only pools in use. The caller holds mu.
+func (r *Relay) isForecastFresh(now time.Time, pool shed.PoolID, coordinator shed.VM) bool {
+	if coordinator == r.mesh.self.VM && now.Sub(r.mesh.startedAt) > resv.MaxForecastAge {
+		return true
+	}
+	return now.Sub(r.mesh.forecasts[pool].at) < resv.MaxForecastAge || now.Sub(r.mesh.lastLoad[coordinator]) < resv.MaxForecastAge
+}
+
+// requestReservation asks a coordinator to admit a request or to promise it a reservation.
+func (r *Relay) requestReservation(ctx context.Context, client *peers.Client, vm shed.VM, call peers.ReserveCall) resv.Answer {
+	var reply peers.ReserveReply
+	var err error
+	if vm == r.mesh.self.VM {
+		reply = r.Reserve(call)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, resv.Timeout)
+		reply, err = client.Reserve(callCtx, vm, call)
+		cancel()
+		if ctx.Err() != nil {
+			// The caller has gone, which says nothing about the coordinator.
+			return resv.Answer{}
+		}
+	}
+	answered := err == nil && !reply.Moved
+	if err != nil {
+		r.log.WithFields(logrus.Fields{"peer": vm, "pool": call.Pool, "error": err.Error()}).Info("peer that keeps reservations gives no answer")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asker.Record(time.Now(), vm, answered)
+	if !answered {
+		return resv.Answer{}
+	}
+	return resv.Answer{Answered: true, Granted: reply.Granted, Wait: reply.Wait}
+}
+
+// Reserve implements peers.RelayHandler.
+func (r *Relay) Reserve(call peers.ReserveCall) peers.ReserveReply {
+	if r.stopping.Load() || r.isReplaced() || !r.prefs.Load().Relay.Enabled(prefs.Reservations) {
+		return peers.ReserveReply{Moved: true}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	pool := r.pool(call.Pool)
+	if !pool.RunsPieces() {
+		return peers.ReserveReply{Moved: true}
+	}
+	got := r.ledger(call.Pool).Reserve(now, r.poolLoad(now, pool, call.Pieces), resv.Request{
+		Fingerprint: call.Request.Request, Workspace: call.Request.Workspace, Pieces: call.Pieces,
+		Rank: call.Rank, UrgentRanks: r.ranksBefore(call.Rank, call.Pool),
+		ToTarget: call.ToTarget, ToDeadline: call.ToDeadline, Needed: call.Needed, Queue: call.Queue,
+	})
+	r.stats.recordReservation(got)
+	return peers.ReserveReply{Granted: got.Granted, Wait: got.Wait}
+}
+
+// ledger returns the ledger of a pool. The caller holds mu.
+func (r *Relay) ledger(pool shed.PoolID) *resv.Ledger {
+	l := r.ledgers[pool]
+	if l == nil {
+		l = resv.New(resv.Config{})
+		r.ledgers[pool] = l
+	}
+	return l
+}
+
+// poolLoad forecasts how long some pieces would queue in a pool that this VM coordinates. The caller holds
+// mu.
+func (r *Relay) poolLoad(now time.Time, pool *shed.RelayPool, pieces int) resv.Load {
+	c := chain.Chain{{
+		Pieces: pieces, Limits: *pool.Batch, Servers: len(r.roster.OpenServers(pool.ID)),
+		Forecast: r.batcher.PredictWait(now, pool.ID, *pool.Batch), ExpectedPieces: r.expectedPieces(pool.ID),
+	}}
+	return resv.Load{Rate: c[0].Forecast.Rate, Queue: c.QueueTime(0)}
+}
+
+// ranksBefore returns how many more urgent ranks use a pool, by the ranks of the routes. The caller holds mu.
+func (r *Relay) ranksBefore(rank int, pool shed.PoolID) int {
+	c := r.roster.Catalog()
+	if c == nil {
+		return 0
+	}
+	_, ranks := r.moreUrgentRoutes(&shed.Route{Rank: rank}, pool)
+	return ranks
+}
+
+// predictWait is the batcher's forecast for a pool, with the promised pieces of the next second. VMs that
+// don't know what is promised would otherwise admit new requests in place of those that were promised
+// pieces. The caller holds mu.
+func (r *Relay) predictWait(now time.Time, pool *shed.RelayPool) batch.Forecast {
+	f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+	if l := r.ledgers[pool.ID]; l != nil {
+		ahead := l.Ahead(now, f.Rate, math.MaxInt)
+		f.Timely, f.Last = f.Timely+ahead, f.Last+ahead
+	}
+	return f
+}
+
+// recordArrival records that pieces of a request arrived at this coordinator. The caller holds mu.
+func (r *Relay) recordArrival(pool shed.PoolID, pieces []shed.Piece) {
+	l := r.ledgers[pool]
+	if l == nil || len(pieces) == 0 {
+		return
+	}
+	if l.Arrived(pieces[0].Origin.Request) {
+		r.stats.reservationsTaken.Inc(1)
+	}
+}
+
+// tickReservations drops reservations that weren't taken, and the ledgers of pools that are no longer in the
+// configuration. The caller holds mu.
+func (r *Relay) tickReservations(now time.Time) {
+	for id, l := range r.ledgers {
+		r.stats.reservationsNotTaken.Inc(int64(l.Expire(now)))
+		if !r.pool(id).RunsPieces() {
+			delete(r.ledgers, id)
+		}
+	}
+}
+
+// reservationSummaries describes the reservations that this VM promised, by pool. The caller holds mu.
+func (r *Relay) reservationSummaries(now time.Time) map[shed.PoolID]resv.Summary {
+	out := make(map[shed.PoolID]resv.Summary, len(r.ledgers))
+	for id, l := range r.ledgers {
+		out[id] = l.Summary(now)
+	}
+	return out
+}
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/resv"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -29,9 +30,15 @@
 	pathProbes      tally.Counter
 	storeCalls      tally.Counter
 	storeFailures   tally.Counter
-	pieceCalls      tally.Counter
-	pieces          tally.Counter
-	pieceTime       tally.Histogram
+	// Reservations of the pools that this VM coordinates; reservationsRefused counts the requests that
+	// got none.
+	reservationsPromised tally.Counter
+	reservationsTaken    tally.Counter
+	reservationsNotTaken tally.Counter
+	reservationsRefused  tally.Counter
+	pieceCalls           tally.Counter
+	pieces               tally.Counter
+	pieceTime            tally.Histogram
 }
 
 // latencyBuckets are the bounds of the latency histograms.
@@ -40,22 +47,26 @@
 func newStats(scope tally.Scope) stats {
 	s := scope.SubScope("relay")
 	return stats{
-		scope:           s,
-		stateChanges:    s.Counter("beliefs_changed"),
-		crashes:         s.Counter("crashes_under_requests"),
-		turnsDenied:     s.Counter("turns_denied"),
-		rests:           s.Counter("server_rests"),
-		originFailures:  s.Counter("stream_origin_calls_failed"),
-		storeEra:        s.Gauge("store_era"),
-		carriedRequests: s.Counter("requests_carried"),
-		carriedForPeers: s.Counter("connections_for_peers"),
-		isolated:        s.Gauge("isolated"),
-		pathProbes:      s.Counter("path_probes"),
-		storeCalls:      s.Counter("store_calls"),
-		storeFailures:   s.Counter("store_failures"),
-		pieceCalls:      s.Counter("piece_calls"),
-		pieces:          s.Counter("pieces"),
-		pieceTime:       s.Histogram("piece_call_time", latencyBuckets),
+		scope:                s,
+		stateChanges:         s.Counter("beliefs_changed"),
+		crashes:              s.Counter("crashes_under_requests"),
+		turnsDenied:          s.Counter("turns_denied"),
+		rests:                s.Counter("server_rests"),
+		originFailures:       s.Counter("stream_origin_calls_failed"),
+		storeEra:             s.Gauge("store_era"),
+		carriedRequests:      s.Counter("requests_carried"),
+		carriedForPeers:      s.Counter("connections_for_peers"),
+		isolated:             s.Gauge("isolated"),
+		pathProbes:           s.Counter("path_probes"),
+		storeCalls:           s.Counter("store_calls"),
+		storeFailures:        s.Counter("store_failures"),
+		reservationsPromised: s.Counter("reservations_promised"),
+		reservationsTaken:    s.Counter("reservations_taken"),
+		reservationsNotTaken: s.Counter("reservations_not_taken"),
+		reservationsRefused:  s.Counter("reservations_refused"),
+		pieceCalls:           s.Counter("piece_calls"),
+		pieces:               s.Counter("pieces"),
+		pieceTime:            s.Histogram("piece_call_time", latencyBuckets),
 	}
 }
 
@@ -94,6 +105,18 @@
 	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("server_dials").Inc(1)
 }
 
+// recordReservation counts a decision of this coordinator.
+func (s stats) recordReservation(d resv.Decision) {
+	switch {
+	case d.Taken:
+		s.reservationsTaken.Inc(1)
+	case d.Promised:
+		s.reservationsPromised.Inc(1)
+	case !d.Granted && d.Wait == 0:
+		s.reservationsRefused.Inc(1)
+	}
+}
+
 func (s stats) recordPieceCall(pieces int, took time.Duration) {
 	s.pieceCalls.Inc(1)
 	s.pieces.Inc(int64(pieces))
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -5,6 +5,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/reach"
+	"jasmineshed/internal/resv"
 )
 
 // Status implements oper.StatusSource.
@@ -17,6 +18,7 @@
 		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
 		Stopping: r.stopping.Load(), OpenRequests: r.open.Load(), AsOf: r.roster.AsOf().Number(), Era: r.roster.Era(),
 		Peers: r.alivePeers(), Servers: r.picker.Shares(), QueuedPieces: map[shed.PoolID]int{},
+		Reservations: r.reservationSummaries(now),
 	}
 	if c := r.roster.Catalog(); c != nil {
 		out.Version = c.Version
@@ -52,4 +54,6 @@
 	Servers     map[shed.ServerID]shed.ServerShare `json:"servers"`
 	// QueuedPieces is the number of pieces queued here, by pool.
 	QueuedPieces map[shed.PoolID]int `json:"gathers"`
+	// Reservations are those that this VM promised as coordinator, by pool.
+	Reservations map[shed.PoolID]resv.Summary `json:"reservations,omitempty"`
 }
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -27,7 +27,7 @@
 	if len(p.steps) == 0 {
 		return nil
 	}
-	request, choice, bottleneck := r.estimate(j, p)
+	request, choice, busiest := r.estimate(j, p)
 	switch {
 	case choice.RestingFor > r.timeToTarget(j, time.Now()):
 		// No server could answer in time, so the pieces would be run in vain.
@@ -36,7 +36,7 @@
 		return r.refuseUnreachable(ctx, j, choice.UnreachableFor)
 	}
 	if j.sends == 0 {
-		if refused := r.admitSteps(j, request, bottleneck); refused != nil {
+		if refused := r.admitSteps(ctx, j, request, busiest); refused != nil {
 			return refused
 		}
 	}
@@ -142,27 +142,24 @@
 	return out
 }
 
-// admitSteps refuses a request at once if its pieces would be late. It waits longest for the pool.
-func (r *Relay) admitSteps(j *job, request accept.Request, pool shed.PoolID) *refusal {
+// admitSteps refuses a request at once if its pieces would be late. It waits longest for the pool b.
+func (r *Relay) admitSteps(ctx context.Context, j *job, request accept.Request, b bottleneck) *refusal {
 	now := time.Now()
 	request.ToTarget, request.ToDeadline = j.target.Sub(now), j.deadline.Sub(now)
-	r.mu.Lock()
-	v := r.accept.Decide(request)
-	r.mu.Unlock()
+	v := r.decideSteps(ctx, j, request, b)
 	j.predicted = request.Timely + request.Answer
 	if v.Admitted {
 		return nil
 	}
 	r.mu.Lock()
-	forecast := r.mesh.forecasts[pool]
-	coordinator, _ := r.coordinator(now, pool)
+	forecast := r.mesh.forecasts[b.pool]
 	r.mu.Unlock()
 	r.log.WithFields(logrus.Fields{
 		"request": j.request.ID, "route": request.Route, "needs_ms": v.NeededTime.Milliseconds(), "least_ms": request.MinTime.Milliseconds(),
 		"timely_ms": request.Timely.Milliseconds(), "last_ms": request.Last.Milliseconds(), "answer_ms": request.Answer.Milliseconds(),
 		"urgent_ranks": request.UrgentRanks, "to_aim_ms": request.ToTarget.Milliseconds(), "to_end_ms": request.ToDeadline.Milliseconds(),
-		"after_ms": v.RetryAfter.Milliseconds(), "bottleneck": pool, "coordinator": coordinator,
-		"forecast_from": forecast.from,
+		"after_ms": v.RetryAfter.Milliseconds(), "bottleneck": b.pool, "coordinator": v.coordinator,
+		"forecast_from": forecast.from, "reservation": v.outcome,
 	}).Info("pieces would be late")
 	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPiecesLate, retryAfter: v.RetryAfter}
 }
