--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// queueGrowth is the factor by which forecasts are exceeded while load rises, since
+	// QueueGrowth is the factor by which forecasts are exceeded while load rises, since
 	// queues grow while the request is in progress.
-	queueGrowth = 1.15
+	QueueGrowth = 1.15
 	// reserveFactor times the request's queueing time is reserved for each more urgent rank
 	// that uses the pool the request waits longest for.
 	reserveFactor = 1.0
@@ -69,7 +69,7 @@
 
 // Decide admits a request, or returns when it may be retried.
 func (g *Gate) Decide(a Request) Verdict {
-	needs := time.Duration(queueGrowth*float64(a.Timely)) + a.Answer
+	needs := time.Duration(QueueGrowth*float64(a.Timely)) + a.Answer
 	queues := max(a.Timely-a.MinTime, 0)
 	needs += time.Duration(reserveFactor * g.reserveWeight(&a) * float64(a.UrgentRanks) * float64(queues))
 	v := Verdict{NeededTime: needs}
@@ -91,6 +91,12 @@
 	g.shares[route] = own
 }
 
+// LeastTime returns the time to the target that admission requires if the request doesn't queue in one of
+// its pools, where it is predicted to queue for so long.
+func (a *Request) LeastTime(queue time.Duration) time.Duration {
+	return time.Duration(QueueGrowth*float64(max(a.Timely-queue, a.MinTime))) + a.Answer
+}
+
 // reserveWeight is the part of the reserve for more urgent routes that applies, from 0 to 1.
 //
 // Load pattern: a lasting overload, mostly of urgent requests. With the whole reserve, nothing
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -17,7 +17,9 @@
 type peerForecast struct {
 	from shed.VM
 	batch.Forecast
-	at time.Time
+	// promised is by how much reservations lengthen the queue in addition.
+	promised time.Duration
+	at       time.Time
 }
 
 // reportLoad sends peers this VM's load and the load reports that it forwards.
@@ -63,8 +65,8 @@
 
 // ownForecast forecasts the wait in one of these pools.
 func (r *Relay) ownForecast(now time.Time, pool *shed.RelayPool) shed.PieceWait {
-	f := r.predictWait(now, pool)
-	return shed.PieceWait{Pool: pool.ID, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate}
+	f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+	return shed.PieceWait{Pool: pool.ID, Timely: f.Timely, Last: f.Last, Slow: f.Slow, Rate: f.Rate, Promised: r.promised(now, pool.ID, f.Rate)}
 }
 
 // receiveLoad applies a peer's load report and the reports that it forwards.
@@ -135,7 +137,7 @@
 		return
 	}
 	r.mesh.forecasts[w.Pool] = peerForecast{
-		from: from, at: at, Forecast: batch.Forecast{Timely: w.Timely, Last: w.Last, Slow: w.Slow, Rate: w.Rate},
+		from: from, at: at, promised: w.Promised, Forecast: batch.Forecast{Timely: w.Timely, Last: w.Last, Slow: w.Slow, Rate: w.Rate},
 	}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -92,14 +92,14 @@
 // one less the time since.
 func (r *Relay) forecast(now time.Time, pool *shed.RelayPool) batch.Forecast {
 	if vm, _ := r.coordinator(now, pool.ID); vm == r.mesh.self.VM {
-		return r.predictWait(now, pool)
+		f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
+		return addWait(f, r.promised(now, pool.ID, f.Rate))
 	}
 	w, ok := r.mesh.forecasts[pool.ID]
 	if !ok {
 		return batch.Forecast{}
 	}
-	age := now.Sub(w.at)
-	return batch.Forecast{Timely: w.Timely - age, Last: w.Last - age, Slow: w.Slow, Rate: w.Rate}
+	return addWait(w.Forecast, r.peerPromised(w)-now.Sub(w.at))
 }
 
 // estimate picks the zone near which the pieces should run and predicts how long they take, and
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -45,28 +45,45 @@
 
 // decideSteps decides whether a request is admitted. If its own forecast is against it, or if there is no
 // recent one, the pool's coordinator is asked.
-func (r *Relay) decideSteps(ctx context.Context, j *job, request accept.Request, b bottleneck) verdict {
+func (r *Relay) decideSteps(ctx context.Context, j *job, p plan, request accept.Request, b bottleneck) verdict {
 	now := time.Now()
 	r.mu.Lock()
 	own := r.accept.Decide(request)
 	vm, ok := r.coordinator(now, b.pool)
-	ask := ok && r.prefs.Load().Relay.Enabled(prefs.Reservations) &&
-		(!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) && (vm == r.mesh.self.VM || r.asker.MayAsk(now, vm))
+	way := resv.WayNone
+	if ok && r.prefs.Load().Relay.Enabled(prefs.Reservations) && (!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) {
+		way = r.asker.Decide(now, vm)
+	}
 	client := r.client
 	r.mu.Unlock()
 	v := verdict{Verdict: own, coordinator: vm, outcome: resv.OutcomeLocal}
-	if !ask {
+	call := peers.ReserveCall{
+		Pool: b.pool, Request: j.requestRef(), Pieces: b.pieces, Rank: max(j.rank, 0),
+		ToTarget: request.ToTarget, ToDeadline: max(request.ToDeadline, 1), Needed: own.NeededTime, Queue: b.queue, Least: request.LeastTime(b.queue),
+	}
+	switch way {
+	case resv.WayNone:
+		return v
+	case resv.WayProbe:
+		call.Pieces = 0
+		r.work.Go(func() error {
+			r.requestReservation(r.base, client, vm, call)
+			return nil
+		})
 		return v
 	}
-	answer := r.requestReservation(ctx, client, vm, peers.ReserveCall{
-		Pool: b.pool, Request: j.requestRef(), Pieces: b.pieces, Rank: max(j.rank, 0),
-		ToTarget: request.ToTarget, ToDeadline: request.ToDeadline, Needed: own.NeededTime, Queue: b.queue,
-	})
+	answer := r.requestReservation(ctx, client, vm, call)
+	if !answer.Answered && !own.Admitted {
+		own = r.decideAlone(j, p)
+	}
 	v.Verdict, v.outcome = resv.Combine(own, answer)
 	r.log.WithFields(logrus.Fields{
 		"request": j.request.ID, "fingerprint": j.fingerprint, "pool": b.pool, "coordinator": vm, "granted": answer.Granted,
 		"wait_ms": answer.Wait.Milliseconds(), "reason": v.outcome, "took_ms": time.Since(now).Milliseconds(),
 	}).Info("reservation")
+	if answer.ToTarget > 0 {
+		j.target = time.Now().Add(min(answer.ToTarget, time.Until(j.deadline)))
+	}
 	if v.outcome == resv.OutcomeGranted && !own.Admitted {
 		r.mu.Lock()
 		r.accept.Granted(request.Route)
@@ -75,6 +92,17 @@
 	return v
 }
 
+// decideAlone decides on a request again after its coordinator gave no answer: by forecasts without the
+// reservations there, which are out of reach.
+func (r *Relay) decideAlone(j *job, p plan) accept.Verdict {
+	request, _, _ := r.estimate(j, p)
+	now := time.Now()
+	request.ToTarget, request.ToDeadline = j.target.Sub(now), j.deadline.Sub(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accept.Decide(request)
+}
+
 // isForecastFresh reports whether this VM knows how busy a pool is: by a recent forecast, or because its
 // coordinator reported lately, which names only pools in use. The caller holds mu.
 func (r *Relay) isForecastFresh(now time.Time, pool shed.PoolID, coordinator shed.VM) bool {
@@ -109,7 +137,7 @@
 	if !answered {
 		return resv.Answer{}
 	}
-	return resv.Answer{Answered: true, Granted: reply.Granted, Wait: reply.Wait}
+	return resv.Answer{Answered: true, Granted: reply.Granted, Wait: reply.Wait, ToTarget: reply.ToTarget}
 }
 
 // Reserve implements peers.RelayHandler.
@@ -117,6 +145,9 @@
 	if r.stopping.Load() || r.isReplaced() || !r.prefs.Load().Relay.Enabled(prefs.Reservations) {
 		return peers.ReserveReply{Moved: true}
 	}
+	if call.Pieces == 0 {
+		return peers.ReserveReply{}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -127,10 +158,10 @@
 	got := r.ledger(call.Pool).Reserve(now, r.poolLoad(now, pool, call.Pieces), resv.Request{
 		Fingerprint: call.Request.Request, Workspace: call.Request.Workspace, Pieces: call.Pieces,
 		Rank: call.Rank, UrgentRanks: r.ranksBefore(call.Rank, call.Pool),
-		ToTarget: call.ToTarget, ToDeadline: call.ToDeadline, Needed: call.Needed, Queue: call.Queue,
+		ToTarget: call.ToTarget, ToDeadline: call.ToDeadline, Needed: call.Needed, Queue: call.Queue, Least: call.Least,
 	})
 	r.stats.recordReservation(got)
-	return peers.ReserveReply{Granted: got.Granted, Wait: got.Wait}
+	return peers.ReserveReply{Granted: got.Granted, Wait: got.Wait, ToTarget: got.ToTarget}
 }
 
 // ledger returns the ledger of a pool. The caller holds mu.
@@ -163,15 +194,27 @@
 	return ranks
 }
 
-// predictWait is the batcher's forecast for a pool, with the promised pieces of the next second. VMs that
-// don't know what is promised would otherwise admit new requests in place of those that were promised
-// pieces. The caller holds mu.
-func (r *Relay) predictWait(now time.Time, pool *shed.RelayPool) batch.Forecast {
-	f := r.batcher.PredictWait(now, pool.ID, *pool.Batch)
-	if l := r.ledgers[pool.ID]; l != nil {
-		ahead := l.Ahead(now, f.Rate, math.MaxInt)
-		f.Timely, f.Last = f.Timely+ahead, f.Last+ahead
+// promised returns by how much the reservations of a pool that this VM coordinates lengthen its queue. VMs that
+// don't know of them would admit new requests in place of those that were promised pieces. The caller holds mu.
+func (r *Relay) promised(now time.Time, pool shed.PoolID, rate float64) time.Duration {
+	if l := r.ledgers[pool]; l != nil {
+		return l.Ahead(now, rate, math.MaxInt)
 	}
+	return 0
+}
+
+// peerPromised returns the same for a pool that a peer coordinates, unless this VM decides without it. The
+// caller holds mu.
+func (r *Relay) peerPromised(w peerForecast) time.Duration {
+	if r.prefs.Load().Relay.Enabled(prefs.Reservations) && r.asker.Answers(w.from) {
+		return w.promised
+	}
+	return 0
+}
+
+// addWait returns a forecast with a longer queue.
+func addWait(f batch.Forecast, wait time.Duration) batch.Forecast {
+	f.Timely, f.Last = f.Timely+wait, f.Last+wait
 	return f
 }
 
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -36,7 +36,7 @@
 		return r.refuseUnreachable(ctx, j, choice.UnreachableFor)
 	}
 	if j.sends == 0 {
-		if refused := r.admitSteps(ctx, j, request, busiest); refused != nil {
+		if refused := r.admitSteps(ctx, j, p, request, busiest); refused != nil {
 			return refused
 		}
 	}
@@ -143,10 +143,10 @@
 }
 
 // admitSteps refuses a request at once if its pieces would be late. It waits longest for the pool b.
-func (r *Relay) admitSteps(ctx context.Context, j *job, request accept.Request, b bottleneck) *refusal {
+func (r *Relay) admitSteps(ctx context.Context, j *job, p plan, request accept.Request, b bottleneck) *refusal {
 	now := time.Now()
 	request.ToTarget, request.ToDeadline = j.target.Sub(now), j.deadline.Sub(now)
-	v := r.decideSteps(ctx, j, request, b)
+	v := r.decideSteps(ctx, j, p, request, b)
 	j.predicted = request.Timely + request.Answer
 	if v.Admitted {
 		return nil
--- a/internal/resv/ask.go
+++ b/internal/resv/ask.go
@@ -12,40 +12,60 @@
 	Timeout = 100 * time.Millisecond
 	// MaxForecastAge is the age from which a VM's forecast no longer admits requests without a call.
 	MaxForecastAge = 2 * time.Second
-	// askAgainAfter is how long a coordinator that gave no answer is not asked. Otherwise each refusal
-	// would take as long as Timeout while it hangs.
-	askAgainAfter = time.Second
+	// probeInterval is how often a coordinator that gave no answer is probed. No request waits for it until
+	// it answers: otherwise each refusal would take as long as Timeout while it hangs.
+	probeInterval = 250 * time.Millisecond
 )
 
 // Asker decides for one VM which coordinators are asked. It is not safe for concurrent use.
 type Asker struct {
-	// silent are the coordinators that gave no answer, with the time from which each is asked again.
+	// silent are the coordinators that gave no answer, with the time from which each is probed.
 	silent map[shed.VM]time.Time
 }
 
 // NewAsker returns an Asker that asks all coordinators.
 func NewAsker() *Asker { return &Asker{silent: map[shed.VM]time.Time{}} }
 
-// MayAsk reports whether a coordinator is asked. Of one that gave no answer, one request asks at a time.
-func (a *Asker) MayAsk(now time.Time, vm shed.VM) bool {
-	again, ok := a.silent[vm]
-	if !ok {
-		return true
-	}
-	if now.Before(again) {
-		return false
+// Way is how a VM turns to a coordinator.
+type Way int
+
+// The ways of turning to a coordinator.
+const (
+	// WayNone: it is left alone.
+	WayNone Way = iota
+	// WayProbe: it gets a call without pieces, for whose answer no request waits.
+	WayProbe
+	// WayAsk: it is asked about the request.
+	WayAsk
+)
+
+// Decide decides how to turn to a coordinator.
+func (a *Asker) Decide(now time.Time, vm shed.VM) Way {
+	probeAt, silent := a.silent[vm]
+	switch {
+	case !silent:
+		return WayAsk
+	case now.Before(probeAt):
+		return WayNone
 	}
-	a.silent[vm] = now.Add(askAgainAfter)
-	return true
+	a.silent[vm] = now.Add(probeInterval)
+	return WayProbe
+}
+
+// Answers reports whether a coordinator answers, as far as is known. Promises of one that doesn't are not
+// counted: a caller's VM can't learn of them.
+func (a *Asker) Answers(vm shed.VM) bool {
+	_, silent := a.silent[vm]
+	return !silent
 }
 
 // Record records whether a coordinator answered.
 func (a *Asker) Record(now time.Time, vm shed.VM, answered bool) {
 	if answered {
 		delete(a.silent, vm)
-		return
+	} else if _, silent := a.silent[vm]; !silent {
+		a.silent[vm] = now.Add(probeInterval)
 	}
-	a.silent[vm] = now.Add(askAgainAfter)
 }
 
 // Outcome is what a coordinator's answer means for the VM that asked.
@@ -67,6 +87,8 @@
 	Granted  bool
 	// Wait is the time until the reservation; 0 if there is none.
 	Wait time.Duration
+	// ToTarget replaces the time to the target of a request that took its reservation.
+	ToTarget time.Duration
 }
 
 // Combine decides on a request by the VM's own verdict and the coordinator's answer.
--- a/internal/resv/resv.go
+++ b/internal/resv/resv.go
@@ -10,6 +10,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/accept"
 )
 
 const (
@@ -32,14 +33,27 @@
 	maxWaitFraction = 3
 	// lookAhead is how far ahead promised pieces count as pending.
 	lookAhead = time.Second
+	// spareShare is the part of the time to its target that a request doesn't need which it may spend
+	// waiting for a reservation: targets are measured from the first attempt. Replayed bursts without this
+	// bound used the pool less in time than without reservations.
+	spareShare = 0.5
+	// takenMargin is how much more time a request that took its reservation gets than it needs: with
+	// less, the batcher would reject its pieces as late.
+	takenMargin = 200 * time.Millisecond
+	// allowedQueue is the queue beside which pieces are promised. The pool first works off what is beyond:
+	// otherwise a long queue that a failure left behind stays, and all that is promised is late.
+	allowedQueue = 500 * time.Millisecond
 	// grantRetention is how long the pieces of a granted request count as pending if they don't arrive:
 	// by then, the VM's load report counts them as expected.
 	grantRetention = 500 * time.Millisecond
 	// shortQueue is the longest queueing time with which a request is granted that can't meet its
 	// target even with empty queues, as in package accept.
 	shortQueue = 700 * time.Millisecond
-	// queueGrowth is the factor by which forecasts are exceeded while load rises, as in package accept.
-	queueGrowth = 1.15
+	// idleQueue is the queue up to which a retry is granted whose target has passed.
+	idleQueue = 100 * time.Millisecond
+	// refusedRetention is how long a request that got no reservation is remembered. Callers retry after
+	// at most 1.5 s.
+	refusedRetention = 2 * time.Second
 	// MaxReservations bounds the reservations of a pool, at about 100 bytes each.
 	MaxReservations = 20_000
 )
@@ -67,9 +81,9 @@
 	Rank, UrgentRanks int
 	// ToTarget and ToDeadline are the times left until the target and the deadline of the answer.
 	ToTarget, ToDeadline time.Duration
-	// Needed is the time to the target that its VM requires, of which it expects Queue to be spent
-	// queueing in the pool.
-	Needed, Queue time.Duration
+	// Needed is the time to the target that its VM requires, if it queues in the pool for Queue; Least
+	// is that time with an empty queue.
+	Needed, Queue, Least time.Duration
 }
 
 // Load is the coordinator's own forecast for the pool.
@@ -86,6 +100,9 @@
 	Granted bool
 	// Taken: it was granted because its reservation was due.
 	Taken bool
+	// ToTarget is the time left until the target of a request that took its reservation, measured from
+	// its first attempt, or at least the time that it needs.
+	ToTarget time.Duration
 	// Promised: the reservation is a new one.
 	Promised bool
 	Wait     time.Duration
@@ -97,6 +114,7 @@
 	entries map[shed.Fingerprint]entry
 	slots   slots
 	grants  grants
+	refused refused
 	// noShows is the moving share of reservations that weren't taken.
 	noShows float64
 	// lastBelow is the latest time promised to a workspace that was not above its share.
@@ -105,7 +123,9 @@
 
 // entry is a promised reservation.
 type entry struct {
-	due    time.Time
+	due time.Time
+	// target is the target as measured from the attempt that got the reservation.
+	target time.Time
 	pieces int
 	rank   int
 }
@@ -114,7 +134,7 @@
 func New(cfg Config) *Ledger {
 	return &Ledger{
 		cfg: cfg, entries: map[shed.Fingerprint]entry{}, slots: slots{at: map[int64]*slot{}},
-		grants: grants{pieces: map[shed.Fingerprint]int{}},
+		grants: grants{pieces: map[shed.Fingerprint]int{}}, refused: refused{targets: map[shed.Fingerprint]time.Time{}},
 	}
 }
 
@@ -126,17 +146,23 @@
 		case wait <= earlyBy && wait >= -lateBy:
 			l.take(a.Fingerprint, e)
 			l.grants.add(now, a.Fingerprint, a.Pieces)
-			return Decision{Granted: true, Taken: true}
+			return Decision{Granted: true, Taken: true, ToTarget: max(e.target.Sub(now), a.Least+takenMargin)}
 		case wait > 0:
 			// A caller that comes too early keeps its time.
 			return Decision{Wait: wait}
 		}
 	}
+	if l.refused.isLate(now, a) && load.Queue+l.Ahead(now, load.Rate, a.Rank) > idleQueue {
+		return Decision{}
+	}
 	if l.isInTime(now, load, a) && !(over && l.lastBelow.After(now)) {
 		l.grants.add(now, a.Fingerprint, a.Pieces)
 		return Decision{Granted: true}
 	}
 	wait := l.promise(now, load, a, over)
+	if wait == 0 {
+		l.refused.add(now, a)
+	}
 	return Decision{Promised: wait > 0, Wait: wait}
 }
 
@@ -146,19 +172,30 @@
 		return false
 	}
 	queue := load.Queue + l.Ahead(now, load.Rate, a.Rank)
-	needed := a.Needed + scale(queue-a.Queue, queueGrowth)
-	if a.leastTime() > a.ToTarget {
+	needed := a.needed(queue)
+	if a.Least > a.ToTarget {
 		return queue <= shortQueue && needed <= a.ToDeadline
 	}
 	return needed <= a.ToTarget
 }
 
-// leastTime is the time that the request needs if it doesn't queue in the pool.
-func (a *Request) leastTime() time.Duration { return max(a.Needed-scale(a.Queue, queueGrowth), 0) }
+// needed is the time to the target that the request requires if it queues in the pool for some time. As at its
+// VM, that includes the growth of queues and the reserve for more urgent ranks.
+func (a *Request) needed(queue time.Duration) time.Duration {
+	factor := accept.QueueGrowth
+	if a.Queue > 0 {
+		factor = max(float64(a.Needed-a.Least)/float64(a.Queue), factor)
+	}
+	return a.Least + scale(queue, factor)
+}
 
-// maxWait is how long the request can wait for its reservation.
+// maxWait is how long the request can wait for its reservation. One that can be in time must be so with it.
 func (a *Request) maxWait() time.Duration {
-	return min(a.ToDeadline/maxWaitFraction, a.ToDeadline-a.leastTime())
+	wait := min(a.ToDeadline/maxWaitFraction, a.ToDeadline-a.Least)
+	if spare := a.ToTarget - a.Least; spare > 0 {
+		wait = min(wait, scale(spare, spareShare))
+	}
+	return wait
 }
 
 // promise promises the earliest free reservation and returns the time until then; 0 if there is none that
@@ -169,15 +206,16 @@
 	}
 	share := promisedShare * (1 + min(l.noShows, maxNoShowRaise))
 	share *= 1 - urgentReserve*float64(min(a.UrgentRanks, maxUrgentRanks))
-	from := now.Add(minWait)
+	from := now.Add(max(minWait, load.Queue-allowedQueue))
 	if over {
 		from = shed.Later(from, l.lastBelow)
 	}
-	due, ok := l.slots.reserve(from, now.Add(a.maxWait()), float64(a.Pieces), share*load.Rate)
+	due, last, ok := l.slots.find(from, now.Add(a.maxWait()), float64(a.Pieces), share*load.Rate)
 	if !ok {
 		return 0
 	}
-	l.entries[a.Fingerprint] = entry{due: due, pieces: a.Pieces, rank: a.Rank}
+	l.slots.use(from, last, float64(a.Pieces), share*load.Rate)
+	l.entries[a.Fingerprint] = entry{due: due, target: now.Add(a.ToTarget), pieces: a.Pieces, rank: a.Rank}
 	l.slots.add(due, a.Fingerprint, a.Rank, a.Pieces)
 	if !over {
 		l.lastBelow = shed.Later(l.lastBelow, due)
@@ -217,6 +255,7 @@
 		}
 	}
 	l.grants.pending(now)
+	l.refused.expire(now)
 	return n
 }
 
--- a/internal/resv/slots.go
+++ b/internal/resv/slots.go
@@ -48,12 +48,12 @@
 	return s.at[at]
 }
 
-// reserve finds the earliest time between from and until at which a number of pieces is free, if rate pieces
-// per second may be promised, and marks them as used.
-func (s *slots) reserve(from, until time.Time, pieces, rate float64) (time.Time, bool) {
+// find returns the earliest time between from and until at which a number of pieces is free, if rate pieces
+// per second may be promised, and the last slot that they use.
+func (s *slots) find(from, until time.Time, pieces, rate float64) (due time.Time, last int64, ok bool) {
 	perSlot := rate * slotWidth.Seconds()
-	left, first := pieces, slotOf(from)
-	for at := first; startOf(at).Before(until); at++ {
+	left := pieces
+	for at := slotOf(from); startOf(at).Before(until); at++ {
 		used := 0.0
 		if sl := s.at[at]; sl != nil {
 			used = sl.used
@@ -64,18 +64,15 @@
 		// The pieces are complete at the slot's end, less what remains free of it.
 		end := startOf(at + 1).Add(-scale(slotWidth, -left/perSlot))
 		due := shed.Later(from, end.Add(-scale(time.Second, pieces/rate)))
-		if due.After(until) {
-			return time.Time{}, false
-		}
-		s.use(first, at, pieces, perSlot)
-		return due, true
+		return due, at, !due.After(until)
 	}
-	return time.Time{}, false
+	return time.Time{}, 0, false
 }
 
-// use marks pieces as used in the free parts of the slots from first to last.
-func (s *slots) use(first, last int64, pieces, perSlot float64) {
-	for at := first; at <= last; at++ {
+// use marks pieces as used in the free parts of the slots from a time to the slot last.
+func (s *slots) use(from time.Time, last int64, pieces, rate float64) {
+	perSlot := rate * slotWidth.Seconds()
+	for at := slotOf(from); at <= last; at++ {
 		sl := s.get(at)
 		n := min(max(perSlot-sl.used, 0), pieces)
 		sl.used += n
@@ -137,12 +134,12 @@
 // grants counts the pieces of granted requests that haven't arrived.
 type grants struct {
 	pieces map[shed.Fingerprint]int
-	queue  []grant
+	queue  []moment
 	total  int
 }
 
-// grant is one granted request.
-type grant struct {
+// moment is when a request was decided on.
+type moment struct {
 	fingerprint shed.Fingerprint
 	at          time.Time
 }
@@ -150,7 +147,7 @@
 func (g *grants) add(now time.Time, f shed.Fingerprint, pieces int) {
 	g.pieces[f] += pieces
 	g.total += pieces
-	g.queue = append(g.queue, grant{fingerprint: f, at: now})
+	g.queue = append(g.queue, moment{fingerprint: f, at: now})
 }
 
 func (g *grants) remove(f shed.Fingerprint) {
@@ -166,3 +163,31 @@
 	}
 	return g.total
 }
+
+// refused remembers the targets of requests that got no reservation, as measured from their first attempt. A
+// retry that can't meet it would take the place of a request that can be in time.
+type refused struct {
+	targets map[shed.Fingerprint]time.Time
+	queue   []moment
+}
+
+func (r *refused) add(now time.Time, a Request) {
+	if _, ok := r.targets[a.Fingerprint]; ok || len(r.targets) >= MaxReservations {
+		return
+	}
+	r.targets[a.Fingerprint] = now.Add(a.ToTarget)
+	r.queue = append(r.queue, moment{fingerprint: a.Fingerprint, at: now})
+}
+
+// isLate reports whether a request is a retry that can't meet its target.
+func (r *refused) isLate(now time.Time, a Request) bool {
+	target, ok := r.targets[a.Fingerprint]
+	return ok && now.Add(a.Least).After(target)
+}
+
+func (r *refused) expire(now time.Time) {
+	for len(r.queue) > 0 && now.Sub(r.queue[0].at) > refusedRetention {
+		delete(r.targets, r.queue[0].fingerprint)
+		r.queue = r.queue[1:]
+	}
+}
--- a/message.go
+++ b/message.go
@@ -212,6 +212,8 @@
 	FreeBytes    int64   `cbor:"6,keyasint,omitempty"`
 	PendingBytes int64   `cbor:"7,keyasint,omitempty"`
 	ByteRate     float64 `cbor:"8,keyasint,omitempty"`
+	// Promised is by how much reservations lengthen the queue, which Timely and Last don't include.
+	Promised time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // PromptPlaced reports that a server processes a prompt; Chain holds the hashes of
