--- a/internal/resv/resv.go
+++ b/internal/resv/resv.go
@@ -155,7 +155,8 @@
 	if l.refused.isLate(now, a) && load.Queue+l.Ahead(now, load.Rate, a.Rank) > idleQueue {
 		return Decision{}
 	}
-	if l.isInTime(now, load, a) && !(over && l.lastBelow.After(now)) {
+	othersWait := l.lastBelow.After(now)
+	if l.isInTime(now, load, a) && (!over || !othersWait) {
 		l.grants.add(now, a.Fingerprint, a.Pieces)
 		return Decision{Granted: true}
 	}
