--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -17,7 +17,9 @@
 type peerForecast struct {
 	from shed.VM
 	batch.Forecast
-	at time.Time
+	// promised is by how much reservations lengthen the queue in addition.
+	promised time.Duration
+	at       time.Time
 }
 
 // reportLoad sends peers this VM's load and the load reports that it forwards.
@@ -66,7 +68,9 @@
 func (r *Relay) ownForecast(now time.Time, pool *shed.RelayPool) shed.PieceWait {
 	f := r.batcher.PredictWait(now, pool.ID, r.batchLimits(pool))
 	r.stats.recordRoom(pool.ID, f.Room, r.batcher.MeanStay(pool.ID))
-	return f.Wait(pool.ID)
+	w := f.Wait(pool.ID)
+	w.Promised = r.promised(now, pool.ID, f.Rate)
+	return w
 }
 
 // receiveLoad applies a peer's load report and the reports that it forwards.
@@ -137,7 +141,7 @@
 	if old := r.mesh.forecasts[w.Pool]; old.from == from && old.at.After(at) {
 		return
 	}
-	r.mesh.forecasts[w.Pool] = peerForecast{from: from, at: at, Forecast: batch.NewForecast(w)}
+	r.mesh.forecasts[w.Pool] = peerForecast{from: from, at: at, promised: w.Promised, Forecast: batch.NewForecast(w)}
 }
 
 func (r *Relay) receiveHeldBytes(now time.Time, from shed.VM, held map[shed.ServerID]int64) {
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -73,6 +73,15 @@
 	f.ByteRate += rate + released
 }
 
+// LimitRate returns the rate at which the pool produces pieces with results of the given size if its calls
+// alone allow rate pieces per second.
+func (f Forecast) LimitRate(rate float64, l shed.BatchLimits, result int64) float64 {
+	if f.ByteRate <= 0 || result <= 0 || 2*result < l.LargestResult {
+		return rate
+	}
+	return min(rate, f.ByteRate/float64(result))
+}
+
 // Wait predicts how long pieces with results of the given size wait for capacity, behind the pending
 // pieces and expectedBytes of pieces that are still to come.
 //
