--- a/internal/batch/survey.go
+++ b/internal/batch/survey.go
@@ -13,7 +13,7 @@
 func (b *Batcher) beginCoordination(now time.Time, g *group, limits shed.BatchLimits) {
 	last := g.lastJob
 	g.limits, g.lastJob = limits, now
-	if last.IsZero() || now.Sub(last) <= limits.ResultRetention || !room.NeedsSurvey(limits) {
+	if last.IsZero() || now.Sub(last) <= limits.ResultRetention || !room.CanBind(limits) {
 		return
 	}
 	servers := b.poolServers(now, g.pool)
@@ -33,7 +33,7 @@
 
 // survey has a server asked for its free capacity, unless it was or the capacity can't bind.
 func (b *Batcher) survey(now time.Time, out []Action, g *group, s server) []Action {
-	if !room.NeedsSurvey(g.limits) || !s.producer.capacity.NeedsSurvey() {
+	if !room.CanBind(g.limits) || !s.producer.capacity.NeedsSurvey() {
 		return out
 	}
 	s.producer.capacity.BeginSurvey(now)
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -20,26 +20,17 @@
 	// bindingCalls: the capacity can limit a pool if it is less than this many full calls of the
 	// largest result.
 	bindingCalls = 2
-	// fillingCalls: results that nobody frees can fill a server if its capacity is less than this many
-	// full calls of the largest result. After a restart of all VMs, servers with capacity for 2.6 calls
-	// refused half of the pieces for 2 s.
-	fillingCalls = 4
 )
 
 // Usable returns how many bytes of results are placed on one server.
 func Usable(l shed.BatchLimits) int64 { return int64(float64(l.ResultCapacity) * usableShare) }
 
 // CanBind reports whether the capacity for results can limit the pool's throughput.
-func CanBind(l shed.BatchLimits) bool { return holdsLess(l, bindingCalls) }
-
-// NeedsSurvey reports whether a new coordinator has to know what the pool's servers already hold.
-func NeedsSurvey(l shed.BatchLimits) bool { return holdsLess(l, fillingCalls) }
-
-// holdsLess reports whether a server has capacity for less than so many full calls of the largest result.
-func holdsLess(l shed.BatchLimits, calls int64) bool {
-	return l.ResultCapacity > 0 && Usable(l) < calls*int64(l.MaxPieces)*l.LargestResult
+func CanBind(l shed.BatchLimits) bool {
+	return l.ResultCapacity > 0 && Usable(l) < bindingCalls*int64(l.MaxPieces)*l.LargestResult
 }
 
+
 // Forecast predicts the capacity for results of a pool; its zero value means that the capacity can't
 // bind or isn't known.
 type Forecast struct {
