--- a/crash.go
+++ b/crash.go
@@ -14,10 +14,12 @@
 // MarshalText implements encoding.TextMarshaler, for logs.
 func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
 
-// RequestRef identifies the request of a piece when servers crash while running it.
+// RequestRef identifies the request of pieces, when servers crash while running them and when they queue.
 type RequestRef struct {
 	Request   Fingerprint `cbor:"1,keyasint"`
 	Workspace WorkspaceID `cbor:"2,keyasint,omitempty"`
+	// Rank is the request's priority; 0 is the most urgent.
+	Rank int `cbor:"3,keyasint,omitempty"`
 }
 
 // ServerStart identifies one start of a backend server.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -139,7 +139,7 @@
 
 // requestRef identifies the request when servers crash while running it.
 func (j *job) requestRef() shed.RequestRef {
-	return shed.RequestRef{Request: j.fingerprint, Workspace: j.workspace}
+	return shed.RequestRef{Request: j.fingerprint, Workspace: j.workspace, Rank: max(j.rank, 0)}
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,7 @@
 	"jasmineshed/internal/resv"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
+	"jasmineshed/internal/share"
 	"jasmineshed/internal/speed"
 	"jasmineshed/internal/telem"
 	"jasmineshed/internal/turns"
@@ -116,7 +117,9 @@
 	permitWaiters map[permit.ID]chan struct{}
 	// ledgers are the reservations of the pools that this VM coordinates, asker decides which other
 	// coordinators are asked for them.
-	ledgers      map[shed.PoolID]*resv.Ledger
+	ledgers map[shed.PoolID]*resv.Ledger
+	// shares are the demands of workspaces for the pools with a ledger.
+	shares       map[shed.PoolID]*share.Table
 	asker        *resv.Asker
 	paths        paths
 	retryBudgets map[shed.PoolID]*retry.Budget
@@ -170,6 +173,7 @@
 		retryBudgets:  map[shed.PoolID]*retry.Budget{},
 		entries:       map[shed.PoolID][]shed.ServerEntry{},
 		ledgers:       map[shed.PoolID]*resv.Ledger{},
+		shares:        map[shed.PoolID]*share.Table{},
 		asker:         resv.NewAsker(),
 		jobs:          map[batch.JobID]chan []shed.PieceResult{},
 		permitWaiters: map[permit.ID]chan struct{}{},
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -10,8 +10,8 @@
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
 	"jasmineshed/internal/peers"
-	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/resv"
+	"jasmineshed/internal/share"
 
 	"github.com/sirupsen/logrus"
 )
@@ -54,7 +54,7 @@
 	own := r.accept.Decide(request)
 	vm, ok := r.coordinator(now, b.pool)
 	way := resv.WayNone
-	if ok && r.prefs.Load().Relay.Enabled(prefs.Reservations) && (!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) {
+	if ok && r.prefs.Load().Relay.Reservations && (!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) {
 		way = r.asker.Decide(now, vm)
 	}
 	client := r.client
@@ -146,7 +146,7 @@
 
 // Reserve implements peers.RelayHandler.
 func (r *Relay) Reserve(call peers.ReserveCall) peers.ReserveReply {
-	if r.stopping.Load() || r.isReplaced() || !r.prefs.Load().Relay.Enabled(prefs.Reservations) {
+	if r.stopping.Load() || r.isReplaced() || !r.prefs.Load().Relay.Reservations {
 		return peers.ReserveReply{Moved: true}
 	}
 	if call.Pieces == 0 {
@@ -159,7 +159,10 @@
 	if !pool.RunsPieces() {
 		return peers.ReserveReply{Moved: true}
 	}
-	got := r.ledger(call.Pool).Reserve(now, r.poolLoad(now, pool, call), resv.Request{
+	l, load := r.ledger(call.Pool), r.poolLoad(now, pool, call)
+	r.shares[call.Pool].SetRate(load.Rate)
+	r.shares[call.Pool].Observe(now, call.Request.Workspace, call.Rank, call.Pieces)
+	got := l.Reserve(now, load, resv.Request{
 		Fingerprint: call.Request.Request, Workspace: call.Request.Workspace, Pieces: call.Pieces,
 		Rank: call.Rank, UrgentRanks: r.ranksBefore(call.Rank, call.Pool),
 		ToTarget: call.ToTarget, ToDeadline: call.ToDeadline, Needed: call.Needed, Queue: call.Queue, Least: call.Least,
@@ -172,8 +175,9 @@
 func (r *Relay) ledger(pool shed.PoolID) *resv.Ledger {
 	l := r.ledgers[pool]
 	if l == nil {
-		l = resv.New(resv.Config{})
-		r.ledgers[pool] = l
+		shares := share.New()
+		l = resv.New(resv.Config{Shares: shares})
+		r.ledgers[pool], r.shares[pool] = l, shares
 	}
 	return l
 }
@@ -212,7 +216,7 @@
 // peerPromised returns the same for a pool that a peer coordinates, unless this VM decides without it. The
 // caller holds mu.
 func (r *Relay) peerPromised(w peerForecast) time.Duration {
-	if r.prefs.Load().Relay.Enabled(prefs.Reservations) && r.asker.Answers(w.from) {
+	if r.prefs.Load().Relay.Reservations && r.asker.Answers(w.from) {
 		return w.promised
 	}
 	return 0
@@ -230,9 +234,13 @@
 	if l == nil || len(pieces) == 0 {
 		return
 	}
-	if l.Arrived(pieces[0].Origin.Request) {
+	known, taken := l.Arrived(pieces[0].Origin.Request)
+	if taken {
 		r.stats.reservationsTaken.Inc(1)
 	}
+	if ref := pieces[0].Origin; !known {
+		r.shares[pool].Observe(time.Now(), ref.Workspace, ref.Rank, len(pieces))
+	}
 }
 
 // tickReservations drops reservations that weren't taken, and the ledgers of pools that are no longer in the
@@ -242,6 +250,7 @@
 		r.stats.reservationsNotTaken.Inc(int64(l.Expire(now)))
 		if !r.pool(id).RunsPieces() {
 			delete(r.ledgers, id)
+			delete(r.shares, id)
 		}
 	}
 }
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -228,7 +228,7 @@
 			Request: j.request.ID, Step: s.Index, Number: n, Inputs: inputs, Bytes: s.ResultBytes,
 			Budget: j.deadline.Sub(now) - after, Target: r.timeToTarget(j, now) - after,
 			PreferredZone: preferred, SameZone: p.fetchedBytes(at) >= largeResultBytes,
-			Origin: shed.RequestRef{Request: j.fingerprint, Workspace: j.workspace},
+			Origin: j.requestRef(),
 		}
 		if len(inputs) == 0 {
 			pieces[n].Key = j.request.PieceKey
--- a/internal/resv/replay_test.go
+++ b/internal/resv/replay_test.go
@@ -483,7 +483,7 @@
 				done(a.Results)
 			}
 		case batch.Free:
-			r.perform(co, co.batcher.Handle(r.now, batch.FreeEnded(a)))
+			r.perform(co, co.batcher.Handle(r.now, batch.FreeEnded{Refs: a.Refs}))
 		}
 	}
 }
--- a/internal/resv/resv.go
+++ b/internal/resv/resv.go
@@ -60,8 +60,8 @@
 
 // Shares tells which workspaces ask for more than their share of the pool.
 type Shares interface {
-	// Over reports whether the workspace asks for more than its share now.
-	Over(now time.Time, ws shed.WorkspaceID) bool
+	// OverAt reports whether the workspace asks for more than its share now, for requests of a rank.
+	OverAt(now time.Time, ws shed.WorkspaceID, rank int) bool
 }
 
 // Config configures a Ledger.
@@ -140,7 +140,7 @@
 
 // Reserve admits a request, or promises it a reservation if there is one that it can use.
 func (l *Ledger) Reserve(now time.Time, load Load, a Request) Decision {
-	over := l.cfg.Shares != nil && l.cfg.Shares.Over(now, a.Workspace)
+	over := l.cfg.Shares != nil && l.cfg.Shares.OverAt(now, a.Workspace, a.Rank)
 	if e, ok := l.entries[a.Fingerprint]; ok {
 		switch wait := e.due.Sub(now); {
 		case wait <= earlyBy && wait >= -lateBy:
@@ -235,14 +235,16 @@
 }
 
 // Arrived records that pieces of a request were queued: a grant no longer counts in addition to them, and a
-// reservation is taken even if the VM admitted the request without asking. It reports the latter.
-func (l *Ledger) Arrived(f shed.Fingerprint) (taken bool) {
+// reservation is taken even if the VM admitted the request without asking. It reports the latter, and whether
+// the ledger knew the request.
+func (l *Ledger) Arrived(f shed.Fingerprint) (known, taken bool) {
+	_, known = l.grants.pieces[f]
 	l.grants.remove(f)
-	e, ok := l.entries[f]
-	if ok {
+	e, taken := l.entries[f]
+	if taken {
 		l.take(f, e)
 	}
-	return ok
+	return known || taken, taken
 }
 
 // Expire drops reservations that weren't taken, and returns their number.
--- a/internal/resv/resv_test.go
+++ b/internal/resv/resv_test.go
@@ -123,7 +123,8 @@
 	require.Zero(t, l.Ahead(start, busy.Rate, 0))
 	require.Equal(t, 400*ms, l.Ahead(start, busy.Rate, 1))
 	require.Equal(t, 400*ms, l.Ahead(start, busy.Rate, 2))
-	require.True(t, l.Arrived(fingerprint(0)), "a VM admitted it without asking")
+	_, taken := l.Arrived(fingerprint(0))
+	require.True(t, taken, "a VM admitted it without asking")
 	require.Equal(t, 360*ms, l.Ahead(start, busy.Rate, 1))
 }
 
@@ -143,7 +144,9 @@
 		}
 	}
 	require.Equal(t, 15, n, "575 ms of 4 pieces at 100 a second")
-	require.False(t, l.Arrived(fingerprint(0)), "it had no reservation")
+	known, taken := l.Arrived(fingerprint(0))
+	require.True(t, known)
+	require.False(t, taken, "it had no reservation")
 	require.Equal(t, 560*ms, l.Ahead(start, 100, 0))
 	require.True(t, ask(start.Add(600*ms), 100), "grants whose pieces never arrive expire")
 	require.Equal(t, 40*ms, l.Ahead(start.Add(600*ms), 100, 0))
@@ -181,7 +184,9 @@
 // greedy is the workspace that asks for more than its share.
 type greedy shed.WorkspaceID
 
-func (g greedy) Over(_ time.Time, ws shed.WorkspaceID) bool { return ws == shed.WorkspaceID(g) }
+func (g greedy) OverAt(_ time.Time, ws shed.WorkspaceID, _ int) bool {
+	return ws == shed.WorkspaceID(g)
+}
 
 // A workspace above its share takes the early times of the others, or new requests of it are admitted while
 // others wait.
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -30,7 +30,6 @@
 	return l.ResultCapacity > 0 && Usable(l) < bindingCalls*int64(l.MaxPieces)*l.LargestResult
 }
 
-
 // Forecast predicts the capacity for results of a pool; its zero value means that the capacity can't
 // bind or isn't known.
 type Forecast struct {
