--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -101,3 +101,16 @@
 		require.InDelta(t, 1/(slowness*slowness)/weights, float64(n)/prefixes, 0.02, "slowness %v", slowness)
 	}
 }
+
+// BenchmarkChoose measures what a choice among all engines of a large pool costs each request.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{140, 2500} {
+		of := engines(n)
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				choose(uint64(i), of)
+			}
+		})
+	}
+}
