Review of the new parts: retention by size of the fleet, subsets without engines that can't be chosen

Found by reading, no failure was seen: - Samples of work times counted for 30 s, but with 2,500 engines one comes every 50 s: estimates would have jumped between one reading and 1. They count for as long as the fleet takes for five of each. - A subset whose engines rest or can't be reached left all VMs to choose by load again. - Results that expired at closed servers raised the mean stay, and with it refusals. - A forecast's pending bytes fell below zero with its age. - Reservations: a VM that doesn't coordinate the pool, or reaches none of its servers, leaves the decision to the VM that asks; switched off by a reload, promises are dropped; a wait that the caller doesn't have isn't given.

--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -100,7 +100,10 @@
 		return
 	}
 	delete(b.held, ref)
-	h.group.stay.Add(now.Sub(h.since))
+	if now.Before(h.expires) {
+		// Others were never freed, as at a server that closes, and say nothing about how long results stay.
+		h.group.stay.Add(now.Sub(h.since))
+	}
 	if m := b.producers[h.server]; m != nil {
 		m.capacity.Release(h.bytes)
 	}
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	shed "jasmineshed"
@@ -125,7 +126,11 @@
 		return
 	}
 	s.subset = subset.Choose(s.chain[len(s.chain)-1], len(s.servers), func(i int) subset.Engine {
-		return subset.Engine{ID: s.servers[i].ID, Slowness: s.slowness(s.servers[i])}
+		e := subset.Engine{ID: s.servers[i].ID, Slowness: s.slowness(s.servers[i])}
+		if _, ok := s.access(s.servers[i], s.states[i]); !ok || avoided(s.request.Avoid, e.ID) {
+			e.Slowness = math.Inf(1)
+		}
+		return e
 	})
 }
 
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -167,6 +167,7 @@
 				r.picker.RemovePeer(a.Peer)
 				r.setPeerExpected(a.Peer, nil, nil)
 				r.mesh.pulse.Forget(a.Peer)
+				r.asker.Forget(a.Peer)
 				delete(r.paths.carriers.isolated, a.Peer)
 				delete(r.paths.carriers.backoffUntil, a.Peer)
 				r.handleFollowEvent(time.Now(), follow.PeerDied{VM: a.Peer})
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -10,6 +10,7 @@
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
 	"jasmineshed/internal/peers"
+	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/resv"
 	"jasmineshed/internal/share"
 
@@ -156,10 +157,14 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	pool := r.pool(call.Pool)
-	if !pool.RunsPieces() {
+	if vm, ok := r.coordinator(now, call.Pool); !ok || vm != r.mesh.self.VM || !pool.RunsPieces() {
 		return peers.ReserveReply{Moved: true}
 	}
 	l, load := r.ledger(call.Pool), r.poolLoad(now, pool, call)
+	if load.Rate <= 0 {
+		// This VM reaches no server of the pool, the one that asks may.
+		return peers.ReserveReply{Moved: true}
+	}
 	r.shares[call.Pool].SetRate(load.Rate)
 	r.shares[call.Pool].Observe(now, call.Request.Workspace, call.Rank, call.Pieces)
 	got := l.Reserve(now, load, resv.Request{
@@ -196,8 +201,7 @@
 
 // ranksBefore returns how many more urgent ranks use a pool, by the ranks of the routes. The caller holds mu.
 func (r *Relay) ranksBefore(rank int, pool shed.PoolID) int {
-	c := r.roster.Catalog()
-	if c == nil {
+	if r.roster.Catalog() == nil || !r.prefs.Load().Relay.Enabled(prefs.UrgentReserve) {
 		return 0
 	}
 	_, ranks := r.moreUrgentRoutes(&shed.Route{Rank: rank}, pool)
@@ -246,9 +250,10 @@
 // tickReservations drops reservations that weren't taken, and the ledgers of pools that are no longer in the
 // configuration. The caller holds mu.
 func (r *Relay) tickReservations(now time.Time) {
+	enabled := r.prefs.Load().Relay.Reservations
 	for id, l := range r.ledgers {
 		r.stats.reservationsNotTaken.Inc(int64(l.Expire(now)))
-		if !r.pool(id).RunsPieces() {
+		if !enabled || !r.pool(id).RunsPieces() {
 			delete(r.ledgers, id)
 			delete(r.shares, id)
 		}
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -76,8 +76,8 @@
 	return errors.Is(err, errServerClosed) || errors.Is(err, errServerRests)
 }
 
-// receiveStatements applies what an answer says about its server: a rate limit, how long work takes
-// there, that it leaves, or that it wants rest. An answer of another server at the same address says nothing about it.
+// receiveStatements applies what an answer says about its server: a rate limit, how long work takes there,
+// that it leaves, or that it wants rest. An answer of another server at the same address says nothing about it.
 func (r *Relay) receiveStatements(e *exchange, reply shed.ReplyHead, sentAt time.Time) {
 	s := e.server
 	if reply.OtherServer {
--- a/internal/relay/subset.go
+++ b/internal/relay/subset.go
@@ -13,7 +13,7 @@
 		return
 	}
 	fastCopies := picker.IsFastFetch(w.FetchRate)
-	w.Subset = fastCopies || !r.speeds.Empty()
+	w.Subset = fastCopies || w.Slowness != nil && !r.speeds.Empty()
 	if fastCopies {
 		w.MinFetchCost = picker.DefaultMinFetchCost
 	}
--- a/internal/resv/ask.go
+++ b/internal/resv/ask.go
@@ -26,12 +26,12 @@
 // NewAsker returns an Asker that asks all coordinators.
 func NewAsker() *Asker { return &Asker{silent: map[shed.VM]time.Time{}} }
 
-// Way is how a VM turns to a coordinator.
+// Way is whether and how a VM calls a coordinator.
 type Way int
 
-// The ways of turning to a coordinator.
+// The ways to call a coordinator.
 const (
-	// WayNone: it is left alone.
+	// WayNone: it isn't called.
 	WayNone Way = iota
 	// WayProbe: it gets a call without pieces, for whose answer no request waits.
 	WayProbe
@@ -39,7 +39,7 @@
 	WayAsk
 )
 
-// Decide decides how to turn to a coordinator.
+// Decide decides whether and how to call a coordinator.
 func (a *Asker) Decide(now time.Time, vm shed.VM) Way {
 	probeAt, silent := a.silent[vm]
 	switch {
@@ -68,6 +68,9 @@
 	}
 }
 
+// Forget forgets a VM that has ended.
+func (a *Asker) Forget(vm shed.VM) { delete(a.silent, vm) }
+
 // Outcome is what a coordinator's answer means for the VM that asked.
 type Outcome string
 
--- a/internal/resv/resv.go
+++ b/internal/resv/resv.go
@@ -147,6 +147,9 @@
 			l.take(a.Fingerprint, e)
 			l.grants.add(now, a.Fingerprint, a.Pieces)
 			return Decision{Granted: true, Taken: true, ToTarget: max(e.target.Sub(now), a.Least+takenMargin)}
+		case wait > a.ToDeadline/maxWaitFraction:
+			// An equal request with less time left.
+			return Decision{}
 		case wait > 0:
 			// A caller that comes too early keeps its time.
 			return Decision{Wait: wait}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -33,8 +33,8 @@
 // Forecast predicts the capacity for results of a pool; its zero value means that the capacity can't
 // bind or isn't known.
 type Forecast struct {
-	// FreeBytes is the free capacity beyond what is released during calls, PendingBytes the size of the results of pending pieces that
-	// can still meet their target.
+	// FreeBytes is the free capacity beyond what is released during calls, PendingBytes the size of the
+	// results of pending pieces that can still meet their target.
 	FreeBytes, PendingBytes int64
 	// ByteRate is how many bytes of results per second the pool has capacity for; 0 if unknown.
 	ByteRate float64
@@ -42,7 +42,7 @@
 
 // After returns the forecast at a later time if no further pieces arrive.
 func (f Forecast) After(d time.Duration) Forecast {
-	f.PendingBytes -= int64(f.ByteRate * d.Seconds())
+	f.PendingBytes = max(f.PendingBytes-int64(f.ByteRate*d.Seconds()), 0)
 	return f
 }
 
--- a/internal/room/server.go
+++ b/internal/room/server.go
@@ -31,7 +31,7 @@
 
 // left is the size of a claim that decreases linearly, since results expire one after the other.
 func (c claim) left(now time.Time) int64 {
-	if c.bytes == 0 {
+	if c.bytes == 0 || !now.Before(c.until) {
 		return 0
 	}
 	share := 1 - float64(now.Sub(c.from))/float64(c.until.Sub(c.from))
--- a/internal/speed/server.go
+++ b/internal/speed/server.go
@@ -17,13 +17,15 @@
 	// repeatSpacing is the least time between two samples with the same figure: a report that is
 	// received again was delayed by up to that much more than the first time.
 	repeatSpacing = 500 * time.Millisecond
-	// retention is the age up to which a sample counts.
-	retention = 30 * time.Second
+	// minRetention is the least age up to which a sample counts.
+	minRetention = 30 * time.Second
 )
 
 // server holds the samples of one start of a server.
 type server struct {
 	startedMs int64
+	// retention is the age up to which a sample counts.
+	retention time.Duration
 	// samples are at most maxSamples, sorted by time.
 	samples []sample
 	// estimate is valid until validUntil, when the oldest sample no longer counts.
@@ -43,7 +45,7 @@
 // add adds a sample unless it is too old, or too close to another one to count.
 func (s *server) add(now time.Time, w shed.WorkTime) bool {
 	next := sample{percent: w.Percent, readAt: now.Add(-max(w.Age, 0))}
-	if w.Percent <= 0 || now.Sub(next.readAt) > retention || slices.ContainsFunc(s.samples, next.repeats) {
+	if w.Percent <= 0 || now.Sub(next.readAt) > s.retention || slices.ContainsFunc(s.samples, next.repeats) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(s.samples, next, func(a, b sample) int { return a.readAt.Compare(b.readAt) })
@@ -72,12 +74,12 @@
 
 // update drops samples that no longer count, and computes the estimate from the others.
 func (s *server) update(now time.Time) {
-	s.samples = slices.DeleteFunc(s.samples, func(a sample) bool { return now.Sub(a.readAt) > retention })
+	s.samples = slices.DeleteFunc(s.samples, func(a sample) bool { return now.Sub(a.readAt) > s.retention })
 	s.estimate = 1
 	if len(s.samples) == 0 {
 		return
 	}
-	s.validUntil = s.samples[0].readAt.Add(retention)
+	s.validUntil = s.samples[0].readAt.Add(s.retention)
 	var percents [maxSamples]int
 	for i, a := range s.samples {
 		percents[i] = a.percent
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -51,7 +51,14 @@
 func Percent(workTime float64) int { return max(int(math.Round(100*workTime)), 1) }
 
 // Empty reports whether no server has stated how long work takes.
-func (t *Table) Empty() bool { return len(t.servers) == 0 }
+func (t *Table) Empty() bool {
+	for _, st := range t.servers {
+		if len(st.samples) > 0 {
+			return false
+		}
+	}
+	return true
+}
 
 // Slowness returns how long work takes on a server, relative to the usual time; 1 if that isn't known.
 func (t *Table) Slowness(now time.Time, start shed.ServerStart) float64 {
@@ -105,9 +112,16 @@
 		st = &server{startedMs: start.StartedMs, estimate: 1, reported: 1}
 		t.servers[start.Server] = st
 	}
+	st.retention = t.retention()
 	return st
 }
 
+// retention is the age up to which a sample counts: in a large fleet, the VMs together share the last samples
+// of each server in that time.
+func (t *Table) retention() time.Duration {
+	return max(minRetention, time.Duration(float64(maxSamples*len(t.servers))/fleetRate*float64(time.Second)))
+}
+
 // takeCredit reports whether this VM may share one more sample.
 func (t *Table) takeCredit(now time.Time, fleet int) bool {
 	rate := fleetRate / float64(max(fleet, 1))
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -26,16 +26,13 @@
 	// outsideCost is the cost of an engine outside the subset. Beyond that much queueing on all
 	// engines of the subset, as with a very popular prefix, the others are used too.
 	outsideCost = 400 * time.Millisecond
-	// speedExponent is the power of an engine's speed to which its share of prefixes is
-	// proportional. With 1, the slow engines were late with long prompts at loads that the fast
-	// ones could have taken.
-	speedExponent = 2
 )
 
 // Engine is an engine that may be chosen.
 type Engine struct {
 	ID shed.ServerID
-	// Slowness is how long work takes on it, relative to the usual time; above 0.
+	// Slowness is how long work takes on it, relative to the usual time; above 0, and infinite if it can't
+	// be chosen now.
 	Slowness float64
 }
 
@@ -70,14 +67,15 @@
 }
 
 // score ranks an engine for a prefix; the lowest is first. The scores are exponentially distributed
-// with the engine's weight as rate, so the share of prefixes for which an engine is first is
-// proportional to its weight.
+// with the engine's weight as rate, so the share of prefixes for which an engine is first is proportional to
+// its weight, the square of its speed. By speed alone, the slow engines were late with long prompts at loads
+// that the fast ones could have taken.
 func score(prefix uint64, e Engine) float64 {
 	h := xxhash.Sum64String(string(e.ID)) ^ prefix
 	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 	h = (h ^ h>>27) * 0x94d049bb133111eb
 	uniform := (float64(h>>11) + 1) / (1 << 53)
-	return -math.Log(uniform) * math.Pow(e.Slowness, speedExponent)
+	return -math.Log(uniform) * e.Slowness * e.Slowness
 }
 
 // Cost is the cost of choosing the engine at a position instead of the first one of the subset. holds
