--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -50,9 +50,9 @@
 	var s Subset
 	var scores [Size]float64
 	for i := range count {
-		score := score(prefix, engine(i))
+		next := score(prefix, engine(i))
 		at := s.n
-		for at > 0 && score < scores[at-1] {
+		for at > 0 && next < scores[at-1] {
 			at--
 		}
 		if at == Size {
@@ -61,7 +61,7 @@
 		s.n = min(s.n+1, Size)
 		copy(scores[at+1:], scores[at:])
 		copy(s.members[at+1:], s.members[at:])
-		scores[at], s.members[at] = score, i
+		scores[at], s.members[at] = next, i
 	}
 	return s
 }
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -80,6 +81,21 @@
 	}
 }
 
+// Guards against VMs that choose by load again when an engine of the subset can't be chosen: the next one in
+// order takes its place.
+func TestEngineThatCannotBeChosen(t *testing.T) {
+	of := engines(140)
+	before := members(choose(1, of), of)
+	for i := range of {
+		if of[i].ID == before[0] {
+			of[i].Slowness = math.Inf(1)
+		}
+	}
+	after := members(choose(1, of), of)
+	require.Equal(t, before[1:], after[:subset.Size-1])
+	require.NotContains(t, after, before[0])
+}
+
 // Guards against slow engines with as many prefixes as fast ones, and against engines without any.
 func TestSharesFollowSpeed(t *testing.T) {
 	of := engines(141)
