--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -18,7 +18,7 @@
 		VM: r.mesh.self.VM, Zone: shed.ZoneID(r.prefs.Load().Node.Zone), Ready: ready,
 		Stopping: r.stopping.Load(), OpenRequests: r.open.Load(), AsOf: r.roster.AsOf().Number(), Era: r.roster.Era(),
 		Peers: r.alivePeers(), Servers: r.picker.Shares(), QueuedPieces: map[shed.PoolID]int{},
-		Reservations: r.reservationSummaries(now),
+		Reservations: r.reservationSummaries(now), Slowness: r.speeds.All(now),
 	}
 	if c := r.roster.Catalog(); c != nil {
 		out.Version = c.Version
@@ -54,6 +54,8 @@
 	Servers     map[shed.ServerID]shed.ServerShare `json:"servers"`
 	// QueuedPieces is the number of pieces queued here, by pool.
 	QueuedPieces map[shed.PoolID]int `json:"gathers"`
+	// Slowness is how long work takes on each server that states it, relative to the usual time.
+	Slowness map[shed.ServerID]float64 `json:"slowness,omitempty"`
 	// Reservations are those that this VM promised as coordinator, by pool.
 	Reservations map[shed.PoolID]resv.Summary `json:"reservations,omitempty"`
 }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -50,6 +50,17 @@
 // Percent converts a work time relative to the usual one to the unit of shed.WorkTime.
 func Percent(workTime float64) int { return max(int(math.Round(100*workTime)), 1) }
 
+// All returns the estimates of all servers that have stated how long work takes.
+func (t *Table) All(now time.Time) map[shed.ServerID]float64 {
+	out := map[shed.ServerID]float64{}
+	for id, st := range t.servers {
+		if slowness := st.slowness(now); len(st.samples) > 0 {
+			out[id] = slowness
+		}
+	}
+	return out
+}
+
 // Empty reports whether no server has stated how long work takes.
 func (t *Table) Empty() bool {
 	for _, st := range t.servers {
