rank: one hash for VMs, engines of a subset and the order of a prefix

Cause: internal/subset repeated the mixing of internal/picker's rendezvousCost, and both that of rank.score.

Change: rank.Uniform; subset and picker call it. Values are the same to the last bit: divisions are by a power of two. go test of rank, subset, picker and fanout passes.

--- a/internal/picker/prefix.go
+++ b/internal/picker/prefix.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/rank"
 	"jasmineshed/internal/roster"
 )
 
@@ -140,10 +141,7 @@
 	if len(chain) == 0 || reading == 0 {
 		return 0
 	}
-	h := xxhash.Sum64String(string(s.ID)) ^ chain[len(chain)-1]
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return time.Duration(float64(reading) * float64(h>>11) / (1 << 53))
+	return time.Duration(float64(reading) * rank.Uniform(chain[len(chain)-1], string(s.ID)))
 }
 
 // prefixChains hashes the prompt's shared parts, each together with those before it: a cached
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -73,8 +73,16 @@
 // score mixes the two hashes with the finalizer of SplitMix64: a plain XOR would rank
 // the VMs alike for keys with similar hashes.
 func score(key uint64, vm shed.VM) uint64 {
-	x := key ^ xxhash.Sum64String(string(vm))
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x := mix(key, string(vm))
 	return x ^ x>>31
 }
+
+// Uniform returns a number from 0 to below 1 for a key and a name, evenly distributed over both and the same on
+// every VM.
+func Uniform(key uint64, name string) float64 { return float64(mix(key, name)>>11) / (1 << 53) }
+
+func mix(key uint64, name string) uint64 {
+	x := key ^ xxhash.Sum64String(name)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return (x ^ x>>27) * 0x94d049bb133111eb
+}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -11,9 +11,8 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	shed "jasmineshed"
+	"jasmineshed/internal/rank"
 )
 
 const (
@@ -71,10 +70,8 @@
 // its weight, the square of its speed. By speed alone, the slow engines were late with long prompts at loads
 // that the fast ones could have taken.
 func score(prefix uint64, e Engine) float64 {
-	h := xxhash.Sum64String(string(e.ID)) ^ prefix
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	uniform := (float64(h>>11) + 1) / (1 << 53)
+	// 2^-53 is the resolution: the logarithm of 0 has no value.
+	uniform := rank.Uniform(prefix, string(e.ID)) + 0x1p-53
 	return -math.Log(uniform) * e.Slowness * e.Slowness
 }
 
