chain: a step's queueing time has one definition

Cause: QueueTime repeated what Bottleneck computes, and fullTime copied a Step to get the time of a full call.

Change: Bottleneck calls QueueTime; callTime serves minTime and full calls. The bound of 0 in QueueTime was derived already: a step never ends before its least time. go test of chain and resv passes.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -34,12 +34,15 @@
 
 // minTime is how long the step takes with an empty queue, at the recent speed of the
 // servers.
-func (s *Step) minTime() time.Duration {
-	least := s.Limits.CallTime + time.Duration(min(s.Pieces, s.Limits.MaxPieces))*s.Limits.PieceTime
+func (s *Step) minTime() time.Duration { return s.callTime(min(s.Pieces, s.Limits.MaxPieces)) }
+
+// callTime is how long a call with so many pieces takes at the recent speed of the servers.
+func (s *Step) callTime(pieces int) time.Duration {
+	usual := s.Limits.CallTime + time.Duration(pieces)*s.Limits.PieceTime
 	if s.Forecast.Slow > 0 {
-		return time.Duration(float64(least) * s.Forecast.Slow)
+		return time.Duration(float64(usual) * s.Forecast.Slow)
 	}
-	return least
+	return usual
 }
 
 // rate is the pool's throughput with full batches, in pieces per second: as predicted, or
@@ -52,12 +55,6 @@
 	return float64(s.Servers*s.Limits.MaxPieces) / max(full, time.Millisecond).Seconds()
 }
 
-// fullTime is how long a full call takes, at the recent speed of the servers.
-func (s *Step) fullTime() time.Duration {
-	full := Step{Pieces: s.Limits.MaxPieces, Limits: s.Limits, Forecast: s.Forecast}
-	return full.minTime()
-}
-
 // capacityEnd predicts when the step is done if it waits for capacity for its results; 0 if it need
 // not. Pieces that wait run in full calls, as in the forecast of calls.
 func (s *Step) capacityEnd() time.Duration {
@@ -65,7 +62,7 @@
 	if wait == 0 {
 		return 0
 	}
-	return wait + s.fullTime()
+	return wait + s.callTime(s.Limits.MaxPieces)
 }
 
 // forecastEnd predicts when the step is done if its dependencies are done at start: it waits for
@@ -171,9 +168,14 @@
 func (c Chain) Bottleneck() int {
 	most, waits := 0, time.Duration(-1)
 	for i := range c {
-		if queue := c[i].forecastEnd(batch.Forecast{}).Timely - c[i].minTime(); queue > waits {
+		if queue := c.QueueTime(i); queue > waits {
 			most, waits = i, queue
 		}
 	}
 	return most
 }
+
+// QueueTime returns how long the pieces of a step would queue in its pool; 0 or more.
+func (c Chain) QueueTime(at int) time.Duration {
+	return c[at].forecastEnd(batch.Forecast{}).Timely - c[at].minTime()
+}
