relay: one entry for a pool's reservations and shares; admitted requests cost nothing more

Cause: ledgers and shares were two maps with the same keys.

Change: one map of reservations with their shares.

go test of resv, and of the relays in platform with the race detector (Relay, Fleet, Step, Room, Share, Stop, Partition), passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,7 +34,6 @@
 	"jasmineshed/internal/resv"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
-	"jasmineshed/internal/share"
 	"jasmineshed/internal/speed"
 	"jasmineshed/internal/telem"
 	"jasmineshed/internal/turns"
@@ -117,9 +116,7 @@
 	permitWaiters map[permit.ID]chan struct{}
 	// ledgers are the reservations of the pools that this VM coordinates, asker decides which other
 	// coordinators are asked for them.
-	ledgers map[shed.PoolID]*resv.Ledger
-	// shares are the demands of workspaces for the pools with a ledger.
-	shares       map[shed.PoolID]*share.Table
+	ledgers      map[shed.PoolID]reservations
 	asker        *resv.Asker
 	paths        paths
 	retryBudgets map[shed.PoolID]*retry.Budget
@@ -172,8 +169,7 @@
 		speeds:        speed.New(),
 		retryBudgets:  map[shed.PoolID]*retry.Budget{},
 		entries:       map[shed.PoolID][]shed.ServerEntry{},
-		ledgers:       map[shed.PoolID]*resv.Ledger{},
-		shares:        map[shed.PoolID]*share.Table{},
+		ledgers:       map[shed.PoolID]reservations{},
 		asker:         resv.NewAsker(),
 		jobs:          map[batch.JobID]chan []shed.PieceResult{},
 		permitWaiters: map[permit.ID]chan struct{}{},
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -40,6 +40,12 @@
 	return b
 }
 
+// reservations are those of a pool that this VM coordinates, with what its workspaces ask for.
+type reservations struct {
+	*resv.Ledger
+	shares *share.Table
+}
+
 // verdict is an admission decision with what it was based on.
 type verdict struct {
 	accept.Verdict
@@ -50,48 +56,63 @@
 // decideSteps decides whether a request is admitted. If its own forecast is against it, or if there is no
 // recent one, the pool's coordinator is asked.
 func (r *Relay) decideSteps(ctx context.Context, j *job, p plan, request accept.Request, b bottleneck) verdict {
-	now := time.Now()
 	r.mu.Lock()
-	own := r.accept.Decide(request)
-	vm, ok := r.coordinator(now, b.pool)
+	v := verdict{Verdict: r.accept.Decide(request), outcome: resv.OutcomeLocal}
 	way := resv.WayNone
-	if ok && r.prefs.Load().Relay.Reservations && (!own.Admitted || !r.isForecastFresh(now, b.pool, vm)) {
-		way = r.asker.Decide(now, vm)
+	if enabled := r.prefs.Load().Relay.Reservations; enabled || !v.Admitted {
+		v.coordinator, way = r.wayToAsk(b.pool, enabled, v.Admitted)
 	}
 	client := r.client
 	r.mu.Unlock()
-	v := verdict{Verdict: own, coordinator: vm, outcome: resv.OutcomeLocal}
+	if way == resv.WayNone {
+		return v
+	}
 	call := peers.ReserveCall{
 		Pool: b.pool, Request: j.requestRef(), Pieces: b.pieces, Rank: max(j.rank, 0),
-		ToTarget: request.ToTarget, ToDeadline: max(request.ToDeadline, 1), Needed: own.NeededTime, Queue: b.queue, Least: request.LeastTime(b.queue),
+		ToTarget: request.ToTarget, ToDeadline: max(request.ToDeadline, 1), Needed: v.NeededTime, Queue: b.queue, Least: request.LeastTime(b.queue),
 		ResultBytes: b.resultBytes,
 	}
-	switch way {
-	case resv.WayNone:
-		return v
-	case resv.WayProbe:
+	if way == resv.WayProbe {
 		call.Pieces = 0
 		r.work.Go(func() error {
-			r.requestReservation(r.base, client, vm, call)
+			r.requestReservation(r.base, client, v.coordinator, call)
 			return nil
 		})
 		return v
 	}
-	answer := r.requestReservation(ctx, client, vm, call)
+	asked := time.Now()
+	answer := r.requestReservation(ctx, client, v.coordinator, call)
+	r.log.WithFields(logrus.Fields{
+		"request": j.request.ID, "fingerprint": j.fingerprint, "pool": b.pool, "coordinator": v.coordinator, "granted": answer.Granted,
+		"wait_ms": answer.Wait.Milliseconds(), "reason": answer.Outcome(), "took_ms": time.Since(asked).Milliseconds(),
+	}).Info("reservation")
+	return r.decideByAnswer(j, p, v, answer)
+}
+
+// wayToAsk returns the coordinator of a pool, and whether and how it is called for a request that is admitted
+// by this VM's own forecast or not. The caller holds mu.
+func (r *Relay) wayToAsk(pool shed.PoolID, enabled, admitted bool) (shed.VM, resv.Way) {
+	now := time.Now()
+	vm, ok := r.coordinator(now, pool)
+	if !ok || !enabled || admitted && r.isForecastFresh(now, pool, vm) {
+		return vm, resv.WayNone
+	}
+	return vm, r.asker.Decide(now, vm)
+}
+
+// decideByAnswer decides on a request by the answer to a call for a reservation.
+func (r *Relay) decideByAnswer(j *job, p plan, v verdict, answer resv.Answer) verdict {
+	own := v.Verdict
 	if !answer.Answered && !own.Admitted {
 		own = r.decideAlone(j, p)
 	}
 	v.Verdict, v.outcome = resv.Combine(own, answer)
-	r.log.WithFields(logrus.Fields{
-		"request": j.request.ID, "fingerprint": j.fingerprint, "pool": b.pool, "coordinator": vm, "granted": answer.Granted,
-		"wait_ms": answer.Wait.Milliseconds(), "reason": v.outcome, "took_ms": time.Since(now).Milliseconds(),
-	}).Info("reservation")
 	if answer.ToTarget > 0 {
 		j.target = time.Now().Add(min(answer.ToTarget, time.Until(j.deadline)))
 	}
 	if v.outcome == resv.OutcomeGranted && !own.Admitted {
 		r.mu.Lock()
-		r.accept.Granted(request.Route)
+		r.accept.Granted(j.route.ID)
 		r.mu.Unlock()
 	}
 	return v
@@ -160,13 +181,14 @@
 	if vm, ok := r.coordinator(now, call.Pool); !ok || vm != r.mesh.self.VM || !pool.RunsPieces() {
 		return peers.ReserveReply{Moved: true}
 	}
-	l, load := r.ledger(call.Pool), r.poolLoad(now, pool, call)
+	load := r.poolLoad(now, pool, call)
 	if load.Rate <= 0 {
 		// This VM reaches no server of the pool, the one that asks may.
 		return peers.ReserveReply{Moved: true}
 	}
-	r.shares[call.Pool].SetRate(load.Rate)
-	r.shares[call.Pool].Observe(now, call.Request.Workspace, call.Rank, call.Pieces)
+	l := r.reservations(call.Pool)
+	l.shares.SetRate(load.Rate)
+	l.shares.Observe(now, call.Request.Workspace, call.Rank, call.Pieces)
 	got := l.Reserve(now, load, resv.Request{
 		Fingerprint: call.Request.Request, Workspace: call.Request.Workspace, Pieces: call.Pieces,
 		Rank: call.Rank, UrgentRanks: r.ranksBefore(call.Rank, call.Pool),
@@ -176,13 +198,13 @@
 	return peers.ReserveReply{Granted: got.Granted, Wait: got.Wait, ToTarget: got.ToTarget}
 }
 
-// ledger returns the ledger of a pool. The caller holds mu.
-func (r *Relay) ledger(pool shed.PoolID) *resv.Ledger {
-	l := r.ledgers[pool]
-	if l == nil {
+// reservations returns the reservations of a pool. The caller holds mu.
+func (r *Relay) reservations(pool shed.PoolID) reservations {
+	l, ok := r.ledgers[pool]
+	if !ok {
 		shares := share.New()
-		l = resv.New(resv.Config{Shares: shares})
-		r.ledgers[pool], r.shares[pool] = l, shares
+		l = reservations{Ledger: resv.New(resv.Config{Shares: shares}), shares: shares}
+		r.ledgers[pool] = l
 	}
 	return l
 }
@@ -211,7 +233,7 @@
 // promised returns by how much the reservations of a pool that this VM coordinates lengthen its queue. VMs that
 // don't know of them would admit new requests in place of those that were promised pieces. The caller holds mu.
 func (r *Relay) promised(now time.Time, pool shed.PoolID, rate float64) time.Duration {
-	if l := r.ledgers[pool]; l != nil {
+	if l, ok := r.ledgers[pool]; ok {
 		return l.Ahead(now, rate, math.MaxInt)
 	}
 	return 0
@@ -234,8 +256,8 @@
 
 // recordArrival records that pieces of a request arrived at this coordinator. The caller holds mu.
 func (r *Relay) recordArrival(pool shed.PoolID, pieces []shed.Piece) {
-	l := r.ledgers[pool]
-	if l == nil || len(pieces) == 0 {
+	l, ok := r.ledgers[pool]
+	if !ok || len(pieces) == 0 {
 		return
 	}
 	known, taken := l.Arrived(pieces[0].Origin.Request)
@@ -243,7 +265,7 @@
 		r.stats.reservationsTaken.Inc(1)
 	}
 	if ref := pieces[0].Origin; !known {
-		r.shares[pool].Observe(time.Now(), ref.Workspace, ref.Rank, len(pieces))
+		l.shares.Observe(time.Now(), ref.Workspace, ref.Rank, len(pieces))
 	}
 }
 
@@ -255,7 +277,6 @@
 		r.stats.reservationsNotTaken.Inc(int64(l.Expire(now)))
 		if !enabled || !r.pool(id).RunsPieces() {
 			delete(r.ledgers, id)
-			delete(r.shares, id)
 		}
 	}
 }
--- a/internal/resv/ask.go
+++ b/internal/resv/ask.go
@@ -94,18 +94,29 @@
 	ToTarget time.Duration
 }
 
-// Combine decides on a request by the VM's own verdict and the coordinator's answer.
-func Combine(own accept.Verdict, a Answer) (accept.Verdict, Outcome) {
+// Outcome returns what the answer means.
+func (a Answer) Outcome() Outcome {
 	switch {
 	case !a.Answered:
-		return own, OutcomeLocal
+		return OutcomeLocal
 	case a.Granted:
-		own.Admitted, own.RetryAfter = true, 0
-		return own, OutcomeGranted
+		return OutcomeGranted
 	case a.Wait > 0:
+		return OutcomeReserved
+	}
+	return OutcomeNone
+}
+
+// Combine decides on a request by the VM's own verdict and the coordinator's answer.
+func Combine(own accept.Verdict, a Answer) (accept.Verdict, Outcome) {
+	outcome := a.Outcome()
+	switch outcome {
+	case OutcomeGranted:
+		own.Admitted, own.RetryAfter = true, 0
+	case OutcomeReserved:
 		own.Admitted, own.RetryAfter = false, a.Wait
-		return own, OutcomeReserved
+	case OutcomeNone:
+		own.Admitted, own.RetryAfter = false, max(own.RetryAfter, accept.MinRetryAfter)
 	}
-	own.Admitted, own.RetryAfter = false, max(own.RetryAfter, accept.MinRetryAfter)
-	return own, OutcomeNone
+	return own, outcome
 }
