resv: grants and refusals share the queue by which they are forgotten; work times are received at once

Cause: both had the same loop over the same queue. The relay received peers' work times one by one, each in a slice of its own.

go test ./internal/resv passes.

--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -41,12 +41,14 @@
 	if !r.prefs.Load().Relay.Enabled(prefs.ServerSpeed) {
 		return
 	}
+	open := make([]shed.WorkTime, 0, len(samples))
 	for _, w := range samples {
 		// A start that the roster doesn't list has ended, or isn't known here yet.
 		if r.roster.IsOpen(w.Start) {
-			r.speeds.Receive(now, []shed.WorkTime{w})
+			open = append(open, w)
 		}
 	}
+	r.speeds.Receive(now, open)
 }
 
 func (r *Relay) logSpeeds(changes []speed.Change) {
--- a/internal/resv/slots.go
+++ b/internal/resv/slots.go
@@ -134,20 +134,34 @@
 // grants counts the pieces of granted requests that haven't arrived.
 type grants struct {
 	pieces map[shed.Fingerprint]int
-	queue  []moment
+	queue  decisions
 	total  int
 }
 
-// moment is when a request was decided on.
-type moment struct {
+// decisions are the requests that were decided on, the earliest first.
+type decisions []decision
+
+type decision struct {
 	fingerprint shed.Fingerprint
 	at          time.Time
 }
 
+func (d *decisions) add(now time.Time, f shed.Fingerprint) {
+	*d = append(*d, decision{fingerprint: f, at: now})
+}
+
+// dropOlder drops the decisions from before a time, and calls forget for each.
+func (d *decisions) dropOlder(t time.Time, forget func(shed.Fingerprint)) {
+	for len(*d) > 0 && (*d)[0].at.Before(t) {
+		forget((*d)[0].fingerprint)
+		*d = (*d)[1:]
+	}
+}
+
 func (g *grants) add(now time.Time, f shed.Fingerprint, pieces int) {
 	g.pieces[f] += pieces
 	g.total += pieces
-	g.queue = append(g.queue, moment{fingerprint: f, at: now})
+	g.queue.add(now, f)
 }
 
 func (g *grants) remove(f shed.Fingerprint) {
@@ -157,10 +171,7 @@
 
 // pending returns the pieces of the grants within grantRetention.
 func (g *grants) pending(now time.Time) int {
-	for len(g.queue) > 0 && now.Sub(g.queue[0].at) > grantRetention {
-		g.remove(g.queue[0].fingerprint)
-		g.queue = g.queue[1:]
-	}
+	g.queue.dropOlder(now.Add(-grantRetention), g.remove)
 	return g.total
 }
 
@@ -168,7 +179,7 @@
 // retry that can't meet it would take the place of a request that can be in time.
 type refused struct {
 	targets map[shed.Fingerprint]time.Time
-	queue   []moment
+	queue   decisions
 }
 
 func (r *refused) add(now time.Time, a Request) {
@@ -176,7 +187,7 @@
 		return
 	}
 	r.targets[a.Fingerprint] = now.Add(a.ToTarget)
-	r.queue = append(r.queue, moment{fingerprint: a.Fingerprint, at: now})
+	r.queue.add(now, a.Fingerprint)
 }
 
 // isLate reports whether a request is a retry that can't meet its target.
@@ -186,8 +197,5 @@
 }
 
 func (r *refused) expire(now time.Time) {
-	for len(r.queue) > 0 && now.Sub(r.queue[0].at) > refusedRetention {
-		delete(r.targets, r.queue[0].fingerprint)
-		r.queue = r.queue[1:]
-	}
+	r.queue.dropOlder(now.Add(-refusedRetention), func(f shed.Fingerprint) { delete(r.targets, f) })
 }
