--- a/event.go
+++ b/event.go
@@ -186,3 +186,6 @@
 	}
 	return b
 }
+
+// Scale multiplies a duration.
+func Scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -169,7 +169,7 @@
 
 // earliestCompletion is when a call that is sent now could end.
 func (g *group) earliestCompletion(now time.Time) time.Time {
-	return now.Add(scale(expectedTime(g.limits, min(len(g.pending), g.limits.MaxPieces)), g.slowness) + networkTime)
+	return now.Add(shed.Scale(expectedTime(g.limits, min(len(g.pending), g.limits.MaxPieces)), g.slowness) + networkTime)
 }
 
 func expectedTime(l shed.BatchLimits, pieces int) time.Duration {
@@ -180,25 +180,21 @@
 // slow server s.
 func (b *Batcher) busyServerIsFaster(now time.Time, g *group, servers []server, s server) bool {
 	n := min(len(g.pending), g.limits.MaxPieces)
-	own := scale(expectedTime(g.limits, n), s.producer.slowness)
+	own := shed.Scale(expectedTime(g.limits, n), s.producer.slowness)
 	for _, other := range servers {
 		m := other.producer
 		if m.running == 0 || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
 			continue
 		}
 		c := b.calls[m.running]
-		left := max(c.sentAt.Add(scale(c.expected, m.slowness)).Sub(now), 0)
-		if left+scale(expectedTime(g.limits, n), m.slowness) < own {
+		left := max(c.sentAt.Add(shed.Scale(c.expected, m.slowness)).Sub(now), 0)
+		if left+shed.Scale(expectedTime(g.limits, n), m.slowness) < own {
 			return true
 		}
 	}
 	return false
 }
 
-func scale(d time.Duration, by float64) time.Duration {
-	return time.Duration(float64(d) * by)
-}
-
 // probe sends one piece, the least urgent one, to a server that the last call did not reach,
 // to see whether it is reachable again. The piece stays pending for a healthy server: in a
 // zone that was partitioned from the others, pieces went from one unreachable server to the
@@ -255,7 +251,7 @@
 	b.nextID++
 	m.running = b.nextID
 	b.calls[b.nextID] = c
-	c.suspectAt = now.Add(suspectFactor*scale(c.expected, max(m.slowness, 1)) + suspectMargin)
+	c.suspectAt = now.Add(suspectFactor*shed.Scale(c.expected, max(m.slowness, 1)) + suspectMargin)
 	send := Send{Call: b.nextID, Server: *s.entry, Limit: callLimitFactor*c.expected + callLimitMargin, Pending: len(g.pending)}
 	for _, p := range c.pieces {
 		p.inFlight++
@@ -284,9 +280,9 @@
 		}
 		done := now
 		if c := b.calls[m.running]; c != nil {
-			done = shed.Later(now, c.sentAt.Add(scale(c.expected, m.slowness)))
+			done = shed.Later(now, c.sentAt.Add(shed.Scale(c.expected, m.slowness)))
 		}
-		done = done.Add(scale(expectedTime(g.limits, g.limits.MaxPieces), m.slowness))
+		done = done.Add(shed.Scale(expectedTime(g.limits, g.limits.MaxPieces), m.slowness))
 		if old, ok := n.completion[zone]; !ok || done.Before(old) {
 			n.completion[zone] = done
 		}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -84,7 +84,7 @@
 		rate += float64(limits.MaxPieces) / (float64(expectedTime(limits, limits.MaxPieces)) * m.slowness)
 		left := time.Duration(0)
 		if c := b.calls[m.running]; c != nil {
-			left = max(c.sentAt.Add(scale(c.expected, m.slowness)).Sub(now), 0)
+			left = max(c.sentAt.Add(shed.Scale(c.expected, m.slowness)).Sub(now), 0)
 		}
 		left = max(left, m.availableAt().Sub(now))
 		if earliestFree < 0 || left < earliestFree {
@@ -101,7 +101,7 @@
 		if n >= limits.MaxPieces {
 			queue = time.Duration(float64(n) / rate)
 		}
-		return earliestFree + queue + scale(expectedTime(limits, min(n+1, limits.MaxPieces)), slow) + networkTime
+		return earliestFree + queue + shed.Scale(expectedTime(limits, min(n+1, limits.MaxPieces)), slow) + networkTime
 	}
 	return Forecast{
 		Timely: wait(timely), Last: wait(all), Slow: slow, Rate: rate * float64(time.Second),
@@ -119,7 +119,7 @@
 	stay := b.MeanStay(pool)
 	for _, s := range servers {
 		if m := s.producer; !m.isUnreachable(now) {
-			f.Add(now, &m.capacity, limits, scale(expectedTime(limits, limits.MaxPieces), m.slowness), stay, m.running != 0)
+			f.Add(now, &m.capacity, limits, shed.Scale(expectedTime(limits, limits.MaxPieces), m.slowness), stay, m.running != 0)
 		}
 	}
 	return f
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -40,7 +40,7 @@
 func (s *Step) callTime(pieces int) time.Duration {
 	usual := s.Limits.CallTime + time.Duration(pieces)*s.Limits.PieceTime
 	if s.Forecast.Slow > 0 {
-		return time.Duration(float64(usual) * s.Forecast.Slow)
+		return shed.Scale(usual, s.Forecast.Slow)
 	}
 	return usual
 }
--- a/internal/picker/search.go
+++ b/internal/picker/search.go
@@ -123,11 +123,6 @@
 	s.picker.slownessBuffer = s.slowness
 }
 
-// slowed returns how long work takes that usually takes so long.
-func slowed(usual time.Duration, slowness float64) time.Duration {
-	return time.Duration(float64(usual) * slowness)
-}
-
 // chooseSubset chooses the engines that the prompt's prefix is kept on.
 func (s *search) chooseSubset() {
 	if !s.keepsSubset() {
@@ -146,11 +141,11 @@
 // speed, and of an engine that should not get its prefix.
 func (s *search) affinityCost(at int, c *Choice, reading time.Duration) time.Duration {
 	if s.keepsSubset() {
-		return slowed(reading, c.Slowness) + s.subset.Cost(at, s.cached[s.states[at]] >= s.sharedTokens)
+		return shed.Scale(reading, c.Slowness) + s.subset.Cost(at, s.cached[s.states[at]] >= s.sharedTokens)
 	}
 	// Without a subset, all VMs would prefer the fast engines until they hear of the load there, 0.4 s
 	// later, which is then above their rate. So the reading counts at the usual speed.
-	return reading + slowed(rendezvousCost(s.servers[at], s.chain, reading), c.Slowness)
+	return reading + shed.Scale(rendezvousCost(s.servers[at], s.chain, reading), c.Slowness)
 }
 
 // keepsSubset reports whether the prompt's prefix is kept on a subset of the engines.
@@ -176,8 +171,8 @@
 		reread -= s.sources.planFetch(&c, server, reread)
 		c.Slowness = s.slowness[at]
 		own, others := p.readTime(c.Missing), p.readTime(reading)+time.Duration(running)*runningRequestCost
-		c.Time = slowed(own+others, c.Slowness) + c.fetchTime(w.FetchRate)
-		c.Cost = slowed(others, c.Slowness) + c.fetchTime(w.FetchRate) + c.extraFetchCost(w)
+		c.Time = shed.Scale(own+others, c.Slowness) + c.fetchTime(w.FetchRate)
+		c.Cost = shed.Scale(others, c.Slowness) + c.fetchTime(w.FetchRate) + c.extraFetchCost(w)
 		c.Cost += s.affinityCost(at, &c, own) + min(time.Duration(reread)*rereadCost, maxRereadCost)
 	} else {
 		took := st.callTime.predict(now, s.fastest)
--- a/internal/resv/resv.go
+++ b/internal/resv/resv.go
@@ -190,14 +190,14 @@
 	if a.Queue > 0 {
 		factor = max(float64(a.Needed-a.Least)/float64(a.Queue), factor)
 	}
-	return a.Least + scale(queue, factor)
+	return a.Least + shed.Scale(queue, factor)
 }
 
 // maxWait is how long the request can wait for its reservation. One that can be in time must be so with it.
 func (a *Request) maxWait() time.Duration {
 	wait := min(a.ToDeadline/maxWaitFraction, a.ToDeadline-a.Least)
 	if spare := a.ToTarget - a.Least; spare > 0 {
-		wait = min(wait, scale(spare, spareShare))
+		wait = min(wait, shed.Scale(spare, spareShare))
 	}
 	return wait
 }
@@ -289,5 +289,3 @@
 		Reservations: len(l.entries), NextSecond: l.slots.promised(now.Add(-lateBy), now.Add(lookAhead), anyRank), NoShows: l.noShows,
 	}
 }
-
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/resv/slots.go
+++ b/internal/resv/slots.go
@@ -62,8 +62,8 @@
 			continue
 		}
 		// The pieces are complete at the slot's end, less what remains free of it.
-		end := startOf(at + 1).Add(-scale(slotWidth, -left/perSlot))
-		due := shed.Later(from, end.Add(-scale(time.Second, pieces/rate)))
+		end := startOf(at + 1).Add(-shed.Scale(slotWidth, -left/perSlot))
+		due := shed.Later(from, end.Add(-shed.Scale(time.Second, pieces/rate)))
 		return due, at, !due.After(until)
 	}
 	return time.Time{}, 0, false
