Replays of reservations and speeds use the project's virtual clock

Cause: both test files had an event queue of their own beside internal/vclock.

Change: they embed vclock.Clock.

--- a/internal/resv/replay_test.go
+++ b/internal/resv/replay_test.go
@@ -1,7 +1,6 @@
 package resv_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/chain"
 	"jasmineshed/internal/resv"
+	"jasmineshed/internal/vclock"
 )
 
 // The pool of the replays: 19 servers with 12 pieces per call, 808 pieces per second.
@@ -84,11 +84,10 @@
 
 // replay simulates a fleet in virtual time.
 type replay struct {
+	vclock.Clock
 	on     bool
 	fault  fault
 	burst  time.Duration
-	now    time.Time
-	events events
 	rng    *rand.Rand
 	vms    []*vm
 	coords [2]*coordinator
@@ -115,66 +114,31 @@
 	lastJob batch.JobID
 }
 
-type event struct {
-	at time.Time
-	n  int
-	do func()
-}
-
-type events struct {
-	list []event
-	n    int
-}
-
-func (e *events) Len() int { return len(e.list) }
-func (e *events) Less(i, j int) bool {
-	if c := e.list[i].at.Compare(e.list[j].at); c != 0 {
-		return c < 0
-	}
-	return e.list[i].n < e.list[j].n
-}
-func (e *events) Swap(i, j int) { e.list[i], e.list[j] = e.list[j], e.list[i] }
-func (e *events) Push(x any)    { e.list = append(e.list, x.(event)) }
-func (e *events) Pop() any {
-	last := e.list[len(e.list)-1]
-	e.list = e.list[:len(e.list)-1]
-	return last
-}
-
-func (r *replay) after(d time.Duration, do func()) {
-	r.events.n++
-	heap.Push(&r.events, event{at: r.now.Add(d), n: r.events.n, do: do})
-}
-
 // every runs do at a fixed interval until the end of the replay.
 func (r *replay) every(d time.Duration, do func()) {
 	do()
 	if r.elapsed() < calm+r.burst+4*time.Second {
-		r.after(d, func() { r.every(d, do) })
+		r.After(d, func() { r.every(d, do) })
 	}
 }
 
-func (r *replay) elapsed() time.Duration { return r.now.Sub(start) }
+func (r *replay) elapsed() time.Duration { return r.Now.Sub(start) }
 
 // play runs a replay with a number of VMs.
 func play(vms int, on bool, f fault, burst time.Duration, seed uint64) *replay {
-	r := &replay{on: on, fault: f, burst: burst, now: start, rng: rand.New(rand.NewPCG(seed, 5)), freeAt: map[shed.ServerID]time.Time{}}
+	r := &replay{on: on, fault: f, burst: burst, Clock: vclock.Clock{Now: start}, rng: rand.New(rand.NewPCG(seed, 5)), freeAt: map[shed.ServerID]time.Time{}}
 	for range vms {
 		r.vms = append(r.vms, &vm{gate: accept.New(), asker: resv.NewAsker(), at: start})
 	}
 	r.startCoordinator(0)
 	r.startCoordinator(1)
-	r.after(0, r.nextCaller)
+	r.After(0, r.nextCaller)
 	r.every(100*ms, r.tick)
 	r.every(300*ms, r.report)
 	if f == killed || f == restarted {
-		r.after(faultAt, func() { r.kill(0) })
-	}
-	for r.events.Len() > 0 {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
+		r.After(faultAt, func() { r.kill(0) })
 	}
+	r.Run(time.Minute)
 	return r
 }
 
@@ -237,8 +201,8 @@
 
 func (r *replay) tick() {
 	for _, c := range r.coords {
-		c.ledger.Expire(r.now)
-		r.perform(c, c.batcher.Handle(r.now, batch.Tick{}))
+		c.ledger.Expire(r.Now)
+		r.perform(c, c.batcher.Handle(r.Now, batch.Tick{}))
 	}
 }
 
@@ -248,7 +212,7 @@
 		f, promised := r.forecast(c)
 		for i, v := range r.vms {
 			if d, lost := r.delay(i, n); !lost && r.coordinatorOf(i) == n {
-				r.after(d+30*ms, func() { v.receive(r.now.Add(-d-30*ms), f, promised) })
+				r.After(d+30*ms, func() { v.receive(r.Now.Add(-d-30*ms), f, promised) })
 			}
 		}
 	}
@@ -262,8 +226,8 @@
 
 // forecast is what a coordinator tells the VMs.
 func (r *replay) forecast(c *coordinator) (batch.Forecast, time.Duration) {
-	f := c.batcher.PredictWait(r.now, pool, limits)
-	return f, c.ledger.Ahead(r.now, f.Rate, len(kinds))
+	f := c.batcher.PredictWait(r.Now, pool, limits)
+	return f, c.ledger.Ahead(r.Now, f.Rate, len(kinds))
 }
 
 func step(f batch.Forecast) chain.Chain {
@@ -276,7 +240,7 @@
 	if e := r.elapsed(); e >= calm && e < calm+r.burst {
 		load = peakLoad
 	}
-	c := &caller{at: r.now}
+	c := &caller{at: r.Now}
 	binary.BigEndian.PutUint64(c.f[:], uint64(len(r.callers)+1))
 	for u := r.rng.Float64(); c.rank < len(kinds)-1 && u >= kinds[c.rank].share; c.rank++ {
 		u -= kinds[c.rank].share
@@ -285,7 +249,7 @@
 	r.attempt(c)
 	if r.elapsed() < 2*calm+r.burst {
 		gap := r.rng.ExpFloat64() * perRequest / (load * poolRate)
-		r.after(time.Duration(gap*float64(time.Second)), r.nextCaller)
+		r.After(time.Duration(gap*float64(time.Second)), r.nextCaller)
 	}
 }
 
@@ -295,11 +259,11 @@
 	if c.running+c.ran > 0 {
 		r.twice++
 	}
-	began, v := r.now, r.rng.IntN(len(r.vms))
-	left := kinds[c.rank].deadline - r.now.Sub(c.at)
+	began, v := r.Now, r.rng.IntN(len(r.vms))
+	left := kinds[c.rank].deadline - r.Now.Sub(c.at)
 	target := min(kinds[c.rank].target, left)
 	w := r.vms[v]
-	f, age := w.forecast, r.now.Sub(w.at)
+	f, age := w.forecast, r.Now.Sub(w.at)
 	vmName := shed.VM(fmt.Sprint(r.coordinatorOf(v)))
 	counted := time.Duration(0)
 	if r.on && w.asker.Answers(vmName) {
@@ -330,13 +294,13 @@
 		}
 		c.running++
 		if answer.ToTarget > 0 {
-			target = r.now.Sub(began) + answer.ToTarget
+			target = r.Now.Sub(began) + answer.ToTarget
 		}
 		r.runPieces(c, v, began.Add(target-answerTime), began.Add(left-answerTime))
 	}
 	way := resv.WayNone
 	if r.on && (!own.Admitted || age >= resv.MaxForecastAge) {
-		way = w.asker.Decide(r.now, vmName)
+		way = w.asker.Decide(r.Now, vmName)
 	}
 	if way == resv.WayProbe {
 		r.probe(v, vmName)
@@ -358,7 +322,7 @@
 	to, lost := r.delay(v, r.coordinatorOf(v))
 	back, lostBack := r.delay(v, r.coordinatorOf(v))
 	if !lost && !lostBack && to+back < resv.Timeout {
-		r.after(to+back, func() { r.vms[v].asker.Record(r.now, name, true) })
+		r.After(to+back, func() { r.vms[v].asker.Record(r.Now, name, true) })
 	}
 }
 
@@ -368,21 +332,21 @@
 	finish := func(answer resv.Answer) {
 		if !over {
 			over = true
-			r.vms[v].asker.Record(r.now, name, answer.Answered)
+			r.vms[v].asker.Record(r.Now, name, answer.Answered)
 			end(answer)
 		}
 	}
-	r.after(resv.Timeout, func() { finish(resv.Answer{}) })
+	r.After(resv.Timeout, func() { finish(resv.Answer{}) })
 	to, lost := r.delay(v, n)
 	if lost {
 		return
 	}
-	r.after(to, func() {
+	r.After(to, func() {
 		co := r.coords[n]
-		f := co.batcher.PredictWait(r.now, pool, limits)
-		d := co.ledger.Reserve(r.now, resv.Load{Rate: f.Rate, Queue: step(f).QueueTime(0)}, a)
+		f := co.batcher.PredictWait(r.Now, pool, limits)
+		d := co.ledger.Reserve(r.Now, resv.Load{Rate: f.Rate, Queue: step(f).QueueTime(0)}, a)
 		if back, lost := r.delay(v, n); !lost {
-			r.after(back, func() { finish(resv.Answer{Answered: true, Granted: d.Granted, Wait: d.Wait, ToTarget: d.ToTarget}) })
+			r.After(back, func() { finish(resv.Answer{Answered: true, Granted: d.Granted, Wait: d.Wait, ToTarget: d.ToTarget}) })
 		}
 	})
 }
@@ -390,13 +354,13 @@
 // refuse ends an attempt. The caller retries once if the time is within a third of what it has left.
 func (r *replay) refuse(c *caller, began time.Time, wait time.Duration, reserved bool) {
 	c.refusals++
-	c.refusedIn = max(c.refusedIn, r.now.Sub(began))
-	left := c.at.Add(kinds[c.rank].deadline).Sub(r.now)
+	c.refusedIn = max(c.refusedIn, r.Now.Sub(began))
+	left := c.at.Add(kinds[c.rank].deadline).Sub(r.Now)
 	if c.attempts > 1 || wait > left/3 || r.rng.Float64() < absent {
 		return
 	}
 	c.reserved = reserved
-	r.after(wait+time.Duration(r.rng.IntN(20))*ms, func() { r.attempt(c) })
+	r.After(wait+time.Duration(r.rng.IntN(20))*ms, func() { r.attempt(c) })
 }
 
 // runPieces has the pieces of a request run through the VM's coordinator, and again through the next one if
@@ -406,18 +370,18 @@
 	retry := func() {
 		if !over {
 			over = true
-			r.after(ms, func() { r.runPieces(c, v, target, deadline) })
+			r.After(ms, func() { r.runPieces(c, v, target, deadline) })
 		}
 	}
 	d, lost := r.delay(v, n)
 	if r.fault == partitioned && n == 0 && v%2 == 1 && r.elapsed() < faultAt+takeoverAfter && r.elapsed() > faultAt-time.Second {
 		// The VM finds out that its coordinator is silent and turns to another one.
-		r.after(max(faultAt+takeoverAfter-r.elapsed(), 0), retry)
+		r.After(max(faultAt+takeoverAfter-r.elapsed(), 0), retry)
 	}
 	if lost {
 		return
 	}
-	r.after(d, func() {
+	r.After(d, func() {
 		co := r.coords[n]
 		co.ledger.Arrived(c.f)
 		co.lastJob++
@@ -426,8 +390,8 @@
 			delete(co.jobs, id)
 			f, promised := r.forecast(co)
 			if back, lost := r.delay(v, n); !lost {
-				sent := r.now
-				r.after(back, func() {
+				sent := r.Now
+				r.After(back, func() {
 					r.vms[v].receive(sent, f, promised)
 					if results == nil {
 						retry()
@@ -440,9 +404,9 @@
 		}
 		pieces := make([]shed.Piece, perRequest)
 		for i := range pieces {
-			pieces[i] = shed.Piece{Target: target.Sub(r.now), Budget: deadline.Sub(r.now)}
+			pieces[i] = shed.Piece{Target: target.Sub(r.Now), Budget: deadline.Sub(r.Now)}
 		}
-		r.perform(co, co.batcher.Handle(r.now, batch.JobAdded{Job: id, Pool: pool, Limits: limits, Pieces: pieces}))
+		r.perform(co, co.batcher.Handle(r.Now, batch.JobAdded{Job: id, Pool: pool, Limits: limits, Pieces: pieces}))
 	})
 }
 
@@ -450,15 +414,15 @@
 	for _, res := range results {
 		if res.End != shed.PieceComplete {
 			c.running--
-			r.refuse(c, r.now, accept.MinRetryAfter, false)
+			r.refuse(c, r.Now, accept.MinRetryAfter, false)
 			return
 		}
 	}
-	c.piecesAt = r.now
-	r.after(answerTime, func() {
+	c.piecesAt = r.Now
+	r.After(answerTime, func() {
 		c.running--
 		c.ran++
-		c.doneAt = r.now
+		c.doneAt = r.Now
 	})
 }
 
@@ -469,21 +433,21 @@
 		switch a := act.(type) {
 		case batch.Send:
 			took := limits.CallTime + time.Duration(len(a.Pieces))*limits.PieceTime
-			begins := shed.Later(r.now, r.freeAt[a.Server.ID])
-			if begins.Sub(r.now) > 300*ms {
-				r.after(ms, func() {
-					r.perform(co, co.batcher.Handle(r.now, batch.CallEnded{Call: a.Call, NotRun: true, Busy: true}))
+			begins := shed.Later(r.Now, r.freeAt[a.Server.ID])
+			if begins.Sub(r.Now) > 300*ms {
+				r.After(ms, func() {
+					r.perform(co, co.batcher.Handle(r.Now, batch.CallEnded{Call: a.Call, NotRun: true, Busy: true}))
 				})
 				continue
 			}
 			r.freeAt[a.Server.ID] = begins.Add(took)
-			r.after(begins.Add(took).Sub(r.now), func() { r.endCall(co, a) })
+			r.After(begins.Add(took).Sub(r.Now), func() { r.endCall(co, a) })
 		case batch.Done:
 			if done := co.jobs[a.Job]; done != nil {
 				done(a.Results)
 			}
 		case batch.Free:
-			r.perform(co, co.batcher.Handle(r.now, batch.FreeEnded{Refs: a.Refs}))
+			r.perform(co, co.batcher.Handle(r.Now, batch.FreeEnded{Refs: a.Refs}))
 		}
 	}
 }
@@ -495,6 +459,6 @@
 		ref := shed.ResultRef(fmt.Sprint(a.Server.ID, "-", a.Call, "-", i))
 		results[i], refs = shed.PieceResult{End: shed.PieceComplete, Ref: ref}, append(refs, ref)
 	}
-	r.perform(co, co.batcher.Handle(r.now, batch.CallEnded{Call: a.Call, Results: results}))
-	r.perform(co, co.batcher.Handle(r.now, batch.FreeRequested{Refs: refs}))
+	r.perform(co, co.batcher.Handle(r.Now, batch.CallEnded{Call: a.Call, Results: results}))
+	r.perform(co, co.batcher.Handle(r.Now, batch.FreeRequested{Refs: refs}))
 }
--- a/internal/speed/replay_test.go
+++ b/internal/speed/replay_test.go
@@ -1,7 +1,6 @@
 package speed_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/roster"
 	"jasmineshed/internal/speed"
+	"jasmineshed/internal/vclock"
 )
 
 const (
@@ -42,9 +42,8 @@
 
 // replay is one run of a fleet of VMs and engines, in virtual time.
 type replay struct {
+	vclock.Clock
 	rng     *rand.Rand
-	now     time.Time
-	queue   eventQueue
 	vms     []*replayVM
 	byVM    map[shed.VM]*replayVM
 	engines []*replayEngine
@@ -80,35 +79,15 @@
 	raisedUntil, nextRaise time.Time
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-func (r *replay) after(d time.Duration, do func()) { heap.Push(&r.queue, event{r.now.Add(d), do}) }
-
 func newReplay(seed uint64, vms int, factors []float64, weighed bool) *replay {
-	r := &replay{rng: rand.New(rand.NewPCG(seed, 2)), now: start, byVM: map[shed.VM]*replayVM{}, weighed: weighed, known: map[string]bool{}, busy: map[float64]time.Duration{}}
+	r := &replay{rng: rand.New(rand.NewPCG(seed, 2)), Clock: vclock.Clock{Now: start}, byVM: map[shed.VM]*replayVM{}, weighed: weighed, known: map[string]bool{}, busy: map[float64]time.Duration{}}
 	for i := range vms {
 		v := &replayVM{
 			id: shed.VM(fmt.Sprintf("vm-%03d", i)), picker: picker.New(picker.Config{Zone: "a"}),
 			fanout: fanout.New(shed.VM(fmt.Sprintf("vm-%03d", i))), speeds: speed.New(), seen: map[shed.VM]uint64{},
 		}
 		r.vms, r.byVM[v.id] = append(r.vms, v), v
-		r.after(time.Duration(i)*replayTick/time.Duration(vms), func() { r.tick(v) })
+		r.After(time.Duration(i)*replayTick/time.Duration(vms), func() { r.tick(v) })
 	}
 	for i := range 140 {
 		r.engines = append(r.engines, &replayEngine{factor: factors[i%len(factors)]})
@@ -118,7 +97,7 @@
 }
 
 func (r *replay) tick(v *replayVM) {
-	r.after(replayTick, func() { r.tick(v) })
+	r.After(replayTick, func() { r.tick(v) })
 	view := fanout.View{Busy: true}
 	for i, other := range r.vms {
 		if other != v {
@@ -128,7 +107,7 @@
 			view.HighCapacity = append(view.HighCapacity, other.id)
 		}
 	}
-	round := v.fanout.NextRound(r.now, view)
+	round := v.fanout.NextRound(r.Now, view)
 	v.sequence++
 	load := shed.RelayLoad{
 		Sequence: v.sequence, Servers: v.picker.Shares(), Placed: round.Placed, WorkTimes: round.WorkTimes,
@@ -146,11 +125,11 @@
 	v.seen[from] = load.Sequence
 	v.picker.SetPeerShares(from, load.Servers)
 	for _, p := range load.Placed {
-		v.picker.RecordPeerPrefix(r.now, p.Server, p.Chain)
+		v.picker.RecordPeerPrefix(r.Now, p.Server, p.Chain)
 	}
-	v.speeds.Receive(r.now, load.WorkTimes)
+	v.speeds.Receive(r.Now, load.WorkTimes)
 	if load.ForwardToAll {
-		v.fanout.Forward(r.now, shed.Peer{VM: from}, load)
+		v.fanout.Forward(r.Now, shed.Peer{VM: from}, load)
 	}
 	for _, c := range load.Forwarded {
 		r.receive(v, c.From.VM, c.Load)
@@ -161,36 +140,36 @@
 func (r *replay) request() {
 	v := r.vms[r.rng.IntN(len(r.vms))]
 	n := r.rng.IntN(prefixes)
-	name := fmt.Sprint(n, ".", int(r.now.Sub(start)/time.Second+time.Duration(n))/prefixLife)
+	name := fmt.Sprint(n, ".", int(r.Now.Sub(start)/time.Second+time.Duration(n))/prefixLife)
 	w := picker.Request{Engine: true, Prompt: []shed.PromptPart{{ID: name, Tokens: sharedTokens}, {ID: "own", Tokens: ownTokens}}}
 	w.FetchRate = fetchRate
 	w.Subset = r.weighed
 	if r.weighed {
 		w.MinFetchCost = picker.DefaultMinFetchCost
-		w.Slowness = func(s *roster.Server) float64 { return v.speeds.Slowness(r.now, s.Start()) }
+		w.Slowness = func(s *roster.Server) float64 { return v.speeds.Slowness(r.Now, s.Start()) }
 	}
-	c := v.picker.Pick(r.now, w, r.servers)
-	if v.picker.RecordPlacement(r.now, w, c) {
-		v.fanout.RecordPlacement(r.now, shed.PromptPlaced{Server: c.Server.ID, Chain: picker.PrefixChains(w.Prompt)})
+	c := v.picker.Pick(r.Now, w, r.servers)
+	if v.picker.RecordPlacement(r.Now, w, c) {
+		v.fanout.RecordPlacement(r.Now, shed.PromptPlaced{Server: c.Server.ID, Chain: picker.PrefixChains(w.Prompt)})
 	}
 	r.run(v, c, name)
 }
 
 // run runs a placed request on its engine.
 func (r *replay) run(v *replayVM, c picker.Choice, name string) {
-	e, sent := r.engine(c.Server), r.now
-	e.free = shed.Later(e.free, r.now.Add(r.fetchTime(c))).Add(r.readTime(e, r.missing(c, name)))
-	r.after(e.free.Sub(r.now), func() {
+	e, sent := r.engine(c.Server), r.Now
+	e.free = shed.Later(e.free, r.Now.Add(r.fetchTime(c))).Add(r.readTime(e, r.missing(c, name)))
+	r.After(e.free.Sub(r.Now), func() {
 		r.requests++
-		if r.now.Sub(sent) > target {
+		if r.Now.Sub(sent) > target {
 			r.late++
 		}
 		e.running++
 		v.picker.RecordPromptRead(c)
 		r.read(v, e, c.Server.Start())
-		r.after(time.Duration(float64(decodeTime)*e.factor), func() {
+		r.After(time.Duration(float64(decodeTime)*e.factor), func() {
 			e.running--
-			v.picker.RecordEnd(r.now, c, picker.End{})
+			v.picker.RecordEnd(r.Now, c, picker.End{})
 		})
 	})
 }
@@ -232,7 +211,7 @@
 // read passes the work time that an engine states to the VM. 15 in 100 readings are 2.5 times the
 // usual value, for 600 ms each.
 func (r *replay) read(v *replayVM, e *replayEngine, s shed.ServerStart) {
-	for !r.now.Before(e.nextRaise) {
+	for !r.Now.Before(e.nextRaise) {
 		e.raisedUntil = e.nextRaise.Add(600 * time.Millisecond)
 		e.nextRaise = e.nextRaise.Add(time.Duration(float64(4*time.Second) * (0.5 + r.rng.Float64())))
 		if e.nextRaise.Before(start) {
@@ -240,12 +219,12 @@
 		}
 	}
 	reading := e.factor * (0.95 + 0.1*r.rng.Float64())
-	if r.now.Before(e.raisedUntil) {
+	if r.Now.Before(e.raisedUntil) {
 		reading *= 2.5
 	}
 	w := shed.WorkTime{Start: s, Percent: speed.Percent(reading)}
-	if share, _ := v.speeds.Read(r.now, len(r.vms), w); share {
-		v.fanout.RecordWorkTime(r.now, w)
+	if share, _ := v.speeds.Read(r.Now, len(r.vms), w); share {
+		v.fanout.RecordWorkTime(r.Now, w)
 	}
 }
 
@@ -261,15 +240,15 @@
 	var arrive func()
 	arrive = func() {
 		r.request()
-		rate := perSecond * (1 + swing*math.Sin(2*math.Pi*r.now.Sub(start).Seconds()/period.Seconds()))
-		r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+		rate := perSecond * (1 + swing*math.Sin(2*math.Pi*r.Now.Sub(start).Seconds()/period.Seconds()))
+		r.After(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
-	r.after(0, arrive)
-	r.until(start.Add(period))
+	r.After(0, arrive)
+	r.Run(period)
 	r.requests, r.late, r.reread = 0, 0, 0
 	clear(r.busy)
-	for end := r.now.Add(2 * period); r.now.Before(end); {
-		r.until(r.now.Add(time.Second))
+	for end := r.Now.Add(2 * period); r.Now.Before(end); {
+		r.Run(time.Second)
 		r.compareEstimates(r.vms[r.rng.IntN(len(r.vms))])
 	}
 	return r
@@ -278,21 +257,12 @@
 func (r *replay) compareEstimates(v *replayVM) {
 	for i, e := range r.engines {
 		r.estimates++
-		if got := v.speeds.Slowness(r.now, r.servers[i].Start()); math.Abs(got-e.factor) > e.factor/4 {
+		if got := v.speeds.Slowness(r.Now, r.servers[i].Start()); math.Abs(got-e.factor) > e.factor/4 {
 			r.wrong++
 		}
 	}
 }
 
-func (r *replay) until(end time.Time) {
-	for len(r.queue) > 0 && r.queue[0].at.Before(end) {
-		x := heap.Pop(&r.queue).(event)
-		r.now = x.at
-		x.do()
-	}
-	r.now = end
-}
-
 func (r *replay) inTime() float64 { return 1 - float64(r.late)/float64(r.requests) }
 
 func (r *replay) rereads() float64 { return float64(r.reread) / float64(r.requests) }
