--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -84,25 +84,15 @@
 	t.demand[r] += w
 }
 
-// Over reports whether a workspace asks for more than its share of the pool now, while others want
-// theirs. Only the demand at the rank at which the pool's rate is used up is compared: more urgent demand
-// is covered, and nothing is left to share for less urgent ranks.
-func (t *Table) Over(now time.Time, workspace shed.WorkspaceID) bool {
-	rank, left := t.contended(now)
-	return rank < ranks && t.exceeds(now, workspace, rank, left)
-}
-
-// OverAt is like Over for the workspace's requests of one rank. Requests of a more urgent rank than the
-// one at which the pool's rate is used up are never over, less urgent ones always are.
+// OverAt reports whether a workspace asks for more than its share of the pool now, for its requests of one rank,
+// while others want theirs. Requests of a more urgent rank than the one at which the pool's rate is used up are
+// never over, less urgent ones always are.
 func (t *Table) OverAt(now time.Time, workspace shed.WorkspaceID, rank int) bool {
 	rank = clampRank(rank)
 	contended, left := t.contended(now)
 	return rank > contended || rank == contended && t.exceeds(now, workspace, rank, left)
 }
 
-// Workspaces returns the number of workspaces that are counted separately.
-func (t *Table) Workspaces() int { return len(t.entries) }
-
 // exceeds reports whether the workspace asked for its share at a rank already before its latest request,
 // by more than chance explains, and others ask for some of it too. Without the latest request, a workspace
 // that asks seldom is not over: it can't ask for less than one request.
