relay: the line of a request that wasn't served says why it was not retried

Callers of streams saw them cut while servers were silent; the logs couldn't tell whether the retry budget, the number of sends or the servers were missing. canRetry now finds a reason, which is logged as no_retry. Behaviour is unchanged.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -117,6 +117,9 @@
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		refused.reason = shed.ReasonCallerGone
 	}
+	if j.noRetry != retryPossible {
+		fields["no_retry"] = j.noRetry
+	}
 	fields["status"], fields["reason"], fields["may_have_run"] = refused.status, refused.reason, j.mayHaveRun
 	r.stats.recordRequest(j, refused.reason, took)
 	r.log.WithFields(fields).Info("not served")
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -69,6 +69,8 @@
 	parts []shed.Fingerprint
 	// blamed is the fingerprint for which the request was refused, if it was.
 	blamed shed.Fingerprint
+	// noRetry is why the last failed attempt was the last one.
+	noRetry noRetry
 	// trial: the request may crash its server, and is sent once as a probe.
 	trial bool
 
@@ -168,23 +170,47 @@
 	}
 }
 
+// noRetry is why a request isn't sent to another server after a failed attempt. The set is closed.
+type noRetry string
+
+const (
+	// retryPossible means that nothing rules a retry out.
+	retryPossible noRetry = ""
+	// noSendsLeft means that the request has been sent to as many servers as its route allows.
+	noSendsLeft noRetry = "sends_used"
+	// runsOnce means that the request may have run and must not run again.
+	runsOnce noRetry = "runs_once"
+	// noServersLeft means that too many servers have been tried.
+	noServersLeft noRetry = "servers_tried"
+	// noBudget means that the retry budget of the pool is spent.
+	noBudget noRetry = "retry_budget"
+)
+
 // canRetry reports whether the request may be sent to another server after v.
 func (r *Relay) canRetry(j *job, v outcome) bool {
-	if v.sent && j.sends >= j.route.MaxSends {
-		return false
-	}
-	if v.mayHaveRun && !j.route.Repeatable && !j.route.Resumable {
-		return false
-	}
-	if len(j.avoid) > maxServersTried {
-		return false
-	}
-	if !v.sent {
-		return true
+	j.noRetry = r.findNoRetry(j, v)
+	return j.noRetry == retryPossible
+}
+
+// findNoRetry returns why the request can't be sent to another server after v. If it can, the retry is
+// taken from the budget.
+func (r *Relay) findNoRetry(j *job, v outcome) noRetry {
+	switch {
+	case v.sent && j.sends >= j.route.MaxSends:
+		return noSendsLeft
+	case v.mayHaveRun && !j.route.Repeatable && !j.route.Resumable:
+		return runsOnce
+	case len(j.avoid) > maxServersTried:
+		return noServersLeft
+	case !v.sent:
+		return retryPossible
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.retryBudget(j.pool.ID).Take(time.Now())
+	if !r.retryBudget(j.pool.ID).Take(time.Now()) {
+		return noBudget
+	}
+	return retryPossible
 }
 
 // maxServersTried bounds the servers tried, including those that could not be reached.
