relay: a request leaves its server only when a second one has delivered

What callers saw: a part of a stream, then a closed connection, while their sound server was silent for a second and seconds of their time were left; for requests that may be repeated a 502 in place of their server's own answer.

Cause: what a request had was given up before what replaces it was secured. stream cancelled the attempt after 1.3 s without an event, moveFlight a plain request after 0.4 s, forwardBody dropped a whole answer of 500; only then canRetry asked for the budget, of which a VM has a token or two. Ruled out: the change of the configuration (the red test fails without one), servers that refuse the retry (none did).

Why this works: silence ends nothing. internal/hedge decides by the caller's patience, the time left and whether the rest of the pool sends anything; the relay takes the sends, a server that isn't silent and the budget, and only then begins a second attempt beside the first. Whoever delivers first is the only one from then on (hedge.Race): a second attempt goes on after the last event delivered before it began, so nothing is skipped or repeated. Without budget or server the request stays. An answer of 500 is kept, and goes to the caller unless another server does better.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -24,12 +24,19 @@
 }
 
 // finalRefusal returns the refusal, unless part of the answer has already been sent: then the
-// answer can only be aborted, so that it doesn't look complete.
+// answer can only be aborted, so that it doesn't look complete. If a server's own answer to say that it
+// failed is there, the caller gets that.
 func (r *Relay) finalRefusal(out *output, refused *refusal) *refusal {
 	if out.started {
 		return &refusal{reason: refused.reason}
 	}
-	return refused
+	if out.failure == nil {
+		return refused
+	}
+	if err := out.forward(out.failure); err != nil {
+		return &refusal{reason: shed.ReasonCallerGone}
+	}
+	return nil
 }
 
 // adjustRefusal corrects a refusal issued before an attempt: an earlier attempt may have run
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -21,10 +21,6 @@
 	piecesPatience = 0.33
 )
 
-// errServerSilent is the cause of a request cancelled because its server sends nothing at all, while
-// another one may still answer in time.
-var errServerSilent = errors.New("server is silent")
-
 // flight is a request in flight over a direct connection.
 type flight struct {
 	*exchange
@@ -73,7 +69,7 @@
 
 // cancelCause returns why a request's context was cancelled here, or err if it wasn't.
 func cancelCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, errPathLost) || errors.Is(cause, errServerSilent) {
+	if cause := context.Cause(ctx); errors.Is(cause, errPathLost) {
 		return cause
 	}
 	return err
@@ -111,6 +107,7 @@
 	}
 	r.paths.table.Heard(at)
 	r.paths.heardFrom[f.addr()] = shed.Later(r.paths.heardFrom[f.addr()], at)
+	r.paths.heardPool[f.server.Pool] = shed.Later(r.paths.heardPool[f.server.Pool], at)
 }
 
 // checkSilence throws doubt on the paths of requests without an answer, and cancels those whose path
@@ -120,10 +117,13 @@
 		r.recordHeard(f)
 	}
 	clear(r.paths.silent)
-	moved := map[shed.PoolID]int{}
+	clear(r.paths.quiet)
 	allSilent := r.paths.table.Silence(now) >= vmSilence
 	for f := range r.paths.flights {
-		silence := f.silence(now)
+		silence, heardAgo := f.silence(now), now.Sub(r.paths.heardFrom[f.addr()])
+		if silence >= vmSilence && heardAgo >= vmSilence {
+			r.paths.quiet[f.addr()] = f.server.Pool
+		}
 		if silence < f.patience {
 			continue
 		}
@@ -133,9 +133,8 @@
 			}
 			continue
 		}
-		if now.Sub(r.paths.heardFrom[f.addr()]) >= f.patience {
+		if heardAgo >= f.patience {
 			r.paths.silent[f.addr()] = true
-			r.moveFlight(now, f, moved)
 		}
 		if allSilent || silence >= 2*f.patience {
 			r.paths.table.Suspect(now, f.addr(), allSilent)
@@ -143,17 +142,8 @@
 	}
 }
 
-// moveFlight cancels a request at a silent server if it can be sent to another one. moved counts the
-// requests cancelled at the same time, which will draw on the retry budget. The caller holds mu.
-func (r *Relay) moveFlight(now time.Time, f *flight, moved map[shed.PoolID]int) {
-	pool := f.server.Pool
-	if f.movable && len(r.roster.OpenServers(pool)) > 1 && r.retryBudget(pool).Remaining(now) > moved[pool] {
-		moved[pool]++
-		f.cancel(errServerSilent)
-	}
-}
-
-// silentServers returns the servers of a pool that are silent. The caller holds mu.
+// silentServers returns the servers of a pool that have sent nothing for the patience of a request there.
+// The caller holds mu.
 func (r *Relay) silentServers(pool shed.PoolID) []shed.ServerID {
 	var out []shed.ServerID
 	for addr := range r.paths.silent {
@@ -163,3 +153,30 @@
 	}
 	return out
 }
+
+// quietServers returns the servers of a pool that have requests of this VM and sent nothing for vmSilence.
+// The caller holds mu.
+func (r *Relay) quietServers(pool shed.PoolID) []shed.ServerID {
+	var out []shed.ServerID
+	for addr, p := range r.paths.quiet {
+		if s := r.roster.OpenServerAt(string(addr)); p == pool && s != nil {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+// minQuietServers is how many servers must be quiet until silence is the pool's rather than theirs.
+const minQuietServers = 2
+
+// isPoolSilent reports whether several servers of a pool have requests of this VM and none of the pool's
+// servers sends anything. The caller holds mu.
+func (r *Relay) isPoolSilent(now time.Time, pool shed.PoolID) bool {
+	quiet := 0
+	for _, p := range r.paths.quiet {
+		if p == pool {
+			quiet++
+		}
+	}
+	return quiet >= minQuietServers && now.Sub(r.paths.heardPool[pool]) >= vmSilence
+}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -35,6 +35,10 @@
 	// that have sent nothing to anybody's request for its patience, as of the last tick.
 	heardFrom map[reach.Addr]time.Time
 	silent    map[reach.Addr]bool
+	// heardPool is when any server of a pool last sent something over a direct connection; quiet are the
+	// servers, with their pools, that have requests and sent nothing for vmSilence, as of the last tick.
+	heardPool map[shed.PoolID]time.Time
+	quiet     map[reach.Addr]shed.PoolID
 	// addrs are the addresses of the listed servers, sorted, as of the roster's version addrsVersion.
 	addrs        []reach.Addr
 	addrsVersion uint64
@@ -47,6 +51,7 @@
 	return paths{
 		table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers(),
 		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]bool{},
+		heardPool: map[shed.PoolID]time.Time{}, quiet: map[reach.Addr]shed.PoolID{},
 	}
 }
 
@@ -169,7 +174,7 @@
 // isPathFailure reports whether a request failed because of the path to its server, so that the
 // failure says nothing of the server.
 func (r *Relay) isPathFailure(e *exchange, err error) bool {
-	if errors.Is(err, errPathLost) || errors.Is(err, errServerSilent) {
+	if errors.Is(err, errPathLost) {
 		return true
 	}
 	return e.carrier == "" && !errors.Is(err, peers.ErrCarryUnreachable) && r.isPathLost(e.addr())
--- a/internal/relay/pieces.go
+++ b/internal/relay/pieces.go
@@ -157,7 +157,9 @@
 func (r *Relay) releaseInputs(j *job) {
 	refs := j.inputs
 	j.inputs, j.inputsReady = nil, false
-	r.releaseResults(j, refs)
+	if !j.inputsBorrowed {
+		r.releaseResults(j, refs)
+	}
 }
 
 // releaseResults frees results through their coordinator, which accounts for the producers'
--- /dev/null
+++ b/internal/relay/pursuit.go
@@ -0,0 +1,301 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	shed "jasmineshed"
+	"jasmineshed/internal/hedge"
+	"jasmineshed/internal/picker"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+// pursuit is what follows the choice of a server for a request: the attempt there, and second ones that
+// begin while the server of the attempt in flight is silent. The caller gets the answer of one of them.
+type pursuit struct {
+	relay *Relay
+	ctx   context.Context
+	job   *job
+	out   *output
+	// earlierSends are the sends before this pursuit.
+	earlierSends int
+	// second runs all attempts but the first.
+	second errgroup.Group
+
+	// mu guards the fields below, and out and the jobs of attempts while they are in flight. It is locked
+	// before Relay.mu.
+	mu       sync.Mutex
+	race     hedge.Race
+	inFlight map[hedge.Runner]*attempt
+	// begun counts the attempts, ended are those that have ended, in this order.
+	begun int
+	ended []*attempt
+}
+
+// pursue sends the request to the chosen server, and to further ones while that is silent, until the caller
+// has the whole answer or no attempt is left.
+func (r *Relay) pursue(ctx context.Context, out *output, j *job, choice picker.Choice) outcome {
+	p := &pursuit{relay: r, ctx: ctx, job: j, out: out, earlierSends: j.sends, inFlight: map[hedge.Runner]*attempt{}}
+	p.mu.Lock()
+	a, _ := p.newAttempt(j)
+	p.mu.Unlock()
+	a.execute(choice)
+	_ = p.second.Wait()
+	return p.conclude(j)
+}
+
+// newAttempt adds an attempt; ok is false if none may begin. The caller holds mu.
+func (p *pursuit) newAttempt(j *job) (a *attempt, ok bool) {
+	runner, ok := p.race.Start()
+	if !ok {
+		return nil, false
+	}
+	a = &attempt{relay: p.relay, pursuit: p, runner: runner, job: j, out: p.out, lastEvent: p.out.lastEvent}
+	a.ctx, a.cancel = context.WithCancel(p.ctx)
+	p.inFlight[runner] = a
+	p.begun++
+	return a, true
+}
+
+// deliver reports whether an attempt may deliver to the caller; the other one is cancelled then. The caller
+// holds mu.
+func (p *pursuit) deliver(a *attempt) bool {
+	if !p.race.Deliver(a.runner) {
+		return false
+	}
+	for runner, other := range p.inFlight {
+		if runner != a.runner {
+			other.overtakenBy = a.runner
+			other.cancel()
+			delete(p.inFlight, runner)
+		}
+	}
+	return true
+}
+
+// end records that an attempt has ended; lost is set if another one serves the caller.
+func (p *pursuit) end(a *attempt) (lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inFlight, a.runner)
+	return !p.race.End(a.runner)
+}
+
+// conclude puts the results of all attempts into the job, and returns the outcome of the last one that did
+// not lose.
+func (p *pursuit) conclude(j *job) outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var v outcome
+	sends, mayHaveRun, avoid := p.earlierSends, j.mayHaveRun, j.avoid
+	for _, a := range p.ended {
+		if a.outcome.sent {
+			sends++
+		}
+		mayHaveRun = mayHaveRun || a.outcome.mayHaveRun
+		if a.outcome.lost {
+			continue
+		}
+		v = a.outcome
+		j.adopt(a.job)
+		if !v.done {
+			avoid = append(avoid, a.choice.Server.ID)
+		}
+	}
+	j.sends, j.mayHaveRun, j.avoid = sends, mayHaveRun, avoid
+	return v
+}
+
+// adopt takes over what an attempt has found out and delivered.
+func (j *job) adopt(from *job) {
+	if from == j {
+		return
+	}
+	j.origin, j.events, j.firstByte = from.origin, from.events, from.firstByte
+	j.server, j.serverVersion, j.slowness, j.carrier = from.server, from.serverVersion, from.slowness, from.carrier
+	j.answerTime, j.zone = from.answerTime, from.zone
+}
+
+// releaseInputs frees the request's inputs once the server of an attempt has fetched them. The caller holds
+// mu.
+func (p *pursuit) releaseInputs(a *attempt) {
+	p.relay.releaseInputs(a.job)
+	if a.job != p.job {
+		p.relay.releaseInputs(p.job)
+	}
+}
+
+// checkSilence has a second attempt begin if the server of a is silent and it is worth it, and returns when
+// to check again; 0 for never.
+func (p *pursuit) checkSilence(a *attempt) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !p.race.IsInFlight(a.runner):
+		return 0
+	case p.race.Contested():
+		return hedge.RecheckAfter()
+	}
+	wait := p.relay.describeWait(a)
+	verdict, next := wait.Decide()
+	switch verdict {
+	case hedge.Stay:
+		return next
+	case hedge.TooLate:
+		return 0
+	}
+	denied := p.relay.secureSecond(a, p.earlierSends+p.begun)
+	a.logSecond(wait, denied)
+	switch denied {
+	case retryPossible:
+	case noSendsLeft:
+		return 0
+	default:
+		return hedge.RecheckAfter()
+	}
+	b, ok := p.newAttempt(p.relay.copyJob(a.job, p.earlierSends+p.begun))
+	if !ok {
+		return 0
+	}
+	b.isSecond = true
+	p.second.Go(func() error {
+		b.executeSecond()
+		return nil
+	})
+	return hedge.RecheckAfter()
+}
+
+// copyJob returns the job of a second attempt. It borrows the inputs of the first one.
+func (r *Relay) copyJob(j *job, sends int) *job {
+	second := *j
+	second.sends, second.permit, second.avoid = sends, heldPermit{}, append(slices.Clone(j.avoid), j.server)
+	second.inputsBorrowed = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	second.expected, second.expectedBytes, second.coordinators = nil, nil, maps.Clone(j.coordinators)
+	return &second
+}
+
+// describeWait describes how an attempt waits for its server.
+func (r *Relay) describeWait(a *attempt) hedge.Wait {
+	now := time.Now()
+	j := a.job
+	w := hedge.Wait{
+		Streaming: j.route.Streaming, Begun: a.begun, Silence: now.Sub(a.began) - a.lastSign.Load(),
+		Target: j.route.Target, Left: j.deadline.Sub(now), Answer: j.answerTime,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heard := shed.Later(r.paths.heardFrom[a.exchange.addr()], a.began.Add(a.lastSign.Load()))
+	w.ServerSilence = now.Sub(heard)
+	w.PoolSilent = r.isPoolSilent(now, j.pool.ID)
+	if plan := newPlan(j); len(plan.steps) > 0 && !j.inputsReady {
+		w.Answer += r.chain(now, plan).MinTime()
+	}
+	return w
+}
+
+// secureSecond takes the retry budget for a second attempt if there is a server for it.
+func (r *Relay) secureSecond(a *attempt, sends int) noRetry {
+	j := a.job
+	if sends >= j.route.MaxSends {
+		return noSendsLeft
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.poison.Empty() && slices.ContainsFunc(j.suspectFingerprints(), r.poison.IsSuspect) {
+		return maybeCrashes
+	}
+	if _, choice := r.findSecond(now, j, j.server); choice.Server == nil {
+		return noOtherServer
+	}
+	if !r.retryBudget(j.pool.ID).Take(now) {
+		return noBudget
+	}
+	return retryPossible
+}
+
+// findSecond picks a server for a second attempt: one that is not silent and to which the request can be
+// sent without a turn. The caller holds mu.
+func (r *Relay) findSecond(now time.Time, j *job, first shed.ServerID) (picker.Request, picker.Choice) {
+	want := r.wantFor(j)
+	want.Avoid = append(slices.Concat(want.Avoid, r.quietServers(j.pool.ID)), first)
+	want.Access = r.serverAccess(now, j.pool, nil, 0)
+	choice := r.picker.Pick(now, want, r.candidates(now, j))
+	if choice.ByTurn {
+		return want, picker.Choice{}
+	}
+	return want, choice
+}
+
+// placeSecond places a second attempt; Server is nil if there is no server for it any more.
+func (r *Relay) placeSecond(j *job) picker.Choice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	want, choice := r.findSecond(now, j, j.server)
+	if choice.Server != nil {
+		r.recordPlacement(now, j, want, choice)
+	}
+	return choice
+}
+
+// logSecond logs the decision on a second attempt. A denial is logged once for an attempt.
+func (a *attempt) logSecond(w hedge.Wait, denied noRetry) {
+	if denied != retryPossible && denied == a.secondDenied {
+		return
+	}
+	a.secondDenied = denied
+	a.relay.stats.recordSecond(denied)
+	a.relay.log.WithFields(logrus.Fields{
+		"request": a.job.request.ID, "server": a.job.server, "silent_ms": w.Silence.Milliseconds(),
+		"server_silent_ms": w.ServerSilence.Milliseconds(), "left_ms": w.Left.Milliseconds(), "events": a.job.events, "denied": denied,
+	}).Info("second attempt")
+}
+
+// silenceTimer checks the silence of an attempt's server from time to time.
+type silenceTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// start begins to call check after a delay. check returns when it is to be called again; 0 for never.
+func (t *silenceTimer) start(delay time.Duration, check func() time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(delay, func() {
+		next := check()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if next > 0 && !t.stopped {
+			t.timer.Reset(next)
+		}
+	})
+}
+
+// stop ends the calls.
+func (t *silenceTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
+// elapsed is a time since the beginning of an attempt. It is safe for concurrent use.
+type elapsed struct{ nanos atomic.Int64 }
+
+// Load returns the time.
+func (e *elapsed) Load() time.Duration { return time.Duration(e.nanos.Load()) }
+
+// Store sets the time.
+func (e *elapsed) Store(d time.Duration) { e.nanos.Store(int64(d)) }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/picker"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +33,9 @@
 	done bool
 	// sent: a byte of the request may have been sent; mayHaveRun: it may have run.
 	sent, mayHaveRun bool
-	reason           shed.Reason
+	// lost: another attempt serves the caller.
+	lost   bool
+	reason shed.Reason
 }
 
 // output is the response to the caller.
@@ -44,52 +46,134 @@
 	started bool
 	// lastEvent is the id of the last forwarded event.
 	lastEvent string
+	// failure is a server's complete answer that says that it failed. The caller gets it if no other
+	// server does better; nil if there is none.
+	failure *serverAnswer
 }
 
-// attempt sends the request to the chosen server and forwards the answer.
-func (r *Relay) attempt(ctx context.Context, out *output, j *job, choice picker.Choice) outcome {
-	began := time.Now()
-	ctx, span := r.tracer.Start(ctx, "send")
+// serverAnswer is a complete answer of a server that is no stream.
+type serverAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// forward sends the answer to the caller.
+func (o *output) forward(answer *serverAnswer) error {
+	copyHeader(o.w.Header(), answer.header)
+	o.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	o.started = true
+	o.w.WriteHeader(answer.status)
+	_, err := o.w.Write(answer.body)
+	return err
+}
+
+// execute sends the request to the chosen server and forwards the answer.
+func (a *attempt) execute(choice picker.Choice) {
+	r, j := a.relay, a.job
+	a.choice, a.began = choice, time.Now()
+	ctx, span := r.tracer.Start(a.ctx, "send")
 	defer span.End()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer a.cancel()
+	a.pursuit.mu.Lock()
 	j.server, j.serverVersion, j.slowness = choice.Server.ID, choice.Server.Version, choice.Slowness
-	a := &attempt{relay: r, job: j, out: out, choice: choice, began: began, cancel: cancel}
+	a.pursuit.mu.Unlock()
 	v := a.run(ctx)
+	a.silence.stop()
+	v.lost = a.pursuit.end(a) && !v.done
 	r.returnPermit(j, v.reason == reasonServerFull)
-	if v.sent {
-		j.sends++
+	if v.lost {
+		v.reason = a.lossReason()
 	}
 	pathFailed := a.serverFailed && r.isPathFailure(&a.exchange, a.err)
 	a.serverFailed = a.serverFailed && !pathFailed
 	r.assessAttempt(a, v)
-	j.mayHaveRun = j.mayHaveRun || v.mayHaveRun
 	end := picker.End{
 		Failed: a.serverFailed, Unreached: a.serverFailed && !v.sent && timedOut(a.err),
 		Inconclusive: !a.serverFailed && (ctx.Err() != nil || !v.sent) || pathFailed,
 	}
 	if v.done && !j.route.Streaming {
-		end.Took = time.Since(began)
+		end.Took = time.Since(a.began)
 	}
 	r.mu.Lock()
 	a.markBegun()
 	r.picker.RecordEnd(time.Now(), choice, end)
 	r.mu.Unlock()
+	j.carrier = a.exchange.carrier
 	if !v.done {
-		j.avoid = append(j.avoid, choice.Server.ID)
 		r.stats.recordAttemptFailure(v.reason)
-		fields := logrus.Fields{
-			"request": j.request.ID, "server": choice.Server.ID, "zone": choice.Server.Zone, "reason": v.reason,
-			"server_version": choice.Server.Version, "events": j.events,
-			"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": j.sends, "status": a.status,
-			"took_ms": time.Since(began).Milliseconds(), "cost_ms": choice.Cost.Milliseconds(),
-			"cold": choice.Server.Cold(began), "error": errorText(a.err), "fingerprint": j.fingerprint, "path_failed": pathFailed,
+		a.logFailure(v, pathFailed)
+	}
+	a.outcome = v
+	a.pursuit.mu.Lock()
+	defer a.pursuit.mu.Unlock()
+	a.pursuit.ended = append(a.pursuit.ended, a)
+}
+
+// executeSecond makes a second attempt, for which the retry budget was taken.
+func (a *attempt) executeSecond() {
+	r, j := a.relay, a.job
+	if len(j.route.Steps) > 0 && !j.inputsReady {
+		// The first server has fetched the results, which were freed then.
+		j.inputsBorrowed = false
+		if refused := r.prepare(a.ctx, j); refused != nil {
+			a.abandon(refused.reason)
+			return
 		}
-		logCarrier(fields, a.exchange.carrier)
-		r.log.WithFields(fields).Info("attempt failed")
+		j.inputsReady = true
+		defer r.releaseInputs(j)
 	}
-	j.carrier = a.exchange.carrier
-	return v
+	choice := r.placeSecond(j)
+	if choice.Server == nil {
+		a.abandon(shed.ReasonNoServer)
+		return
+	}
+	a.execute(choice)
+}
+
+// abandon ends a second attempt that was not sent.
+func (a *attempt) abandon(reason shed.Reason) {
+	a.cancel()
+	a.pursuit.mu.Lock()
+	delete(a.pursuit.inFlight, a.runner)
+	a.pursuit.race.End(a.runner)
+	a.pursuit.begun--
+	a.pursuit.mu.Unlock()
+	a.relay.mu.Lock()
+	a.relay.retryBudget(a.job.pool.ID).Return(time.Now())
+	a.relay.mu.Unlock()
+	a.relay.log.WithFields(logrus.Fields{"request": a.job.request.ID, "reason": reason}).Info("second attempt not sent")
+}
+
+// lossReason returns why an attempt lost against another one, and attributes the loss.
+func (a *attempt) lossReason() shed.Reason {
+	if a.overtakenBy < a.runner {
+		return reasonNotNeeded
+	}
+	// A stream's server that was overtaken may go on; until then others are better.
+	a.serverFailed = a.job.route.Streaming
+	a.err = errServerSilent
+	return shed.ReasonSilent
+}
+
+// errServerSilent is the error of an attempt whose caller was served by a second one.
+var errServerSilent = errors.New("server was silent until another one answered")
+
+func (a *attempt) logFailure(v outcome, pathFailed bool) {
+	server := a.choice.Server
+	fields := logrus.Fields{
+		"request": a.job.request.ID, "server": server.ID, "zone": server.Zone, "reason": v.reason,
+		"server_version": server.Version, "events": a.job.events,
+		"sent": v.sent, "may_have_run": v.mayHaveRun, "attempt": a.pursuit.earlierSends + int(a.runner), "status": a.status,
+		"took_ms": time.Since(a.began).Milliseconds(), "cost_ms": a.choice.Cost.Milliseconds(),
+		"cold": server.Cold(a.began), "error": errorText(a.err), "fingerprint": a.job.fingerprint, "path_failed": pathFailed,
+	}
+	logCarrier(fields, a.exchange.carrier)
+	msg := "attempt failed"
+	if v.reason == reasonNotNeeded {
+		msg = "second attempt not needed"
+	}
+	a.relay.log.WithFields(fields).Info(msg)
 }
 
 // timedOut reports whether an error is a timeout, as opposed to a refused connection.
@@ -100,16 +184,29 @@
 
 // attempt is one request to one server.
 type attempt struct {
-	relay  *Relay
+	relay   *Relay
+	pursuit *pursuit
+	runner  hedge.Runner
+	// isSecond is set if it began while another one was in flight.
+	isSecond bool
+	// job is the request; a second attempt has a copy of its own.
 	job    *job
 	out    *output
 	choice picker.Choice
 	began  time.Time
+	ctx    context.Context
 	cancel context.CancelFunc
+	// lastEvent is the id of the last event that the caller had when the attempt began.
+	lastEvent string
+	// lastSign is when the server last sent something of its answer.
+	lastSign elapsed
+	silence  silenceTimer
+	// secondDenied is why the last second attempt in its place was denied. Guarded by pursuit.mu.
+	secondDenied noRetry
+	// overtakenBy is the attempt that serves the caller instead. Guarded by pursuit.mu.
+	overtakenBy hedge.Runner
 	// begun: the picker has been notified that the first event arrived.
 	begun bool
-	// timedOut: the attempt was cancelled because no event arrived in time.
-	timedOut atomic.Bool
 	// serverFailed: the failure is attributed to the server.
 	serverFailed bool
 	// exchange is the request to the server, once it was sent.
@@ -118,6 +215,7 @@
 	// endsWithConnection: the answer has neither a length nor chunks.
 	endsWithConnection bool
 	err                error
+	outcome            outcome
 }
 
 func (a *attempt) run(ctx context.Context) outcome {
@@ -126,8 +224,8 @@
 		Server: a.choice.Server.ServerEntry, Budget: time.Until(j.deadline) - answerSlack,
 		Workspace: j.workspace, Urgency: j.rank, LastEventID: j.request.LastEventID, Inputs: j.inputs,
 	}
-	if a.out.lastEvent != "" {
-		hop.LastEventID = a.out.lastEvent
+	if a.lastEvent != "" {
+		hop.LastEventID = a.lastEvent
 	}
 	if !j.route.Streaming {
 		hop.Urgency = -1
@@ -151,8 +249,9 @@
 	}
 	if j.route.Streaming {
 		a.exchange.patience = streamPatience
-	} else {
-		a.exchange.movable = j.route.Repeatable && j.sends+1 < j.route.MaxSends
+	}
+	if j.mayRunTwice() && !j.trial && j.sends+1 < j.route.MaxSends {
+		a.silence.start(hedge.FirstCheck(j.route.Streaming), func() time.Duration { return a.pursuit.checkSilence(a) })
 	}
 	resp, reply, sent, err := a.relay.send(&a.exchange, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
@@ -179,6 +278,7 @@
 func (a *attempt) handleAnswer(ctx context.Context, resp *http.Response, reply shed.ReplyHead) outcome {
 	j := a.job
 	a.status = resp.StatusCode
+	a.lastSign.Store(time.Since(a.began))
 	if reply.ID != j.request.ID {
 		// This is a second answer to an earlier request on the connection, or bytes that are no
 		// answer: they belong to no request.
@@ -198,7 +298,7 @@
 			reason = shed.ReasonServerLeaving
 		case reply.InputsGone:
 			reason = reasonInputsGone
-			a.relay.releaseInputs(j)
+			a.releaseInputs()
 		}
 		return outcome{sent: true, reason: reason}
 	}
@@ -219,26 +319,56 @@
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
+	a.pursuit.mu.Lock()
+	defer a.pursuit.mu.Unlock()
 	if a.out.started {
-		// The server did not resume the stream.
+		// The server did not resume the stream, or another one serves the caller.
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
 	}
-	if resp.StatusCode >= http.StatusInternalServerError && a.job.route.Repeatable && a.job.sends+1 < a.job.route.MaxSends &&
-		a.relay.hasOtherServer(a.job, a.choice) {
+	answer := &serverAnswer{status: resp.StatusCode, header: resp.Header, body: body}
+	if a.isBetterReplaced(resp.StatusCode) {
+		// Kept for the caller until another server has done better.
+		a.out.failure = answer
 		a.serverFailed = true
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
 	}
-	copyHeader(a.out.w.Header(), resp.Header)
-	a.out.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	a.out.started = true
-	a.out.w.WriteHeader(resp.StatusCode)
-	if _, err := a.out.w.Write(body); err != nil {
+	if !a.pursuit.deliver(a) {
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
+	}
+	if err := a.out.forward(answer); err != nil {
 		a.err = err
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonCallerGone}
 	}
 	return outcome{done: true, sent: true, mayHaveRun: true}
 }
 
+// releaseInputs frees the inputs of an attempt whose server says that they are gone.
+func (a *attempt) releaseInputs() {
+	a.pursuit.mu.Lock()
+	defer a.pursuit.mu.Unlock()
+	a.relay.releaseInputs(a.job)
+}
+
+// isBetterReplaced reports whether a complete answer says that its server failed while another attempt may
+// still do better. The caller holds pursuit.mu.
+func (a *attempt) isBetterReplaced(status int) bool {
+	switch {
+	case a.pursuit.race.Contested():
+		return status >= http.StatusBadRequest
+	case status < http.StatusInternalServerError || !a.job.route.Repeatable:
+		return false
+	}
+	return a.pursuit.earlierSends+a.pursuit.begun < a.job.route.MaxSends && a.relay.hasOtherServer(a.job, a.choice)
+}
+
+// mayRunTwice reports whether a second attempt may run while the first one does.
+func (j *job) mayRunTwice() bool {
+	if j.route.Streaming {
+		return j.route.Resumable
+	}
+	return j.route.Repeatable
+}
+
 // hasOtherServer reports whether another server could be tried.
 func (r *Relay) hasOtherServer(j *job, c picker.Choice) bool {
 	r.mu.Lock()
@@ -246,7 +376,7 @@
 	now := time.Now()
 	for _, s := range r.candidates(now, j) {
 		if s.ID != c.Server.ID && !slices.Contains(j.avoid, s.ID) && r.access.RestLeft(now, s.Start()) == 0 {
-			return r.retryBudget(j.pool.ID).Remaining(now) > 0
+			return true
 		}
 	}
 	return false
@@ -275,5 +405,3 @@
 		a.relay.picker.RecordPromptRead(a.choice)
 	}
 }
-
-var errEventTimeout = errors.New("no stream event within the time limit")
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -46,6 +46,8 @@
 	// that it needs, zone is where they are held.
 	inputsReady bool
 	inputs      []shed.ResultRef
+	// inputsBorrowed: another attempt frees them.
+	inputsBorrowed bool
 	// coordinators maps each result to the VM that coordinated it: that VM accounts for the
 	// producers' capacity, so it has to know when the result is freed. Guarded by Relay.mu.
 	coordinators map[shed.ResultRef]shed.VM
@@ -107,6 +109,8 @@
 	reasonNoTurn        shed.Reason = "servers_limited"
 	reasonResting       shed.Reason = "servers_resting"
 	reasonServed        shed.Reason = "served"
+	// reasonNotNeeded: the first server went on before the second one delivered.
+	reasonNotNeeded shed.Reason = "not_needed"
 	// Reasons for which a stream can't be resumed: nobody knows at which software version it began,
 	// no server of that version is left, or the route no longer leads to the pool where it began.
 	reasonUnknownVersion shed.Reason = "stream_version_unknown"
@@ -160,7 +164,7 @@
 		if refused != nil {
 			return r.finalRefusal(out, refused)
 		}
-		v := r.attempt(ctx, out, j, choice)
+		v := r.pursue(ctx, out, j, choice)
 		if v.done {
 			return nil
 		}
@@ -182,6 +186,10 @@
 	runsOnce noRetry = "runs_once"
 	// noServersLeft means that too many servers have been tried.
 	noServersLeft noRetry = "servers_tried"
+	// noOtherServer means that no other server takes the request now.
+	noOtherServer noRetry = "no_other_server"
+	// maybeCrashes means that the request may crash its server, so it isn't sent to a second one.
+	maybeCrashes noRetry = "may_crash"
 	// noBudget means that the retry budget of the pool is spent.
 	noBudget noRetry = "retry_budget"
 )
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -23,8 +23,6 @@
 	sendBy time.Time
 	// patience is how long the server may send nothing without doubt on the path to it.
 	patience time.Duration
-	// movable: the request is better sent to another server if this one is silent.
-	movable bool
 	// carrier is the peer that carried the request; empty if it was sent directly.
 	carrier shed.VM
 }
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -95,6 +95,15 @@
 	s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_failed").Inc(1)
 }
 
+// recordSecond counts the decisions on second attempts by why they were denied.
+func (s stats) recordSecond(denied noRetry) {
+	outcome := "begun"
+	if denied != retryPossible {
+		outcome = string(denied)
+	}
+	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("second_attempts").Inc(1)
+}
+
 // recordDial counts a connection attempt to a server by its outcome.
 func (s stats) recordDial(err error) {
 	outcome := "connected"
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,40 +12,25 @@
 	shed "jasmineshed"
 )
 
-const (
-	// maxEvent bounds one event of a stream, in bytes.
-	maxEvent = 1 << 20
-	// firstEventTimeout is how long a resumable stream may take from the server's answer to its
-	// first event.
-	firstEventTimeout = 2500 * time.Millisecond
-	// nextEventTimeout is how long a resumable stream may be silent between events: callers
-	// give up a stream after two seconds at the earliest, and another server needs a while to
-	// read the prompt.
-	nextEventTimeout = 1300 * time.Millisecond
-)
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
 
 // stream forwards a stream event by event, each one complete. The header is sent with the first
 // event: until then another server's answer can still replace it.
 func (a *attempt) stream(ctx context.Context, resp *http.Response) outcome {
 	broken := outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
-	timer := a.startSilenceTimer(firstEventTimeout)
-	defer timer.Stop()
 	events := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(events)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) == 0 && (a.out.started || a.isEmptyRest(resp)) {
-				a.startAnswer(resp)
+			if errors.Is(err, io.EOF) && len(event) == 0 && a.completeStream(resp) {
 				return outcome{done: true, sent: true, mayHaveRun: true}
 			}
 			a.err = err
 			a.serverFailed = ctx.Err() == nil
-			if a.timedOut.Load() {
-				a.err, a.serverFailed, broken.reason = errEventTimeout, true, shed.ReasonSilent
-			}
 			return broken
 		}
-		timer.Reset(nextEventTimeout)
+		a.lastSign.Store(time.Since(a.began))
 		if err := a.forwardEvent(resp, event); err != nil {
 			a.err = err
 			return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonCallerGone}
@@ -53,25 +38,35 @@
 	}
 }
 
-// startSilenceTimer returns a timer that cancels the attempt unless it is reset in time, if the
-// stream can be resumed at another server.
-func (a *attempt) startSilenceTimer(limit time.Duration) *time.Timer {
-	t := time.AfterFunc(limit, func() {
-		if a.job.route.Resumable {
-			a.timedOut.Store(true)
-			a.cancel()
-		}
-	})
-	return t
+// completeStream ends the caller's answer if the stream that ended is complete.
+func (a *attempt) completeStream(resp *http.Response) bool {
+	emptyRest := a.isEmptyRest(resp)
+	a.pursuit.mu.Lock()
+	defer a.pursuit.mu.Unlock()
+	if !emptyRest && !a.out.started || !a.pursuit.deliver(a) {
+		return false
+	}
+	a.startAnswer(resp)
+	a.pursuit.releaseInputs(a)
+	return true
 }
 
+// errOvertaken is the error of an attempt with an event for a caller whom another attempt serves.
+var errOvertaken = errors.New("another attempt serves the caller")
+
 func (a *attempt) forwardEvent(resp *http.Response, event []byte) error {
+	a.pursuit.mu.Lock()
+	defer a.pursuit.mu.Unlock()
+	if !a.pursuit.deliver(a) {
+		return errOvertaken
+	}
 	if !a.begun {
 		a.relay.mu.Lock()
 		a.markBegun()
 		a.relay.reportSuspects(a.relay.poison.RanParts(time.Now(), a.job.partFingerprints()))
 		a.relay.picker.RecordFirstEvent(a.choice, time.Since(a.began))
 		a.relay.mu.Unlock()
+		defer a.pursuit.releaseInputs(a)
 	}
 	a.startAnswer(resp)
 	if _, err := a.out.w.Write(event); err != nil {
@@ -84,7 +79,8 @@
 	return a.out.control.Flush()
 }
 
-// startAnswer sends the caller the head of the answer, unless that was done before.
+// startAnswer sends the caller the head of the answer, unless that was done before. The caller holds
+// pursuit.mu.
 func (a *attempt) startAnswer(resp *http.Response) {
 	if a.out.started {
 		return
@@ -94,7 +90,6 @@
 	a.out.w.WriteHeader(resp.StatusCode)
 	a.out.started = true
 	a.job.firstByte = time.Since(a.job.began)
-	a.relay.releaseInputs(a.job)
 }
 
 // isEmptyRest reports whether an answer that ended without an event is complete: the caller has all
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -72,6 +72,12 @@
 	return true
 }
 
+// Return puts back a token that was taken for a retry or hedge that was not sent.
+func (b *Budget) Return(now time.Time) {
+	b.refill(now)
+	b.add(1)
+}
+
 // Remaining is the number of retries that the budget allows now.
 func (b *Budget) Remaining(now time.Time) int {
 	b.refill(now)
