relay: a second attempt makes results again that expire before its server could fetch them

A second attempt now begins after two seconds of silence at the latest, which no caller is sure to wait longer and a sound server is hardly silent, and has its pieces made again when the results would expire within a second.

What remains as inputs_gone are routes that allow one send.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -66,13 +66,14 @@
 }
 
 // after returns how long the server has to be silent until a second attempt: half of what the caller's
-// patience or the deadline allows, so that the rest is left for the second server.
+// patience or the deadline allows, so that the rest is left for the second server. Longer than any caller
+// is sure to wait, a sound server is hardly silent.
 func (w Wait) after() time.Duration {
 	if !w.Streaming {
 		return plainSilence
 	}
 	patience := max(minStreamPatience, targetsPatience*w.Target)
-	return min(patience, w.Left+w.Silence) / 2
+	return min(min(patience, w.Left+w.Silence)/2, minStreamPatience)
 }
 
 // FirstCheck returns after what time a request is looked at first: no second attempt begins earlier.
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -25,6 +25,8 @@
 		"half of the patience":              {silent(time.Second), Begin, 0},
 		"callers of slow routes wait longer": {
 			change(silent(time.Second), func(w *Wait) { w.Target = time.Second }), Stay, time.Second},
+		"callers of the slowest routes wait as long": {
+			change(silent(2*time.Second), func(w *Wait) { w.Target = 5 * time.Second }), Begin, 0},
 		"little time is shared by both servers": {
 			change(silent(500*ms), func(w *Wait) { w.Left = 500 * ms }), Begin, 0},
 		"no time for a second server": {
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -178,10 +178,31 @@
 	second.inputsBorrowed = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.areInputsKept(time.Now(), j) {
+		second.inputs, second.inputsReady = nil, false
+	}
 	second.expected, second.expectedBytes, second.coordinators = nil, nil, maps.Clone(j.coordinators)
 	return &second
 }
 
+// fetchTime is reserved for a server to fetch its inputs before their producers drop them.
+const fetchTime = time.Second
+
+// areInputsKept reports whether the results that a request needs are kept long enough for another server to
+// fetch them. The caller holds mu.
+func (r *Relay) areInputsKept(now time.Time, j *job) bool {
+	if !j.inputsReady {
+		return false
+	}
+	age := now.Sub(j.began.Add(j.prepareTime))
+	for _, s := range j.route.Steps {
+		if pool := r.pool(s.Pool); pool.RunsPieces() && pool.Batch.ResultRetention > 0 && age+fetchTime > pool.Batch.ResultRetention {
+			return false
+		}
+	}
+	return true
+}
+
 // describeWait describes how an attempt waits for its server.
 func (r *Relay) describeWait(a *attempt) hedge.Wait {
 	now := time.Now()
@@ -195,7 +216,7 @@
 	heard := shed.Later(r.paths.heardFrom[a.exchange.addr()], a.began.Add(a.lastSign.Load()))
 	w.ServerSilence = now.Sub(heard)
 	w.PoolSilent = r.isPoolSilent(now, j.pool.ID)
-	if plan := newPlan(j); len(plan.steps) > 0 && !j.inputsReady {
+	if plan := newPlan(j); len(plan.steps) > 0 && !r.areInputsKept(now, j) {
 		w.Answer += r.chain(now, plan).MinTime()
 	}
 	return w
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -120,7 +120,7 @@
 			a.abandon(refused.reason)
 			return
 		}
-		j.inputsReady = true
+		j.inputsReady, j.prepareTime = true, time.Since(j.began)
 		defer r.releaseInputs(j)
 	}
 	choice := r.placeSecond(j)
