--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -24,7 +24,7 @@
 // Wait describes a request that waits for its server.
 type Wait struct {
 	Streaming bool
-	// Begun is set if the server has sent events that the caller has.
+	// Begun is set if the server has sent a part of its answer.
 	Begun bool
 	// Silence is how long the server has sent nothing for this request, ServerSilence for any request of
 	// this VM; at most Silence.
--- a/internal/hedge/race.go
+++ b/internal/hedge/race.go
@@ -1,5 +1,7 @@
 package hedge
 
+import "slices"
+
 // Runner identifies an attempt of a Race.
 type Runner int
 
@@ -37,27 +39,18 @@
 	return true
 }
 
-// End removes an attempt that ended, and reports whether it was still in flight: it neither delivered its
-// end nor lost.
+// End removes an attempt that ended, and reports whether it was still in flight: whether it had not lost.
 func (r *Race) End(n Runner) bool {
-	for i, other := range r.inFlight {
-		if other == n {
-			r.inFlight = append(r.inFlight[:i], r.inFlight[i+1:]...)
-			return true
-		}
+	at := slices.Index(r.inFlight, n)
+	if at < 0 {
+		return false
 	}
-	return false
+	r.inFlight = slices.Delete(r.inFlight, at, at+1)
+	return true
 }
 
 // IsInFlight reports whether an attempt is in flight and has not lost.
-func (r *Race) IsInFlight(n Runner) bool {
-	for _, other := range r.inFlight {
-		if other == n {
-			return true
-		}
-	}
-	return false
-}
+func (r *Race) IsInFlight(n Runner) bool { return slices.Contains(r.inFlight, n) }
 
 // Contested reports whether two attempts are in flight.
 func (r *Race) Contested() bool { return len(r.inFlight) == maxInFlight }
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -163,7 +163,6 @@
 	if !ok {
 		return 0
 	}
-	b.isSecond = true
 	p.second.Go(func() error {
 		b.executeSecond()
 		return nil
@@ -205,16 +204,15 @@
 
 // describeWait describes how an attempt waits for its server.
 func (r *Relay) describeWait(a *attempt) hedge.Wait {
-	now := time.Now()
-	j := a.job
+	now, lastSign := time.Now(), a.lastSign.Load()
+	j, heardAt := a.job, a.began.Add(lastSign)
 	w := hedge.Wait{
-		Streaming: j.route.Streaming, Begun: a.begun, Silence: now.Sub(a.began) - a.lastSign.Load(),
+		Streaming: j.route.Streaming, Begun: lastSign > 0, Silence: now.Sub(heardAt),
 		Target: j.route.Target, Left: j.deadline.Sub(now), Answer: j.answerTime,
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	heard := shed.Later(r.paths.heardFrom[a.exchange.addr()], a.began.Add(a.lastSign.Load()))
-	w.ServerSilence = now.Sub(heard)
+	w.ServerSilence = now.Sub(shed.Later(r.paths.heardFrom[a.exchange.addr()], heardAt))
 	w.PoolSilent = r.isPoolSilent(now, j.pool.ID)
 	if plan := newPlan(j); len(plan.steps) > 0 && !r.areInputsKept(now, j) {
 		w.Answer += r.chain(now, plan).MinTime()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -83,7 +83,7 @@
 	v.lost = a.pursuit.end(a) && !v.done
 	r.returnPermit(j, v.reason == reasonServerFull)
 	if v.lost {
-		v.reason = a.lossReason()
+		v.reason = a.attributeLoss()
 	}
 	pathFailed := a.serverFailed && r.isPathFailure(&a.exchange, a.err)
 	a.serverFailed = a.serverFailed && !pathFailed
@@ -145,8 +145,8 @@
 	a.relay.log.WithFields(logrus.Fields{"request": a.job.request.ID, "reason": reason}).Info("second attempt not sent")
 }
 
-// lossReason returns why an attempt lost against another one, and attributes the loss.
-func (a *attempt) lossReason() shed.Reason {
+// attributeLoss returns why an attempt lost against another one, and whether that is due to its server.
+func (a *attempt) attributeLoss() shed.Reason {
 	if a.overtakenBy < a.runner {
 		return reasonNotNeeded
 	}
@@ -187,8 +187,6 @@
 	relay   *Relay
 	pursuit *pursuit
 	runner  hedge.Runner
-	// isSecond is set if it began while another one was in flight.
-	isSecond bool
 	// job is the request; a second attempt has a copy of its own.
 	job    *job
 	out    *output
