--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,13 +14,14 @@
 )
 
 // start runs a small fleet that ends with the test.
-func start(t *testing.T) *Fleet {
+func start(t *testing.T, cfg Config) *Fleet {
 	t.Helper()
 	text, err := sample.Rules("small")
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
-	f, err := Start(ctx, Config{Rules: text, LogTo: os.Stderr})
+	cfg.Rules, cfg.LogTo = text, os.Stderr
+	f, err := Start(ctx, cfg)
 	require.NoError(t, err)
 	t.Cleanup(f.Close)
 	require.NoError(t, f.WaitReady(ctx))
@@ -35,7 +36,7 @@
 }
 
 func TestEveryPipelineEndToEnd(t *testing.T) {
-	f := start(t)
+	f := start(t, Config{})
 	c := dial(t, f)
 	ctx := context.Background()
 
--- a/internal/fleet/hop_test.go
+++ b/internal/fleet/hop_test.go
@@ -17,7 +17,7 @@
 )
 
 // hopRules returns rules with a pipeline of one encode stage in the zone.
-func hopRules(b *testing.B, zone string) []byte {
+func hopRules(b testing.TB, zone string) []byte {
 	b.Helper()
 	text, err := sample.Rules("small")
 	require.NoError(b, err)
