serve: silence is reported; a silent call is only given up for a replacement

What callers saw: a request ended as soon as its server was silent for the idle timeout (2 s) if the retry budget was spent, no server was free or no further send was allowed, although the server went on and up to 4 s were left. A publication that took longer than 2 s ended as outcome_unknown.

Cause: the engine cancelled the call for silence, and the flow asked for what the next one needs only after that.

What changed: - The engine reports silence with a Frame (Silent) after the idle timeout and every 500 ms while it lasts, and keeps the call. The daemon passes it on as the event CallSilent. - On each report the flow looks for a replacement: the stage may run again, sends are left, nobody waits for the same servers, enough time is left, a server or peer takes the call, and last the retry budget. Only if all of this is granted does it cancel the silent call and start the next one, in one step. Otherwise it keeps the call. A stage that must run at most once is never given up for silence. - For 2 idle timeouts the silent server is avoided. After that it may get the call again if it reports free capacity: the connection is then more likely lost than the server. - A call that is cancelled for a replacement ends as EndBroken with ReasonSilent, as it did before, so that slots and load records treat it as one that may still run. The daemon drops its late frames and tells the caller that its text is void (Reset). - Forwarded calls: StageRequest.ReportSilence (new, 10) says that the sender decides. The receiver then reports silence in a Frame (Silent, 11) and doesn't end the call for it. An old sender doesn't set the field and gets what it got before, the end of the call after 2 s; an old receiver ignores it and ends the call as before.

Tests: the state machine and the fault matrix of the flow report silence at any time; their oracle demands that no call is given up for silence without a replacement in the same step, and a mutant without that safeguard is found. The model of the fleets (proof) reports silence as the engine does. The fault "end of another attempt" of the flow's matrix now skips attempts that are in flight: a replaced call and its replacement overlap until the driver has reported the end of the first. The oracle's rule that a request which outlives its caller isn't cancelled does not apply to a call that is replaced in the same step; that the replacement exists is checked instead.

--- a/action.go
+++ b/action.go
@@ -21,8 +21,11 @@
 	Deadline time.Time
 	// Priority for the engine: lower is more urgent.
 	Priority int
-	// IdleTimeout is the longest gap between frames before the call counts as broken.
+	// IdleTimeout is the longest gap between frames before the call counts as silent.
 	IdleTimeout time.Duration
+	// ReportSilence is set if a silent call goes on and is reported with CallSilent. Otherwise
+	// it ends as broken.
+	ReportSilence bool
 	// ResumeFrom is the number of tokens already received; above 0 the driver
 	// asks the engine to continue the stream of the call Resumes from there.
 	ResumeFrom Tokens
@@ -59,7 +62,9 @@
 	RetryAfter time.Duration
 }
 
-// CancelCall cancels a call whose result is no longer needed, at the engine too.
+// CancelCall cancels a call whose result is no longer needed, at the engine too. With
+// ReasonSilent, another call replaces it: it then ends as EndBroken, since its work may still
+// run, and its frames no longer count.
 type CancelCall struct {
 	Call   Call
 	Reason Reason
--- a/event.go
+++ b/event.go
@@ -61,6 +61,9 @@
 	Revision Revision `cbor:"8,keyasint"`
 	// Avoid lists servers that have failed this request.
 	Avoid []ServerID `cbor:"9,keyasint,omitempty"`
+	// ReportSilence is set if the sender decides what becomes of a silent call: the receiver
+	// then reports silence with a Frame and does not end the call for it.
+	ReportSilence bool `cbor:"10,keyasint,omitempty"`
 }
 
 // CallProgress reports that the live call has produced Tokens in total. It is sent when the
@@ -78,6 +81,22 @@
 // ProgressEvery is the minimum interval between two CallProgress events of one call.
 const ProgressEvery = 100 * time.Millisecond
 
+// CallSilent reports that nothing has arrived for the live call for a while. It is sent after the
+// idle timeout of the call, and again every SilenceEvery while the silence lasts. The call goes
+// on: its server may be sound, so it is only given up once its replacement is certain.
+type CallSilent struct {
+	Call Call
+	// For is how long nothing has arrived.
+	For time.Duration
+	// Server and Zone are empty if it isn't known which server runs the call.
+	Server ServerID
+	Zone   ZoneID
+}
+
+// SilenceEvery is the interval between two CallSilent events of one call. It bounds how often a
+// replacement is looked for, and how late one is found.
+const SilenceEvery = 500 * time.Millisecond
+
 // CallEnded reports that the call has ended and will produce nothing more.
 type CallEnded struct {
 	Call   Call
@@ -169,6 +188,7 @@
 func (ForwardEnded) event()   {}
 func (StageRequested) event() {}
 func (CallProgress) event()   {}
+func (CallSilent) event()     {}
 func (CallEnded) event()      {}
 func (PeerMessage) event()    {}
 func (PeerLost) event()       {}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// handleCallSilent lets the flow decide what becomes of a silent call. For a call of a peer the
+// peer decides: only it knows whether it has a replacement.
+func (c *Core) handleCallSilent(now time.Time, e shed.CallSilent) {
+	if !c.forwardedIn[e.Call] {
+		c.recordActions(now, c.flow.Handle(now, e))
+	}
+}
+
 func (c *Core) handleCallEnded(now time.Time, e shed.CallEnded) {
 	if id, local := c.localCalls[e.Call]; local {
 		delete(c.localCalls, e.Call)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,6 +208,8 @@
 		c.handleStageRequest(now, e)
 	case shed.CallProgress:
 		c.handleCallProgress(now, e)
+	case shed.CallSilent:
+		c.handleCallSilent(now, e)
 	case shed.CallEnded:
 		c.handleCallEnded(now, e)
 	case shed.ForwardEnded:
--- a/internal/core/forwarded.go
+++ b/internal/core/forwarded.go
@@ -9,7 +9,8 @@
 const (
 	// forwardedSendLease bounds the time from the decision to the send.
 	forwardedSendLease = 500 * time.Millisecond
-	// forwardedIdleTimeout is the longest time without a frame from a server.
+	// forwardedIdleTimeout is how long nothing may arrive for a call before it counts as silent.
+	// It ends only the calls of peers that don't decide on silence themselves.
 	forwardedIdleTimeout = 2 * time.Second
 	// forwardedRetryAfter is when a refused peer may retry.
 	forwardedRetryAfter = 200 * time.Millisecond
@@ -156,6 +157,8 @@
 		Deadline:    q.Deadline,
 		Priority:    int(q.Budget / (100 * time.Millisecond)),
 		IdleTimeout: forwardedIdleTimeout,
+
+		ReportSilence: q.ReportSilence,
 	}
 	c.forwardedIn[q.Call] = true
 	c.recordStart(now, a)
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	shed "jasmineshed"
@@ -21,7 +23,7 @@
 type call struct {
 	id     shed.Call
 	stage  shed.StageID
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// run or forwarded is what the call belongs to; the other one is nil.
 	run       *run
 	forwarded *forwardedCall
@@ -32,8 +34,15 @@
 	tokens   shed.Tokens
 	server   shed.ServerID
 	zone     shed.ZoneID
+	// replaced is set once another call replaces this one, which was silent; its frames then no
+	// longer count. It is set while a frame of the call is processed, so that the new call can
+	// read the assembly.
+	replaced atomic.Bool
 }
 
+// errReplaced is returned to the sender of a frame of a replaced call.
+var errReplaced = errors.New("call was replaced")
+
 // progress limits the rate of the CallProgress events of one call.
 type progress struct {
 	started time.Time
@@ -62,10 +71,10 @@
 		c.assembly = r.newAssembly(id, resumes, from)
 		r.current = c
 	}
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancelCause(parent)
 	// A run's context outlives its caller, but the end of the daemon cancels it.
-	stop := context.AfterFunc(d.base, cancel)
-	c.cancel = func() { stop(); cancel() }
+	stop := context.AfterFunc(d.base, func() { cancel(nil) })
+	c.cancel = func(cause error) { stop(); cancel(cause) }
 	d.calls[id] = c
 	d.stats.liveCalls.Update(float64(len(d.calls)))
 	return c, ctx
@@ -165,6 +174,12 @@
 // sink returns the function that processes the call's frames.
 func (c *call) sink(d *Daemon) func(shed.Frame) error {
 	return func(f shed.Frame) error {
+		if c.replaced.Load() {
+			return errReplaced
+		}
+		if f.Silent > 0 {
+			return c.reportSilent(d, f)
+		}
 		if f.Accepted {
 			d.handle(shed.CallProgress{Call: c.id, Server: c.server, Zone: c.zone, Boot: f.Boot})
 			if c.forwarded != nil {
@@ -191,6 +206,26 @@
 	}
 }
 
+// reportSilent reports a silent call to whoever decides on it: the peer that forwarded it, or else
+// the core, which may replace it at once.
+func (c *call) reportSilent(d *Daemon, f shed.Frame) error {
+	if f.Server != "" {
+		c.server = f.Server
+	}
+	if f.Zone != "" {
+		c.zone = f.Zone
+	}
+	if c.forwarded != nil {
+		f.Server, f.Zone = c.server, c.zone
+		return c.forwarded.send(f)
+	}
+	d.handle(shed.CallSilent{Call: c.id, For: f.Silent, Server: c.server, Zone: c.zone})
+	if c.replaced.Load() {
+		return errReplaced
+	}
+	return nil
+}
+
 // totalTokens is the number of the stage's tokens received, including those of
 // the calls that this one resumes.
 func (c *call) totalTokens() shed.Tokens {
@@ -218,7 +253,7 @@
 
 // endCall reports the end of a call to the core.
 func (d *Daemon) endCall(c *call, end shed.CallEnded, span trace.Span) {
-	c.cancel()
+	c.cancel(nil)
 	end.Call = c.id
 	if end.Tokens == 0 {
 		end.Tokens = c.totalTokens()
@@ -253,7 +288,16 @@
 	if c.run != nil && c.run.current == c {
 		c.run.current = nil
 	}
-	c.cancel()
+	if a.Reason != shed.ReasonSilent {
+		c.cancel(nil)
+		return
+	}
+	c.replaced.Store(true)
+	if c.run != nil {
+		// The call that replaces it tells the caller that its text is void.
+		c.run.last = c
+	}
+	c.cancel(shed.ErrReplaced)
 }
 
 // stageDone makes the call's result the input of the next stage. The caller
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -126,11 +127,19 @@
 		engine: e,
 		start:  start,
 		in:     in,
-		sink:   sink,
-		idle:   newIdleTimer(start.IdleTimeout, func() { cancel(errIdleTimeout) }),
+		sink:   frameSink{send: sink},
+		cancel: cancel,
 	}
-	defer c.idle.stop()
+	c.idle = newIdleTimer(start.IdleTimeout, func(silent time.Duration) bool {
+		if start.ReportSilence {
+			return c.reportSilent(silent)
+		}
+		cancel(errIdleTimeout)
+		return false
+	})
 	end := c.run(ctx)
+	c.idle.stop()
+	c.sink.close()
 	if end.End.MayHaveRun() && isStreamDiscarded(end) {
 		e.cancelInBackground(start)
 	}
@@ -148,27 +157,62 @@
 	errDeadlinePassed = errors.New("deadline passed")
 )
 
-// idleTimer fires unless it is reset in time.
+// idleTimer fires unless it is reset in time, and then every shed.SilenceEvery for as long as
+// onTimeout returns true.
 type idleTimer struct {
-	timer *time.Timer
 	limit time.Duration
+	// onTimeout gets the time since the last reset. It runs without mu, so it may block.
+	onTimeout func(silent time.Duration) bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// resetAt is when the timer was last reset. A report that is late by then is dropped.
+	resetAt time.Time
+	stopped bool
 }
 
-func newIdleTimer(limit time.Duration, onTimeout func()) *idleTimer {
+func newIdleTimer(limit time.Duration, onTimeout func(silent time.Duration) bool) *idleTimer {
+	t := &idleTimer{limit: limit, onTimeout: onTimeout, resetAt: time.Now()}
 	if limit <= 0 {
-		return &idleTimer{}
+		return t
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(limit, t.fire)
+	return t
+}
+
+func (t *idleTimer) fire() {
+	t.mu.Lock()
+	silent, since := time.Since(t.resetAt), t.resetAt
+	early := t.stopped || silent < t.limit
+	t.mu.Unlock()
+	if early || !t.onTimeout(silent) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped && t.resetAt.Equal(since) {
+		t.timer.Reset(shed.SilenceEvery)
 	}
-	return &idleTimer{timer: time.AfterFunc(limit, onTimeout), limit: limit}
 }
 
-func (s *idleTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.limit)
+func (t *idleTimer) reset() {
+	if t.timer == nil {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resetAt = time.Now()
+	t.timer.Reset(t.limit)
 }
 
-func (s *idleTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
+func (t *idleTimer) stop() {
+	if t.timer == nil {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
 }
--- a/internal/engine/fuzz_test.go
+++ b/internal/engine/fuzz_test.go
@@ -17,7 +17,7 @@
 func newTestCall(kind shed.StageKind, sink func(shed.Frame) error) *call {
 	return &call{
 		start: shed.StartCall{Call: shed.Call{Request: "q"}, Stage: shed.Stage{Kind: kind}},
-		sink:  sink,
+		sink:  frameSink{send: sink},
 		idle:  &idleTimer{},
 	}
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -31,8 +32,9 @@
 	engine *Engine
 	start  shed.StartCall
 	in     shed.Payload
-	sink   func(shed.Frame) error
+	sink   frameSink
 	idle   *idleTimer
+	cancel context.CancelCauseFunc
 	// acceptReported: the server's acceptance has been reported to sink.
 	acceptReported bool
 	// sequence is the sequence number of the next frame.
@@ -107,7 +109,7 @@
 	switch {
 	case errors.Is(err, errTooLate):
 		reason = shed.ReasonPaused
-	case errors.Is(cause, errIdleTimeout):
+	case errors.Is(cause, errIdleTimeout), errors.Is(cause, shed.ErrReplaced):
 		reason = shed.ReasonSilent
 	case errors.Is(cause, errDeadlinePassed):
 		end, reason = shed.EndCancelled, shed.ReasonDeadline
@@ -175,7 +177,13 @@
 	}
 	c.acceptReported = true
 	// If the sink fails here, it also fails with the next frame.
-	_ = c.sink(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
+	_ = c.sink.pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
+}
+
+// reportSilent reports that nothing has arrived for a while. It returns false once the call needs
+// no further reports.
+func (c *call) reportSilent(silent time.Duration) bool {
+	return c.sink.pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Silent: silent}) == nil
 }
 
 // emit passes one frame to the sink.
@@ -184,7 +192,33 @@
 	f.Sequence = c.sequence
 	f.Server = c.start.Server
 	c.sequence++
-	return c.sink(f)
+	return c.sink.pass(f)
+}
+
+// frameSink serializes the frames of the goroutine that reads the reply and of the idle timer.
+// After close it passes none on.
+type frameSink struct {
+	send func(shed.Frame) error
+
+	mu     sync.Mutex
+	closed bool
+}
+
+var errCallEnded = errors.New("call has ended")
+
+func (s *frameSink) pass(f shed.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errCallEnded
+	}
+	return s.send(f)
+}
+
+func (s *frameSink) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
 }
 
 // endComplete emits the last frame and ends the call.
@@ -199,8 +233,10 @@
 // drain reads the end of the reply, without which net/http can't reuse the connection. If the
 // server delays the end, the connection is closed.
 func (c *call) drain(rest io.Reader) {
-	if c.idle.timer != nil {
-		c.idle.timer.Reset(drainTimeout)
+	if c.cancel != nil {
+		c.idle.stop()
+		timeout := time.AfterFunc(drainTimeout, func() { c.cancel(errIdleTimeout) })
+		defer timeout.Stop()
 	}
 	_, _ = io.CopyN(io.Discard, rest, maxErrorBody)
 }
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -54,16 +54,15 @@
 }
 
 func (f *Flow) handleCallEnded(now time.Time, e shed.CallEnded) {
+	if r := f.requests[e.Call.Request]; r != nil && r.trail.RecordReplacedEnd(now, e) {
+		return
+	}
 	r := f.runningRequest(e.Call, e.Server)
 	if r == nil {
 		return
 	}
 	r.trail.RecordEnd(now, e)
-	if f.rules != nil {
-		if s := f.rules.Servers[e.Server]; s != nil {
-			r.trail.SetCapacity(e.Call, s.Capacity)
-		}
-	}
+	f.recordCapacity(r.trail, e.Call, e.Server)
 	f.setState(r, stateNew, time.Time{})
 	if e.End == shed.EndComplete {
 		f.completeStage(now, r, e)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -48,7 +48,7 @@
 	MaxSends int
 	// MaxResumes bounds how often the stream of one stage is resumed.
 	MaxResumes int
-	// IdleTimeout is StartCall.IdleTimeout.
+	// IdleTimeout is how long nothing may arrive for a call before it counts as silent.
 	IdleTimeout time.Duration
 	// SendLease bounds the time between a decision to send and the send.
 	SendLease time.Duration
@@ -91,6 +91,7 @@
 	boundBackoff  bool
 	skipQueue     bool
 	likelyTime    bool
+	secureFirst   bool
 }
 
 // New returns a flow without requests.
@@ -140,6 +141,8 @@
 		f.handleCallerGone(now, e.Request)
 	case shed.CallProgress:
 		f.handleProgress(e)
+	case shed.CallSilent:
+		f.handleSilent(now, e)
 	case shed.CallEnded:
 		f.handleCallEnded(now, e)
 	case shed.Tick:
--- a/internal/flow/machine_test.go
+++ b/internal/flow/machine_test.go
@@ -168,6 +168,15 @@
 	}
 }
 
+func (w *world) reportSilence(*rapid.T) {
+	if len(w.inFlight) == 0 {
+		return
+	}
+	c := rapid.SampledFrom(w.inFlight).Draw(w.t, "which")
+	silent := time.Duration(rapid.IntRange(1, 3).Draw(w.t, "factor")) * DefaultIdleTimeout
+	w.handle(shed.CallSilent{Call: c, For: silent, Server: w.serverOf[c], Zone: "a"})
+}
+
 func (w *world) dropCaller(*rapid.T) {
 	if w.next == 0 {
 		return
@@ -204,6 +213,7 @@
 			"end_more": w.endRandomCall,
 			"repeat":   w.duplicateEnd,
 			"progress": w.progress,
+			"silent":   w.reportSilence,
 			"gone":     w.dropCaller,
 			"pass":     w.passTime,
 			"":         w.check,
@@ -241,6 +251,7 @@
 		"outlive caller": {outliveCaller: true},
 		"check deadline": {checkDeadline: true},
 		"bound backoff":  {boundBackoff: true},
+		"secure first":   {secureFirst: true},
 	}
 }
 
--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,12 @@
 			w.oracle.requests["r1"].callerGone = true
 			w.handle(shed.CallerGone{Request: "r1"})
 		}},
+		{"silent", func(w *world) { w.silenceFirst(DefaultIdleTimeout) }},
+		{"silent, others full", func(w *world) {
+			w.script = append(w.script, 2)
+			w.silenceFirst(DefaultIdleTimeout)
+		}},
+		{"silent for long", func(w *world) { w.silenceFirst(2 * DefaultIdleTimeout) }},
 		{"end doubled", func(w *world) {
 			for _, e := range w.pastEnds {
 				w.handle(e)
@@ -34,7 +41,10 @@
 		{"end of another attempt", func(w *world) {
 			for _, c := range w.inFlight {
 				c.Attempt++
-				w.handle(shed.CallEnded{Call: c, End: shed.EndComplete})
+				// A call that replaces a silent one is in flight together with it.
+				if !slices.Contains(w.inFlight, c) {
+					w.handle(shed.CallEnded{Call: c, End: shed.EndComplete})
+				}
 			}
 		}},
 		{"end of another stage", func(w *world) {
@@ -86,6 +96,14 @@
 	w.endCall(shed.CallEnded{Call: c, End: end, Server: w.serverOf[c], Tokens: tokens, Reason: shed.ReasonBroken})
 }
 
+func (w *world) silenceFirst(d time.Duration) {
+	if len(w.inFlight) == 0 {
+		return
+	}
+	c := w.inFlight[0]
+	w.handle(shed.CallSilent{Call: c, For: d, Server: w.serverOf[c], Zone: "a"})
+}
+
 const matrixSteps = 7
 
 // runCell runs one request, with faults in place of the given steps, and returns the faults
--- a/internal/flow/oracle_test.go
+++ b/internal/flow/oracle_test.go
@@ -71,6 +71,7 @@
 func (o *oracle) checkStep(now time.Time, acts []shed.Action) {
 	o.now = now
 	starts := 0
+	var replaced []shed.Call
 	for _, a := range acts {
 		switch a := a.(type) {
 		case shed.StartCall:
@@ -80,6 +81,11 @@
 			starts++
 			o.checkSend(&send{call: a.Request.Call}, a.SendBy)
 		case shed.CancelCall:
+			if a.Reason == shed.ReasonSilent {
+				replaced = append(replaced, a.Call)
+				o.markCanceled(a.Call)
+				continue
+			}
 			o.checkCancel(a.Call)
 		case shed.StageDone:
 			o.checkStageDone(a.Call)
@@ -90,6 +96,29 @@
 	if starts > 1 {
 		o.fault("%d starts in one step", starts)
 	}
+	for _, c := range replaced {
+		if !isReplaced(c, acts) {
+			o.fault("%v given up for silence without a replacement", c)
+		}
+	}
+}
+
+// isReplaced reports whether the actions start the next call of the same stage.
+func isReplaced(c shed.Call, acts []shed.Action) bool {
+	c.Attempt++
+	for _, a := range acts {
+		switch a := a.(type) {
+		case shed.StartCall:
+			if a.Call == c {
+				return true
+			}
+		case shed.ForwardStage:
+			if a.Request.Call == c {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (o *oracle) checkSend(s *send, sendBy time.Time) {
@@ -127,12 +156,16 @@
 	r.sends = append(r.sends, s)
 }
 
-func (o *oracle) checkCancel(c shed.Call) {
+func (o *oracle) markCanceled(c shed.Call) {
 	for _, s := range o.sendsOf(c.Request) {
 		if s.call == c {
 			s.canceled = true
 		}
 	}
+}
+
+func (o *oracle) checkCancel(c shed.Call) {
+	o.markCanceled(c)
 	// A cancel doesn't end the call, which may have run. It is allowed once the later stages
 	// can't be done in time any more.
 	r := o.requests[c.Request]
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -96,6 +96,8 @@
 		InputTokens: r.arrived.InputTokens,
 		Budget:      r.cutoff().Sub(now),
 		Avoid:       r.avoid,
+
+		ReportSilence: true,
 	}
 	if f.rules != nil {
 		req.Revision = f.rules.Revision
@@ -116,6 +118,8 @@
 		Deadline:    r.cutoff(),
 		Priority:    priority(r.cutoff().Sub(now)),
 		IdleTimeout: f.cfg.IdleTimeout,
+
+		ReportSilence: true,
 	}
 	if f.rules == nil {
 		return a
--- a/internal/flow/scenario_test.go
+++ b/internal/flow/scenario_test.go
@@ -238,7 +238,7 @@
 func TestOnlyTheTrailFinishes(t *testing.T) {
 	f := newFlow(placeOn("s1"))
 	require.Equal(t, shed.OutcomeNotRun, actionsOf[shed.Finish](f.Handle(start, newRequest("r", "none")))[0].Outcome)
-	for _, name := range []string{"flow.go", "request.go", "place.go", "ends.go"} {
+	for _, name := range []string{"flow.go", "request.go", "place.go", "ends.go", "silence.go"} {
 		text := readFile(t, name)
 		require.NotContains(t, text, "shed.Finish{", name)
 		require.NotContains(t, text, "Outcome: ", name)
--- /dev/null
+++ b/internal/flow/silence.go
@@ -0,0 +1,94 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"jasmineshed/internal/admit"
+	"jasmineshed/internal/flow/trail"
+
+	shed "jasmineshed"
+)
+
+// handleSilent replaces a silent call, if everything that its replacement needs is granted. If
+// anything is missing, the request stays with the silent call, whose server may be sound and go
+// on, and asks again at the next report.
+func (f *Flow) handleSilent(now time.Time, e shed.CallSilent) {
+	r := f.runningRequest(e.Call, e.Server)
+	if r == nil {
+		return
+	}
+	r.trail.RecordProgress(shed.CallProgress{Call: e.Call, Server: e.Server, Zone: e.Zone})
+	if !f.mayReplace(now, r) {
+		return
+	}
+	avoid := r.avoid
+	r.avoid = f.avoidSilent(r, e)
+	p := f.cfg.Placer.Place(now, f.placeRequest(now, r))
+	found := p.Kind == shed.PlaceLocal || p.Kind == shed.PlacePeer
+	// The budget comes last, because a token that is taken is not given back.
+	if !f.disabled.secureFirst && (!found || !f.cfg.Budget.Take(now)) {
+		r.avoid = avoid
+		return
+	}
+	f.cancelSilent(r, e)
+	switch p.Kind {
+	case shed.PlaceLocal:
+		f.start(now, r, p.Server)
+	case shed.PlacePeer:
+		f.forward(now, r, p.Peer)
+	}
+}
+
+// mayReplace reports whether the stage may be sent again while its call is silent, and whether
+// enough time is left for that: a stage that must run at most once is never given up for silence,
+// and requests that wait for the same servers come first.
+func (f *Flow) mayReplace(now time.Time, r *request) bool {
+	if !r.trail.MayRetry(r.stage) && !f.disabled.mayRetry {
+		return false
+	}
+	if r.trail.Reached(r.stage) >= f.cfg.MaxAttempts || r.trail.Attempts(r.stage) >= f.cfg.MaxSends {
+		return false
+	}
+	if f.cfg.Admit.Len(admit.StageQueue(r.currentStage())) > 0 {
+		return false
+	}
+	least := max(f.minRemaining(now, r), f.cfg.Admit.LowDuration(now, r.pipeline, r.stage))
+	return now.Add(least).Before(r.arrived.Deadline)
+}
+
+// avoidSilent returns the servers that the replacement avoids. The silent server is among them
+// at first. After silentServerFactor times the idle timeout it may get the replacement if it
+// still reports free capacity: the connection is then more likely to be lost than the server.
+func (f *Flow) avoidSilent(r *request, e shed.CallSilent) []shed.ServerID {
+	if e.Server == "" || slices.Contains(r.avoid, e.Server) {
+		return r.avoid
+	}
+	if e.For >= silentServerFactor*f.cfg.IdleTimeout || len(r.avoid) >= maxAvoid {
+		return r.avoid
+	}
+	return append(slices.Clip(r.avoid), e.Server)
+}
+
+// silentServerFactor is by how much longer than the idle timeout a call must be silent before
+// its own server may replace it.
+const silentServerFactor = 2
+
+// cancelSilent cancels the call that the next one replaces.
+func (f *Flow) cancelSilent(r *request, e shed.CallSilent) {
+	f.emit(shed.Note{Reason: shed.ReasonSilent, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
+	f.emit(shed.CancelCall{Call: r.call, Reason: shed.ReasonSilent})
+	r.trail.Replace(r.call)
+	f.recordCapacity(r.trail, r.call, e.Server)
+	f.setState(r, stateNew, time.Time{})
+}
+
+// recordCapacity records the capacity of the server that ran a forwarded call, for its cost.
+func (f *Flow) recordCapacity(t *trail.Trail, call shed.Call, server shed.ServerID) {
+	if f.rules == nil {
+		return
+	}
+	if s := f.rules.Servers[server]; s != nil {
+		t.SetCapacity(call, s.Capacity)
+	}
+}
--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -12,9 +12,9 @@
 	shed "jasmineshed"
 )
 
-// silenceEvent is what the driver reports of a call for which nothing has arrived since from.
-func silenceEvent(c shed.StartCall, _ time.Duration) shed.Event {
-	return shed.CallEnded{Call: c.Call, End: shed.EndBroken, Reason: shed.ReasonSilent, Server: c.Server, Zone: "a"}
+// silenceEvent is what the driver reports of a call for which nothing has arrived for d.
+func silenceEvent(c shed.StartCall, d time.Duration) shed.Event {
+	return shed.CallSilent{Call: c.Call, For: d, Server: c.Server, Zone: "a"}
 }
 
 // silentTicks runs the flow while the server of the call is silent, and returns the actions until
@@ -85,3 +85,86 @@
 		})
 	}
 }
+
+// Guards against a dead server that is not left: with a replacement at hand, the first report of
+// silence must start it, at another server, and cancel the silent call.
+func TestSilentCallIsReplaced(t *testing.T) {
+	f := newFlow(elsewhere)
+	call := startGenerate(t, f)
+	before := f.cfg.Budget.Remaining(start.Add(DefaultIdleTimeout))
+	acts := silentTicks(f, call, start, 3*time.Second)
+	require.Equal(t, []shed.CancelCall{{Call: call.Call, Reason: shed.ReasonSilent}}, actionsOf[shed.CancelCall](acts))
+	next := actionsOf[shed.StartCall](acts)
+	require.Len(t, next, 1)
+	require.Equal(t, shed.ServerID("s2"), next[0].Server)
+	require.Equal(t, uint16(2), next[0].Call.Attempt)
+	require.Equal(t, before-1, f.cfg.Budget.Remaining(start.Add(DefaultIdleTimeout)))
+	now := start.Add(DefaultIdleTimeout)
+	// The end of the replaced call arrives late and must change nothing.
+	require.Empty(t, actionsOf[shed.Finish](f.Handle(now, callEnd(call.Call, shed.EndBroken, 0))))
+	fin := actionsOf[shed.Finish](f.Handle(now.Add(time.Second), callEnd(next[0].Call, shed.EndComplete, 9)))[0]
+	require.Equal(t, shed.OutcomeComplete, fin.Outcome)
+	require.Positive(t, fin.Stages[1].Wasted)
+}
+
+// Guards against silence that is decided only once: a replacement that is missing at the first
+// report and granted later must still be taken, and a request without one must not use up the
+// retry budget of the others by asking.
+func TestSilentCallAsksAgain(t *testing.T) {
+	free := false
+	f := newFlow(func(req shed.PlaceRequest) shed.Placement {
+		if free {
+			return elsewhere(req)
+		}
+		return waitElsewhere(req)
+	})
+	f.cfg.Budget.Set(noRefill)
+	call := startGenerate(t, f)
+	before := f.cfg.Budget.Remaining(start)
+	for d := DefaultIdleTimeout; d < 2*DefaultIdleTimeout; d += shed.SilenceEvery {
+		require.Empty(t, f.Handle(start.Add(d), silenceEvent(call, d)))
+	}
+	require.Equal(t, before, f.cfg.Budget.Remaining(start))
+	free = true
+	at := DefaultIdleTimeout + shed.SilenceEvery
+	require.Len(t, actionsOf[shed.StartCall](f.Handle(start.Add(at), silenceEvent(call, at))), 1)
+}
+
+// Guards against a call that is given up for one that can't be done in time any more.
+func TestSilentCallIsKeptNearTheDeadline(t *testing.T) {
+	f := newFlow(elsewhere)
+	call := startGenerate(t, f)
+	at := 6*time.Second - 100*time.Millisecond
+	require.Empty(t, f.Handle(start.Add(at), silenceEvent(call, at)))
+	require.Len(t, actionsOf[shed.StartCall](f.Handle(start.Add(at-time.Millisecond), silenceEvent(call, at))), 1)
+}
+
+// Guards against a lost connection to the only server: once the call is silent for long, the
+// server, which still has free capacity, gets it again.
+func TestOnlyServerGetsTheSilentCallAgain(t *testing.T) {
+	f := newFlow(waitElsewhere)
+	call := startGenerate(t, f)
+	for d := DefaultIdleTimeout; d < 2*DefaultIdleTimeout; d += shed.SilenceEvery {
+		require.Empty(t, f.Handle(start.Add(d), silenceEvent(call, d)))
+	}
+	d := 2 * DefaultIdleTimeout
+	next := actionsOf[shed.StartCall](f.Handle(start.Add(d), silenceEvent(call, d)))
+	require.Len(t, next, 1)
+	require.Equal(t, call.Server, next[0].Server)
+}
+
+// Guards against a silent call that overtakes requests that wait for the same servers.
+func TestSilentCallDoesNotOvertakeWaitingRequests(t *testing.T) {
+	full := false
+	f := newFlow(func(req shed.PlaceRequest) shed.Placement {
+		if full {
+			return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+		}
+		return elsewhere(req)
+	})
+	call := startGenerate(t, f)
+	full = true
+	f.Handle(start, newRequest("waiting", "draft"))
+	full = false
+	require.Empty(t, f.Handle(start.Add(DefaultIdleTimeout), silenceEvent(call, DefaultIdleTimeout)))
+}
--- a/internal/flow/trail/trail.go
+++ b/internal/flow/trail/trail.go
@@ -42,7 +42,9 @@
 	capacity int
 	// resumes: this call resumed the stream of the previous one.
 	resumes bool
-	use     cost.Use
+	// replaced: the call was cancelled because another one replaces it.
+	replaced bool
+	use      cost.Use
 }
 
 // New returns the trail of a request that has sent nothing.
@@ -122,6 +124,27 @@
 	return true
 }
 
+// Replace records that the call was cancelled because another one replaces it. Until its end is
+// known, it counts as one that ran.
+func (t *Trail) Replace(id shed.Call) {
+	if c := t.findCall(id); c != nil {
+		c.replaced = true
+	}
+}
+
+// RecordReplacedEnd records the end of a replaced call; false for any other call and for one that
+// has ended. The result of a replaced call does not count, even if it is complete.
+func (t *Trail) RecordReplacedEnd(now time.Time, e shed.CallEnded) bool {
+	c := t.findCall(e.Call)
+	if c == nil || !c.replaced {
+		return false
+	}
+	if e.End == shed.EndComplete {
+		e.End = shed.EndCancelled
+	}
+	return t.RecordEnd(now, e)
+}
+
 // HasCall reports whether the call was sent by this trail.
 func (t *Trail) HasCall(id shed.Call) bool { return t.findCall(id) != nil }
 
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -248,7 +248,7 @@
 func (s *stream) brokenEnd(end shed.CallEnded, err error) shed.CallEnded {
 	end.End, end.Reason = shed.EndBroken, shed.ReasonBroken
 	switch {
-	case s.hasTimedOut():
+	case s.hasTimedOut(), errors.Is(context.Cause(s.parent), shed.ErrReplaced):
 		end.Reason = shed.ReasonSilent
 	case s.parent.Err() != nil:
 		end.End, end.Reason = shed.EndCancelled, shed.ReasonCallerGone
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -107,7 +107,28 @@
 		}
 		x.cancel = func() { w.after(w.networkDelay(), func() { s.cancel(a.Call) }) }
 		w.after(w.networkDelay(), func() { n.deliverCall(s, a, x, in, finish) })
-		n.after(a.IdleTimeout, func() { finish(shed.EndBroken, shed.ReasonSilent, "") })
+		broken := func() { finish(shed.EndBroken, shed.ReasonSilent, "") }
+		x.replace = broken
+		n.after(a.IdleTimeout, func() {
+			if !a.ReportSilence {
+				broken()
+				return
+			}
+			n.reportSilence(x, shed.CallSilent{Call: a.Call, For: a.IdleTimeout, Server: s.id, Zone: s.zone})
+		})
+	})
+}
+
+// reportSilence reports a silent call to the core, or to the peer that forwarded it, and again
+// every shed.SilenceEvery until the call has ended.
+func (n *node) reportSilence(x *outgoingCall, e shed.CallSilent) {
+	if x.ended {
+		return
+	}
+	n.passSilence(e)
+	n.after(shed.SilenceEvery, func() {
+		e.For += shed.SilenceEvery
+		n.reportSilence(x, e)
 	})
 }
 
@@ -177,9 +198,14 @@
 			})
 			return
 		}
-		n.watchLink(to, x, func() {
-			finish(shed.CallEnded{End: shed.EndBroken, Reason: shed.ReasonSilent}, "")
-		})
+		broken := func() { finish(shed.CallEnded{End: shed.EndBroken, Reason: shed.ReasonSilent}, "") }
+		n.watchLink(to, x, broken)
+		x.replace = func() {
+			if !x.ended && x.cancel != nil {
+				x.cancel()
+			}
+			broken()
+		}
 		from, generation := n.self, to.generation
 		w.after(w.networkDelay(), func() {
 			to.runIfAlive(generation, func() { to.receiveStage(n, from, a.Request, x, in, finish) })
@@ -195,6 +221,15 @@
 	}
 }
 
+// passSilence reports silence that a peer reported of a call forwarded to it.
+func (n *node) passSilence(e shed.CallSilent) {
+	if g := n.forwarded[e.Call]; g == nil {
+		n.handle(e)
+	} else if !g.ended {
+		g.sendSilence(e)
+	}
+}
+
 // watchLink breaks a call whose peer sends no heartbeat for heartbeatTimeout.
 func (n *node) watchLink(to *node, x *outgoingCall, broken func()) {
 	lastHeartbeat := n.w.now
@@ -244,9 +279,11 @@
 		n.sendReply(from, generation, x, func() { finish(e, result) })
 	}, sendProgress: func(p shed.CallProgress) {
 		n.sendReply(from, generation, x, func() { from.progress(p) })
+	}, sendSilence: func(e shed.CallSilent) {
+		n.sendReply(from, generation, x, func() { from.passSilence(e) })
 	}}
 	n.forwarded[request.Call] = g
-	x.cancel = func() { n.after(n.w.networkDelay(), func() { n.cancelCall(request.Call) }) }
+	x.cancel = func() { n.after(n.w.networkDelay(), func() { n.cancelCall(request.Call, shed.ReasonCallerGone) }) }
 	n.handle(shed.StageRequested{Request: request, From: peer})
 }
 
@@ -260,11 +297,16 @@
 }
 
 // cancelCall sends the cancellation to the remote side and reports the call as cancelled.
-func (n *node) cancelCall(call shed.Call) {
+func (n *node) cancelCall(call shed.Call, reason shed.Reason) {
 	x := n.calls[call]
 	if x == nil || x.ended {
 		return
 	}
+	if reason == shed.ReasonSilent && x.replace != nil {
+		// The server may not notice that its connection was closed, and run the call on.
+		n.after(latency/5, x.replace)
+		return
+	}
 	if x.cancel != nil {
 		x.cancel()
 	}
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -53,6 +53,8 @@
 	ended bool
 	// cancel notifies the remote side.
 	cancel func()
+	// replace ends the silent call that another one replaces.
+	replace func()
 }
 
 // forwardedCall is one call that this process runs for a peer.
@@ -62,7 +64,9 @@
 	sendResult func(shed.CallEnded, string)
 	// sendProgress reports progress to the peer.
 	sendProgress func(shed.CallProgress)
-	ended        bool
+	// sendSilence reports silence to the peer.
+	sendSilence func(shed.CallSilent)
+	ended       bool
 }
 
 func (n *node) labels() []string { return []string{string(n.zone), string(n.vm)} }
@@ -196,7 +200,7 @@
 		case shed.ForwardRequest:
 			n.forwardRequest(a, 1)
 		case shed.CancelCall:
-			n.cancelCall(a.Call)
+			n.cancelCall(a.Call, a.Reason)
 		case shed.RefuseStage:
 			n.refuseStage(a)
 		case shed.StageDone:
--- a/serving.go
+++ b/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -49,14 +50,23 @@
 	Accepted bool `cbor:"9,keyasint,omitempty"`
 	// Boot is the server's boot identity, on an Accepted frame if the server sent one.
 	Boot string `cbor:"10,keyasint,omitempty"`
+	// Silent marks a frame without any result, sent when nothing has arrived for the call for
+	// this long; 0 on all others. It has no sequence number. Daemons that don't set
+	// StageRequest.ReportSilence don't know it.
+	Silent time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
+// ErrReplaced is the cause with which the context of a silent call is cancelled when another call
+// replaces it. The call ends as EndBroken with ReasonSilent.
+var ErrReplaced = errors.New("silent call was replaced")
+
 // Backend is a client of the backend servers. Implementations are safe for
 // concurrent use and never retry a call.
 type Backend interface {
 	// Call runs one call to its end, passing each frame to sink in the order of
 	// arrival, and returns how the call ended. Cancelling ctx cancels the call at
-	// the server too. An error returned by sink ends the call as broken.
+	// the server too. An error returned by sink ends the call as broken. Calls of sink never
+	// overlap.
 	Call(ctx context.Context, start StartCall, in Payload, sink func(Frame) error) CallEnded
 	// Load requests a server's load report.
 	Load(ctx context.Context, url string) (LoadReport, error)
