serve: silent links, homes and zones without another server; pauses in the model

What changed: - peers.Client.Stage reports a silent link to the sink (LinkSilent, never sent) if the call has ReportSilence, after 1 s and every 500 ms, and goes on. The core backs off from the peer, and the flow decides as it does for a silent server; the server behind the link is not avoided for it. - Attempts at a ticket's home that end for silence don't count among the three if a deadline bounds them. - Zones whose open servers of a pool are all avoided by a call are not asked.

Ruled out: an end of the call by the receiving daemon.

--- a/event.go
+++ b/event.go
@@ -88,6 +88,8 @@
 	Call Call
 	// For is how long nothing has arrived.
 	For time.Duration
+	// Link is set if the link to the peer that runs the call is silent.
+	Link bool
 	// Server and Zone are empty if it isn't known which server runs the call.
 	Server ServerID
 	Zone   ZoneID
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -36,6 +36,9 @@
 // handleCallSilent lets the flow decide what becomes of a silent call. For a call of a peer the
 // peer decides: only it knows whether it has a replacement.
 func (c *Core) handleCallSilent(now time.Time, e shed.CallSilent) {
+	if to, forwarded := c.forwardedOut[e.Call]; forwarded && e.Link {
+		c.backOff(now, peerKey(to.vm), lostPeerBackoff)
+	}
 	if !c.forwardedIn[e.Call] {
 		c.recordActions(now, c.flow.Handle(now, e))
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -192,7 +192,7 @@
 	}
 	key := fmt.Sprintf("%s/%d/%d", req.Call.Request, req.Call.Stage, req.Call.Attempt)
 	for _, z := range c.otherZones(req, pool) {
-		if c.isZoneAvoided(now, z) {
+		if c.isZoneAvoided(now, z) || !c.hasUnavoidedServer(req, z) {
 			continue
 		}
 		for _, vm := range rank.Owners(key, c.member.View().VMs(z), peersPerZone) {
@@ -204,6 +204,23 @@
 	return shed.Placement{}, false
 }
 
+// hasUnavoidedServer reports whether the zone has an open server of the stage's pool that the call
+// doesn't avoid. Without one, each peer there would refuse the call.
+func (c *Core) hasUnavoidedServer(req shed.PlaceRequest, z shed.ZoneID) bool {
+	if len(req.Avoid) == 0 {
+		return true
+	}
+	for _, s := range c.rules.Pools[req.Stage.Pool].Servers {
+		if s.Zone != z || slices.Contains(req.Avoid, s.ID) {
+			continue
+		}
+		if open, _ := c.rules.ServerOpen(s); open {
+			return true
+		}
+	}
+	return false
+}
+
 // otherZones returns the other zones where the rules let the stage run, those of this region
 // first. The order within a region depends on the request, to spread the load.
 func (c *Core) otherZones(req shed.PlaceRequest, pool *pool) []shed.ZoneID {
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -219,7 +219,7 @@
 		f.Server, f.Zone = c.server, c.zone
 		return c.forwarded.send(f)
 	}
-	d.handle(shed.CallSilent{Call: c.id, For: f.Silent, Server: c.server, Zone: c.zone})
+	d.handle(shed.CallSilent{Call: c.id, For: f.Silent, Link: f.LinkSilent, Server: c.server, Zone: c.zone})
 	if c.replaced.Load() {
 		return errReplaced
 	}
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	shed "jasmineshed"
@@ -11,7 +12,9 @@
 )
 
 // homeAttempts bounds how often a request is sent to its home. Retrying is safe:
-// the home runs a ticket once and gives retries the same answer.
+// the home runs a ticket once and gives retries the same answer. Attempts that end
+// because the home is silent don't count if the deadline bounds them: the home may
+// be paused while it runs the request, and it has the only answer.
 const homeAttempts = 3
 
 // homeGrace is how long the home's answer is awaited past the deadline. The home
@@ -115,7 +118,8 @@
 	defer span.End()
 	msg.Trace = map[string]string{}
 	propagator.Inject(ctx, propagation.MapCarrier(msg.Trace))
-	for range homeAttempts {
+	_, bounded := ctx.Deadline()
+	for attempts := 0; attempts < homeAttempts; {
 		answer, home, _, err := d.cfg.Peers.Request(ctx, msg, update)
 		switch {
 		case err == nil && home:
@@ -125,6 +129,9 @@
 		case ctx.Err() != nil:
 			return unknownOutcome(msg.Request.ID, shed.ReasonDeadline)
 		}
+		if !bounded || !errors.Is(err, peers.ErrHeartbeatTimeout) {
+			attempts++
+		}
 	}
 	return unknownOutcome(msg.Request.ID, shed.ReasonBroken)
 }
--- a/internal/engine/fault_test.go
+++ b/internal/engine/fault_test.go
@@ -333,3 +333,54 @@
 	end = e.Call(t.Context(), start, shed.Payload{Input: "x"}, ignoreFrame)
 	require.Equal(t, shed.EndBroken, end.End)
 }
+
+// Guards against a silent call that is cancelled although its server goes on: with ReportSilence the
+// engine only reports the silence, after the idle timeout and then every shed.SilenceEvery, and the
+// call completes.
+func TestSilenceIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(t, stand.NewEngine(stand.EngineConfig{ID: "s1", CallTime: 3200 * time.Millisecond}))
+		start := newStartCall(serverURL, shed.KindEncode)
+		start.IdleTimeout, start.ReportSilence = 2*time.Second, true
+		var silences []time.Duration
+		var got frameCollector
+		end := b.engine.Call(t.Context(), start, shed.Payload{Input: "x"}, func(f shed.Frame) error {
+			if f.Silent > 0 {
+				silences = append(silences, f.Silent)
+				return nil
+			}
+			return got.add(f)
+		})
+		require.Equal(t, shed.EndComplete, end.End, end.Reason)
+		require.Equal(t, stand.Vector("x"), got.frames[len(got.frames)-1].Result.Vector)
+		require.Equal(t, []time.Duration{2 * time.Second, 2500 * time.Millisecond, 3 * time.Second}, silences)
+		b.close(t)
+	})
+}
+
+// Guards against a replaced call that counts as cancelled: its work may still run, so it must end as
+// broken, and at once.
+func TestReplacedCallEndsAsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := stand.NewEngine(stand.EngineConfig{ID: "s1", TokenTime: 50 * time.Millisecond})
+		b := newFixture(t, eng)
+		start := newStartCall(serverURL, shed.KindGenerate)
+		start.IdleTimeout, start.ReportSilence = 2*time.Second, true
+		ctx, cancel := context.WithCancelCause(t.Context())
+		began := time.Now()
+		end := b.engine.Call(ctx, start, shed.Payload{Input: "x", MaxTokens: 40}, func(f shed.Frame) error {
+			if f.Sequence == 9 {
+				b.net.Blackhole()
+			}
+			if f.Silent > 0 {
+				cancel(shed.ErrReplaced)
+			}
+			return nil
+		})
+		require.Equal(t, shed.EndBroken, end.End)
+		require.Equal(t, shed.ReasonSilent, end.Reason)
+		require.EqualValues(t, 10, end.Tokens)
+		require.Equal(t, 2500*time.Millisecond, time.Since(began))
+		b.close(t)
+	})
+}
--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -58,10 +58,10 @@
 }
 
 // avoidSilent returns the servers that the replacement avoids. The silent server is among them
-// at first. After silentServerFactor times the idle timeout it may get the replacement if it
+// at first, unless only the link to the peer before it is silent. After silentServerFactor times the idle timeout it may get the replacement if it
 // still reports free capacity: the connection is then more likely to be lost than the server.
 func (f *Flow) avoidSilent(r *request, e shed.CallSilent) []shed.ServerID {
-	if e.Server == "" || slices.Contains(r.avoid, e.Server) {
+	if e.Link || e.Server == "" || slices.Contains(r.avoid, e.Server) {
 		return r.avoid
 	}
 	if e.For >= silentServerFactor*f.cfg.IdleTimeout || len(r.avoid) >= maxAvoid {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -212,7 +212,8 @@
 }
 
 // Stage forwards a stage call to a peer and passes its frames to sink. A heartbeat timeout ends
-// it as broken; so does an error of sink.
+// it as broken, or is reported to sink if the call has ReportSilence. An error of sink ends it as
+// broken, too. Calls of sink never overlap.
 func (c *Client) Stage(ctx context.Context, to shed.VM, call StageCall, fresh bool, sink func(shed.Frame) error) shed.CallEnded {
 	call.From = c.cfg.Self
 	end := shed.CallEnded{Call: call.Request.Call}
@@ -221,7 +222,15 @@
 		end.End, end.Reason = shed.EndNotStarted, shed.ReasonBroken
 		return end
 	}
+	frames := frameSink{send: sink}
+	defer frames.close()
 	defer s.close()
+	if call.Request.ReportSilence {
+		s.setOnSilent(func(silent time.Duration) {
+			// An error means that the call ends: it was replaced, or its last message arrived.
+			_ = frames.pass(shed.Frame{Call: end.Call, Silent: silent, LinkSilent: true})
+		})
+	}
 	if err := s.sendInParts(&call); err != nil {
 		return s.brokenEnd(end, err)
 	}
@@ -238,12 +247,38 @@
 		if reply.Frame == nil {
 			continue
 		}
-		if err := sink(*reply.Frame); err != nil {
+		if err := frames.pass(*reply.Frame); err != nil {
 			return s.brokenEnd(end, err)
 		}
 	}
 }
 
+// frameSink serializes the frames that are received and the reports of silence. After close it
+// passes none on.
+type frameSink struct {
+	send func(shed.Frame) error
+
+	mu     sync.Mutex
+	closed bool
+}
+
+var errCallEnded = errors.New("call has ended")
+
+func (f *frameSink) pass(frame shed.Frame) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errCallEnded
+	}
+	return f.send(frame)
+}
+
+func (f *frameSink) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+}
+
 // brokenEnd returns the end of a call that failed after its bytes may have arrived.
 func (s *stream) brokenEnd(end shed.CallEnded, err error) shed.CallEnded {
 	end.End, end.Reason = shed.EndBroken, shed.ReasonBroken
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,14 @@
 	release   func()
 	idleTimer *time.Timer
 	timedOut  atomic.Bool
+
+	mu sync.Mutex
+	// onSilent, if set, is called after heartbeatTimeout without a message, and again every
+	// shed.SilenceEvery while the silence lasts; the stream then goes on.
+	onSilent func(silent time.Duration)
+	// activeAt is when a message was last received, or a part of the call sent.
+	activeAt time.Time
+	closed   bool
 }
 
 func (c *Client) openStream(ctx context.Context, to shed.VM, rpc string, fresh bool) (*stream, error) {
@@ -40,7 +49,9 @@
 		c.notifyLost(to)
 		return nil, fmt.Errorf("call peer %s: %w", to, err)
 	}
-	s := &stream{Stream: rpcStream, client: c, key: l, parent: ctx, cancel: cancel, release: done}
+	s := &stream{
+		Stream: rpcStream, client: c, key: l, parent: ctx, cancel: cancel, release: done, activeAt: time.Now(),
+	}
 	s.idleTimer = time.AfterFunc(heartbeatTimeout, s.onTimeout)
 	return s, nil
 }
@@ -58,14 +69,47 @@
 	return s, nil
 }
 
-// onTimeout ends the stream. Cancelling its context closes the connection, so that it is not
-// reused.
+// onTimeout ends the stream, unless silence is to be reported. Cancelling its context closes the
+// connection, so that it is not reused.
 func (s *stream) onTimeout() {
+	s.mu.Lock()
+	onSilent, silent := s.onSilent, time.Since(s.activeAt)
+	s.mu.Unlock()
+	if onSilent != nil {
+		s.reportSilence(silent, onSilent)
+		return
+	}
 	s.timedOut.Store(true)
 	s.client.dropIdleConns(s.key)
 	s.cancel()
 }
 
+func (s *stream) setOnSilent(onSilent func(silent time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onSilent = onSilent
+}
+
+func (s *stream) reportSilence(silent time.Duration, onSilent func(silent time.Duration)) {
+	if silent >= heartbeatTimeout {
+		s.client.dropIdleConns(s.key)
+		onSilent(silent)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.idleTimer.Reset(shed.SilenceEvery)
+	}
+}
+
+// markActive restarts the wait for a heartbeat.
+func (s *stream) markActive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.activeAt = time.Now()
+	s.idleTimer.Reset(heartbeatTimeout)
+}
+
 func (s *stream) hasTimedOut() bool { return s.timedOut.Load() }
 
 func (s *stream) send(msg drpc.Message) error {
@@ -82,7 +126,7 @@
 	return sendParts(msg, func(p *part) error {
 		err := s.send(p)
 		if err == nil {
-			s.idleTimer.Reset(heartbeatTimeout)
+			s.markActive()
 		}
 		return err
 	})
@@ -95,7 +139,7 @@
 		}
 		return fmt.Errorf("receive from peer %s: %w", s.key.to, err)
 	}
-	s.idleTimer.Reset(heartbeatTimeout)
+	s.markActive()
 	if s.client.cfg.OnHeard != nil {
 		s.client.cfg.OnHeard(s.key.to)
 	}
@@ -103,7 +147,10 @@
 }
 
 func (s *stream) close() {
+	s.mu.Lock()
+	s.closed = true
 	s.idleTimer.Stop()
+	s.mu.Unlock()
 	_ = s.Close()
 	s.cancel()
 	s.release()
--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	shed "jasmineshed"
 )
@@ -106,7 +107,9 @@
 			return
 		}
 		x.cancel = func() { w.after(w.networkDelay(), func() { s.cancel(a.Call) }) }
-		w.after(w.networkDelay(), func() { n.deliverCall(s, a, x, in, finish) })
+		w.after(w.networkDelay(), func() {
+			s.whenRunning(func() { n.deliverCall(s, a, x, in, finish) })
+		})
 		broken := func() { finish(shed.EndBroken, shed.ReasonSilent, "") }
 		x.replace = broken
 		n.after(a.IdleTimeout, func() {
@@ -199,7 +202,14 @@
 			return
 		}
 		broken := func() { finish(shed.CallEnded{End: shed.EndBroken, Reason: shed.ReasonSilent}, "") }
-		n.watchLink(to, x, broken)
+		n.watchLink(to, x, func(silent time.Duration) bool {
+			if !a.Request.ReportSilence {
+				broken()
+				return false
+			}
+			n.passSilence(shed.CallSilent{Call: call, For: silent, Link: true})
+			return true
+		})
 		x.replace = func() {
 			if !x.ended && x.cancel != nil {
 				x.cancel()
@@ -230,8 +240,9 @@
 	}
 }
 
-// watchLink breaks a call whose peer sends no heartbeat for heartbeatTimeout.
-func (n *node) watchLink(to *node, x *outgoingCall, broken func()) {
+// watchLink reports a call whose peer sends no heartbeat for heartbeatTimeout, and again every
+// shed.SilenceEvery for as long as onSilent returns true.
+func (n *node) watchLink(to *node, x *outgoingCall, onSilent func(silent time.Duration) bool) {
 	lastHeartbeat := n.w.now
 	generation := to.generation
 	var check func()
@@ -242,9 +253,11 @@
 		if to.up && to.generation == generation && !to.frozen && n.w.canReach(to.labels(), n.labels()) {
 			lastHeartbeat = n.w.now
 		}
-		if n.w.now.Sub(lastHeartbeat) >= heartbeatTimeout {
+		if silent := n.w.now.Sub(lastHeartbeat); silent >= heartbeatTimeout {
 			n.handle(shed.PeerLost{Peer: to.vm})
-			broken()
+			if onSilent(silent) {
+				n.after(shed.SilenceEvery, check)
+			}
 			return
 		}
 		n.after(heartbeatInterval, check)
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -73,6 +73,7 @@
 			w.after(6*time.Second, func() { w.restart(n) })
 		}
 	}},
+	{name: "server pauses", inject: func(w *world, n *node) { w.genServer(n).pause(3 * time.Second) }},
 }
 
 // genServer returns a server under load in the node's zone.
--- a/internal/proof/home_test.go
+++ b/internal/proof/home_test.go
@@ -1,6 +1,8 @@
 package proof
 
 import (
+	"time"
+
 	shed "jasmineshed"
 )
 
@@ -8,7 +10,7 @@
 const homeAttempts = 3
 
 // forwardRequest forwards a request to its ticket's home.
-func (n *node) forwardRequest(a shed.ForwardRequest, attempt int) {
+func (n *node) forwardRequest(a shed.ForwardRequest, attempt int, first bool) {
 	w := n.w
 	r := n.requests[a.Request]
 	if r == nil || r.final != nil {
@@ -25,7 +27,7 @@
 	finishUnknown := func(reason shed.Reason) {
 		finish(answer{at: w.now, outcome: shed.OutcomeUnknown, reason: reason, request: a.Request})
 	}
-	if attempt == 1 {
+	if first {
 		// The driver's context ends with the deadline.
 		n.after(a.Deadline.Sub(w.now), func() { finishUnknown(shed.ReasonDeadline) })
 	}
@@ -34,7 +36,7 @@
 			finishUnknown(shed.ReasonBroken)
 			return
 		}
-		n.forwardRequest(a, attempt+1)
+		n.forwardRequest(a, attempt+1, false)
 	}
 	to := w.node(a.To.VM)
 	if to == nil || !to.up || !w.canReach(n.labels(), to.labels()) || !w.canReach(to.labels(), n.labels()) {
@@ -42,7 +44,12 @@
 		return
 	}
 	x := &outgoingCall{}
-	n.watchLink(to, x, retry)
+	n.watchLink(to, x, func(time.Duration) bool {
+		// Silence doesn't count as an attempt.
+		attempt--
+		retry()
+		return false
+	})
 	generation, ownGeneration := to.generation, n.generation
 	reply := func(ans answer) {
 		to.sendReply(n, ownGeneration, x, func() {
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -198,7 +198,7 @@
 		case shed.ForwardStage:
 			n.forwardStage(a)
 		case shed.ForwardRequest:
-			n.forwardRequest(a, 1)
+			n.forwardRequest(a, 1, true)
 		case shed.CancelCall:
 			n.cancelCall(a.Call, a.Reason)
 		case shed.RefuseStage:
@@ -250,7 +250,7 @@
 }
 
 func (n *node) poll(s *server) {
-	if s.down || !n.w.canReach(n.labels(), s.labels()) {
+	if s.down || s.isPaused() || !n.w.canReach(n.labels(), s.labels()) {
 		n.after(time.Second, func() { n.handle(shed.ServerSilent{Server: s.id}) })
 		return
 	}
--- a/internal/proof/scenario_test.go
+++ b/internal/proof/scenario_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/core"
 	"jasmineshed/internal/rules"
 )
 
@@ -77,8 +78,12 @@
 }
 
 // newFleetWorld returns a world with the small fleet, started and warm.
-func newFleetWorld(seed uint64) *world {
+func newFleetWorld(seed uint64) *world { return newConfiguredWorld(seed, nil) }
+
+// newConfiguredWorld returns the same with changed daemons.
+func newConfiguredWorld(seed uint64, configure func(*core.Config)) *world {
 	w := newWorld(seed)
+	w.configure = configure
 	for _, z := range zones {
 		w.addServer(z, "enc", 1, 12, 2, 20*time.Millisecond)
 		w.addServer(z, "gen", 2, 10, 2, 80*time.Millisecond)
--- a/internal/proof/server_test.go
+++ b/internal/proof/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	shed "jasmineshed"
@@ -25,6 +26,23 @@
 	running       map[shed.Call]*runningCall
 	// down is set while the server sends no load reports and refuses connections.
 	down bool
+	// pausedUntil is when the server goes on that sends nothing until then, but keeps its
+	// connections and calls.
+	pausedUntil time.Time
+}
+
+// pause stops the server for d. It then goes on where it stopped.
+func (s *server) pause(d time.Duration) { s.pausedUntil = s.world.now.Add(d) }
+
+func (s *server) isPaused() bool { return s.world.now.Before(s.pausedUntil) }
+
+// whenRunning runs do, after the pause if the server is paused.
+func (s *server) whenRunning(do func()) {
+	if !s.isPaused() {
+		do()
+		return
+	}
+	s.world.after(s.pausedUntil.Sub(s.world.now), func() { s.whenRunning(do) })
 }
 
 // runningCall is one call that runs on a server.
@@ -37,6 +55,11 @@
 // warmCallCount is how many calls a cold server must complete to be warm.
 const warmCallCount = 4
 
+func (s *server) pool() string {
+	pool, _, _ := strings.Cut(string(s.id), "-")
+	return pool
+}
+
 func (s *server) labels() []string { return []string{string(s.zone), string(s.id)} }
 
 // restart makes the server cold. Its running calls are lost and their connections break.
@@ -79,16 +102,18 @@
 		server: s.id, zone: s.zone, request: call.Request, stage: stage, attempt: call.Attempt, started: s.world.now,
 	})
 	s.world.after(s.duration, func() {
-		if r.stopped {
-			return
-		}
-		r.stopped = true
-		delete(s.running, call)
-		s.completed++
-		if s.completedCold++; s.cold && s.completedCold >= warmCallCount {
-			s.cold = false
-		}
-		onEnd(stageResult(call.Request, stage, in))
+		s.whenRunning(func() {
+			if r.stopped {
+				return
+			}
+			r.stopped = true
+			delete(s.running, call)
+			s.completed++
+			if s.completedCold++; s.cold && s.completedCold >= warmCallCount {
+				s.cold = false
+			}
+			onEnd(stageResult(call.Request, stage, in))
+		})
 	})
 	return true
 }
--- a/serving.go
+++ b/serving.go
@@ -54,6 +54,9 @@
 	// this long; 0 on all others. It has no sequence number. Daemons that don't set
 	// StageRequest.ReportSilence don't know it.
 	Silent time.Duration `cbor:"11,keyasint,omitempty"`
+	// LinkSilent is set on a Silent frame if the link to the peer is silent, and not the server
+	// behind it. It is not sent to peers.
+	LinkSilent bool `cbor:"-"`
 }
 
 // ErrReplaced is the cause with which the context of a silent call is cancelled when another call
