flow: a silent call is noted once

A call that is kept while its server is silent left no trace for operators: the note connection_silent came only with the end of the call. It now comes with the first report of silence, once for each call.

--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -18,6 +18,10 @@
 	if r == nil {
 		return
 	}
+	if r.silentCall != e.Call {
+		r.silentCall = e.Call
+		f.emit(shed.Note{Reason: shed.ReasonSilent, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
+	}
 	r.trail.RecordProgress(shed.CallProgress{Call: e.Call, Server: e.Server, Zone: e.Zone})
 	if !f.mayReplace(now, r) {
 		return
@@ -76,7 +80,6 @@
 
 // cancelSilent cancels the call that the next one replaces.
 func (f *Flow) cancelSilent(r *request, e shed.CallSilent) {
-	f.emit(shed.Note{Reason: shed.ReasonSilent, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
 	f.emit(shed.CancelCall{Call: r.call, Reason: shed.ReasonSilent})
 	r.trail.Replace(r.call)
 	f.recordCapacity(r.trail, r.call, e.Server)
