flow: a silent call takes its turn in the queue for its replacement

What callers would see: in a busy zone others wait for the same servers all the time. A call at a dead server (silent, its connection open) then got no replacement, as a silent call must not overtake waiting requests, and its request ended at its deadline. Before the silence was reported, such a request joined the queue as soon as its call was cancelled.

Cause: handleSilent looked for a replacement only while the queue of the stage was empty.

What changed: if others wait, the silent request queues up with them and keeps its call. If all servers are full it keeps its place in the queue; if only the avoided one is free it leaves the queue, so that it holds up nobody. Its call's end takes it off the queue. An eviction from a full queue doesn't end a request whose call goes on.

The replacement now also starts outside of the goroutine that reports the silence, so the daemon guards a call's assembly by a mutex against frames that arrive while the call is replaced.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	shed "jasmineshed"
@@ -34,10 +34,25 @@
 	tokens   shed.Tokens
 	server   shed.ServerID
 	zone     shed.ZoneID
+
+	// mu guards replaced and changes of assembly.
+	mu sync.Mutex
 	// replaced is set once another call replaces this one, which was silent; its frames then no
-	// longer count. It is set while a frame of the call is processed, so that the new call can
-	// read the assembly.
-	replaced atomic.Bool
+	// longer count.
+	replaced bool
+}
+
+// replace makes the call drop all further frames, so that the new call may read the assembly.
+func (c *call) replace() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replaced = true
+}
+
+func (c *call) isReplaced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replaced
 }
 
 // errReplaced is returned to the sender of a frame of a replaced call.
@@ -174,7 +189,7 @@
 // sink returns the function that processes the call's frames.
 func (c *call) sink(d *Daemon) func(shed.Frame) error {
 	return func(f shed.Frame) error {
-		if c.replaced.Load() {
+		if c.isReplaced() {
 			return errReplaced
 		}
 		if f.Silent > 0 {
@@ -220,7 +235,7 @@
 		return c.forwarded.send(f)
 	}
 	d.handle(shed.CallSilent{Call: c.id, For: f.Silent, Link: f.LinkSilent, Server: c.server, Zone: c.zone})
-	if c.replaced.Load() {
+	if c.isReplaced() {
 		return errReplaced
 	}
 	return nil
@@ -237,6 +252,11 @@
 
 // add adds a frame to the result and passes new text to the caller.
 func (c *call) add(d *Daemon, f shed.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replaced {
+		return errReplaced
+	}
 	taken, err := c.assembly.Add(f)
 	if err != nil {
 		return err
@@ -292,7 +312,7 @@
 		c.cancel(nil)
 		return
 	}
-	c.replaced.Store(true)
+	c.replace()
 	if c.run != nil {
 		// The call that replaces it tells the caller that its text is void.
 		c.run.last = c
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -28,6 +28,7 @@
 func (f *Flow) handleProgress(p shed.CallProgress) {
 	if r := f.runningRequest(p.Call, p.Server); r != nil {
 		r.trail.RecordProgress(p)
+		r.silentUntil = time.Time{}
 	}
 }
 
@@ -61,6 +62,8 @@
 	if r == nil {
 		return
 	}
+	// A silent request may be queued for a replacement.
+	f.cfg.Admit.Remove(r.arrived.Request)
 	r.trail.RecordEnd(now, e)
 	f.recordCapacity(r.trail, e.Call, e.Server)
 	f.setState(r, stateNew, time.Time{})
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -205,17 +205,27 @@
 
 // enqueue lets the request wait for as long as it can still meet its deadline.
 func (f *Flow) enqueue(now time.Time, r *request, key admit.QueueKey) {
-	latest := r.arrived.Deadline.Add(-f.cfg.Admit.LowDuration(now, r.pipeline, r.stage))
+	latest := f.latestStart(now, r)
 	if !latest.After(now) {
 		f.giveUp(now, r, r.waitReason)
 		return
 	}
 	f.setState(r, stateWaiting, latest)
+	f.push(now, r, key, latest)
+}
+
+// latestStart is the latest time at which the current stage may start to be in time.
+func (f *Flow) latestStart(now time.Time, r *request) time.Time {
+	return r.arrived.Deadline.Add(-f.cfg.Admit.LowDuration(now, r.pipeline, r.stage))
+}
+
+// push queues the request. An evicted one is given up, unless its call goes on.
+func (f *Flow) push(now time.Time, r *request, key admit.QueueKey, latest time.Time) {
 	evicted, ok := f.cfg.Admit.Push(now, key, f.queueEntry(r.arrived, latest))
 	if ok {
 		return
 	}
-	if v := f.requests[evicted]; v != nil {
+	if v := f.requests[evicted]; v != nil && v.state != stateRunning {
 		f.giveUp(now, v, shed.ReasonQueueFull)
 	}
 }
@@ -267,6 +277,9 @@
 func (f *Flow) startFromQueue(now time.Time, key admit.QueueKey) {
 	tryStart := func(id shed.RequestID) bool {
 		r := f.requests[id]
+		if r != nil && r.state == stateRunning {
+			return f.replaceFromQueue(now, r)
+		}
 		return r == nil || f.place(now, r)
 	}
 	for !f.started || f.disabled.oneStart {
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -33,8 +33,10 @@
 	stage int
 	// call is the call in flight; void unless running.
 	call shed.Call
-	// silentCall is the last call that was reported as silent; it is noted once.
-	silentCall shed.Call
+	// silence is the last report of silence, valid until silentUntil and until progress is
+	// reported.
+	silence     shed.CallSilent
+	silentUntil time.Time
 	// localServer is the server of the call in flight if it runs in this zone.
 	localServer *shed.Server
 	// tokensBefore is how many tokens had arrived before the call in flight.
