flow: test that a completed silent call leaves its queue

Without the removal at the call's end the request stays in the queue of the stage that it completed, and holds up the requests behind it until its next stage has a server: with that line deleted the test fails, with it it passes.

--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -257,3 +257,35 @@
 	}
 	require.Equal(t, []shed.Note{{Reason: shed.ReasonSilent, Request: "r", Server: "s1", Zone: "a"}}, notes)
 }
+
+// Guards against a request that stays in the queue of a stage that it has completed: it would wait
+// for the servers of its next stage there, and hold up those that wait for the others.
+func TestCompletedSilentCallLeavesItsQueue(t *testing.T) {
+	full := map[shed.PoolID]bool{}
+	f := newFlow(func(req shed.PlaceRequest) shed.Placement {
+		if full[req.Stage.Pool] {
+			return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+		}
+		return elsewhere(req)
+	})
+	rules := testRules()
+	rules.Pipelines["draft"].Stages[1].Pool = "q"
+	f.SetRules(rules)
+	call := actionsOf[shed.StartCall](f.Handle(start, newRequest("r", "draft")))[0]
+	full["p"], full["q"] = true, true
+	f.Handle(start, newRequest("before", "draft"))
+	now := start.Add(DefaultIdleTimeout)
+	f.Handle(now, silenceEvent(call, DefaultIdleTimeout))
+	f.Handle(now, newRequest("s-behind", "draft"))
+	f.Handle(now, callEnd(call.Call, shed.EndComplete, 0))
+	full["p"] = false
+	for _, want := range []shed.RequestID{"before", "s-behind"} {
+		started := actionsOf[shed.StartCall](f.StartNext(now))
+		require.Len(t, started, 1)
+		require.Equal(t, want, started[0].Call.Request)
+	}
+	full["q"] = false
+	started := actionsOf[shed.StartCall](f.StartNext(now))
+	require.Len(t, started, 1)
+	require.Equal(t, shed.Call{Request: "r", Stage: 1, Attempt: 1}, started[0].Call)
+}
