proof: a paused server that restarts loses the calls it has not read

Seen: go test ./internal/proof -cells 40 -cold 12 -pairs 250 failed one cell, cold 1/server pauses@9938: gen-a-1 had 3 calls, its cold capacity is 2.

The model kept the calls that reached a paused server, and delivered them to the process that had replaced it. Real calls wait in the connections of the paused process and break with it.

What changed: a restart ends the pause, and calls that the paused server had not read end as broken.

The slice -cells 12 -cold 4 -pairs 60: ok.

--- a/internal/proof/calls_test.go
+++ b/internal/proof/calls_test.go
@@ -108,7 +108,15 @@
 		}
 		x.cancel = func() { w.after(w.networkDelay(), func() { s.cancel(a.Call) }) }
 		w.after(w.networkDelay(), func() {
-			s.whenRunning(func() { n.deliverCall(s, a, x, in, finish) })
+			boot := s.boot
+			s.whenRunning(func() {
+				if s.boot != boot {
+					// A paused server that restarts loses the calls that it has not read yet.
+					n.after(w.networkDelay(), func() { finish(shed.EndBroken, shed.ReasonBroken, "") })
+					return
+				}
+				n.deliverCall(s, a, x, in, finish)
+			})
 		})
 		broken := func() { finish(shed.EndBroken, shed.ReasonSilent, "") }
 		x.replace = broken
--- a/internal/proof/server_test.go
+++ b/internal/proof/server_test.go
@@ -65,6 +65,7 @@
 // restart makes the server cold. Its running calls are lost and their connections break.
 func (s *server) restart() {
 	s.boot++
+	s.pausedUntil = time.Time{}
 	s.cold, s.completedCold, s.completed, s.sequence = true, 0, 0, 0
 	for _, c := range sortedCalls(s.running) {
 		r := s.running[c]
