Merge: serve keeps silent calls until their replacement is granted

Callers of serve got failed or outcome_unknown after two seconds of silence of a sound server when the retry budget was spent or no other server was free.

--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -53,6 +53,8 @@
 	ended bool
 	// cancel notifies the remote side.
 	cancel func()
+	// replace ends the silent call that another one replaces.
+	replace func()
 }
 
 // forwardedCall is one call that this process runs for a peer.
@@ -62,7 +64,9 @@
 	sendResult func(shed.CallEnded, string)
 	// sendProgress reports progress to the peer.
 	sendProgress func(shed.CallProgress)
-	ended        bool
+	// sendSilence reports silence to the peer.
+	sendSilence func(shed.CallSilent)
+	ended       bool
 }
 
 func (n *node) labels() []string { return []string{string(n.zone), string(n.vm)} }
@@ -194,9 +198,9 @@
 		case shed.ForwardStage:
 			n.forwardStage(a)
 		case shed.ForwardRequest:
-			n.forwardRequest(a, 1)
+			n.forwardRequest(a, 1, true)
 		case shed.CancelCall:
-			n.cancelCall(a.Call)
+			n.cancelCall(a.Call, a.Reason)
 		case shed.RefuseStage:
 			n.refuseStage(a)
 		case shed.StageDone:
@@ -246,7 +250,7 @@
 }
 
 func (n *node) poll(s *server) {
-	if s.down || !n.w.canReach(n.labels(), s.labels()) {
+	if s.down || s.isPaused() || !n.w.canReach(n.labels(), s.labels()) {
 		n.after(time.Second, func() { n.handle(shed.ServerSilent{Server: s.id}) })
 		return
 	}
