relay: a server that wakes between two probes is no lost path

What callers saw: while sound servers are silent for 0.5 to 1.9 s, VMs take good paths for lost, and now and then all of them: requests in flight are cancelled and all others go through peers.

Cause: a probe asked the server directly and only after its 200 ms through a peer. A server that woke in between answered the peer alone, which counts as a lost path.

Change: both probes run at the same time, the peer's after a head start of 10 ms in which most sound servers answer; if the peer got further, the server is probed directly once more before the verdict. For a path that is really lost the verdict comes 10 to 15 ms later than before by calculation (head start and the peer's answer), as the second probe begins with the peer's answer.

Ruled out: both at once without the second probe; held connections of one server go on at different times (10 ms here), so the peer's may be answered alone.

--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -11,8 +11,13 @@
 	"jasmineshed/internal/reach"
 )
 
-// probeTimeout bounds a probe of a server, which answers at once.
-const probeTimeout = 200 * time.Millisecond
+const (
+	// probeTimeout bounds a probe of a server, which answers at once.
+	probeTimeout = 200 * time.Millisecond
+	// probeHeadStart is how long a direct probe is awaited before a peer probes the server too: most
+	// servers in doubt are sound and answer by then, so that no peer is needed.
+	probeHeadStart = 10 * time.Millisecond
+)
 
 // tickPaths looks for silent requests, cancels those on lost paths, and begins due probes. The
 // caller holds mu.
@@ -48,23 +53,65 @@
 // probePath finds out whether the path to a server is lost.
 func (r *Relay) probePath(p reach.Probe, server shed.ServerEntry) {
 	r.stats.pathProbes.Inc(1)
-	direct, _ := r.probe(r.sender, server)
-	carried, carrierFound := reach.Closed, true
-	if p.Compare && direct < reach.Answered {
-		carried, carrierFound = r.probe(r.carriedSender, server)
-	}
-	if p.Compare && carrierFound {
-		r.comparePaths(p.Addr, direct, carried)
+	if p.Compare {
+		if direct, carried, ok := r.probeBothWays(server); ok {
+			r.comparePaths(p.Addr, direct, carried)
+		}
+	} else {
+		direct, _ := r.probe(r.sender, server)
+		r.recordProbe(p.Addr, direct)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !p.Compare {
-		r.paths.table.ProbedDirectly(time.Now(), p.Addr, direct)
-	}
 	r.paths.table.EndProbe(p.Addr)
 	r.checkIsolation()
 }
 
+// recordProbe records how far a probe got of a server whose path is lost.
+func (r *Relay) recordProbe(addr reach.Addr, level reach.Level) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paths.table.ProbedDirectly(time.Now(), addr, level)
+}
+
+// probeBothWays probes a server directly and through a peer at the same time. If the peer got further,
+// the server is probed directly again: it may have been silent and gone on meanwhile. ok is false if the
+// server didn't answer directly and no peer could be asked.
+func (r *Relay) probeBothWays(server shed.ServerEntry) (direct, carried reach.Level, ok bool) {
+	answer := make(chan reach.Level, 1)
+	r.work.Go(func() error {
+		level, _ := r.probe(r.sender, server)
+		answer <- level
+		return nil
+	})
+	headStart := time.NewTimer(probeHeadStart)
+	defer headStart.Stop()
+	ended := false
+	select {
+	case direct = <-answer:
+		ended = true
+	case <-headStart.C:
+	}
+	if direct == reach.Answered {
+		return direct, reach.Closed, true
+	}
+	carried, ok = r.probe(r.carriedSender, server)
+	if !ended && carried == reach.Answered {
+		// The direct probe isn't awaited: if the server answers now, it answers the next one at once.
+		select {
+		case direct = <-answer:
+		default:
+		}
+	} else if !ended {
+		direct = <-answer
+	}
+	if carried > direct {
+		again, _ := r.probe(r.sender, server)
+		direct = max(direct, again)
+	}
+	return direct, carried, ok || direct == reach.Answered
+}
+
 // probe makes a request that no server runs. carrierFound is false if no peer carries it.
 func (r *Relay) probe(sender *engine.Sender, server shed.ServerEntry) (level reach.Level, carrierFound bool) {
 	ctx, cancel := context.WithTimeout(r.base, probeTimeout)
