reach: servers that accept connections are not unreached

What callers saw: while all servers are silent for more than a second, requests are refused at once as servers_unreachable, for up to two seconds, also after the servers have gone on.

Cause: a comparison in which both ways got a connection and no answer counted as unreached, like one in which neither got a connection. And what a server sent did not end the refusals, only an answer over a new connection did. After a minute without requests the first silence counted as one of a minute.

Change: while servers accept connections, requests are hopeless only once probes have stayed unanswered for 2 s, more than sound servers are silent; if data is dropped everywhere, callers are still refused soon. What a server sends ends it.

Ruled out: never counting a connected server as unreached; with data dropped on all ways all requests would wait for their deadline.

TestServersThatAcceptConnectionsAreNotHopeless and TestHopelessEndsWhenAServerIsHeard (go test ./internal/reach): red before (hopeless at 1.1 s, and at once after a minute without requests), green after.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -26,6 +26,9 @@
 	downTime = time.Second
 	// hopelessSilence is how long no server may have sent anything until requests are hopeless.
 	hopelessSilence = time.Second
+	// connectedSilence is how long servers that accept connections may then leave probes unanswered
+	// until requests are hopeless: sound ones are silent for up to 1.9 s.
+	connectedSilence = 2 * time.Second
 	// hopelessTime is how long requests are then hopeless; after it one finds out, if no probe has.
 	hopelessTime = 2 * time.Second
 	// probeInterval is the time between two probes of a server whose path is lost, or of different
@@ -68,6 +71,9 @@
 	// answeredAt is when a server last answered over a new direct connection, heardAt when one sent
 	// something over any.
 	answeredAt, heardAt time.Time
+	// connectedAt is when a server last accepted a connection without an answer, unansweredSince when
+	// one was first found to give none, unless one has sent something since.
+	connectedAt, unansweredSince time.Time
 	// doubtUntil is until when all paths are in doubt.
 	doubtUntil time.Time
 	// lostAt is when a path was last found to be lost.
@@ -212,16 +218,24 @@
 }
 
 // Heard records that a server sent something over a direct connection at a time.
-func (t *Table) Heard(at time.Time) { t.heardAt = shed.Later(t.heardAt, at) }
+func (t *Table) Heard(at time.Time) {
+	if at.After(t.heardAt) {
+		t.heardAt, t.hopelessUntil = at, time.Time{}
+	}
+}
 
 // Silence returns how long no server has sent this VM anything.
 func (t *Table) Silence(now time.Time) time.Duration { return now.Sub(t.heardAt) }
 
-// Unreached records that this VM could not connect to a server and no peer got further. listed is as
-// in Compared.
+// Unreached records that this VM got no answer from a server and no peer got further. listed is as in
+// Compared.
 func (t *Table) Unreached(now time.Time, a Addr, listed int) {
 	t.server(a).unreachedAt = now
-	if now.Sub(t.lastSign()) < hopelessSilence {
+	if !t.unansweredSince.After(t.lastSign()) {
+		t.unansweredSince = now
+	}
+	connected := t.connectedAt.After(t.lastSign())
+	if now.Sub(t.lastSign()) < hopelessSilence || connected && now.Sub(t.unansweredSince) < connectedSilence {
 		return
 	}
 	unreached := 0
@@ -251,6 +265,9 @@
 		t.AnsweredDirectly(now, a)
 	default:
 		s.failedAt, s.downUntil = time.Time{}, now.Add(downTime)
+		if direct == Connected {
+			t.connectedAt = now
+		}
 		t.Unreached(now, a, listed)
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -145,6 +145,41 @@
 	require.False(t, table.Hopeless(now.Add(2*time.Second)))
 }
 
+// Guards against requests that are refused as hopeless while all servers are silent for a moment but
+// accept connections, and against ones that wait in vain for good if data is dropped everywhere.
+func TestServersThatAcceptConnectionsAreNotHopeless(t *testing.T) {
+	const longestSilence = 1900 * time.Millisecond
+	for _, idle := range []time.Duration{0, time.Minute} {
+		t.Run(fmt.Sprint("nothing heard for ", idle, " before"), func(t *testing.T) {
+			table, servers := reach.New(), addrs(9)
+			table.Heard(start.Add(-idle))
+			for at := tick; at <= 3*time.Second; at += tick {
+				now := start.Add(at)
+				for _, a := range servers[:3] {
+					table.Suspect(now, a, true)
+				}
+				for _, p := range table.DueProbes(now, servers) {
+					table.Compared(now, p.Addr, reach.Connected, reach.Connected, len(servers))
+					table.EndProbe(p.Addr)
+				}
+				require.False(t, at <= longestSilence && table.Hopeless(now), at)
+			}
+			require.True(t, table.Hopeless(start.Add(3*time.Second)))
+		})
+	}
+}
+
+// Guards against requests that are refused as hopeless although a server has gone on sending.
+func TestHopelessEndsWhenAServerIsHeard(t *testing.T) {
+	table, servers := reach.New(), addrs(3)
+	for _, a := range servers {
+		table.Unreached(start, a, len(servers))
+	}
+	require.True(t, table.Hopeless(start.Add(tick)))
+	table.Heard(start.Add(tick))
+	require.False(t, table.Hopeless(start.Add(tick)))
+}
+
 // Guards against a VM that takes all paths for lost when those to one zone's servers are.
 func TestSomePathsAreLost(t *testing.T) {
 	w := &world{table: reach.New(), servers: addrs(30)}
