reach: the loss of one pool's paths is not that of all while other servers are silent

What callers saw: while a VM's path to some servers is lost and sound servers of another pool are silent, the VM takes all its paths for lost. Streams at the silent servers are cancelled after a second of silence, and once these go on, requests go directly to the lost servers again and fail.

Cause: three lost paths counted as the loss of all unless a server answered directly since. The servers in doubt are those of one pool or zone, and silent ones answer nobody.

Change: one of the lost paths has to be of a sample of the servers that nothing is known of; these probes now begin with the first doubt of all paths, not after the first loss. An open connection without an answer, here as at a peer, says that not all paths are lost. If no server is left that could be sampled, all paths are lost.

TestLostPathsBesideSilentServers: red before (all lost at 0.3 s), green after; it also fails if the loss of all isn't noticed within 1.1 s. TestAllPathsAreLostBesideACrash is new and green.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -74,6 +74,8 @@
 	// connectedAt is when a server last accepted a connection without an answer, unansweredSince when
 	// one was first found to give none, unless one has sent something since.
 	connectedAt, unansweredSince time.Time
+	// evenAt is when a server last left both this VM and a peer without an answer on open connections.
+	evenAt time.Time
 	// doubtUntil is until when all paths are in doubt.
 	doubtUntil time.Time
 	// lostAt is when a path was last found to be lost.
@@ -92,6 +94,8 @@
 	// lostAt is when the path was lost; zero if it is not. lostLevel is how far this VM got then.
 	lostAt    time.Time
 	lostLevel Level
+	// sampled: the probe that found out how far this VM gets was one of a sample of all servers.
+	sampled bool
 	// failedAt is the last failure of the path without a verdict; zero if there is none.
 	failedAt time.Time
 	// unreachedAt is when neither this VM nor a peer got an answer.
@@ -268,19 +272,24 @@
 		if direct == Connected {
 			t.connectedAt = now
 		}
+		if direct == carried && direct == Connected {
+			t.evenAt, t.isolated = now, false
+		}
 		t.Unreached(now, a, listed)
 	}
 }
 
-// judge decides whether all paths are lost.
+// judge decides whether all paths are lost. Servers in doubt are often of one pool or zone, whose path
+// alone may be lost while others are silent, so one of a sample of all has to be among the lost ones.
 func (t *Table) judge(listed int) {
-	lost := 0
+	lost, sampled := 0, false
 	for _, s := range t.servers {
-		if s.lostAt.After(t.answeredAt) {
+		if s.lostAt.After(shed.Later(t.answeredAt, t.evenAt)) {
 			lost++
+			sampled = sampled || s.sampled
 		}
 	}
-	t.isolated = t.isolated || lost >= min(isolationServers, listed)
+	t.isolated = t.isolated || lost >= min(isolationServers, listed) && (sampled || lost >= listed)
 }
 
 // ProbedDirectly records how far a probe of a server whose path is lost got.
@@ -314,13 +323,15 @@
 }
 
 // begin records that a probe begins.
-func (s *server) begin(now time.Time) { s.probing, s.probedAt = true, now }
+func (s *server) begin(now time.Time, sampled bool) {
+	s.probing, s.probedAt, s.sampled = true, now, sampled
+}
 
-// dueServers returns the servers in doubt, those whose path is lost and, if none answered since a
-// path was lost, further ones.
+// dueServers returns the servers in doubt, those whose path is lost and, if all paths are in doubt or
+// none answered since a path was lost, further ones.
 func (t *Table) dueServers(now time.Time, listed []Addr) []Probe {
 	var out []Probe
-	suspicious := false
+	suspicious := now.Before(t.doubtUntil)
 	for _, a := range listed {
 		s := t.servers[a]
 		if s == nil {
@@ -329,19 +340,36 @@
 		suspicious = suspicious || s.lostAt.After(t.answeredAt)
 		due := !s.probing && now.Sub(s.probedAt) >= probeInterval && len(out) < maxProbes
 		if due && t.needsProbe(now, s) {
-			s.begin(now)
+			s.begin(now, s.sampled && !s.lostAt.IsZero())
 			out = append(out, Probe{Addr: a, Compare: s.lostAt.IsZero()})
 		}
 	}
-	if suspicious && len(out) < maxProbes && now.Sub(t.probedAt) >= probeInterval {
+	others := t.undecided(listed)
+	if len(others) == 0 && !t.evenAt.After(t.lastSign()) {
+		t.isolated = len(t.Lost()) > 0
+	}
+	if suspicious && now.Sub(t.probedAt) >= probeInterval {
 		t.probedAt = now
-		out = append(out, t.nextProbes(now, listed, true)...)
+		others = slices.DeleteFunc(others, func(a Addr) bool { return t.server(a).probing })
+		out = append(out, t.nextProbes(now, others, true)...)
 	}
 	return out
 }
 
+// undecided returns the servers of which it isn't known whether this VM's path to them is lost or nobody
+// reaches them.
+func (t *Table) undecided(listed []Addr) []Addr {
+	return slices.DeleteFunc(slices.Clone(listed), func(a Addr) bool {
+		s := t.servers[a]
+		return s != nil && (!s.lostAt.IsZero() || s.unreachedAt.After(t.lastSign()))
+	})
+}
+
 // nextProbes returns probes of the next servers in round-robin order, different ones each time.
 func (t *Table) nextProbes(now time.Time, listed []Addr, compare bool) []Probe {
+	if len(listed) == 0 {
+		return nil
+	}
 	var out []Probe
 	first, found := slices.BinarySearch(listed, t.lastProbed)
 	if found {
@@ -355,7 +383,7 @@
 		if s.probing || compare && !t.Hopeless(now) && (!s.lostAt.IsZero() || now.Sub(s.probedAt) < probeInterval) {
 			continue
 		}
-		s.begin(now)
+		s.begin(now, true)
 		out = append(out, Probe{Addr: a, Compare: compare})
 	}
 	t.lastProbed = listed[first%len(listed)]
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -180,6 +180,73 @@
 	require.False(t, table.Hopeless(start.Add(tick)))
 }
 
+// Guards against a VM that doesn't notice that it has no path, because the last server, of which a peer could
+// tell it that, has crashed.
+func TestAllPathsAreLostBesideACrash(t *testing.T) {
+	table, servers := reach.New(), addrs(4)
+	crashed := servers[3]
+	for at := tick; at <= time.Second; at += tick {
+		now := start.Add(at)
+		for _, a := range servers[:3] {
+			table.Suspect(now, a, true)
+		}
+		for _, p := range table.DueProbes(now, servers) {
+			carried := reach.Answered
+			if p.Addr == crashed {
+				carried = reach.Closed
+			}
+			if p.Compare {
+				table.Compared(now, p.Addr, reach.Closed, carried, len(servers))
+			} else {
+				table.ProbedDirectly(now, p.Addr, reach.Closed)
+			}
+			table.EndProbe(p.Addr)
+		}
+	}
+	require.True(t, table.Isolated())
+}
+
+// Guards against a VM that takes all paths for lost when those to one pool's servers are while another
+// pool's are silent, and against one that doesn't notice within a second of the first doubt that all are lost,
+// whichever verdict comes first. A verdict comes two ticks after its probe began.
+func TestLostPathsBesideSilentServers(t *testing.T) {
+	servers := addrs(6)
+	for _, others := range []reach.Level{reach.Connected, reach.Answered} {
+		t.Run(fmt.Sprint("the peer gets ", others, " at the others"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				table := reach.New()
+				table.Heard(start)
+				lost := rapid.Permutation(servers).Draw(t, "lost")[:3]
+				pending := map[time.Duration][]reach.Probe{}
+				for at := tick; at <= 1100*time.Millisecond; at += tick {
+					now := start.Add(at)
+					for _, p := range rapid.Permutation(pending[at]).Draw(t, "verdicts") {
+						direct, carried := reach.Connected, others
+						if slices.Contains(lost, p.Addr) {
+							direct, carried = reach.Closed, reach.Answered
+						}
+						if p.Compare {
+							table.Compared(now, p.Addr, direct, carried, len(servers))
+						} else {
+							table.ProbedDirectly(now, p.Addr, direct)
+						}
+						table.EndProbe(p.Addr)
+					}
+					require.False(t, others == reach.Connected && table.Isolated(), at)
+					for _, a := range lost {
+						table.Suspect(now, a, true)
+					}
+					pending[at+2*tick] = table.DueProbes(now, servers)
+				}
+				require.Equal(t, others == reach.Answered, table.Isolated())
+				for _, a := range lost {
+					require.True(t, table.IsLost(a))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a VM that takes all paths for lost when those to one zone's servers are.
 func TestSomePathsAreLost(t *testing.T) {
 	w := &world{table: reach.New(), servers: addrs(30)}
