--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -264,6 +264,8 @@
 	case carried > direct:
 		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
 		t.lostAt, t.hopelessUntil = now, time.Time{}
+		// A request that could not connect is compared outside a probe.
+		s.sampled = s.sampled && s.probing
 		t.judge(listed)
 	case direct == Answered:
 		t.AnsweredDirectly(now, a)
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -74,9 +74,9 @@
 	r.paths.table.ProbedDirectly(time.Now(), addr, level)
 }
 
-// probeBothWays probes a server directly and through a peer at the same time. If the peer got further,
-// the server is probed directly again: it may have been silent and gone on meanwhile. ok is false if the
-// server didn't answer directly and no peer could be asked.
+// probeBothWays probes a server directly and through a peer at the same time. If the peer got further, or
+// an answer before this VM, the server is probed directly again: it may have been silent and gone on
+// meanwhile. ok is false if the server didn't answer directly and no peer could be asked.
 func (r *Relay) probeBothWays(server shed.ServerEntry) (direct, carried reach.Level, ok bool) {
 	answer := make(chan reach.Level, 1)
 	r.work.Go(func() error {
@@ -96,13 +96,7 @@
 		return direct, reach.Closed, true
 	}
 	carried, ok = r.probe(r.carriedSender, server)
-	if !ended && carried == reach.Answered {
-		// The direct probe isn't awaited: if the server answers now, it answers the next one at once.
-		select {
-		case direct = <-answer:
-		default:
-		}
-	} else if !ended {
+	if !ended && carried < reach.Answered {
 		direct = <-answer
 	}
 	if carried > direct {
