--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -274,7 +274,7 @@
 		if direct == Connected {
 			t.connectedAt = now
 		}
-		if direct == carried && direct == Connected {
+		if carried == Connected {
 			t.evenAt, t.isolated = now, false
 		}
 		t.Unreached(now, a, listed)
