A call for pieces is kept while its results have a value

What callers would see: pieces sent up to eight times while servers are silent, which multiplies the work of the servers once they go on. A call was closed after 6 times its usual time and 0.3 s; the server was about to go on with it, and its pieces were sent again. Calls now run until the deadline of their last piece. Pieces of hedged calls count as tried, so a piece is sent at most three times.

Doubt on the path to a server still begins after a part of the usual limit.

TestSilentServersFailNoPiece: up to 8 sends of a piece and 6 calls at a server before, 3 and 2 after; it passes. TestServersThatStaySilent still fails: the tries of pieces are used up by silent servers.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -21,7 +21,7 @@
 	slownessWeight = 0.3
 	// minSlowness and maxSlowness bound a server's slowness.
 	minSlowness, maxSlowness = 0.5, 10.0
-	// callLimitFactor and callLimitMargin give the time after which a call is abandoned.
+	// callLimitFactor and callLimitMargin give the longest time that a call usually takes.
 	// Servers have been seen to become five times as slow and still answer.
 	callLimitFactor = 6
 	callLimitMargin = 300 * time.Millisecond
@@ -37,7 +37,8 @@
 	// further failure, up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	// maxTries limits how often a piece is sent. Retries draw on the fleet's retry budget.
+	// maxTries limits how often a piece is sent, also while it is hedged. Retries draw on the fleet's
+	// retry budget.
 	maxTries = 3
 	// overloadWait is the predicted wait for all pending pieces, about two full calls, from
 	// which pieces that would miss their target are rejected.
@@ -139,11 +140,9 @@
 	}
 }
 
-// countFailure counts a failed try, unless the piece is pending for another server anyway.
-func (p *piece) countFailure() {
-	if !p.queued {
-		p.tries++
-	}
+// mayHedge reports whether the piece may be sent again while it is in flight.
+func (p *piece) mayHedge() bool {
+	return !p.settled && !p.job.dropped && p.tries+p.inFlight < maxTries
 }
 
 // call is one call that a server runs.
@@ -257,7 +256,7 @@
 		for _, p := range c.pieces {
 			p.inFlight--
 			if !ev.NotRun && !ev.Crashed {
-				p.countFailure()
+				p.tries++
 			}
 			out = b.requeue(out, p)
 		}
@@ -291,7 +290,7 @@
 		m.capacity.AddUnaccounted(now, p.Bytes, c.group.limits.ResultRetention/2)
 		return b.requeue(out, p)
 	case shed.PieceFailed:
-		p.countFailure()
+		p.tries++
 		return b.requeue(out, p)
 	}
 	if p.inFlight > 0 || p.queued {
@@ -328,7 +327,7 @@
 			c.suspected = true
 			s.producer.allowParallelCall()
 			for _, p := range c.pieces {
-				if !p.settled && !p.job.dropped {
+				if p.mayHedge() {
 					g.enqueue(p)
 				}
 			}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -252,9 +252,11 @@
 	m.running = b.nextID
 	b.calls[b.nextID] = c
 	c.suspectAt = now.Add(suspectFactor*shed.Scale(c.expected, max(m.slowness, 1)) + suspectMargin)
-	send := Send{Call: b.nextID, Server: *s.entry, Limit: callLimitFactor*c.expected + callLimitMargin, Pending: len(g.pending)}
+	usual := callLimitFactor*c.expected + callLimitMargin
+	send := Send{Call: b.nextID, Server: *s.entry, UsualLimit: usual, Limit: usual, Pending: len(g.pending)}
 	for _, p := range c.pieces {
 		p.inFlight++
+		send.Limit = max(send.Limit, p.job.deadline.Sub(now))
 		piece := p.Piece
 		piece.Budget = p.job.deadline.Sub(now)
 		send.Pieces = append(send.Pieces, piece)
--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -89,8 +89,11 @@
 	Call   CallID
 	Server shed.ServerEntry
 	Pieces []shed.Piece
-	// Limit is the time after which the call is abandoned.
+	// Limit is the time after which the call is abandoned: when no result has a value any more. A
+	// server that was silent goes on with the call, so it isn't given up before.
 	Limit time.Duration
+	// UsualLimit is the longest time that such a call usually takes.
+	UsualLimit time.Duration
 	// Pending is how many pieces stay pending.
 	Pending int
 }
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return batch.CallEnded{NotRun: true}, 0, err
 	}
-	resp, reply, sent, err := r.send(&exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.Limit))}, req.WithContext(ctx))
+	resp, reply, sent, err := r.send(&exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.UsualLimit))}, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
 		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
 	}
