Pieces go to sound servers while others of their pool are silent

What callers would see: a request's pieces wait for silent servers, or are lost at one after the other, while the pool has sound ones.

- The busy time left of a silent server counted as 0, so an idle server that was slow lately got no pieces: the silent one seemed to finish first.
Pieces preferred in the zone of a silent server were kept for it as well.
- Next in turn was any server without a suspect call.
Servers often fall silent together; now those that answered since then go first, and a piece that has used up its tries is sent once more to one of them.
- A silent server beside sound ones gets one piece as a probe, which stays pending for the others, not a full call.
It gets one more call at once, and then one every 2 s.
- A call whose time is over at a silent server no longer counts as a failure of the server: other pieces, which may have more time, failed at once when all servers were avoided.
- A server that restarted while a call was suspect had a negative count of suspect calls.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -37,9 +37,12 @@
 	// further failure, up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	// maxTries limits how often a piece is sent, also while it is hedged. Retries draw on the fleet's
-	// retry budget.
+	// maxTries limits how often a piece is sent, also while it is hedged; if that was to servers that
+	// fell silent, it is sent once more to one that answered since. Retries draw on the fleet's retry
+	// budget.
 	maxTries = 3
+	// extraCallInterval is how often a server that stays silent gets another call.
+	extraCallInterval = 2 * time.Second
 	// overloadWait is the predicted wait for all pending pieces, about two full calls, from
 	// which pieces that would miss their target are rejected.
 	overloadWait = 700 * time.Millisecond
@@ -122,7 +125,9 @@
 	tries int
 	// inFlight counts the calls that include it; above 1 once one of them is suspect.
 	inFlight int
-	settled  bool
+	// sentAt is when it was last sent.
+	sentAt  time.Time
+	settled bool
 	// crashes counts the calls with it under which servers crashed. After a crash it is only
 	// sent with pieces of its subgroup; 0 means no subgroup.
 	crashes, subgroup int
@@ -142,7 +147,19 @@
 
 // mayHedge reports whether the piece may be sent again while it is in flight.
 func (p *piece) mayHedge() bool {
-	return !p.settled && !p.job.dropped && p.tries+p.inFlight < maxTries
+	return !p.settled && !p.job.dropped && p.tries+p.inFlight <= maxTries
+}
+
+// mayRunAt reports whether a pending piece may be sent to a server, in addition to those where it is in
+// flight. A silent server may only have lost its answers, but is not tried with one piece after the other.
+func (p *piece) mayRunAt(m *producer) bool {
+	switch {
+	case p.inFlight == 0:
+		return true
+	case m.silent:
+		return p.inFlight == 1
+	}
+	return p.tries+p.inFlight < maxTries || m.answeredAt.After(p.sentAt)
 }
 
 // call is one call that a server runs.
@@ -153,6 +170,8 @@
 	sentAt   time.Time
 	expected time.Duration
 	bytes    int64
+	// limit is the time after which it is abandoned.
+	limit time.Duration
 	// suspectAt is when its pieces are hedged on another server; suspected is set once they
 	// are.
 	suspectAt time.Time
@@ -244,9 +263,6 @@
 	if m.running == ev.Call {
 		m.running = 0
 	}
-	if c.suspected {
-		m.suspectedCalls--
-	}
 	m.capacity.Release(c.bytes)
 	if len(ev.Results) != len(c.pieces) {
 		b.recordFailure(now, m, c, ev)
@@ -262,7 +278,7 @@
 		}
 		return out
 	}
-	m.consecutiveFailures, m.unreached = 0, false
+	m.consecutiveFailures, m.unreached, m.silent, m.answeredAt = 0, false, false, now
 	ratio := float64(now.Sub(c.sentAt)) / float64(c.expected)
 	m.slowness += slownessWeight * (min(max(ratio, minSlowness), maxSlowness) - m.slowness)
 	for i, p := range c.pieces {
@@ -315,17 +331,24 @@
 // hedgeSuspectCalls finds calls that take much longer than usual for their server and hedges
 // their pieces: they are sent to another server too, the first result counts and the other one
 // is released. Otherwise an unresponsive server would delay requests until the call's limit.
-// The server gets one more call on another connection: if only the answer was lost, it has
-// long been idle.
 func (b *Batcher) hedgeSuspectCalls(now time.Time) {
 	for _, g := range b.order {
 		for _, s := range b.poolServers(now, g.pool) {
-			c := b.calls[s.producer.running]
-			if c == nil || c.suspected || now.Before(c.suspectAt) {
+			m := s.producer
+			c := b.calls[m.running]
+			if c == nil || now.Before(c.suspectAt) {
+				continue
+			}
+			if !m.silent {
+				m.silent, m.unansweredSince = true, c.sentAt
+				m.allowExtraCall(now)
+			} else if !now.Before(m.extraCallAt) {
+				m.allowExtraCall(now)
+			}
+			if c.suspected {
 				continue
 			}
 			c.suspected = true
-			s.producer.allowParallelCall()
 			for _, p := range c.pieces {
 				if p.mayHedge() {
 					g.enqueue(p)
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -16,8 +16,8 @@
 	servers := b.poolServers(now, g.pool)
 	g.slowness = slowness(now, servers)
 	out = b.rejectLate(now, out, g, servers)
-	usableServers, reachableServers := 0, 0
-	var firstRestEnd time.Time
+	usableServers, reachableServers, soundServers := 0, 0, 0
+	var firstRestEnd, lastSilence time.Time
 	fastestBusy := maxSlowness
 	var idle []server
 	for _, s := range servers {
@@ -42,9 +42,15 @@
 		if out = b.survey(now, out, g, s); m.capacity.AwaitsSurvey(now) {
 			continue
 		}
-		if m.running == 0 {
-			idle = append(idle, s)
+		if m.silent {
+			lastSilence = shed.Later(lastSilence, m.unansweredSince)
 		} else {
+			soundServers++
+		}
+		switch {
+		case m.running == 0:
+			idle = append(idle, s)
+		case !m.silent:
 			fastestBusy = min(fastestBusy, m.slowness)
 		}
 	}
@@ -55,13 +61,13 @@
 	default:
 		return b.rejectEndingAfter(out, g, g.earliestCompletion(firstRestEnd))
 	}
-	slices.SortFunc(idle, server.compare)
+	slices.SortFunc(idle, func(x, y server) int { return x.compare(y, lastSilence) })
 	for _, s := range idle {
 		if len(g.pending) == 0 {
 			break
 		}
 		b.sortPending(now, g, s.entry.Zone)
-		if reachableServers > 0 && s.producer.unreached {
+		if reachableServers > 0 && s.producer.unreached || soundServers > 0 && s.producer.silent {
 			out = b.probe(now, out, g, s)
 			continue
 		}
@@ -74,8 +80,9 @@
 	return out
 }
 
-// compare orders idle servers by who gets a call first.
-func (s server) compare(o server) int {
+// compare orders idle servers by who gets a call first. Servers often fall silent together, so those that
+// answered since the last silence began go before others; lastSilence is zero if no server is silent.
+func (s server) compare(o server, lastSilence time.Time) int {
 	if s.producer.unreached != o.producer.unreached {
 		// Probes go first: a probed piece stays pending for the other servers.
 		if s.producer.unreached {
@@ -84,12 +91,29 @@
 		return 1
 	}
 	return cmp.Or(
-		cmp.Compare(s.producer.suspectedCalls, o.producer.suspectedCalls),
+		compareBools(s.producer.silent, o.producer.silent),
+		compareBools(s.mayBeSilent(lastSilence), o.mayBeSilent(lastSilence)),
 		cmp.Compare(s.producer.slowness, o.producer.slowness),
 		cmp.Compare(s.index, o.index),
 	)
 }
 
+// mayBeSilent reports whether another server has been silent since a time, and this one hasn't answered.
+func (s server) mayBeSilent(lastSilence time.Time) bool {
+	return !lastSilence.IsZero() && !s.producer.answeredAt.After(lastSilence)
+}
+
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // rejectLate answers pieces whose deadline would pass before a call ends, so that no server
 // works on them.
 func (b *Batcher) rejectLate(now time.Time, out []Action, g *group, servers []server) []Action {
@@ -183,7 +207,7 @@
 	own := shed.Scale(expectedTime(g.limits, n), s.producer.slowness)
 	for _, other := range servers {
 		m := other.producer
-		if m.running == 0 || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
+		if m.running == 0 || m.silent || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
 			continue
 		}
 		c := b.calls[m.running]
@@ -195,8 +219,8 @@
 	return false
 }
 
-// probe sends one piece, the least urgent one, to a server that the last call did not reach,
-// to see whether it is reachable again. The piece stays pending for a healthy server: in a
+// probe sends one piece, the least urgent one, to a server that the last call did not reach or
+// that is silent, to see whether it answers again. The piece stays pending for a healthy server: in a
 // zone that was partitioned from the others, pieces went from one unreachable server to the
 // next, 0.2 s each, for up to 1.3 s.
 func (b *Batcher) probe(now time.Time, out []Action, g *group, s server) []Action {
@@ -222,7 +246,7 @@
 			continue
 		}
 		otherSubgroup := len(chosen) > 0 && p.subgroup != chosen[0].subgroup
-		if otherSubgroup || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
+		if otherSubgroup || !p.mayRunAt(s.producer) || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
 			rest = append(rest, p)
 			continue
 		}
@@ -256,11 +280,13 @@
 	send := Send{Call: b.nextID, Server: *s.entry, UsualLimit: usual, Limit: usual, Pending: len(g.pending)}
 	for _, p := range c.pieces {
 		p.inFlight++
+		p.sentAt = now
 		send.Limit = max(send.Limit, p.job.deadline.Sub(now))
 		piece := p.Piece
 		piece.Budget = p.job.deadline.Sub(now)
 		send.Pieces = append(send.Pieces, piece)
 	}
+	c.limit = send.Limit
 	return append(out, send)
 }
 
@@ -277,7 +303,7 @@
 	n := zoneSchedule{completion: map[shed.ZoneID]time.Time{}, freeSlots: map[shed.ZoneID]int{}}
 	for _, s := range servers {
 		m, zone := s.producer, s.entry.Zone
-		if now.Before(m.availableAt()) {
+		if m.silent || now.Before(m.availableAt()) {
 			continue
 		}
 		done := now
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -23,9 +23,15 @@
 	unreached bool
 	// capacity accounts for the results that it holds.
 	capacity room.Server
-	// suspectedCalls counts suspect calls in flight beside which the server may get another
-	// one.
-	suspectedCalls int
+	// silent is set while a call takes much longer than usual and the server has answered none since.
+	// It may only be paused, so its calls are kept, but sound servers get the pieces.
+	silent bool
+	// unansweredSince is when the first call was sent that a silent server has not answered.
+	unansweredSince time.Time
+	// answeredAt is when it last answered a call.
+	answeredAt time.Time
+	// extraCallAt is when a silent server may get another call beside those that it doesn't answer.
+	extraCallAt time.Time
 }
 
 // isUnreachable reports whether the server could not be reached and its backoff has not ended.
@@ -76,8 +82,9 @@
 	if !ev.NotRun {
 		m.capacity.AddUnaccounted(now, c.bytes, c.group.limits.ResultRetention)
 	}
-	if c.suspected && m.consecutiveFailures == 0 {
-		// The server answered a later call, so it is alive and only this answer was lost.
+	if m.answeredAt.After(c.sentAt) || m.silent && now.Sub(c.sentAt) >= c.limit {
+		// The server answered a later call, so it is alive and only this answer was lost; or the results
+		// lost their value while it was silent, which other pieces may outlast.
 		return
 	}
 	m.unreached = ev.NotRun
@@ -160,9 +167,9 @@
 		m.startedMs = s.StartedMs
 	}
 	if m.startedMs != s.StartedMs {
-		// A restarted server holds no earlier results.
-		*m = producer{startedMs: s.StartedMs, slowness: 1, running: m.running}
-		m.capacity.Reserve(b.runningBytes(m.running))
+		// A restarted server holds no earlier results, and doesn't know the calls in flight.
+		*m = producer{startedMs: s.StartedMs, slowness: 1}
+		m.capacity.Reserve(b.bytesInFlight(s.ID))
 		m.capacity.SkipSurvey(now)
 		for ref, h := range b.held {
 			if h.server == s.ID {
@@ -173,18 +180,21 @@
 	return m
 }
 
-func (b *Batcher) runningBytes(id CallID) int64 {
-	if c := b.calls[id]; c != nil {
-		return c.bytes
+// bytesInFlight is the size of the results of all calls in flight to a server.
+func (b *Batcher) bytesInFlight(id shed.ServerID) int64 {
+	var bytes int64
+	for _, c := range b.calls {
+		if c.server.ID == id {
+			bytes += c.bytes
+		}
 	}
-	return 0
+	return bytes
 }
 
-// allowParallelCall lets a server have one call beside the suspect one.
-func (m *producer) allowParallelCall() {
-	if m.suspectedCalls++; m.suspectedCalls == 1 {
-		m.running = 0
-	}
+// allowExtraCall lets a silent server have one more call, on another connection: if only an answer was
+// lost, it has long been idle.
+func (m *producer) allowExtraCall(now time.Time) {
+	m.running, m.extraCallAt = 0, now.Add(extraCallInterval)
 }
 
 // countRetryableSoon is 1 if the server is only avoided briefly because it was full, else 0.
