Red tests: hedged pieces that are lost

What callers would see: a request waits until its deadline for a piece that nobody works on. TestHedgedPieceOfAStoppedVMIsAnswered: a piece that waited for its second call when its VM stopped coordinating counted as pending for ever; when its first call failed, it was neither sent nor answered. TestHedgeThatWasNotRunIsRepeated: a hedge that its server refused is not repeated at another one. Both fail on this commit. TestPieceAtASilentServerIsKept passes here, since that piece is not pending; it guards the fix, which makes it pending again.

--- a/internal/batch/silent_test.go
+++ b/internal/batch/silent_test.go
@@ -224,3 +224,58 @@
 	}
 	require.Less(t, r.b.PredictWait(r.now, "p", limits).Slow, 1.3)
 }
+
+// Guards against pieces that fail while a silent server is about to go on with them, because the pool's
+// other servers can't be reached.
+func TestPieceAtASilentServerIsKept(t *testing.T) {
+	tb := newHarness(t, "a", "a")
+	tb.addJob(1, 1, 3*time.Second, nil)
+	silent := tb.nextSend()
+	tb.advance(600 * time.Millisecond)
+	for job := batch.JobID(2); job < 4; job++ {
+		for len(tb.sends) > 0 {
+			tb.handle(batch.CallEnded{Call: tb.nextSend().Call, NotRun: true})
+		}
+		tb.addJob(job, 1, 3*time.Second, nil)
+		tb.advance(100 * time.Millisecond)
+	}
+	require.NotContains(t, tb.done, batch.JobID(1))
+	tb.answer(silent, shed.PieceComplete)
+	require.Equal(t, shed.PieceComplete, tb.done[1][0].End)
+}
+
+// Guards against pieces that are never answered: their VM stopped coordinating while they waited to be sent
+// a second time, and then their call failed.
+func TestHedgedPieceOfAStoppedVMIsAnswered(t *testing.T) {
+	tb := newHarness(t, "a")
+	tb.addJob(1, 2*limits.MaxPieces, 5*time.Second, func(p *shed.Piece) { p.Bytes = 0 })
+	first := tb.nextSend()
+	tb.advance(600 * time.Millisecond)
+	extra := tb.nextSend()
+	tb.handle(batch.Stopped{})
+	tb.answer(extra, shed.PieceComplete)
+	tb.handle(batch.CallEnded{Call: first.Call})
+	for range 50 {
+		for len(tb.sends) > 0 {
+			tb.answer(tb.nextSend(), shed.PieceComplete)
+		}
+		tb.advance(100 * time.Millisecond)
+	}
+	require.Contains(t, tb.done, batch.JobID(1))
+}
+
+// Guards against pieces that stay at a silent server until their deadline, since the server that was to
+// make them in its place refused the connection, while another one is idle.
+func TestHedgeThatWasNotRunIsRepeated(t *testing.T) {
+	tb := newHarness(t, "a", "a", "a")
+	tb.addJob(1, 1, 3*time.Second, nil)
+	tb.nextSend()
+	tb.advance(600 * time.Millisecond)
+	refused := tb.nextSend()
+	tb.handle(batch.CallEnded{Call: refused.Call, NotRun: true})
+	tb.advance(100 * time.Millisecond)
+	next := tb.nextSend()
+	require.NotEqual(t, refused.Server.ID, next.Server.ID)
+	tb.answer(next, shed.PieceComplete)
+	require.Equal(t, shed.PieceComplete, tb.done[1][0].End)
+}
