Pieces at silent servers are neither failed nor left without a second try

What callers would see: a request waits until its deadline for a piece that nobody else works on, or fails while a silent server is about to go on with its piece.

- A piece whose hedge failed, or was refused, was not hedged again: another call still had it.
It is now, unless that call is not suspect.
- When no server could run more pieces, those that waited for a second call failed although their first one was in flight.
They stay pending.
- Pieces that a stopping VM took off its queue still counted as pending, and were never sent again when the call that had them failed.

TestHedgeThatWasNotRunIsRepeated and TestHedgedPieceOfAStoppedVMIsAnswered: red before, green after. TestPieceAtASilentServerIsKept fails if the second change is taken out.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -125,6 +125,8 @@
 	tries int
 	// inFlight counts the calls that include it; above 1 once one of them is suspect.
 	inFlight int
+	// overdue counts those of them that are suspect.
+	overdue int
 	// sentAt is when it was last sent.
 	sentAt  time.Time
 	settled bool
@@ -263,6 +265,11 @@
 	if m.running == ev.Call {
 		m.running = 0
 	}
+	if c.suspected {
+		for _, p := range c.pieces {
+			p.overdue--
+		}
+	}
 	m.capacity.Release(c.bytes)
 	if len(ev.Results) != len(c.pieces) {
 		b.recordFailure(now, m, c, ev)
@@ -315,13 +322,13 @@
 	return b.settle(out, p, r)
 }
 
-// requeue makes a piece pending again, unless it has used up its tries or another call still
-// has it.
+// requeue makes a piece pending again, unless it has used up its tries or another call, which is not
+// suspect, still has it.
 func (b *Batcher) requeue(out []Action, p *piece) []Action {
-	if p.job.dropped || p.settled || p.queued || p.inFlight > 0 {
+	if p.job.dropped || p.settled || p.queued || p.inFlight > p.overdue || p.inFlight > 0 && !p.mayHedge() {
 		return out
 	}
-	if p.tries >= maxTries {
+	if p.inFlight == 0 && p.tries >= maxTries {
 		return b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
 	}
 	p.job.group.enqueue(p)
@@ -350,6 +357,7 @@
 			}
 			c.suspected = true
 			for _, p := range c.pieces {
+				p.overdue++
 				if p.mayHedge() {
 					g.enqueue(p)
 				}
@@ -379,6 +387,7 @@
 		waiting := g.pending
 		g.pending = nil
 		for _, p := range waiting {
+			p.queued = false
 			if p.inFlight == 0 {
 				out = b.settle(out, p, shed.PieceResult{End: shed.PieceMoved})
 			}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -142,14 +142,19 @@
 	return soonest.After(p.job.deadline) || overloaded && soonest.After(p.job.target.Add(lateMargin))
 }
 
-// failPending fails all pending pieces when no server can run them, so that the caller can try
-// another zone at once.
+// failPending fails the pending pieces when no server can run them, so that the caller can try
+// another zone at once. Those in flight stay pending: their servers may only be silent.
 func (b *Batcher) failPending(out []Action, g *group) []Action {
-	waiting := g.pending
-	g.pending = nil
-	for _, p := range waiting {
+	var kept []*piece
+	for _, p := range g.pending {
+		if p.inFlight > 0 {
+			kept = append(kept, p)
+			continue
+		}
+		p.queued = false
 		out = b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
 	}
+	g.pending = kept
 	return out
 }
 
