A server's pause doesn't count as slowness of its work

What callers would see: requests refused as pieces_would_be_late after the servers of a pool were silent for a moment, though these work at their usual speed again. One answer that is far too late doesn't count any more; the next one, to a call that was sent after it, does, so that a server that became slow is still noticed.

TestSilenceIsNotSlowness: red before, green after. TestSlowServerIsNotTakenForPaused is new.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -286,8 +286,7 @@
 		return out
 	}
 	m.consecutiveFailures, m.unreached, m.silent, m.answeredAt = 0, false, false, now
-	ratio := float64(now.Sub(c.sentAt)) / float64(c.expected)
-	m.slowness += slownessWeight * (min(max(ratio, minSlowness), maxSlowness) - m.slowness)
+	m.learnSlowness(now, c)
 	for i, p := range c.pieces {
 		out = b.finishPiece(now, out, m, c, p, ev.Results[i])
 	}
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -30,6 +30,9 @@
 	unansweredSince time.Time
 	// answeredAt is when it last answered a call.
 	answeredAt time.Time
+	// pausedAt is when it last answered a call so late that it may have been paused, with no timely
+	// answer since; zero if there was one.
+	pausedAt time.Time
 	// extraCallAt is when a silent server may get another call beside those that it doesn't answer.
 	extraCallAt time.Time
 }
@@ -71,6 +74,23 @@
 	since, expires time.Time
 }
 
+// learnSlowness updates the server's slowness after it answered a call. One answer that is far too late is
+// more likely due to a pause: if it counted, requests were refused after all servers of a pool had been
+// silent for a second. The next late answer, to a call that was sent after it, counts.
+func (m *producer) learnSlowness(now time.Time, c *call) {
+	switch {
+	case now.Before(c.suspectAt):
+		m.pausedAt = time.Time{}
+	case m.pausedAt.IsZero():
+		m.pausedAt = now
+		return
+	case c.sentAt.Before(m.pausedAt):
+		return
+	}
+	ratio := float64(now.Sub(c.sentAt)) / float64(c.expected)
+	m.slowness += slownessWeight * (min(max(ratio, minSlowness), maxSlowness) - m.slowness)
+}
+
 // recordFailure backs off from the server for a while, so that the other servers, or another
 // zone, get the pieces. One that is just full is tried again when another VM's call may have
 // ended.
--- a/internal/batch/silent_test.go
+++ b/internal/batch/silent_test.go
@@ -46,6 +46,8 @@
 	asked   map[shed.RequestID]int
 	addedAt map[batch.JobID]time.Time
 	took    map[batch.JobID]time.Duration
+	// slow is how many times as long as usual work takes.
+	slow time.Duration
 	// mostCalls is the highest number of calls that a server had at once.
 	mostCalls int
 }
@@ -53,7 +55,7 @@
 func newSilentReplay(t *testing.T, limits shed.BatchLimits, paused, sound int, silence time.Duration) *silentReplay {
 	r := &silentReplay{
 		limits: limits, harness: newHarness(t, make([]shed.ZoneID, paused+sound)...), servers: map[shed.ServerID]*pausedServer{},
-		asked: map[shed.RequestID]int{}, addedAt: map[batch.JobID]time.Time{}, took: map[batch.JobID]time.Duration{},
+		slow: 1, asked: map[shed.RequestID]int{}, addedAt: map[batch.JobID]time.Time{}, took: map[batch.JobID]time.Duration{},
 	}
 	for i, entry := range r.harness.servers {
 		s := &pausedServer{}
@@ -102,7 +104,7 @@
 		c := r.nextSend()
 		s := r.servers[c.Server.ID]
 		s.calls = append(s.calls, &pausedCall{
-			Send: c, work: r.limits.CallTime + time.Duration(len(c.Pieces))*r.limits.PieceTime, abandonAt: r.now.Add(c.Limit),
+			Send: c, work: r.slow * (r.limits.CallTime + time.Duration(len(c.Pieces))*r.limits.PieceTime), abandonAt: r.now.Add(c.Limit),
 		})
 		r.mostCalls = max(r.mostCalls, len(s.calls))
 		for _, p := range c.Pieces {
@@ -279,3 +281,16 @@
 	tb.answer(next, shed.PieceComplete)
 	require.Equal(t, shed.PieceComplete, tb.done[1][0].End)
 }
+
+// Guards against a server that became five times as slow being taken for one that is paused each time.
+func TestSlowServerIsNotTakenForPaused(t *testing.T) {
+	r := newSilentReplay(t, limits, 0, 1, 0)
+	r.slow = 5
+	for ms := range 15_000 {
+		if ms%1000 == 0 {
+			r.add(batch.JobID(ms/1000+1), 4*time.Second, 3*time.Second)
+		}
+		r.step()
+	}
+	require.Greater(t, r.b.PredictWait(r.now, "p", limits).Slow, 2.0)
+}
