Red test: pieces while the paths to all servers of their pool are lost

What callers see: 503 pieces_not_made with seconds left. A call that this VM cancels because a peer has a path to the server and it has none counts as a failure of the server; once that happened to all servers of the pool, its pieces fail. TestLostPathsFailNoPiece fails on this commit, which only adds the field PathLost of the event.

--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -33,6 +33,8 @@
 	// NotRun is set if the server said that it has not run the call, or if the call cannot
 	// have reached it.
 	NotRun bool
+	// PathLost is set if this VM lost its path to the server: a failure that says nothing of the server.
+	PathLost bool
 	// Crashed is set if the server crashed during the call.
 	Crashed bool
 	// Busy is set if the server refused the call because it is full.
--- a/internal/batch/silent_test.go
+++ b/internal/batch/silent_test.go
@@ -294,3 +294,20 @@
 	}
 	require.Greater(t, r.b.PredictWait(r.now, "p", limits).Slow, 2.0)
 }
+
+// Guards against pieces that fail with seconds left because the paths to all servers of their pool were
+// found to be lost: peers carry the next calls, and the servers are sound.
+func TestLostPathsFailNoPiece(t *testing.T) {
+	tb := newHarness(t, "a", "a")
+	tb.addJob(1, 8, 5*time.Second, func(p *shed.Piece) { p.Bytes = 0 })
+	for range 2 * len(tb.servers) {
+		tb.handle(batch.CallEnded{Call: tb.nextSend().Call, PathLost: true})
+	}
+	for len(tb.sends) > 0 {
+		tb.answer(tb.nextSend(), shed.PieceComplete)
+	}
+	require.Contains(t, tb.done, batch.JobID(1))
+	for _, res := range tb.done[1] {
+		require.Equal(t, shed.PieceComplete, res.End)
+	}
+}
