A lost path is no failure of the server that makes pieces

What callers see: 503 pieces_not_made with seconds left at a VM that loses its paths. The VM cancels calls over a path when a peer gets further; each such call counted as a try of its pieces and as a failure of the server, which was avoided for 0.5 s or more. Once all servers of the pool were, the pieces failed, though peers would have carried the next calls. Such a call now ends with PathLost: its pieces are sent again at once, and the server isn't avoided.

Log lines of failed calls have path_lost.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -278,7 +278,7 @@
 		}
 		for _, p := range c.pieces {
 			p.inFlight--
-			if !ev.NotRun && !ev.Crashed {
+			if !ev.NotRun && !ev.Crashed && !ev.PathLost {
 				p.tries++
 			}
 			out = b.requeue(out, p)
--- a/internal/batch/producer.go
+++ b/internal/batch/producer.go
@@ -102,6 +102,11 @@
 	if !ev.NotRun {
 		m.capacity.AddUnaccounted(now, c.bytes, c.group.limits.ResultRetention)
 	}
+	if ev.PathLost {
+		// A peer carries the next call.
+		m.silent = false
+		return
+	}
 	if m.answeredAt.After(c.sentAt) || m.silent && now.Sub(c.sentAt) >= c.limit {
 		// The server answered a later call, so it is alive and only this answer was lost; or the results
 		// lost their value while it was silent, which other pieces may outlast.
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -132,7 +132,7 @@
 		"took_ms": took.Milliseconds(), "limit_ms": a.Limit.Milliseconds(),
 	})
 	if end.Results == nil {
-		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "crashed": end.Crashed, "error": errorText(err), "first": a.Pieces[0].Request}).
+		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "path_lost": end.PathLost, "crashed": end.Crashed, "error": errorText(err), "first": a.Pieces[0].Request}).
 			Warn("call for pieces failed")
 	} else {
 		r.logResults(entry, end.Results)
@@ -179,7 +179,7 @@
 		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
 	}
 	if err != nil {
-		return batch.CallEnded{NotRun: !sent, Crashed: sent && r.isCrash(err, a.Server)}, 0, err
+		return batch.CallEnded{NotRun: !sent, PathLost: errors.Is(err, errPathLost), Crashed: sent && r.isCrash(err, a.Server)}, 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -187,7 +187,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResults))
 	if err != nil {
-		return batch.CallEnded{Crashed: r.isCrash(err, a.Server)}, resp.StatusCode, err
+		return batch.CallEnded{PathLost: errors.Is(err, errPathLost), Crashed: r.isCrash(err, a.Server)}, resp.StatusCode, err
 	}
 	results, err := r.cfg.Dialect.ParseResults(body, len(a.Pieces))
 	return batch.CallEnded{Results: results}, resp.StatusCode, err
