Only steps whose results were lost run again

What callers see: 503 pieces_not_made with seconds left, if a step finds its inputs gone after the request's target time or a second time; servers may drop results after their retention time while another pool is silent. And while one step failed, the others were cancelled and all ran again, which doubles the work.

Steps that don't depend on lost results now go on and keep theirs; chain.Repeat decides which run again: the step that missed its inputs, those that make them, and those whose results were freed and are needed again.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -46,6 +46,14 @@
 	})
 }
 
+// hasInputs reports whether the results that a step needs exist.
+func (p plan) hasInputs(at int, ends []chain.End) bool {
+	return !slices.ContainsFunc(p.steps[at].DependsOn, func(before int) bool {
+		i := p.stepIndex(before)
+		return i >= 0 && ends[i] != chain.Complete
+	})
+}
+
 // fetchedBytes returns how many bytes of a step's results the pieces of other steps fetch: each
 // of them fetches all.
 func (p plan) fetchedBytes(at int) int64 {
--- a/internal/relay/steps.go
+++ b/internal/relay/steps.go
@@ -10,6 +10,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
+	"jasmineshed/internal/chain"
 	"jasmineshed/internal/prefs"
 
 	"github.com/sirupsen/logrus"
@@ -42,29 +43,66 @@
 	}
 	r.addExpectedPieces(j, p)
 	defer r.clearExpectedPieces(j)
-	err := r.runSteps(ctx, j, p)
-	var end stepError
-	if errors.As(err, &end) && end.end == shed.PieceInputsGone && time.Now().Before(j.target) {
-		// A server left or died with the results; there is time to run the pieces again.
-		err = r.runSteps(ctx, j, p)
+	run := stepRun{results: make([][]shed.ResultRef, len(p.steps)), ends: make([]chain.End, len(p.steps))}
+	err := r.runSteps(ctx, j, p, &run)
+	for range maxRepeats {
+		if err != nil || !slices.Contains(run.ends, chain.InputsGone) {
+			break
+		}
+		// A server left or died with the results.
+		r.discardLost(j, p, &run)
+		err = r.runSteps(ctx, j, p, &run)
+	}
+	if err == nil && slices.Contains(run.ends, chain.InputsGone) {
+		err = stepError{shed.PieceInputsGone}
 	}
+	r.assignResults(j, p, run.results, err != nil)
 	if err == nil {
 		return nil
 	}
 	return r.stepRefusal(ctx, j, err)
 }
 
-// runSteps runs all steps, each as soon as those that it depends on are done.
-func (r *Relay) runSteps(ctx context.Context, j *job, p plan) error {
-	results := make([][]shed.ResultRef, len(p.steps))
+// maxRepeats is how often steps of a request run again whose results were lost.
+const maxRepeats = 2
+
+// stepRun is what a request's steps have achieved.
+type stepRun struct {
+	// results are the results of each step that exist; those that nobody needs any more are freed.
+	results [][]shed.ResultRef
+	ends    []chain.End
+}
+
+// discardLost prepares the steps to run again whose results are lost or missing.
+func (r *Relay) discardLost(j *job, p plan, run *stepRun) {
+	r.mu.Lock()
+	repeat := r.chain(time.Now(), p).Repeat(run.ends)
+	r.mu.Unlock()
+	for i := range repeat {
+		if repeat[i] {
+			r.releaseResults(j, run.results[i])
+			run.results[i], run.ends[i] = nil, chain.NotRun
+		}
+	}
+}
+
+// runSteps runs the steps that have not run, each as soon as those that it depends on are done. If one
+// finds its inputs gone, the steps that don't depend on it go on.
+func (r *Relay) runSteps(ctx context.Context, j *job, p plan, run *stepRun) error {
 	done := make([]chan struct{}, len(p.steps))
 	for i := range done {
 		done[i] = make(chan struct{})
+		if run.ends[i] != chain.NotRun {
+			close(done[i])
+		}
 	}
-	uses := newUseCounts(p)
+	uses := newUseCounts(p, run)
 	awaits := r.prerequisites(p)
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range p.steps {
+		if run.ends[i] != chain.NotRun {
+			continue
+		}
 		g.Go(func() error {
 			for _, at := range awaits[i] {
 				select {
@@ -73,19 +111,25 @@
 					return ctx.Err()
 				}
 			}
-			var err error
-			results[i], err = r.runStep(ctx, j, p, i, results)
+			defer close(done[i])
+			if !p.hasInputs(i, run.ends) {
+				return nil
+			}
+			results, err := r.runStep(ctx, j, p, i, run.results)
+			var end stepError
+			if errors.As(err, &end) && end.end == shed.PieceInputsGone {
+				run.ends[i] = chain.InputsGone
+				return nil
+			}
 			if err != nil {
 				return err
 			}
-			close(done[i])
-			r.releaseResults(j, uses.release(p, i, results))
+			run.results[i], run.ends[i] = results, chain.Complete
+			r.releaseResults(j, uses.release(p, i, run))
 			return nil
 		})
 	}
-	err := g.Wait()
-	r.assignResults(j, p, results, err != nil)
-	return err
+	return g.Wait()
 }
 
 // prerequisites returns for each step the steps that must be done before it begins.
@@ -104,15 +148,18 @@
 	return out
 }
 
-// useCounts counts the steps that still need the results of each step.
+// useCounts counts the steps, of those that run, that still need the results of each step.
 type useCounts struct {
 	mu        sync.Mutex
 	remaining []int
 }
 
-func newUseCounts(p plan) *useCounts {
+func newUseCounts(p plan, run *stepRun) *useCounts {
 	u := &useCounts{remaining: make([]int, len(p.steps))}
-	for _, s := range p.steps {
+	for i, s := range p.steps {
+		if run.ends[i] != chain.NotRun {
+			continue
+		}
 		for _, before := range s.DependsOn {
 			if at := p.stepIndex(before); at >= 0 {
 				u.remaining[at]++
@@ -123,9 +170,9 @@
 }
 
 // release returns the results that nobody needs any more now that a step is done, and removes
-// them from results. Servers have capacity for few results: kept until all steps were done,
+// them from the run. Servers have capacity for few results: kept until all steps were done,
 // they blocked the steps of other requests.
-func (u *useCounts) release(p plan, done int, results [][]shed.ResultRef) []shed.ResultRef {
+func (u *useCounts) release(p plan, done int, run *stepRun) []shed.ResultRef {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var out []shed.ResultRef
@@ -135,8 +182,8 @@
 			continue
 		}
 		if u.remaining[at]--; u.remaining[at] == 0 {
-			out = append(out, results[at]...)
-			results[at] = nil
+			out = append(out, run.results[at]...)
+			run.results[at], run.ends[at] = nil, chain.Freed
 		}
 	}
 	return out
