--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -8,74 +8,91 @@
 	shed "jasmineshed"
 )
 
-// dispatch assigns the group's pending pieces to servers that have no call.
-func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
-	if len(g.pending) == 0 {
-		return out
-	}
-	servers := b.poolServers(now, g.pool)
-	g.slowness = slowness(now, servers)
-	out = b.rejectLate(now, out, g, servers)
-	usableServers, reachableServers, soundServers := 0, 0, 0
-	var firstRestEnd, lastSilence time.Time
-	fastestBusy := maxSlowness
-	var idle []server
+// candidates are the servers of a pool that may get calls.
+type candidates struct {
+	// idle servers have no call. usable counts them and those that have one, reachable the servers whose
+	// last call reached them, sound the usable ones that aren't silent.
+	idle                     []server
+	usable, reachable, sound int
+	// firstRestEnd is when the first server ends its rest; zero if none rests.
+	firstRestEnd time.Time
+	// lastSilence is when the last silence of a server began; zero if none is silent.
+	lastSilence time.Time
+	// fastestBusy is the lowest slowness of the sound servers that have a call.
+	fastestBusy float64
+}
+
+// findCandidates assesses the servers of a group's pool, and has those surveyed that need it.
+func (b *Batcher) findCandidates(now time.Time, out []Action, g *group, servers []server) (candidates, []Action) {
+	f := candidates{fastestBusy: maxSlowness}
 	for _, s := range servers {
 		m := s.producer
 		if !m.unreached {
-			reachableServers++
+			f.reachable++
 		}
 		if m.isUnreachable(now) {
 			continue
 		}
 		if now.Before(m.restUntil) {
-			if firstRestEnd.IsZero() || m.restUntil.Before(firstRestEnd) {
-				firstRestEnd = m.restUntil
+			if f.firstRestEnd.IsZero() || m.restUntil.Before(f.firstRestEnd) {
+				f.firstRestEnd = m.restUntil
 			}
 			continue
 		}
 		if now.Before(m.backoffUntil) {
-			usableServers += b.countRetryableSoon(now, m)
+			f.usable += b.countRetryableSoon(now, m)
 			continue
 		}
-		usableServers++
+		f.usable++
 		if out = b.survey(now, out, g, s); m.capacity.AwaitsSurvey(now) {
 			continue
 		}
 		if m.silent {
-			lastSilence = shed.Later(lastSilence, m.unansweredSince)
+			f.lastSilence = shed.Later(f.lastSilence, m.unansweredSince)
 		} else {
-			soundServers++
+			f.sound++
 		}
 		switch {
 		case m.running == 0:
-			idle = append(idle, s)
+			f.idle = append(f.idle, s)
 		case !m.silent:
-			fastestBusy = min(fastestBusy, m.slowness)
+			f.fastestBusy = min(f.fastestBusy, m.slowness)
 		}
 	}
+	slices.SortFunc(f.idle, func(x, y server) int { return x.compare(y, f.lastSilence) })
+	return f, out
+}
+
+// dispatch assigns the group's pending pieces to servers that have no call.
+func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
+	if len(g.pending) == 0 {
+		return out
+	}
+	servers := b.poolServers(now, g.pool)
+	g.slowness = slowness(now, servers)
+	out = b.rejectLate(now, out, g, servers)
+	f, out := b.findCandidates(now, out, g, servers)
 	switch {
-	case usableServers > 0:
-	case firstRestEnd.IsZero():
+	case f.usable > 0:
+	case f.firstRestEnd.IsZero():
 		return b.failPending(out, g)
 	default:
-		return b.rejectEndingAfter(out, g, g.earliestCompletion(firstRestEnd))
+		return b.rejectEndingAfter(out, g, g.earliestCompletion(f.firstRestEnd))
 	}
-	slices.SortFunc(idle, func(x, y server) int { return x.compare(y, lastSilence) })
-	for _, s := range idle {
+	for _, s := range f.idle {
 		if len(g.pending) == 0 {
 			break
 		}
 		b.sortPending(now, g, s.entry.Zone)
-		if reachableServers > 0 && s.producer.unreached || soundServers > 0 && s.producer.silent {
+		if f.reachable > 0 && s.producer.unreached || f.sound > 0 && s.producer.silent {
 			out = b.probe(now, out, g, s)
 			continue
 		}
-		if s.producer.slowness > fastestBusy && b.busyServerIsFaster(now, g, servers, s) {
+		if s.producer.slowness > f.fastestBusy && b.busyServerIsFaster(now, g, servers, s) {
 			continue
 		}
 		out = b.fillCall(now, out, g, servers, s)
-		fastestBusy = min(fastestBusy, s.producer.slowness)
+		f.fastestBusy = min(f.fastestBusy, s.producer.slowness)
 	}
 	return out
 }
