Red test: pieces that fail for a moment

What callers see: 503 pieces_not_made with seconds left. A server answers in time that it could not make a piece, as when it can't fetch the inputs from a silent server; the piece is sent again at once, and after three failures within milliseconds it fails. In the users' record such answers came from servers of four pools within 0.8 s. TestPieceThatFailsForAMoment: the case of a moment fails on this commit.

--- a/internal/batch/silent_test.go
+++ b/internal/batch/silent_test.go
@@ -311,3 +311,42 @@
 		require.Equal(t, shed.PieceComplete, res.End)
 	}
 }
+
+// Guards against pieces that fail with seconds left since their servers can't fetch inputs from a pool that
+// is silent for a moment, and against pieces sent without end that no server can make.
+func TestPieceThatFailsForAMoment(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		fails, budget, most time.Duration
+		end                 shed.PieceEnd
+	}{
+		{"for a moment", 900 * time.Millisecond, 5 * time.Second, 2 * time.Second, shed.PieceComplete},
+		{"for good", time.Hour, 5 * time.Second, 2 * time.Second, shed.PieceFailed},
+		{"for good, with little time", time.Hour, time.Second, 300 * time.Millisecond, shed.PieceFailed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tb := newHarness(t, "a", "a", "a")
+			tb.addJob(1, 1, tt.budget, func(p *shed.Piece) { p.Bytes, p.Budget = 0, tt.budget })
+			asked := 0
+			for len(tb.done) == 0 && tb.now.Sub(start) < 6*time.Second {
+				for len(tb.sends) > 0 {
+					asked++
+					s := tb.nextSend()
+					tb.now = tb.now.Add(20 * time.Millisecond)
+					end := shed.PieceComplete
+					if tb.now.Sub(start) < tt.fails {
+						end = shed.PieceFailed
+					}
+					tb.answer(s, end)
+				}
+				if len(tb.done) == 0 {
+					tb.advance(100 * time.Millisecond)
+				}
+			}
+			require.Contains(t, tb.done, batch.JobID(1))
+			require.Equal(t, tt.end, tb.done[1][0].End)
+			require.LessOrEqual(t, tb.now.Sub(start), tt.most)
+			require.LessOrEqual(t, asked, maxAsks)
+		})
+	}
+}
