The last try of a piece that servers failed to make waits for a second

What callers see: 503 pieces_not_made with seconds left, when servers answer that they could not make a piece three times within milliseconds. What a piece needs may be silent only for a moment, such as the server that holds its inputs. The second try still follows at once; the third one waits for a second if the request has the time. The number of tries stays 3.

TestPieceThatFailsForAMoment: red before, green after. That pieces fail at servers in the users' record because their inputs are at silent servers is suspected, not shown: the record doesn't say why they failed.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -41,6 +41,9 @@
 	// fell silent, it is sent once more to one that answered since. Retries draw on the fleet's retry
 	// budget.
 	maxTries = 3
+	// lastTryPause is how long a piece that servers failed to make waits for its last try: what it needs may
+	// only be silent, such as the server that holds its inputs.
+	lastTryPause = time.Second
 	// extraCallInterval is how often a server that stays silent gets another call.
 	extraCallInterval = 2 * time.Second
 	// overloadWait is the predicted wait for all pending pieces, about two full calls, from
@@ -127,6 +130,8 @@
 	inFlight int
 	// overdue counts those of them that are suspect.
 	overdue int
+	// notBefore is when it may be sent again.
+	notBefore time.Time
 	// sentAt is when it was last sent.
 	sentAt  time.Time
 	settled bool
@@ -152,10 +157,21 @@
 	return !p.settled && !p.job.dropped && p.tries+p.inFlight <= maxTries
 }
 
+// awaitLastTry delays the last try of a piece if there is time to.
+func (p *piece) awaitLastTry(now time.Time) {
+	g := p.job.group
+	next := now.Add(lastTryPause)
+	if p.tries == maxTries-1 && !g.earliestCompletion(next).After(p.job.deadline) {
+		p.notBefore = next
+	}
+}
+
 // mayRunAt reports whether a pending piece may be sent to a server, in addition to those where it is in
 // flight. A silent server may only have lost its answers, but is not tried with one piece after the other.
-func (p *piece) mayRunAt(m *producer) bool {
+func (p *piece) mayRunAt(now time.Time, m *producer) bool {
 	switch {
+	case now.Before(p.notBefore):
+		return false
 	case p.inFlight == 0:
 		return true
 	case m.silent:
@@ -313,6 +329,7 @@
 		return b.requeue(out, p)
 	case shed.PieceFailed:
 		p.tries++
+		p.awaitLastTry(now)
 		return b.requeue(out, p)
 	}
 	if p.inFlight > 0 || p.queued {
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -247,7 +247,7 @@
 // next, 0.2 s each, for up to 1.3 s.
 func (b *Batcher) probe(now time.Time, out []Action, g *group, s server) []Action {
 	at := len(g.pending) - 1
-	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0) {
+	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0 || now.Before(g.pending[at].notBefore)) {
 		at--
 	}
 	if at < 0 || !s.producer.capacity.CanHold(now, g.limits, g.pending[at].Bytes) {
@@ -268,7 +268,7 @@
 			continue
 		}
 		otherSubgroup := len(chosen) > 0 && p.subgroup != chosen[0].subgroup
-		if otherSubgroup || !p.mayRunAt(s.producer) || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
+		if otherSubgroup || !p.mayRunAt(now, s.producer) || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
 			rest = append(rest, p)
 			continue
 		}
