Red test: the backlog of a silence is taken for overload

What callers see: 503 pieces_would_be_late with more than 3 s left, while or after the servers of a pool are silent: pieces that missed their target are refused as under overload.

--- a/internal/batch/silent_test.go
+++ b/internal/batch/silent_test.go
@@ -350,3 +350,24 @@
 		})
 	}
 }
+
+// Guards against pieces that are refused as late with seconds left, because the backlog of a silence is
+// taken for overload: the pool is at half its load, and makes all of them in time.
+func TestBacklogOfASilenceIsNoOverload(t *testing.T) {
+	r := newSilentReplay(t, limits, 3, 0, 1500*time.Millisecond)
+	const jobs = 100
+	for ms := range 9000 {
+		if job := batch.JobID(ms/30 + 1); ms%30 == 0 && job <= jobs {
+			r.add(job, 5*time.Second, 500*time.Millisecond)
+		}
+		r.step()
+	}
+	refused := 0
+	for job := batch.JobID(1); job <= jobs; job++ {
+		require.Contains(t, r.done, job)
+		if r.done[job][0].End != shed.PieceComplete {
+			refused++
+		}
+	}
+	require.Zero(t, refused)
+}
