The backlog of a silence is not taken for overload

What callers see: 503 pieces_would_be_late with more than 3 s left while or after the servers of a pool are silent. Pieces that missed their target by 0.2 s are refused under overload, so that servers work on those that can still meet theirs; the backlog of a silence counted as overload. For 4 s after at least half of a pool's servers fell silent, it doesn't; such pieces still come after those that can meet their target, and are refused once they can't meet their deadline.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -49,6 +49,9 @@
 	// overloadWait is the predicted wait for all pending pieces, about two full calls, from
 	// which pieces that would miss their target are rejected.
 	overloadWait = 700 * time.Millisecond
+	// silenceBacklogTime is how long after at least half of a pool's servers fell silent its backlog is not
+	// taken for overload: a pause of 2 s, and as much to work it off.
+	silenceBacklogTime = 4 * time.Second
 	// lateMargin is how far beyond its target a piece must be predicted to end before it is
 	// rejected: for most requests the prediction is that much too long.
 	lateMargin = 200 * time.Millisecond
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -136,7 +136,7 @@
 func (b *Batcher) rejectLate(now time.Time, out []Action, g *group, servers []server) []Action {
 	var kept []*piece
 	f := b.predictWait(now, g.pool, g.limits, servers)
-	overloaded := max(f.Last, f.Room.Wait(g.limits, 1, g.limits.LargestResult, 0)) > overloadWait
+	overloaded := max(f.Last, f.Room.Wait(g.limits, 1, g.limits.LargestResult, 0)) > overloadWait && !wereSilent(now, servers)
 	for _, p := range g.pending {
 		if p.settled || p.job.dropped {
 			continue
@@ -151,6 +151,18 @@
 	return out
 }
 
+// wereSilent reports whether at least half of the servers fell silent lately, so that pieces wait though
+// the pool has the capacity for them.
+func wereSilent(now time.Time, servers []server) bool {
+	silent := 0
+	for _, s := range servers {
+		if m := s.producer; !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) < silenceBacklogTime {
+			silent++
+		}
+	}
+	return silent > 0 && 2*silent >= len(servers)
+}
+
 // isTooLate reports whether a call that is sent now would end after the piece's deadline or,
 // under overload, too far after its target while other pieces could still meet theirs. The
 // piece is then better rejected at once.
