Merge: pieces keep the calls at silent servers

Requests with seconds of time left were refused with 503 (pieces_not_made) while servers of a pool of pieces were silent.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -21,7 +21,7 @@
 	slownessWeight = 0.3
 	// minSlowness and maxSlowness bound a server's slowness.
 	minSlowness, maxSlowness = 0.5, 10.0
-	// callLimitFactor and callLimitMargin give the time after which a call is abandoned.
+	// callLimitFactor and callLimitMargin give the longest time that a call usually takes.
 	// Servers have been seen to become five times as slow and still answer.
 	callLimitFactor = 6
 	callLimitMargin = 300 * time.Millisecond
@@ -37,11 +37,21 @@
 	// further failure, up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	// maxTries limits how often a piece is sent. Retries draw on the fleet's retry budget.
+	// maxTries limits how often a piece is sent, also while it is hedged; if that was to servers that
+	// fell silent, it is sent once more to one that answered since. Retries draw on the fleet's retry
+	// budget.
 	maxTries = 3
+	// lastTryPause is how long a piece that servers failed to make waits for its last try: what it needs may
+	// only be silent, such as the server that holds its inputs.
+	lastTryPause = time.Second
+	// extraCallInterval is how often a server that stays silent gets another call.
+	extraCallInterval = 2 * time.Second
 	// overloadWait is the predicted wait for all pending pieces, about two full calls, from
 	// which pieces that would miss their target are rejected.
 	overloadWait = 700 * time.Millisecond
+	// silenceBacklogTime is how long after at least half of a pool's servers fell silent its backlog is not
+	// taken for overload: a pause of 2 s, and as much to work it off.
+	silenceBacklogTime = 4 * time.Second
 	// lateMargin is how far beyond its target a piece must be predicted to end before it is
 	// rejected: for most requests the prediction is that much too long.
 	lateMargin = 200 * time.Millisecond
@@ -121,7 +131,13 @@
 	tries int
 	// inFlight counts the calls that include it; above 1 once one of them is suspect.
 	inFlight int
-	settled  bool
+	// overdue counts those of them that are suspect.
+	overdue int
+	// notBefore is when it may be sent again.
+	notBefore time.Time
+	// sentAt is when it was last sent.
+	sentAt  time.Time
+	settled bool
 	// crashes counts the calls with it under which servers crashed. After a crash it is only
 	// sent with pieces of its subgroup; 0 means no subgroup.
 	crashes, subgroup int
@@ -139,11 +155,32 @@
 	}
 }
 
-// countFailure counts a failed try, unless the piece is pending for another server anyway.
-func (p *piece) countFailure() {
-	if !p.queued {
-		p.tries++
+// mayHedge reports whether the piece may be sent again while it is in flight.
+func (p *piece) mayHedge() bool {
+	return !p.settled && !p.job.dropped && p.tries+p.inFlight <= maxTries
+}
+
+// awaitLastTry delays the last try of a piece if there is time to.
+func (p *piece) awaitLastTry(now time.Time) {
+	g := p.job.group
+	next := now.Add(lastTryPause)
+	if p.tries == maxTries-1 && !g.earliestCompletion(next).After(p.job.deadline) {
+		p.notBefore = next
+	}
+}
+
+// mayRunAt reports whether a pending piece may be sent to a server, in addition to those where it is in
+// flight. A silent server may only have lost its answers, but is not tried with one piece after the other.
+func (p *piece) mayRunAt(now time.Time, m *producer) bool {
+	switch {
+	case now.Before(p.notBefore):
+		return false
+	case p.inFlight == 0:
+		return true
+	case m.silent:
+		return p.inFlight == 1
 	}
+	return p.tries+p.inFlight < maxTries || m.answeredAt.After(p.sentAt)
 }
 
 // call is one call that a server runs.
@@ -154,6 +191,8 @@
 	sentAt   time.Time
 	expected time.Duration
 	bytes    int64
+	// limit is the time after which it is abandoned.
+	limit time.Duration
 	// suspectAt is when its pieces are hedged on another server; suspected is set once they
 	// are.
 	suspectAt time.Time
@@ -246,7 +285,9 @@
 		m.running = 0
 	}
 	if c.suspected {
-		m.suspectedCalls--
+		for _, p := range c.pieces {
+			p.overdue--
+		}
 	}
 	m.capacity.Release(c.bytes)
 	if len(ev.Results) != len(c.pieces) {
@@ -256,16 +297,15 @@
 		}
 		for _, p := range c.pieces {
 			p.inFlight--
-			if !ev.NotRun && !ev.Crashed {
-				p.countFailure()
+			if !ev.NotRun && !ev.Crashed && !ev.PathLost {
+				p.tries++
 			}
 			out = b.requeue(out, p)
 		}
 		return out
 	}
-	m.consecutiveFailures, m.unreached = 0, false
-	ratio := float64(now.Sub(c.sentAt)) / float64(c.expected)
-	m.slowness += slownessWeight * (min(max(ratio, minSlowness), maxSlowness) - m.slowness)
+	m.consecutiveFailures, m.unreached, m.silent, m.answeredAt = 0, false, false, now
+	m.learnSlowness(now, c)
 	for i, p := range c.pieces {
 		out = b.finishPiece(now, out, m, c, p, ev.Results[i])
 	}
@@ -291,7 +331,8 @@
 		m.capacity.AddUnaccounted(now, p.Bytes, c.group.limits.ResultRetention/2)
 		return b.requeue(out, p)
 	case shed.PieceFailed:
-		p.countFailure()
+		p.tries++
+		p.awaitLastTry(now)
 		return b.requeue(out, p)
 	}
 	if p.inFlight > 0 || p.queued {
@@ -300,13 +341,13 @@
 	return b.settle(out, p, r)
 }
 
-// requeue makes a piece pending again, unless it has used up its tries or another call still
-// has it.
+// requeue makes a piece pending again, unless it has used up its tries or another call, which is not
+// suspect, still has it.
 func (b *Batcher) requeue(out []Action, p *piece) []Action {
-	if p.job.dropped || p.settled || p.queued || p.inFlight > 0 {
+	if p.job.dropped || p.settled || p.queued || p.inFlight > p.overdue || p.inFlight > 0 && !p.mayHedge() {
 		return out
 	}
-	if p.tries >= maxTries {
+	if p.inFlight == 0 && p.tries >= maxTries {
 		return b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
 	}
 	p.job.group.enqueue(p)
@@ -316,19 +357,27 @@
 // hedgeSuspectCalls finds calls that take much longer than usual for their server and hedges
 // their pieces: they are sent to another server too, the first result counts and the other one
 // is released. Otherwise an unresponsive server would delay requests until the call's limit.
-// The server gets one more call on another connection: if only the answer was lost, it has
-// long been idle.
 func (b *Batcher) hedgeSuspectCalls(now time.Time) {
 	for _, g := range b.order {
 		for _, s := range b.poolServers(now, g.pool) {
-			c := b.calls[s.producer.running]
-			if c == nil || c.suspected || now.Before(c.suspectAt) {
+			m := s.producer
+			c := b.calls[m.running]
+			if c == nil || now.Before(c.suspectAt) {
+				continue
+			}
+			if !m.silent {
+				m.silent, m.unansweredSince = true, c.sentAt
+				m.allowExtraCall(now)
+			} else if !now.Before(m.extraCallAt) {
+				m.allowExtraCall(now)
+			}
+			if c.suspected {
 				continue
 			}
 			c.suspected = true
-			s.producer.allowParallelCall()
 			for _, p := range c.pieces {
-				if !p.settled && !p.job.dropped {
+				p.overdue++
+				if p.mayHedge() {
 					g.enqueue(p)
 				}
 			}
@@ -357,6 +406,7 @@
 		waiting := g.pending
 		g.pending = nil
 		for _, p := range waiting {
+			p.queued = false
 			if p.inFlight == 0 {
 				out = b.settle(out, p, shed.PieceResult{End: shed.PieceMoved})
 			}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -8,74 +8,98 @@
 	shed "jasmineshed"
 )
 
-// dispatch assigns the group's pending pieces to servers that have no call.
-func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
-	if len(g.pending) == 0 {
-		return out
-	}
-	servers := b.poolServers(now, g.pool)
-	g.slowness = slowness(now, servers)
-	out = b.rejectLate(now, out, g, servers)
-	usableServers, reachableServers := 0, 0
-	var firstRestEnd time.Time
-	fastestBusy := maxSlowness
-	var idle []server
+// candidates are the servers of a pool that may get calls.
+type candidates struct {
+	// idle servers have no call. usable counts them and those that have one, reachable the servers whose
+	// last call reached them, sound the usable ones that aren't silent.
+	idle                     []server
+	usable, reachable, sound int
+	// firstRestEnd is when the first server ends its rest; zero if none rests.
+	firstRestEnd time.Time
+	// lastSilence is when the last silence of a server began; zero if none is silent.
+	lastSilence time.Time
+	// fastestBusy is the lowest slowness of the sound servers that have a call.
+	fastestBusy float64
+}
+
+// findCandidates assesses the servers of a group's pool, and has those surveyed that need it.
+func (b *Batcher) findCandidates(now time.Time, out []Action, g *group, servers []server) (candidates, []Action) {
+	f := candidates{fastestBusy: maxSlowness}
 	for _, s := range servers {
 		m := s.producer
 		if !m.unreached {
-			reachableServers++
+			f.reachable++
 		}
 		if m.isUnreachable(now) {
 			continue
 		}
 		if now.Before(m.restUntil) {
-			if firstRestEnd.IsZero() || m.restUntil.Before(firstRestEnd) {
-				firstRestEnd = m.restUntil
+			if f.firstRestEnd.IsZero() || m.restUntil.Before(f.firstRestEnd) {
+				f.firstRestEnd = m.restUntil
 			}
 			continue
 		}
 		if now.Before(m.backoffUntil) {
-			usableServers += b.countRetryableSoon(now, m)
+			f.usable += b.countRetryableSoon(now, m)
 			continue
 		}
-		usableServers++
+		f.usable++
 		if out = b.survey(now, out, g, s); m.capacity.AwaitsSurvey(now) {
 			continue
 		}
-		if m.running == 0 {
-			idle = append(idle, s)
+		if m.silent {
+			f.lastSilence = shed.Later(f.lastSilence, m.unansweredSince)
 		} else {
-			fastestBusy = min(fastestBusy, m.slowness)
+			f.sound++
+		}
+		switch {
+		case m.running == 0:
+			f.idle = append(f.idle, s)
+		case !m.silent:
+			f.fastestBusy = min(f.fastestBusy, m.slowness)
 		}
 	}
+	slices.SortFunc(f.idle, func(x, y server) int { return x.compare(y, f.lastSilence) })
+	return f, out
+}
+
+// dispatch assigns the group's pending pieces to servers that have no call.
+func (b *Batcher) dispatch(now time.Time, out []Action, g *group) []Action {
+	if len(g.pending) == 0 {
+		return out
+	}
+	servers := b.poolServers(now, g.pool)
+	g.slowness = slowness(now, servers)
+	out = b.rejectLate(now, out, g, servers)
+	f, out := b.findCandidates(now, out, g, servers)
 	switch {
-	case usableServers > 0:
-	case firstRestEnd.IsZero():
+	case f.usable > 0:
+	case f.firstRestEnd.IsZero():
 		return b.failPending(out, g)
 	default:
-		return b.rejectEndingAfter(out, g, g.earliestCompletion(firstRestEnd))
+		return b.rejectEndingAfter(out, g, g.earliestCompletion(f.firstRestEnd))
 	}
-	slices.SortFunc(idle, server.compare)
-	for _, s := range idle {
+	for _, s := range f.idle {
 		if len(g.pending) == 0 {
 			break
 		}
 		b.sortPending(now, g, s.entry.Zone)
-		if reachableServers > 0 && s.producer.unreached {
+		if f.reachable > 0 && s.producer.unreached || f.sound > 0 && s.producer.silent {
 			out = b.probe(now, out, g, s)
 			continue
 		}
-		if s.producer.slowness > fastestBusy && b.busyServerIsFaster(now, g, servers, s) {
+		if s.producer.slowness > f.fastestBusy && b.busyServerIsFaster(now, g, servers, s) {
 			continue
 		}
 		out = b.fillCall(now, out, g, servers, s)
-		fastestBusy = min(fastestBusy, s.producer.slowness)
+		f.fastestBusy = min(f.fastestBusy, s.producer.slowness)
 	}
 	return out
 }
 
-// compare orders idle servers by who gets a call first.
-func (s server) compare(o server) int {
+// compare orders idle servers by who gets a call first. Servers often fall silent together, so those that
+// answered since the last silence began go before others; lastSilence is zero if no server is silent.
+func (s server) compare(o server, lastSilence time.Time) int {
 	if s.producer.unreached != o.producer.unreached {
 		// Probes go first: a probed piece stays pending for the other servers.
 		if s.producer.unreached {
@@ -84,18 +108,35 @@
 		return 1
 	}
 	return cmp.Or(
-		cmp.Compare(s.producer.suspectedCalls, o.producer.suspectedCalls),
+		compareBools(s.producer.silent, o.producer.silent),
+		compareBools(s.mayBeSilent(lastSilence), o.mayBeSilent(lastSilence)),
 		cmp.Compare(s.producer.slowness, o.producer.slowness),
 		cmp.Compare(s.index, o.index),
 	)
 }
 
+// mayBeSilent reports whether another server has been silent since a time, and this one hasn't answered.
+func (s server) mayBeSilent(lastSilence time.Time) bool {
+	return !lastSilence.IsZero() && !s.producer.answeredAt.After(lastSilence)
+}
+
+// compareBools orders false before true.
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // rejectLate answers pieces whose deadline would pass before a call ends, so that no server
 // works on them.
 func (b *Batcher) rejectLate(now time.Time, out []Action, g *group, servers []server) []Action {
 	var kept []*piece
 	f := b.predictWait(now, g.pool, g.limits, servers)
-	overloaded := max(f.Last, f.Room.Wait(g.limits, 1, g.limits.LargestResult, 0)) > overloadWait
+	overloaded := max(f.Last, f.Room.Wait(g.limits, 1, g.limits.LargestResult, 0)) > overloadWait && !wereSilent(now, servers)
 	for _, p := range g.pending {
 		if p.settled || p.job.dropped {
 			continue
@@ -110,6 +151,18 @@
 	return out
 }
 
+// wereSilent reports whether at least half of the servers fell silent lately, so that pieces wait though
+// the pool has the capacity for them.
+func wereSilent(now time.Time, servers []server) bool {
+	silent := 0
+	for _, s := range servers {
+		if m := s.producer; !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) < silenceBacklogTime {
+			silent++
+		}
+	}
+	return silent > 0 && 2*silent >= len(servers)
+}
+
 // isTooLate reports whether a call that is sent now would end after the piece's deadline or,
 // under overload, too far after its target while other pieces could still meet theirs. The
 // piece is then better rejected at once.
@@ -118,14 +171,19 @@
 	return soonest.After(p.job.deadline) || overloaded && soonest.After(p.job.target.Add(lateMargin))
 }
 
-// failPending fails all pending pieces when no server can run them, so that the caller can try
-// another zone at once.
+// failPending fails the pending pieces when no server can run them, so that the caller can try
+// another zone at once. Those in flight stay pending: their servers may only be silent.
 func (b *Batcher) failPending(out []Action, g *group) []Action {
-	waiting := g.pending
-	g.pending = nil
-	for _, p := range waiting {
+	var kept []*piece
+	for _, p := range g.pending {
+		if p.inFlight > 0 {
+			kept = append(kept, p)
+			continue
+		}
+		p.queued = false
 		out = b.settle(out, p, shed.PieceResult{End: shed.PieceFailed})
 	}
+	g.pending = kept
 	return out
 }
 
@@ -183,7 +241,7 @@
 	own := shed.Scale(expectedTime(g.limits, n), s.producer.slowness)
 	for _, other := range servers {
 		m := other.producer
-		if m.running == 0 || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
+		if m.running == 0 || m.silent || now.Before(m.availableAt()) || len(g.pending) > g.limits.MaxPieces {
 			continue
 		}
 		c := b.calls[m.running]
@@ -195,13 +253,13 @@
 	return false
 }
 
-// probe sends one piece, the least urgent one, to a server that the last call did not reach,
-// to see whether it is reachable again. The piece stays pending for a healthy server: in a
+// probe sends one piece, the least urgent one, to a server that the last call did not reach or
+// that is silent, to see whether it answers again. The piece stays pending for a healthy server: in a
 // zone that was partitioned from the others, pieces went from one unreachable server to the
 // next, 0.2 s each, for up to 1.3 s.
 func (b *Batcher) probe(now time.Time, out []Action, g *group, s server) []Action {
 	at := len(g.pending) - 1
-	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0) {
+	for at >= 0 && (g.pending[at].settled || g.pending[at].inFlight > 0 || now.Before(g.pending[at].notBefore)) {
 		at--
 	}
 	if at < 0 || !s.producer.capacity.CanHold(now, g.limits, g.pending[at].Bytes) {
@@ -222,7 +280,7 @@
 			continue
 		}
 		otherSubgroup := len(chosen) > 0 && p.subgroup != chosen[0].subgroup
-		if otherSubgroup || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
+		if otherSubgroup || !p.mayRunAt(now, s.producer) || len(chosen) == g.limits.MaxPieces || !schedule.mayRunOn(p, s.entry.Zone) || p.Bytes > freeBytes-bytes && g.limits.ResultCapacity > 0 {
 			rest = append(rest, p)
 			continue
 		}
@@ -252,13 +310,17 @@
 	m.running = b.nextID
 	b.calls[b.nextID] = c
 	c.suspectAt = now.Add(suspectFactor*shed.Scale(c.expected, max(m.slowness, 1)) + suspectMargin)
-	send := Send{Call: b.nextID, Server: *s.entry, Limit: callLimitFactor*c.expected + callLimitMargin, Pending: len(g.pending)}
+	usual := callLimitFactor*c.expected + callLimitMargin
+	send := Send{Call: b.nextID, Server: *s.entry, UsualLimit: usual, Limit: usual, Pending: len(g.pending)}
 	for _, p := range c.pieces {
 		p.inFlight++
+		p.sentAt = now
+		send.Limit = max(send.Limit, p.job.deadline.Sub(now))
 		piece := p.Piece
 		piece.Budget = p.job.deadline.Sub(now)
 		send.Pieces = append(send.Pieces, piece)
 	}
+	c.limit = send.Limit
 	return append(out, send)
 }
 
@@ -275,7 +337,7 @@
 	n := zoneSchedule{completion: map[shed.ZoneID]time.Time{}, freeSlots: map[shed.ZoneID]int{}}
 	for _, s := range servers {
 		m, zone := s.producer, s.entry.Zone
-		if now.Before(m.availableAt()) {
+		if m.silent || now.Before(m.availableAt()) {
 			continue
 		}
 		done := now
--- a/internal/batch/event.go
+++ b/internal/batch/event.go
@@ -33,6 +33,8 @@
 	// NotRun is set if the server said that it has not run the call, or if the call cannot
 	// have reached it.
 	NotRun bool
+	// PathLost is set if this VM lost its path to the server: a failure that says nothing of the server.
+	PathLost bool
 	// Crashed is set if the server crashed during the call.
 	Crashed bool
 	// Busy is set if the server refused the call because it is full.
@@ -89,8 +91,11 @@
 	Call   CallID
 	Server shed.ServerEntry
 	Pieces []shed.Piece
-	// Limit is the time after which the call is abandoned.
+	// Limit is the time after which the call is abandoned: when no result has a value any more. A
+	// server that was silent goes on with the call, so it isn't given up before.
 	Limit time.Duration
+	// UsualLimit is the longest time that such a call usually takes.
+	UsualLimit time.Duration
 	// Pending is how many pieces stay pending.
 	Pending int
 }
