--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -40,7 +40,7 @@
 			}
 			s := tb.nextSend()
 			require.LessOrEqual(t, len(s.Pieces), limits.MaxPieces)
-			switch rapid.IntRange(0, 7).Draw(rt, "end") {
+			switch rapid.IntRange(0, 9).Draw(rt, "end") {
 			case 0:
 				tb.handle(batch.CallEnded{Call: s.Call})
 			case 1:
@@ -54,6 +54,10 @@
 				tb.handle(batch.CallEnded{Call: s.Call, Crashed: true})
 			case 3:
 				tb.answer(s, shed.PieceInputsGone)
+			case 5:
+				tb.handle(batch.CallEnded{Call: s.Call, PathLost: true})
+			case 6:
+				tb.answer(s, shed.PieceFailed)
 			default:
 				tb.answer(s, shed.PieceComplete)
 			}
