relay: what a review of second attempts found

A second server that crashed after the head of an answer without a length ended a stream as complete whose first server would have gone on: an attempt that delivered nothing itself now completes a stream only if its server lives. A second attempt that was not sent used up a send and a token: both are given back, its server is avoided, and the outcome that decides on a retry is that of the last attempt that was sent. A first server's answer 4xx waited for a second server: only answers of 500 and more do. A caller that read slowly made its server look silent: the time of the last event is taken after it was forwarded. Plain requests whose answers usually take longer than 0.4 s got second attempts, which spent the budget of those that need it: silence now lasts twice the predicted time at least. By reading: a third attempt could lose inputs that it borrowed; they are freed at the first delivery or at the end of all attempts.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -15,8 +15,9 @@
 	minStreamPatience = 2 * time.Second
 	targetsPatience   = 4
 	// plainSilence is how long the server of a request without a stream is silent to all requests before
-	// a second attempt.
+	// a second attempt, plainAnswers how many times the predicted time of its answer if that is longer.
 	plainSilence = 400 * time.Millisecond
+	plainAnswers = 2
 	// recheckInterval is when a request is looked at again for which a second attempt has no use now.
 	recheckInterval = 100 * time.Millisecond
 )
@@ -70,7 +71,7 @@
 // is sure to wait, a sound server is hardly silent.
 func (w Wait) after() time.Duration {
 	if !w.Streaming {
-		return plainSilence
+		return max(plainSilence, plainAnswers*w.Answer)
 	}
 	patience := max(minStreamPatience, targetsPatience*w.Target)
 	return min(min(patience, w.Left+w.Silence)/2, minStreamPatience)
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -39,6 +39,8 @@
 			change(silent(1500*ms), func(w *Wait) { w.ServerSilence = 10 * ms }), Begin, 0},
 		"plain, short":  {Wait{Silence: 100 * ms, ServerSilence: 100 * ms, Left: time.Second, Answer: 50 * ms}, Stay, 300 * ms},
 		"plain, silent": {Wait{Silence: 400 * ms, ServerSilence: 400 * ms, Left: time.Second, Answer: 50 * ms}, Begin, 0},
+		"plain, its answers take long": {
+			Wait{Silence: 700 * ms, ServerSilence: 700 * ms, Left: 2 * time.Second, Answer: 600 * ms}, Stay, 500 * ms},
 		"plain, its server answers others": {
 			Wait{Silence: 400 * ms, ServerSilence: 0, Left: time.Second, Answer: 50 * ms}, Stay, 400 * ms},
 	}
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -33,9 +33,13 @@
 	mu       sync.Mutex
 	race     hedge.Race
 	inFlight map[hedge.Runner]*attempt
-	// begun counts the attempts, ended are those that have ended, in this order.
+	// begun counts the attempts that were or may be sent, ended are those that have ended, in this order.
 	begun int
 	ended []*attempt
+	// avoid are the servers of attempts that failed.
+	avoid []shed.ServerID
+	// inputsGone: a server said that inputs of the request are gone.
+	inputsGone bool
 }
 
 // pursue sends the request to the chosen server, and to further ones while that is silent, until the caller
@@ -87,28 +91,54 @@
 	return !p.race.End(a.runner)
 }
 
-// conclude puts the results of all attempts into the job, and returns the outcome of the last one that did
-// not lose.
+// recordEnd records the outcome of an attempt. A second one that was not sent leaves its send to another.
+func (p *pursuit) recordEnd(a *attempt) {
+	if a.isSecond() && !a.outcome.sent {
+		p.returnSend(a)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = append(p.ended, a)
+	if !a.outcome.done && !a.outcome.lost {
+		p.avoid = append(p.avoid, a.choice.Server.ID)
+	}
+}
+
+// returnSend gives back what was taken for a second attempt that was not sent.
+func (p *pursuit) returnSend(a *attempt) {
+	p.mu.Lock()
+	p.begun--
+	p.mu.Unlock()
+	p.relay.mu.Lock()
+	defer p.relay.mu.Unlock()
+	p.relay.retryBudget(a.job.pool.ID).Return(time.Now())
+}
+
+// conclude puts the results of all attempts into the job, and returns the outcome of the last one that was
+// sent and did not lose, or else of the last one.
 func (p *pursuit) conclude(j *job) outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var v outcome
-	sends, mayHaveRun, avoid := p.earlierSends, j.mayHaveRun, j.avoid
+	sends, mayHaveRun := p.earlierSends, j.mayHaveRun
 	for _, a := range p.ended {
 		if a.outcome.sent {
 			sends++
 		}
 		mayHaveRun = mayHaveRun || a.outcome.mayHaveRun
-		if a.outcome.lost {
+		if a.job != j {
+			p.relay.releaseInputs(a.job)
+		}
+		if a.outcome.lost || v.sent && !a.outcome.sent {
 			continue
 		}
 		v = a.outcome
 		j.adopt(a.job)
-		if !v.done {
-			avoid = append(avoid, a.choice.Server.ID)
-		}
 	}
-	j.sends, j.mayHaveRun, j.avoid = sends, mayHaveRun, avoid
+	if p.inputsGone {
+		p.relay.releaseInputs(j)
+	}
+	j.sends, j.mayHaveRun, j.avoid = sends, mayHaveRun, append(j.avoid, p.avoid...)
 	return v
 }
 
@@ -150,16 +180,12 @@
 	case hedge.TooLate:
 		return 0
 	}
-	denied := p.relay.secureSecond(a, p.earlierSends+p.begun)
+	denied := p.secureSecond(a)
 	a.logSecond(wait, denied)
-	switch denied {
-	case retryPossible:
-	case noSendsLeft:
-		return 0
-	default:
+	if denied != retryPossible {
 		return hedge.RecheckAfter()
 	}
-	b, ok := p.newAttempt(p.relay.copyJob(a.job, p.earlierSends+p.begun))
+	b, ok := p.newAttempt(p.copyJob(a.job))
 	if !ok {
 		return 0
 	}
@@ -170,10 +196,12 @@
 	return hedge.RecheckAfter()
 }
 
-// copyJob returns the job of a second attempt. It borrows the inputs of the first one.
-func (r *Relay) copyJob(j *job, sends int) *job {
+// copyJob returns the job of a second attempt. It borrows the inputs of the first one. The caller holds mu.
+func (p *pursuit) copyJob(j *job) *job {
+	r := p.relay
 	second := *j
-	second.sends, second.permit, second.avoid = sends, heldPermit{}, append(slices.Clone(j.avoid), j.server)
+	second.sends, second.permit = p.earlierSends+p.begun, heldPermit{}
+	second.avoid = append(slices.Concat(j.avoid, p.avoid), j.server)
 	second.inputsBorrowed = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,6 +238,9 @@
 		Streaming: j.route.Streaming, Begun: lastSign > 0, Silence: now.Sub(heardAt),
 		Target: j.route.Target, Left: j.deadline.Sub(now), Answer: j.answerTime,
 	}
+	if !j.route.Streaming {
+		w.Answer = a.choice.Time
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.ServerSilence = now.Sub(shed.Later(r.paths.heardFrom[a.exchange.addr()], heardAt))
@@ -220,11 +251,14 @@
 	return w
 }
 
-// secureSecond takes the retry budget for a second attempt if there is a server for it.
-func (r *Relay) secureSecond(a *attempt, sends int) noRetry {
-	j := a.job
-	if sends >= j.route.MaxSends {
+// secureSecond takes the retry budget for a second attempt if there is a server for it. The caller holds mu.
+func (p *pursuit) secureSecond(a *attempt) noRetry {
+	r, j := p.relay, a.job
+	switch {
+	case p.earlierSends+p.begun >= j.route.MaxSends:
 		return noSendsLeft
+	case len(j.avoid)+len(p.avoid) > maxServersTried:
+		return noServersLeft
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -232,7 +266,7 @@
 	if !r.poison.Empty() && slices.ContainsFunc(j.suspectFingerprints(), r.poison.IsSuspect) {
 		return maybeCrashes
 	}
-	if _, choice := r.findSecond(now, j, j.server); choice.Server == nil {
+	if _, choice := r.findSecond(now, j, append(slices.Clone(p.avoid), j.server)); choice.Server == nil {
 		return noOtherServer
 	}
 	if !r.retryBudget(j.pool.ID).Take(now) {
@@ -243,9 +277,9 @@
 
 // findSecond picks a server for a second attempt: one that is not silent and to which the request can be
 // sent without a turn. The caller holds mu.
-func (r *Relay) findSecond(now time.Time, j *job, first shed.ServerID) (picker.Request, picker.Choice) {
+func (r *Relay) findSecond(now time.Time, j *job, avoid []shed.ServerID) (picker.Request, picker.Choice) {
 	want := r.wantFor(j)
-	want.Avoid = append(slices.Concat(want.Avoid, r.quietServers(j.pool.ID)), first)
+	want.Avoid = slices.Concat(want.Avoid, avoid, r.quietServers(j.pool.ID))
 	want.Access = r.serverAccess(now, j.pool, nil, 0)
 	choice := r.picker.Pick(now, want, r.candidates(now, j))
 	if choice.ByTurn {
@@ -259,13 +293,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	want, choice := r.findSecond(now, j, j.server)
+	want, choice := r.findSecond(now, j, nil)
 	if choice.Server != nil {
 		r.recordPlacement(now, j, want, choice)
 	}
 	return choice
 }
 
+// isSecond reports whether the attempt began beside another one.
+func (a *attempt) isSecond() bool { return a.job != a.pursuit.job }
+
 // logSecond logs the decision on a second attempt. A denial is logged once for an attempt.
 func (a *attempt) logSecond(w hedge.Wait, denied noRetry) {
 	if denied != retryPossible && denied == a.secondDenied {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -105,9 +105,7 @@
 		a.logFailure(v, pathFailed)
 	}
 	a.outcome = v
-	a.pursuit.mu.Lock()
-	defer a.pursuit.mu.Unlock()
-	a.pursuit.ended = append(a.pursuit.ended, a)
+	a.pursuit.recordEnd(a)
 }
 
 // executeSecond makes a second attempt, for which the retry budget was taken.
@@ -121,7 +119,6 @@
 			return
 		}
 		j.inputsReady, j.prepareTime = true, time.Since(j.began)
-		defer r.releaseInputs(j)
 	}
 	choice := r.placeSecond(j)
 	if choice.Server == nil {
@@ -134,14 +131,9 @@
 // abandon ends a second attempt that was not sent.
 func (a *attempt) abandon(reason shed.Reason) {
 	a.cancel()
-	a.pursuit.mu.Lock()
-	delete(a.pursuit.inFlight, a.runner)
-	a.pursuit.race.End(a.runner)
-	a.pursuit.begun--
-	a.pursuit.mu.Unlock()
-	a.relay.mu.Lock()
-	a.relay.retryBudget(a.job.pool.ID).Return(time.Now())
-	a.relay.mu.Unlock()
+	a.pursuit.end(a)
+	a.pursuit.returnSend(a)
+	a.relay.releaseInputs(a.job)
 	a.relay.log.WithFields(logrus.Fields{"request": a.job.request.ID, "reason": reason}).Info("second attempt not sent")
 }
 
@@ -296,7 +288,7 @@
 			reason = shed.ReasonServerLeaving
 		case reply.InputsGone:
 			reason = reasonInputsGone
-			a.releaseInputs()
+			a.loseInputs()
 		}
 		return outcome{sent: true, reason: reason}
 	}
@@ -340,20 +332,26 @@
 	return outcome{done: true, sent: true, mayHaveRun: true}
 }
 
-// releaseInputs frees the inputs of an attempt whose server says that they are gone.
-func (a *attempt) releaseInputs() {
+// loseInputs frees the inputs of an attempt whose server says that they are gone, unless another attempt may
+// still fetch them.
+func (a *attempt) loseInputs() {
 	a.pursuit.mu.Lock()
 	defer a.pursuit.mu.Unlock()
-	a.relay.releaseInputs(a.job)
+	a.pursuit.inputsGone = true
+	if !a.pursuit.race.Contested() {
+		a.relay.releaseInputs(a.job)
+	}
 }
 
 // isBetterReplaced reports whether a complete answer says that its server failed while another attempt may
 // still do better. The caller holds pursuit.mu.
 func (a *attempt) isBetterReplaced(status int) bool {
 	switch {
+	case status < http.StatusInternalServerError:
+		return false
 	case a.pursuit.race.Contested():
-		return status >= http.StatusBadRequest
-	case status < http.StatusInternalServerError || !a.job.route.Repeatable:
+		return true
+	case !a.job.route.Repeatable:
 		return false
 	}
 	return a.pursuit.earlierSends+a.pursuit.begun < a.job.route.MaxSends && a.relay.hasOtherServer(a.job, a.choice)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,7 +30,6 @@
 			a.serverFailed = ctx.Err() == nil
 			return broken
 		}
-		a.lastSign.Store(time.Since(a.began))
 		if err := a.forwardEvent(resp, event); err != nil {
 			a.err = err
 			return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonCallerGone}
@@ -40,10 +39,12 @@
 
 // completeStream ends the caller's answer if the stream that ended is complete.
 func (a *attempt) completeStream(resp *http.Response) bool {
-	emptyRest := a.isEmptyRest(resp)
+	if !a.begun && !a.isEmptyRest(resp) {
+		return false
+	}
 	a.pursuit.mu.Lock()
 	defer a.pursuit.mu.Unlock()
-	if !emptyRest && !a.out.started || !a.pursuit.deliver(a) {
+	if !a.pursuit.deliver(a) {
 		return false
 	}
 	a.startAnswer(resp)
@@ -60,6 +61,8 @@
 	if !a.pursuit.deliver(a) {
 		return errOvertaken
 	}
+	// A caller that reads slowly must not make its server look silent.
+	defer func() { a.lastSign.Store(time.Since(a.began)) }()
 	if !a.begun {
 		a.relay.mu.Lock()
 		a.markBegun()
@@ -96,7 +99,7 @@
 // events of the stream that it resumes. If the answer ended with its connection, the server may have
 // ended instead.
 func (a *attempt) isEmptyRest(resp *http.Response) bool {
-	if a.job.request.LastEventID == "" {
+	if a.job.request.LastEventID == "" && a.lastEvent == "" {
 		return false
 	}
 	return !endsWithConnection(resp) || !a.relay.serverEnded(a.exchange.server)
