relay: second attempts that could not be sent are repeated; slow plain answers are known

A second attempt may go to a server that failed if there is no other, 0.25 s after a failure and as much later after each further one. Answers without a stream are waited for twice as long as answers of their route usually take.

--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -1,10 +1,13 @@
 package hedge
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	shed "jasmineshed"
 )
 
 func TestDecide(t *testing.T) {
@@ -74,3 +77,16 @@
 	_, ok = r.Start()
 	require.False(t, ok, "none is in flight")
 }
+
+func TestUsualTimes(t *testing.T) {
+	u := NewUsual()
+	require.Zero(t, u.Time("r"))
+	u.Record("r", time.Second)
+	require.Equal(t, time.Second, u.Time("r"))
+	u.Record("r", 2*time.Second)
+	require.Equal(t, 1300*time.Millisecond, u.Time("r"))
+	for i := range maxUsualRoutes {
+		u.Record(shed.RouteID(strconv.Itoa(i)), time.Second)
+	}
+	require.LessOrEqual(t, len(u.times), maxUsualRoutes)
+}
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -36,8 +36,9 @@
 	// begun counts the attempts that were or may be sent, ended are those that have ended, in this order.
 	begun int
 	ended []*attempt
-	// avoid are the servers of attempts that failed.
-	avoid []shed.ServerID
+	// avoid are the servers of attempts that failed, notBefore is when the next second attempt may begin.
+	avoid     []shed.ServerID
+	notBefore time.Time
 	// inputsGone: a server said that inputs of the request are gone.
 	inputsGone bool
 }
@@ -91,6 +92,9 @@
 	return !p.race.End(a.runner)
 }
 
+// secondBackoff is the time from a failed attempt to the next second one; each failure adds as much.
+const secondBackoff = 250 * time.Millisecond
+
 // recordEnd records the outcome of an attempt. A second one that was not sent leaves its send to another.
 func (p *pursuit) recordEnd(a *attempt) {
 	if a.isSecond() && !a.outcome.sent {
@@ -101,6 +105,7 @@
 	p.ended = append(p.ended, a)
 	if !a.outcome.done && !a.outcome.lost {
 		p.avoid = append(p.avoid, a.choice.Server.ID)
+		p.notBefore = time.Now().Add(time.Duration(len(p.avoid)) * secondBackoff)
 	}
 }
 
@@ -169,7 +174,7 @@
 	switch {
 	case !p.race.IsInFlight(a.runner):
 		return 0
-	case p.race.Contested():
+	case p.race.Contested(), time.Now().Before(p.notBefore):
 		return hedge.RecheckAfter()
 	}
 	wait := p.relay.describeWait(a)
@@ -201,7 +206,7 @@
 	r := p.relay
 	second := *j
 	second.sends, second.permit = p.earlierSends+p.begun, heldPermit{}
-	second.avoid = append(slices.Concat(j.avoid, p.avoid), j.server)
+	second.avoid = slices.Concat(j.avoid, p.avoid)
 	second.inputsBorrowed = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -238,11 +243,11 @@
 		Streaming: j.route.Streaming, Begun: lastSign > 0, Silence: now.Sub(heardAt),
 		Target: j.route.Target, Left: j.deadline.Sub(now), Answer: j.answerTime,
 	}
-	if !j.route.Streaming {
-		w.Answer = a.choice.Time
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !j.route.Streaming {
+		w.Answer = max(a.choice.Time, r.usual.Time(j.route.ID))
+	}
 	w.ServerSilence = now.Sub(shed.Later(r.paths.heardFrom[a.exchange.addr()], heardAt))
 	w.PoolSilent = r.isPoolSilent(now, j.pool.ID)
 	if plan := newPlan(j); len(plan.steps) > 0 && !r.areInputsKept(now, j) {
@@ -266,7 +271,7 @@
 	if !r.poison.Empty() && slices.ContainsFunc(j.suspectFingerprints(), r.poison.IsSuspect) {
 		return maybeCrashes
 	}
-	if _, choice := r.findSecond(now, j, append(slices.Clone(p.avoid), j.server)); choice.Server == nil {
+	if _, choice := r.findSecond(now, j, j.server, p.avoid); choice.Server == nil {
 		return noOtherServer
 	}
 	if !r.retryBudget(j.pool.ID).Take(now) {
@@ -275,13 +280,18 @@
 	return retryPossible
 }
 
-// findSecond picks a server for a second attempt: one that is not silent and to which the request can be
-// sent without a turn. The caller holds mu.
-func (r *Relay) findSecond(now time.Time, j *job, avoid []shed.ServerID) (picker.Request, picker.Choice) {
+// findSecond picks a server for a second attempt: one that is not silent, not the first one, and to which the
+// request can be sent without a turn; one that failed if there is no other. The caller holds mu.
+func (r *Relay) findSecond(now time.Time, j *job, first shed.ServerID, failed []shed.ServerID) (picker.Request, picker.Choice) {
 	want := r.wantFor(j)
-	want.Avoid = slices.Concat(want.Avoid, avoid, r.quietServers(j.pool.ID))
 	want.Access = r.serverAccess(now, j.pool, nil, 0)
-	choice := r.picker.Pick(now, want, r.candidates(now, j))
+	servers, silent := r.candidates(now, j), append(r.quietServers(j.pool.ID), first)
+	want.Avoid = slices.Concat(want.Avoid, failed, silent)
+	choice := r.picker.Pick(now, want, servers)
+	if choice.Server == nil {
+		want.Avoid = silent
+		choice = r.picker.Pick(now, want, servers)
+	}
 	if choice.ByTurn {
 		return want, picker.Choice{}
 	}
@@ -289,11 +299,11 @@
 }
 
 // placeSecond places a second attempt; Server is nil if there is no server for it any more.
-func (r *Relay) placeSecond(j *job) picker.Choice {
+func (r *Relay) placeSecond(j *job, first shed.ServerID) picker.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	want, choice := r.findSecond(now, j, nil)
+	want, choice := r.findSecond(now, j, first, nil)
 	if choice.Server != nil {
 		r.recordPlacement(now, j, want, choice)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/delta"
 	"jasmineshed/internal/engine"
+	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/limit"
 	"jasmineshed/internal/member"
@@ -107,7 +108,9 @@
 	accept         *accept.Gate
 	poison         *poison.Table
 	origins        *origin.Table
-	limits         *limit.Table
+	// usual is how long answers of routes take.
+	usual  *hedge.Usual
+	limits *limit.Table
 	// turnBook holds the turns that this VM grants, access when it may send to servers again.
 	turnBook *turns.Ledger
 	access   *access.Table
@@ -160,6 +163,7 @@
 		roster:        roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
 		accept:        accept.New(),
 		origins:       origin.New(),
+		usual:         hedge.NewUsual(),
 		limits:        limit.New(),
 		turnBook:      turns.NewLedger(),
 		access:        access.New(),
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -97,6 +97,9 @@
 	}
 	r.mu.Lock()
 	a.markBegun()
+	if end.Took > 0 {
+		r.usual.Record(j.route.ID, end.Took)
+	}
 	r.picker.RecordEnd(time.Now(), choice, end)
 	r.mu.Unlock()
 	j.carrier = a.exchange.carrier
@@ -111,6 +114,7 @@
 // executeSecond makes a second attempt, for which the retry budget was taken.
 func (a *attempt) executeSecond() {
 	r, j := a.relay, a.job
+	first := j.server
 	if len(j.route.Steps) > 0 && !j.inputsReady {
 		// The first server has fetched the results, which were freed then.
 		j.inputsBorrowed = false
@@ -120,7 +124,7 @@
 		}
 		j.inputsReady, j.prepareTime = true, time.Since(j.began)
 	}
-	choice := r.placeSecond(j)
+	choice := r.placeSecond(j, first)
 	if choice.Server == nil {
 		a.abandon(shed.ReasonNoServer)
 		return
