flow: red test for silent calls lost to a replacement that fails

Callers saw a request end as refused or failed with retry_budget_spent, although the call that had been silent was about to complete.

Cause: Flow.replace cancels the silent call in the step that starts its replacement. If the replacement is refused, breaks or errs while the retry budget is empty, nothing is left to answer the request. If it was not started, the request backs off and is sent again, but the sound call is gone.

TestRefusedReplacementLosesNoSilentCall covers four ends of the replacement, at a server of this zone and at a peer.

--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -289,3 +289,67 @@
 	require.Len(t, started, 1)
 	require.Equal(t, shed.Call{Request: "r", Stage: 1, Attempt: 1}, started[0].Call)
 }
+
+// elsewherePeer places calls on s1, and on a peer if s1 is avoided.
+func elsewherePeer(req shed.PlaceRequest) shed.Placement {
+	if slices.Contains(req.Avoid, "s1") {
+		return shed.Placement{Kind: shed.PlacePeer, Peer: "10.0.0.2:1"}
+	}
+	return placeOn("s1")(req)
+}
+
+// startedCalls returns the calls that the actions start, here or at a peer.
+func startedCalls(acts []shed.Action) []shed.Call {
+	var calls []shed.Call
+	for _, a := range actionsOf[shed.StartCall](acts) {
+		calls = append(calls, a.Call)
+	}
+	for _, a := range actionsOf[shed.ForwardStage](acts) {
+		calls = append(calls, a.Request.Call)
+	}
+	return calls
+}
+
+// Guards against a sound silent call that is lost to a replacement that fails: with an empty retry
+// budget, its result must still answer the request.
+func TestRefusedReplacementLosesNoSilentCall(t *testing.T) {
+	places := map[string]func(shed.PlaceRequest) shed.Placement{
+		"local": elsewhere,
+		"peer":  elsewherePeer,
+	}
+	ends := []shed.CallEnd{shed.EndOverloaded, shed.EndBroken, shed.EndError, shed.EndNotStarted}
+	for name, place := range places {
+		for _, end := range ends {
+			t.Run(name+"/"+end.String(), func(t *testing.T) {
+				f := newFlow(place)
+				f.cfg.Budget.Set(noRefill)
+				silent := startGenerate(t, f)
+				now := start.Add(DefaultIdleTimeout)
+				acts := slices.Clone(f.Handle(now, silenceEvent(silent, DefaultIdleTimeout)))
+				next := startedCalls(acts)
+				require.Len(t, next, 1, "the replacement")
+				spendBudget(f, now)
+
+				now = now.Add(50 * time.Millisecond)
+				acts = append(acts, f.Handle(now, shed.CallEnded{
+					Call: next[0], End: end, Reason: shed.ReasonBroken, Server: "s2", Zone: "a",
+				})...)
+				for done := now.Add(100 * time.Millisecond); now.Before(done); {
+					now = now.Add(shed.TickEvery)
+					acts = append(acts, f.Handle(now, shed.Tick{})...)
+					acts = append(acts, f.StartNext(now)...)
+				}
+				require.Empty(t, actionsOf[shed.Finish](acts), "the request ends while its call goes on")
+				for _, c := range actionsOf[shed.CancelCall](acts) {
+					require.NotEqual(t, silent.Call, c.Call, "the silent call is cancelled for %s", c.Reason)
+				}
+
+				acts = f.Handle(now, callEnd(silent.Call, shed.EndComplete, 9))
+				require.Equal(t, []shed.StageDone{{Call: silent.Call}}, actionsOf[shed.StageDone](acts))
+				fin := actionsOf[shed.Finish](acts)
+				require.Len(t, fin, 1)
+				require.Equal(t, shed.OutcomeComplete, fin[0].Outcome)
+			})
+		}
+	}
+}
