flow: keep a silent call until its replacement is accepted

Callers saw requests end with retry_budget_spent although the silent call was about to complete: it was cancelled in the step that started its replacement, and the replacement was then refused, broke or erred.

flow: replace keeps the silent call in flight beside its replacement. The first of the two that makes progress or completes stays, and the other one is cancelled. If one of them fails, the other one goes on: nothing is sent, so the retry budget is not asked. If the silent call fails first, its replacement stays, since it is the retry already. If the replacement is silent, too, and a further one is granted, the oldest call is cancelled, so at most two are in flight. A replacement that lost is cancelled with ReasonStaleAttempt.

flow/trail: a call records the attempt that it resumes, since this need not be the one before it any more; otherwise the cost of the kept call would count as waste and that of the failed replacement as useful.

daemon: a run has a current call and a replacement. The caller's text is reset only when the replacement becomes the current call. Frames of a cancelled replacement are dropped.

The fault matrix has progress of the first and of the last call.

--- a/action.go
+++ b/action.go
@@ -64,7 +64,8 @@
 
 // CancelCall cancels a call whose result is no longer needed, at the engine too. With
 // ReasonSilent, another call replaces it: it then ends as EndBroken, since its work may still
-// run, and its frames no longer count.
+// run, and its frames no longer count. With ReasonStaleAttempt, it is the replacement of a silent
+// call that went on; its frames don't count either.
 type CancelCall struct {
 	Call   Call
 	Reason Reason
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -84,7 +84,11 @@
 		c.run, parent = r, r.ctx
 		c.stage = d.stageOf(r, id)
 		c.assembly = r.newAssembly(id, resumes, from)
-		r.current = c
+		if r.current == nil {
+			r.current = c
+		} else {
+			r.replacement = c
+		}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
 	// A run's context outlives its caller, but the end of the daemon cancels it.
@@ -111,7 +115,8 @@
 // If text will be produced again, the caller gets a reset.
 func (r *run) newAssembly(id, resumes shed.Call, from shed.Tokens) *answer.Assembly {
 	fresh := answer.New(answer.Config{Call: id})
-	if r.last == nil || r.last.assembly == nil || r.last.id.Stage != id.Stage {
+	// The text of a silent call is void only once its replacement becomes the current call.
+	if r.current != nil || r.last == nil || r.last.assembly == nil || r.last.id.Stage != id.Stage {
 		return fresh
 	}
 	if from > 0 && r.last.id == resumes {
@@ -119,12 +124,26 @@
 			return parts
 		}
 	}
-	if r.last.assembly.Text() != "" {
-		r.push(shed.Update{Stage: r.last.stage, Reset: true})
-	}
+	r.resetText(r.last)
 	return fresh
 }
 
+// resetText tells the caller that the text of the call is void, if there is any.
+func (r *run) resetText(c *call) {
+	if c.assembly.Text() != "" {
+		r.push(shed.Update{Stage: c.stage, Reset: true})
+	}
+}
+
+// promote makes the replacement of the silent call c, which is cancelled or has failed, the current
+// call. The caller holds Daemon.mu.
+func (r *run) promote(c *call) {
+	r.current, r.replacement = r.replacement, nil
+	if r.current != nil {
+		r.resetText(c)
+	}
+}
+
 // startCall sends a call to a backend server. The caller holds d.mu.
 func (d *Daemon) startCall(a shed.StartCall) {
 	c, ctx := d.newCall(a.Call, a.Resumes, a.ResumeFrom)
@@ -290,8 +309,21 @@
 	if d.calls[c.id] == c {
 		delete(d.calls, c.id)
 	}
+	if c.run != nil && c.run.replacement == c && end.End == shed.EndComplete {
+		silent := c.run.current
+		silent.replace()
+		c.run.promote(silent)
+	}
 	if c.run != nil && c.run.current == c {
-		c.run.current, c.run.last = nil, c
+		c.run.last = c
+		if end.End != shed.EndComplete {
+			c.run.promote(c)
+		} else {
+			c.run.current = nil
+		}
+	}
+	if c.run != nil && c.run.replacement == c {
+		c.run.replacement = nil
 	}
 	d.perform(d.cfg.Core.Handle(time.Now(), end))
 	if c.forwarded != nil {
@@ -305,19 +337,23 @@
 	if c == nil {
 		return
 	}
-	if c.run != nil && c.run.current == c {
-		c.run.current = nil
+	if a.Reason == shed.ReasonSilent || a.Reason == shed.ReasonStaleAttempt {
+		c.replace()
+	}
+	if c.run != nil && c.run.replacement == c {
+		c.run.replacement = nil
 	}
-	if a.Reason != shed.ReasonSilent {
-		c.cancel(nil)
+	if a.Reason == shed.ReasonSilent {
+		if c.run != nil && c.run.current == c {
+			c.run.promote(c)
+		}
+		c.cancel(shed.ErrReplaced)
 		return
 	}
-	c.replace()
-	if c.run != nil {
-		// The call that replaces it tells the caller that its text is void.
-		c.run.last = c
+	if c.run != nil && c.run.current == c {
+		c.run.current = nil
 	}
-	c.cancel(shed.ErrReplaced)
+	c.cancel(nil)
 }
 
 // stageDone makes the call's result the input of the next stage. The caller
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"jasmineshed/internal/admit"
@@ -26,6 +27,9 @@
 }
 
 func (f *Flow) handleProgress(p shed.CallProgress) {
+	if r := f.requests[p.Call.Request]; r != nil {
+		f.decideProgress(r, p.Call)
+	}
 	if r := f.runningRequest(p.Call, p.Server); r != nil {
 		r.trail.RecordProgress(p)
 		r.silentUntil = time.Time{}
@@ -55,7 +59,7 @@
 }
 
 func (f *Flow) handleCallEnded(now time.Time, e shed.CallEnded) {
-	if r := f.requests[e.Call.Request]; r != nil && r.trail.RecordReplacedEnd(now, e) {
+	if r := f.requests[e.Call.Request]; r != nil && (r.trail.RecordReplacedEnd(now, e) || f.decideEnd(now, r, e)) {
 		return
 	}
 	r := f.runningRequest(e.Call, e.Server)
@@ -168,8 +172,18 @@
 // backoff isn't counted by the prediction of queueing time, so requests would be admitted
 // that can't be served in time.
 func (f *Flow) retry(now time.Time, r *request, e shed.CallEnded) {
+	r.avoidFailed(e)
+	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 && !isCapacityRefusal(e.Reason) {
+		f.backOff(now, r)
+		return
+	}
+	f.advance(now, r)
+}
+
+// avoidFailed adds the server of a failed call to those that the next one avoids.
+func (r *request) avoidFailed(e shed.CallEnded) {
 	if e.Server != "" && len(r.avoid) < maxAvoid {
-		r.avoid = append(r.avoid, e.Server)
+		r.avoid = append(slices.Clip(r.avoid), e.Server)
 	}
 	// A peer that has only avoided servers refuses at once, on every try. One failure would
 	// keep the request from a whole zone, and it would be refused for lack of time while
@@ -177,11 +191,6 @@
 	if e.End == shed.EndNotStarted && e.Reason == shed.ReasonNoServer {
 		r.avoid = nil
 	}
-	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 && !isCapacityRefusal(e.Reason) {
-		f.backOff(now, r)
-		return
-	}
-	f.advance(now, r)
 }
 
 // isCapacityRefusal reports whether a peer refused because its servers are full or cold.
--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -33,6 +33,16 @@
 			w.silenceFirst(DefaultIdleTimeout)
 		}},
 		{"silent for long", func(w *world) { w.silenceFirst(2 * DefaultIdleTimeout) }},
+		{"progress", func(w *world) {
+			if len(w.inFlight) > 0 {
+				w.reportProgress(w.inFlight[0])
+			}
+		}},
+		{"progress of the last call", func(w *world) {
+			if len(w.inFlight) > 0 {
+				w.reportProgress(w.inFlight[len(w.inFlight)-1])
+			}
+		}},
 		{"end doubled", func(w *world) {
 			for _, e := range w.pastEnds {
 				w.handle(e)
@@ -101,6 +111,7 @@
 		return
 	}
 	c := w.inFlight[0]
+	w.oracle.recordSilence(c)
 	w.handle(shed.CallSilent{Call: c, For: d, Server: w.serverOf[c], Zone: "a"})
 }
 
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -37,6 +37,8 @@
 	// reported.
 	silence     shed.CallSilent
 	silentUntil time.Time
+	// kept is the silent call that stays in flight beside call, its replacement; void if none.
+	kept keptCall
 	// localServer is the server of the call in flight if it runs in this zone.
 	localServer *shed.Server
 	// tokensBefore is how many tokens had arrived before the call in flight.
--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -19,6 +19,10 @@
 // on, and asks again at the next report. If others wait for the same servers, it queues up with
 // them, but keeps its call meanwhile.
 func (f *Flow) handleSilent(now time.Time, e shed.CallSilent) {
+	if r := f.requests[e.Call.Request]; r != nil && r.hasKept() && e.Call == r.kept.call {
+		r.kept.silence = e
+		return
+	}
 	r := f.runningRequest(e.Call, e.Server)
 	if r == nil {
 		return
@@ -57,7 +61,8 @@
 }
 
 // replace starts the replacement of a silent call, if there is a place for it and the retry budget
-// allows it, and cancels the call.
+// allows it. The call is kept until the replacement is accepted, since that may still fail. If the
+// call is itself an unaccepted replacement, the older one is cancelled, so that two are in flight.
 func (f *Flow) replace(now time.Time, r *request) bool {
 	avoid := r.avoid
 	r.avoid = f.avoidSilent(r)
@@ -68,7 +73,17 @@
 		r.avoid = avoid
 		return false
 	}
-	f.cancelSilent(r)
+	f.cancelKept(r)
+	r.kept = keptCall{
+		call:         r.call,
+		silence:      r.silence,
+		localServer:  r.localServer,
+		tokensBefore: r.tokensBefore,
+		avoid:        avoid,
+	}
+	if f.disabled.secureFirst {
+		f.cancelKept(r)
+	}
 	switch p.Kind {
 	case shed.PlaceLocal:
 		f.start(now, r, p.Server)
@@ -108,12 +123,81 @@
 // its own server may replace it.
 const silentServerFactor = 2
 
-// cancelSilent cancels the call that the next one replaces.
-func (f *Flow) cancelSilent(r *request) {
-	f.emit(shed.CancelCall{Call: r.call, Reason: shed.ReasonSilent})
+// keptCall is a silent call beside its replacement, with what is needed to make it the current one
+// again.
+type keptCall struct {
+	call         shed.Call
+	silence      shed.CallSilent
+	localServer  *shed.Server
+	tokensBefore shed.Tokens
+	avoid        []shed.ServerID
+}
+
+func (r *request) hasKept() bool { return r.kept.call != shed.Call{} }
+
+// cancelKept cancels the kept call, if there is one, in favour of its replacement.
+func (f *Flow) cancelKept(r *request) {
+	if !r.hasKept() {
+		return
+	}
+	f.emit(shed.CancelCall{Call: r.kept.call, Reason: shed.ReasonSilent})
+	r.trail.Replace(r.kept.call)
+	f.recordCapacity(r.trail, r.kept.call, r.kept.silence.Server)
+	r.kept = keptCall{}
+}
+
+// cancelReplacement cancels the replacement of a kept call that went on, which is the current call
+// again.
+func (f *Flow) cancelReplacement(r *request) {
+	f.emit(shed.CancelCall{Call: r.call, Reason: shed.ReasonStaleAttempt})
 	r.trail.Replace(r.call)
-	f.recordCapacity(r.trail, r.call, r.silence.Server)
-	f.setState(r, stateNew, time.Time{})
+	r.restoreKept()
+}
+
+// restoreKept makes the kept call the current one again.
+func (r *request) restoreKept() {
+	k := r.kept
+	r.kept = keptCall{}
+	r.call = k.call
+	r.silence, r.silentUntil = k.silence, time.Time{}
+	r.localServer = k.localServer
+	r.tokensBefore = k.tokensBefore
+	r.avoid = k.avoid
+}
+
+// decideProgress decides between a kept call and its replacement: the first that makes progress
+// stays.
+func (f *Flow) decideProgress(r *request, call shed.Call) {
+	switch {
+	case !r.hasKept():
+	case call == r.kept.call:
+		f.cancelReplacement(r)
+	case call == r.call:
+		f.cancelKept(r)
+	}
+}
+
+// decideEnd decides between a kept call and its replacement when one of them ends. A result is
+// taken as that of the current call. After a failure the other one goes on, and decideEnd returns
+// true: nothing is sent again, so the retry budget is not asked.
+func (f *Flow) decideEnd(now time.Time, r *request, e shed.CallEnded) bool {
+	if !r.hasKept() || e.Call != r.kept.call && e.Call != r.call {
+		return false
+	}
+	if e.End == shed.EndComplete {
+		f.decideProgress(r, e.Call)
+		return false
+	}
+	r.trail.RecordEnd(now, e)
+	f.recordCapacity(r.trail, e.Call, e.Server)
+	f.emit(shed.Note{Reason: e.Reason, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
+	if e.Call == r.kept.call {
+		r.kept = keptCall{}
+		return true
+	}
+	r.restoreKept()
+	r.avoidFailed(e)
+	return true
 }
 
 // recordCapacity records the capacity of the server that ran a forwarded call, for its cost.
--- a/internal/flow/trail/finish.go
+++ b/internal/flow/trail/finish.go
@@ -97,11 +97,8 @@
 			s.calls[k].settle(now, c)
 		}
 		// The part of a stream before it was resumed belongs to the result.
-		for k := useful; k >= 0; k-- {
+		for k := useful; k >= 0; k = int(s.calls[k].resumed) - 1 {
 			s.calls[k].use = cost.Useful
-			if !s.calls[k].resumes {
-				break
-			}
 		}
 	}
 }
--- a/internal/flow/trail/trail.go
+++ b/internal/flow/trail/trail.go
@@ -40,9 +40,9 @@
 	zone     shed.ZoneID
 	tokens   shed.Tokens
 	capacity int
-	// resumes: this call resumed the stream of the previous one.
-	resumes bool
-	// replaced: the call was cancelled because another one replaces it.
+	// resumed is the attempt whose stream this call resumed; 0 if none.
+	resumed uint16
+	// replaced: the call was cancelled because another one of its stage goes on.
 	replaced bool
 	use      cost.Use
 }
@@ -71,13 +71,16 @@
 	a.Call = t.Next(int(a.Call.Stage))
 	a.Server = s.ID
 	a.URL = s.URL
-	t.record(a.Call, call{
+	c := call{
 		sentAt:   now,
 		server:   s.ID,
 		zone:     s.Zone,
 		capacity: s.Capacity,
-		resumes:  a.ResumeFrom > 0,
-	})
+	}
+	if a.ResumeFrom > 0 {
+		c.resumed = a.Resumes.Attempt
+	}
+	t.record(a.Call, c)
 	return a
 }
 
@@ -124,7 +127,7 @@
 	return true
 }
 
-// Replace records that the call was cancelled because another one replaces it. Until its end is
+// Replace records that the call was cancelled because another one of its stage goes on. Until its end is
 // known, it counts as one that ran.
 func (t *Trail) Replace(id shed.Call) {
 	if c := t.findCall(id); c != nil {
