flow: tests of what a silent call and its replacement decide

TestSilentCallDecidesBeforeItsReplacement covers a silent call that goes on and one that fails beside its replacement; TestKeptStreamIsResumed covers the cost of a kept stream that is resumed.

--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -358,3 +358,44 @@
 		}
 	}
 }
+
+// Guards against two calls of one stage that both go on, and against a request without any: if the
+// silent call goes on, its replacement is cancelled; if it fails, the replacement stays.
+func TestSilentCallDecidesBeforeItsReplacement(t *testing.T) {
+	f := newFlow(elsewhere)
+	f.cfg.Budget.Set(noRefill)
+	silent := startGenerate(t, f)
+	now := start.Add(DefaultIdleTimeout)
+	next := startedCalls(f.Handle(now, silenceEvent(silent, DefaultIdleTimeout)))
+	require.Len(t, next, 1)
+	require.Equal(t, []shed.Action{shed.CancelCall{Call: next[0], Reason: shed.ReasonStaleAttempt}},
+		f.Handle(now, shed.CallProgress{Call: silent.Call, Tokens: 5, Server: "s1", Zone: "a"}))
+	require.Empty(t, f.Handle(now, callEnd(next[0], shed.EndCancelled, 0)))
+
+	now = now.Add(DefaultIdleTimeout)
+	next = startedCalls(f.Handle(now, silenceEvent(silent, DefaultIdleTimeout)))
+	require.Len(t, next, 1)
+	spendBudget(f, now)
+	require.Empty(t, withoutNotes(f.Handle(now, callEnd(silent.Call, shed.EndBroken, 5))))
+	fin := actionsOf[shed.Finish](f.Handle(now, callEnd(next[0], shed.EndComplete, 9)))
+	require.Len(t, fin, 1)
+	require.Equal(t, shed.OutcomeComplete, fin[0].Outcome)
+}
+
+// Guards against the cost of a kept stream that is taken for waste: when it breaks after its
+// replacement has failed and is resumed, only the replacement was in vain.
+func TestKeptStreamIsResumed(t *testing.T) {
+	f := newFlow(elsewhere)
+	silent := startGenerate(t, f)
+	now := start.Add(DefaultIdleTimeout)
+	next := startedCalls(f.Handle(now, silenceEvent(silent, DefaultIdleTimeout)))
+	require.Len(t, next, 1)
+	require.Empty(t, withoutNotes(f.Handle(now, shed.CallEnded{Call: next[0], End: shed.EndOverloaded, Server: "s2"})))
+	now = now.Add(time.Second)
+	resumed := actionsOf[shed.StartCall](f.Handle(now, callEnd(silent.Call, shed.EndBroken, 40)))
+	require.Len(t, resumed, 1)
+	require.Equal(t, silent.Call, resumed[0].Resumes)
+	fin := actionsOf[shed.Finish](f.Handle(now.Add(time.Second), callEnd(resumed[0].Call, shed.EndComplete, 90)))
+	require.Len(t, fin, 1)
+	require.Zero(t, fin[0].Stages[1].Wasted)
+}
--- a/internal/flow/trail/trail.go
+++ b/internal/flow/trail/trail.go
@@ -127,8 +127,8 @@
 	return true
 }
 
-// Replace records that the call was cancelled because another one of its stage goes on. Until its end is
-// known, it counts as one that ran.
+// Replace records that the call was cancelled because another one of its stage goes on. Until its
+// end is known, it counts as one that ran.
 func (t *Trail) Replace(id shed.Call) {
 	if c := t.findCall(id); c != nil {
 		c.replaced = true
