--- a/event.go
+++ b/event.go
@@ -83,7 +83,7 @@
 
 // CallSilent reports that nothing has arrived for the live call for a while. It is sent after the
 // idle timeout of the call, and again every SilenceEvery while the silence lasts. The call goes
-// on: its server may be sound, so it is only given up once its replacement is certain.
+// on: its server may be sound, so it is only given up once its replacement is accepted or makes progress.
 type CallSilent struct {
 	Call Call
 	// For is how long nothing has arrived.
