frame: engine and peers share the sink that serializes frames

One package now serves both; the names are those of a package that others use. No behaviour changes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/frame"
 )
 
 const (
@@ -127,7 +128,7 @@
 		engine: e,
 		start:  start,
 		in:     in,
-		sink:   frameSink{send: sink},
+		sink:   frame.NewSink(sink),
 		cancel: cancel,
 	}
 	c.idle = newIdleTimer(start.IdleTimeout, func(silent time.Duration) bool {
@@ -139,7 +140,7 @@
 	})
 	end := c.run(ctx)
 	c.idle.stop()
-	c.sink.close()
+	c.sink.Close()
 	if end.End.MayHaveRun() && isStreamDiscarded(end) {
 		e.cancelInBackground(start)
 	}
--- a/internal/engine/fuzz_test.go
+++ b/internal/engine/fuzz_test.go
@@ -11,13 +11,14 @@
 	"github.com/stretchr/testify/require"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/frame"
 	"jasmineshed/internal/wire"
 )
 
 func newTestCall(kind shed.StageKind, sink func(shed.Frame) error) *call {
 	return &call{
 		start: shed.StartCall{Call: shed.Call{Request: "q"}, Stage: shed.Stage{Kind: kind}},
-		sink:  frameSink{send: sink},
+		sink:  frame.NewSink(sink),
 		idle:  &idleTimer{},
 	}
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/frame"
 	"jasmineshed/internal/wire"
 )
 
@@ -32,7 +32,7 @@
 	engine *Engine
 	start  shed.StartCall
 	in     shed.Payload
-	sink   frameSink
+	sink   *frame.Sink
 	idle   *idleTimer
 	cancel context.CancelCauseFunc
 	// acceptReported: the server's acceptance has been reported to sink.
@@ -177,13 +177,13 @@
 	}
 	c.acceptReported = true
 	// If the sink fails here, it also fails with the next frame.
-	_ = c.sink.pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
+	_ = c.sink.Pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Accepted: true, Boot: boot})
 }
 
 // reportSilent reports that nothing has arrived for a while. It returns false once the call needs
 // no further reports.
 func (c *call) reportSilent(silent time.Duration) bool {
-	return c.sink.pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Silent: silent}) == nil
+	return c.sink.Pass(shed.Frame{Call: c.start.Call, Server: c.start.Server, Silent: silent}) == nil
 }
 
 // emit passes one frame to the sink.
@@ -192,33 +192,7 @@
 	f.Sequence = c.sequence
 	f.Server = c.start.Server
 	c.sequence++
-	return c.sink.pass(f)
-}
-
-// frameSink serializes the frames of the goroutine that reads the reply and of the idle timer.
-// After close it passes none on.
-type frameSink struct {
-	send func(shed.Frame) error
-
-	mu     sync.Mutex
-	closed bool
-}
-
-var errCallEnded = errors.New("call has ended")
-
-func (s *frameSink) pass(f shed.Frame) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return errCallEnded
-	}
-	return s.send(f)
-}
-
-func (s *frameSink) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
+	return c.sink.Pass(f)
 }
 
 // endComplete emits the last frame and ends the call.
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/frame"
 	"jasmineshed/internal/httpd"
 
 	"golang.org/x/sync/errgroup"
@@ -222,13 +223,13 @@
 		end.End, end.Reason = shed.EndNotStarted, shed.ReasonBroken
 		return end
 	}
-	frames := frameSink{send: sink}
-	defer frames.close()
+	frames := frame.NewSink(sink)
+	defer frames.Close()
 	defer s.close()
 	if call.Request.ReportSilence {
 		s.setOnSilent(func(silent time.Duration) {
 			// An error means that the call ends: it was replaced, or its last message arrived.
-			_ = frames.pass(shed.Frame{Call: end.Call, Silent: silent, LinkSilent: true})
+			_ = frames.Pass(shed.Frame{Call: end.Call, Silent: silent, LinkSilent: true})
 		})
 	}
 	if err := s.sendInParts(&call); err != nil {
@@ -247,38 +248,12 @@
 		if reply.Frame == nil {
 			continue
 		}
-		if err := frames.pass(*reply.Frame); err != nil {
+		if err := frames.Pass(*reply.Frame); err != nil {
 			return s.brokenEnd(end, err)
 		}
 	}
 }
 
-// frameSink serializes the frames that are received and the reports of silence. After close it
-// passes none on.
-type frameSink struct {
-	send func(shed.Frame) error
-
-	mu     sync.Mutex
-	closed bool
-}
-
-var errCallEnded = errors.New("call has ended")
-
-func (f *frameSink) pass(frame shed.Frame) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.closed {
-		return errCallEnded
-	}
-	return f.send(frame)
-}
-
-func (f *frameSink) close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.closed = true
-}
-
 // brokenEnd returns the end of a call that failed after its bytes may have arrived.
 func (s *stream) brokenEnd(end shed.CallEnded, err error) shed.CallEnded {
 	end.End, end.Reason = shed.EndBroken, shed.ReasonBroken
