relay: less work for silent requests

Found by reading the change, not measured. checkSilence looked up when each server was last heard from for every request in flight at each tick; it does so only for those that are silent again. A second attempt searched for a server, with the prompt's prefixes, each 0.1 s for every silent request before it asked the budget, which is spent just when many ask; the budget is now taken first and returned if there is no server. Nothing else is decided differently: if both are missing, the log and the counter say retry_budget where they said no_other_server. RecheckInterval is a constant, not a function; a comment in flow is wrapped.

--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -106,8 +106,9 @@
 }
 
 // avoidSilent returns the servers that the replacement avoids. The silent server is among them
-// at first, unless only the link to the peer before it is silent. After silentServerFactor times the idle timeout it may get the replacement if it
-// still reports free capacity: the connection is then more likely to be lost than the server.
+// at first, unless only the link to the peer before it is silent. After silentServerFactor times the
+// idle timeout it may get the replacement if it still reports free capacity: the connection is then
+// more likely to be lost than the server.
 func (f *Flow) avoidSilent(r *request) []shed.ServerID {
 	e := r.silence
 	if e.Link || e.Server == "" || slices.Contains(r.avoid, e.Server) {
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -18,10 +18,12 @@
 	// a second attempt, plainAnswers how many times the predicted time of its answer if that is longer.
 	plainSilence = 400 * time.Millisecond
 	plainAnswers = 2
-	// recheckInterval is when a request is looked at again for which a second attempt has no use now.
-	recheckInterval = 100 * time.Millisecond
 )
 
+// RecheckInterval is when a request is looked at again for which a second attempt has no use now, couldn't be
+// secured or has failed.
+const RecheckInterval = 100 * time.Millisecond
+
 // Wait describes a request that waits for its server.
 type Wait struct {
 	Streaming bool
@@ -61,7 +63,7 @@
 		// The server works: what is late is queued there, and would be queued elsewhere.
 		return Stay, after - w.ServerSilence
 	case w.PoolSilent:
-		return Stay, recheckInterval
+		return Stay, RecheckInterval
 	}
 	return Begin, 0
 }
@@ -84,6 +86,3 @@
 	}
 	return plainSilence
 }
-
-// RecheckAfter returns when to ask again after a second attempt couldn't be secured or has failed.
-func RecheckAfter() time.Duration { return recheckInterval }
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -35,7 +35,7 @@
 		"no time for a second server": {
 			change(silent(500*ms), func(w *Wait) { w.Left = 300 * ms }), TooLate, 0},
 		"the whole pool is silent": {
-			change(silent(1500*ms), func(w *Wait) { w.PoolSilent = true }), Stay, recheckInterval},
+			change(silent(1500*ms), func(w *Wait) { w.PoolSilent = true }), Stay, RecheckInterval},
 		"not begun, but its server sends to others": {
 			change(silent(1500*ms), func(w *Wait) { w.Begun, w.ServerSilence = false, 10*ms }), Stay, 990 * ms},
 		"begun, and its server sends to others": {
--- a/internal/hedge/replay_test.go
+++ b/internal/hedge/replay_test.go
@@ -146,7 +146,7 @@
 	if s.ended || w.now-s.began >= replayTimeout {
 		return
 	}
-	next := recheckInterval
+	next := RecheckInterval
 	if !s.race.Contested() {
 		for _, a := range s.attempts {
 			if s.race.IsInFlight(a.runner) {
@@ -173,11 +173,11 @@
 	}
 	second := w.servers[w.rng.IntN(len(w.servers))]
 	if _, alive := second.goesOn(w.now); !alive || second == a.server || !budget.Take(time.Unix(0, 0).Add(w.now)) {
-		return recheckInterval
+		return RecheckInterval
 	}
 	w.repeats = append(w.repeats, w.now)
 	w.begin(s, second)
-	return recheckInterval
+	return RecheckInterval
 }
 
 func (w *replay) isPoolSilent() bool {
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -120,7 +120,11 @@
 	clear(r.paths.quiet)
 	allSilent := r.paths.table.Silence(now) >= vmSilence
 	for f := range r.paths.flights {
-		silence, heardAgo := f.silence(now), now.Sub(r.paths.heardFrom[f.addr()])
+		silence := f.silence(now)
+		if silence < min(vmSilence, f.patience) {
+			continue
+		}
+		heardAgo := now.Sub(r.paths.heardFrom[f.addr()])
 		if silence >= vmSilence && heardAgo >= vmSilence {
 			r.paths.quiet[f.addr()] = f.server.Pool
 		}
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -175,7 +175,7 @@
 	case !p.race.IsInFlight(a.runner):
 		return 0
 	case p.race.Contested(), time.Now().Before(p.notBefore):
-		return hedge.RecheckAfter()
+		return hedge.RecheckInterval
 	}
 	wait := p.relay.describeWait(a)
 	verdict, next := wait.Decide()
@@ -188,7 +188,7 @@
 	denied := p.secureSecond(a)
 	a.logSecond(wait, denied)
 	if denied != retryPossible {
-		return hedge.RecheckAfter()
+		return hedge.RecheckInterval
 	}
 	b, ok := p.newAttempt(p.copyJob(a.job))
 	if !ok {
@@ -198,7 +198,7 @@
 		b.executeSecond()
 		return nil
 	})
-	return hedge.RecheckAfter()
+	return hedge.RecheckInterval
 }
 
 // copyJob returns the job of a second attempt. It borrows the inputs of the first one. The caller holds mu.
@@ -271,12 +271,16 @@
 	if !r.poison.Empty() && slices.ContainsFunc(j.suspectFingerprints(), r.poison.IsSuspect) {
 		return maybeCrashes
 	}
+	// While servers are silent, many requests ask in vain for a budget that is spent, so it comes before the
+	// search for a server.
+	budget := r.retryBudget(j.pool.ID)
+	if !budget.Take(now) {
+		return noBudget
+	}
 	if _, choice := r.findSecond(now, j, j.server, p.avoid); choice.Server == nil {
+		budget.Return(now)
 		return noOtherServer
 	}
-	if !r.retryBudget(j.pool.ID).Take(now) {
-		return noBudget
-	}
 	return retryPossible
 }
 
