flow: no silent call is given up before a replacement is accepted

What callers would see: with two calls of a request silent, the step that started a third one cancelled the oldest, and the third could still be refused. If the oldest server went on, its result was dropped and the request waited for the other two, up to its deadline.

Cause: a request had room for one silent call beside its replacement, so a further replacement had to push one out.

flow: a request keeps all its silent calls, oldest first. The first call that makes progress or completes ends the others: older ones with silent, newer ones with stale_attempt. A failed call leaves the others alone and asks no budget. The number of calls stays bounded: MaxAttempts (4) counts calls in flight, and each replacement needs the retry budget as before. The other way, no third call beside two silent ones, was rejected: two dead servers would then hold a request until its deadline. The server of a failed replacement is also avoided after an older call is the current one again.

daemon: a run has a list of replacements in place of one.

After: go test and go test -race of internal/flow and internal/daemon pass.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,7 +88,7 @@
 		if r.current == nil {
 			r.current = c
 		} else {
-			r.replacement = c
+			r.replacements = append(r.replacements, c)
 		}
 	}
 	ctx, cancel := context.WithCancelCause(parent)
@@ -135,15 +136,35 @@
 	}
 }
 
-// promote makes the replacement of the silent call c, which is cancelled or has failed, the current
-// call. The caller holds Daemon.mu.
+// promote makes the first replacement of the silent call c, which is cancelled or has failed, the
+// current call. The caller holds Daemon.mu.
 func (r *run) promote(c *call) {
-	r.current, r.replacement = r.replacement, nil
-	if r.current != nil {
+	r.current = nil
+	if len(r.replacements) > 0 {
+		r.current = r.replacements[0]
+		r.replacements = slices.Delete(r.replacements, 0, 1)
 		r.resetText(c)
 	}
 }
 
+// completeReplacement makes c the current call if it is a replacement of the silent one. The caller
+// holds Daemon.mu.
+func (r *run) completeReplacement(c *call) {
+	if !slices.Contains(r.replacements, c) {
+		return
+	}
+	silent := r.current
+	silent.replace()
+	r.dropReplacement(c)
+	r.current = c
+	r.resetText(silent)
+}
+
+// dropReplacement removes c from the replacements, if it is among them. The caller holds Daemon.mu.
+func (r *run) dropReplacement(c *call) {
+	r.replacements = slices.DeleteFunc(r.replacements, func(x *call) bool { return x == c })
+}
+
 // startCall sends a call to a backend server. The caller holds d.mu.
 func (d *Daemon) startCall(a shed.StartCall) {
 	c, ctx := d.newCall(a.Call, a.Resumes, a.ResumeFrom)
@@ -309,10 +330,8 @@
 	if d.calls[c.id] == c {
 		delete(d.calls, c.id)
 	}
-	if c.run != nil && c.run.replacement == c && end.End == shed.EndComplete {
-		silent := c.run.current
-		silent.replace()
-		c.run.promote(silent)
+	if c.run != nil && end.End == shed.EndComplete {
+		c.run.completeReplacement(c)
 	}
 	if c.run != nil && c.run.current == c {
 		c.run.last = c
@@ -322,8 +341,8 @@
 			c.run.current = nil
 		}
 	}
-	if c.run != nil && c.run.replacement == c {
-		c.run.replacement = nil
+	if c.run != nil {
+		c.run.dropReplacement(c)
 	}
 	d.perform(d.cfg.Core.Handle(time.Now(), end))
 	if c.forwarded != nil {
@@ -340,8 +359,8 @@
 	if a.Reason == shed.ReasonSilent || a.Reason == shed.ReasonStaleAttempt {
 		c.replace()
 	}
-	if c.run != nil && c.run.replacement == c {
-		c.run.replacement = nil
+	if c.run != nil {
+		c.run.dropReplacement(c)
 	}
 	if a.Reason == shed.ReasonSilent {
 		if c.run != nil && c.run.current == c {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -26,9 +26,9 @@
 	payload shed.Payload
 	// current is the call whose result counts. Guarded by Daemon.mu.
 	current *call
-	// replacement is the call that becomes the current one if current, which is silent, is
-	// cancelled or fails. Guarded by Daemon.mu.
-	replacement *call
+	// replacements are the calls that replace current, which is silent, oldest first. The first
+	// becomes the current one if current is cancelled or fails. Guarded by Daemon.mu.
+	replacements []*call
 	// last is the call that ended most recently, kept for its result and to
 	// resume it. Guarded by Daemon.mu.
 	last *call
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -196,7 +196,7 @@
 	}
 	d.stats.countFinished(a.Outcome)
 	d.stats.requestDuration.RecordDuration(time.Since(r.started))
-	r.current, r.replacement, r.last = nil, nil, nil
+	r.current, r.replacements, r.last = nil, nil, nil
 	if !r.ticketed {
 		delete(d.runs, r.id)
 	}
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -172,7 +172,7 @@
 // backoff isn't counted by the prediction of queueing time, so requests would be admitted
 // that can't be served in time.
 func (f *Flow) retry(now time.Time, r *request, e shed.CallEnded) {
-	r.avoidFailed(e)
+	r.avoid = avoidFailed(r.avoid, e)
 	if e.End == shed.EndNotStarted && r.trail.Attempts(r.stage) > 1 && !isCapacityRefusal(e.Reason) {
 		f.backOff(now, r)
 		return
@@ -181,16 +181,17 @@
 }
 
 // avoidFailed adds the server of a failed call to those that the next one avoids.
-func (r *request) avoidFailed(e shed.CallEnded) {
-	if e.Server != "" && len(r.avoid) < maxAvoid {
-		r.avoid = append(slices.Clip(r.avoid), e.Server)
-	}
+func avoidFailed(avoid []shed.ServerID, e shed.CallEnded) []shed.ServerID {
 	// A peer that has only avoided servers refuses at once, on every try. One failure would
 	// keep the request from a whole zone, and it would be refused for lack of time while
 	// servers are free. As in this zone, an avoided server is better than none.
 	if e.End == shed.EndNotStarted && e.Reason == shed.ReasonNoServer {
-		r.avoid = nil
+		return nil
+	}
+	if e.Server == "" || len(avoid) >= maxAvoid {
+		return avoid
 	}
+	return append(slices.Clip(avoid), e.Server)
 }
 
 // isCapacityRefusal reports whether a peer refused because its servers are full or cold.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -1,6 +1,6 @@
 // Package flow drives the requests that this daemon accepted through their stages: one call
-// in flight per stage, or two while the first is silent and the second is not yet accepted,
-// retries only where they can't duplicate work, and exactly one final answer for each request.
+// in flight per stage, or several while all but the last are silent and the last is not yet
+// accepted, retries only where they can't duplicate work, and exactly one final answer for each request.
 package flow
 
 import (
@@ -235,8 +235,8 @@
 // cancelled, since its result would be dropped.
 func (f *Flow) finish(now time.Time, r *request, end trail.End) {
 	if r.state == stateRunning {
-		if r.hasKept() {
-			f.emit(shed.CancelCall{Call: r.kept.call, Reason: end.Reason})
+		for _, k := range r.kept {
+			f.emit(shed.CancelCall{Call: k.call, Reason: end.Reason})
 		}
 		f.emit(shed.CancelCall{Call: r.call, Reason: end.Reason})
 	}
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -37,8 +37,9 @@
 	// reported.
 	silence     shed.CallSilent
 	silentUntil time.Time
-	// kept is the silent call that stays in flight beside call, its replacement; void if none.
-	kept keptCall
+	// kept are the silent calls that stay in flight beside call, oldest first. Each was replaced by
+	// the next one, and the last of them by call, none of which has been accepted yet.
+	kept []keptCall
 	// localServer is the server of the call in flight if it runs in this zone.
 	localServer *shed.Server
 	// tokensBefore is how many tokens had arrived before the call in flight.
--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -19,9 +19,11 @@
 // on, and asks again at the next report. If others wait for the same servers, it queues up with
 // them, but keeps its call meanwhile.
 func (f *Flow) handleSilent(now time.Time, e shed.CallSilent) {
-	if r := f.requests[e.Call.Request]; r != nil && r.hasKept() && e.Call == r.kept.call {
-		r.kept.silence = e
-		return
+	if r := f.requests[e.Call.Request]; r != nil {
+		if i := r.keptIndex(e.Call); i >= 0 {
+			r.kept[i].silence = e
+			return
+		}
 	}
 	r := f.runningRequest(e.Call, e.Server)
 	if r == nil {
@@ -62,7 +64,8 @@
 
 // replace starts the replacement of a silent call, if there is a place for it and the retry budget
 // allows it. The call is kept until the replacement is accepted, since that may still fail. If the
-// call is itself an unaccepted replacement, the older one is cancelled, so that two are in flight.
+// call is itself an unaccepted replacement, the older ones are kept, too: any of them may go on.
+// MaxAttempts bounds the calls in flight, as it counts them.
 func (f *Flow) replace(now time.Time, r *request) bool {
 	avoid := r.avoid
 	r.avoid = f.avoidSilent(r)
@@ -73,14 +76,13 @@
 		r.avoid = avoid
 		return false
 	}
-	f.cancelKept(r)
-	r.kept = keptCall{
+	r.kept = append(r.kept, keptCall{
 		call:         r.call,
 		silence:      r.silence,
 		localServer:  r.localServer,
 		tokensBefore: r.tokensBefore,
 		avoid:        avoid,
-	}
+	})
 	if f.disabled.secureFirst {
 		f.cancelKept(r)
 	}
@@ -134,31 +136,36 @@
 	avoid        []shed.ServerID
 }
 
-func (r *request) hasKept() bool { return r.kept.call != shed.Call{} }
+func (r *request) hasKept() bool { return len(r.kept) > 0 }
 
-// cancelKept cancels the kept call, if there is one, in favour of its replacement.
+// keptIndex returns the index of a kept call, or -1.
+func (r *request) keptIndex(call shed.Call) int {
+	return slices.IndexFunc(r.kept, func(k keptCall) bool { return k.call == call })
+}
+
+// cancelKept cancels the kept calls, if there are any, in favour of the current one.
 func (f *Flow) cancelKept(r *request) {
-	if !r.hasKept() {
-		return
+	for _, k := range r.kept {
+		f.emit(shed.CancelCall{Call: k.call, Reason: shed.ReasonSilent})
+		r.trail.Replace(k.call)
+		f.recordCapacity(r.trail, k.call, k.silence.Server)
 	}
-	f.emit(shed.CancelCall{Call: r.kept.call, Reason: shed.ReasonSilent})
-	r.trail.Replace(r.kept.call)
-	f.recordCapacity(r.trail, r.kept.call, r.kept.silence.Server)
-	r.kept = keptCall{}
+	r.kept = nil
 }
 
-// cancelReplacement cancels the replacement of a kept call that went on, which is the current call
-// again.
+// cancelReplacement cancels the current call, which replaces a kept one, and makes that the current
+// one again.
 func (f *Flow) cancelReplacement(r *request) {
 	f.emit(shed.CancelCall{Call: r.call, Reason: shed.ReasonStaleAttempt})
 	r.trail.Replace(r.call)
 	r.restoreKept()
 }
 
-// restoreKept makes the kept call the current one again.
+// restoreKept makes the newest kept call the current one again.
 func (r *request) restoreKept() {
-	k := r.kept
-	r.kept = keptCall{}
+	last := len(r.kept) - 1
+	k := r.kept[last]
+	r.kept = r.kept[:last]
 	r.call = k.call
 	r.silence, r.silentUntil = k.silence, time.Time{}
 	r.localServer = k.localServer
@@ -166,23 +173,24 @@
 	r.avoid = k.avoid
 }
 
-// decideProgress decides between a kept call and its replacement: the first that makes progress
+// decideProgress decides between kept calls and their replacements: the first that makes progress
 // stays.
 func (f *Flow) decideProgress(r *request, call shed.Call) {
-	switch {
-	case !r.hasKept():
-	case call == r.kept.call:
+	if call != r.call && r.keptIndex(call) < 0 {
+		return
+	}
+	for r.call != call {
 		f.cancelReplacement(r)
-	case call == r.call:
-		f.cancelKept(r)
 	}
+	f.cancelKept(r)
 }
 
-// decideEnd decides between a kept call and its replacement when one of them ends. A result is
-// taken as that of the current call. After a failure the other one goes on, and decideEnd returns
-// true: nothing is sent again, so the retry budget is not asked.
+// decideEnd decides between kept calls and their replacements when one of them ends. A result is
+// taken as that of the current call. After a failure the others go on, and decideEnd returns true:
+// nothing is sent again, so the retry budget is not asked.
 func (f *Flow) decideEnd(now time.Time, r *request, e shed.CallEnded) bool {
-	if !r.hasKept() || e.Call != r.kept.call && e.Call != r.call {
+	i := r.keptIndex(e.Call)
+	if !r.hasKept() || i < 0 && e.Call != r.call {
 		return false
 	}
 	if e.End == shed.EndComplete {
@@ -192,12 +200,18 @@
 	r.trail.RecordEnd(now, e)
 	f.recordCapacity(r.trail, e.Call, e.Server)
 	f.emit(shed.Note{Reason: e.Reason, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
-	if e.Call == r.kept.call {
-		r.kept = keptCall{}
-		return true
+	older := r.kept
+	if i >= 0 {
+		older = r.kept[:i]
+	}
+	for k := range older {
+		older[k].avoid = avoidFailed(older[k].avoid, e)
+	}
+	if i >= 0 {
+		r.kept = slices.Delete(r.kept, i, i+1)
+	} else {
+		r.restoreKept()
 	}
-	r.restoreKept()
-	r.avoidFailed(e)
 	return true
 }
 
--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -399,3 +400,117 @@
 	require.Len(t, fin, 1)
 	require.Zero(t, fin[0].Stages[1].Wasted)
 }
+
+// firstNotAvoided places calls on the first server that is not avoided.
+func firstNotAvoided(ids ...shed.ServerID) func(shed.PlaceRequest) shed.Placement {
+	return func(req shed.PlaceRequest) shed.Placement {
+		for _, id := range ids {
+			if !slices.Contains(req.Avoid, id) {
+				return placeOn(id)(req)
+			}
+		}
+		return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+	}
+}
+
+// silentChain returns a flow with n calls of one stage in flight. Each is silent, and the next one
+// replaces it, except for the last one, which hasn't been accepted yet. now is when that started.
+func silentChain(t *testing.T, n int) (f *Flow, calls []shed.Call, now time.Time) {
+	f = newFlow(firstNotAvoided("s1", "s2", "s3", "s4", "s5", "s6"))
+	last, now := startGenerate(t, f), start
+	calls = []shed.Call{last.Call}
+	for len(calls) < n {
+		now = now.Add(DefaultIdleTimeout / 2)
+		acts := f.Handle(now, silenceEvent(last, DefaultIdleTimeout))
+		require.Empty(t, actionsOf[shed.CancelCall](acts), "no replacement is accepted yet")
+		next := actionsOf[shed.StartCall](acts)
+		require.Len(t, next, 1)
+		last = next[0]
+		calls = append(calls, last.Call)
+	}
+	return f, calls, now
+}
+
+// Guards against the loss of the oldest of three silent calls, which is as likely to go on as the
+// others: the first one that makes progress or completes ends the other two.
+func TestFirstOfThreeSilentCallsStays(t *testing.T) {
+	for i, want := range [][]shed.CancelCall{
+		{{Call: shed.Call{Attempt: 3}, Reason: shed.ReasonStaleAttempt}, {Call: shed.Call{Attempt: 2}, Reason: shed.ReasonStaleAttempt}},
+		{{Call: shed.Call{Attempt: 3}, Reason: shed.ReasonStaleAttempt}, {Call: shed.Call{Attempt: 1}, Reason: shed.ReasonSilent}},
+		{{Call: shed.Call{Attempt: 1}, Reason: shed.ReasonSilent}, {Call: shed.Call{Attempt: 2}, Reason: shed.ReasonSilent}},
+	} {
+		for k := range want {
+			want[k].Call.Request, want[k].Call.Stage = "r", 1
+		}
+		t.Run(fmt.Sprintf("progress of %d", i+1), func(t *testing.T) {
+			f, calls, now := silentChain(t, 3)
+			acts := f.Handle(now, shed.CallProgress{Call: calls[i], Tokens: 5, Zone: "a"})
+			require.Equal(t, want, actionsOf[shed.CancelCall](acts))
+			for _, c := range want {
+				require.Empty(t, f.Handle(now, callEnd(c.Call, shed.EndBroken, 0)), "a late end")
+			}
+			fin := actionsOf[shed.Finish](f.Handle(now, callEnd(calls[i], shed.EndComplete, 9)))
+			require.Len(t, fin, 1)
+			require.Equal(t, shed.OutcomeComplete, fin[0].Outcome)
+		})
+		t.Run(fmt.Sprintf("result of %d", i+1), func(t *testing.T) {
+			f, calls, now := silentChain(t, 3)
+			acts := f.Handle(now, callEnd(calls[i], shed.EndComplete, 9))
+			require.Equal(t, want, actionsOf[shed.CancelCall](acts))
+			require.Equal(t, []shed.StageDone{{Call: calls[i]}}, actionsOf[shed.StageDone](acts))
+		})
+	}
+}
+
+// Guards against a request that ends because two of its three silent calls fail, in any order, with
+// the retry budget spent: the result of the third must still answer it.
+func TestLastOfThreeSilentCallsAnswers(t *testing.T) {
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			f, calls, now := silentChain(t, 3)
+			f.cfg.Budget.Set(noRefill)
+			spendBudget(f, now)
+			for _, i := range order[:2] {
+				require.Empty(t, withoutNotes(f.Handle(now, callEnd(calls[i], shed.EndBroken, 0))))
+				now = now.Add(shed.TickEvery)
+				require.Empty(t, f.Handle(now, shed.Tick{}))
+			}
+			fin := actionsOf[shed.Finish](f.Handle(now, callEnd(calls[order[2]], shed.EndComplete, 9)))
+			require.Len(t, fin, 1)
+			require.Equal(t, shed.OutcomeComplete, fin[0].Outcome)
+		})
+	}
+}
+
+// Guards against a request that sends ever more calls while all its servers are silent, and against
+// calls that go on after its end.
+func TestSilentCallsAreBounded(t *testing.T) {
+	f, calls, now := silentChain(t, DefaultMaxAttempts)
+	last := shed.StartCall{Call: calls[len(calls)-1], Server: "s4"}
+	for range 3 {
+		now = now.Add(shed.SilenceEvery)
+		require.Empty(t, withoutNotes(f.Handle(now, silenceEvent(last, DefaultIdleTimeout))))
+	}
+	acts := f.Handle(start.Add(6*time.Second), shed.Tick{})
+	var cancelled []shed.Call
+	for _, c := range actionsOf[shed.CancelCall](acts) {
+		require.Equal(t, shed.ReasonDeadline, c.Reason)
+		cancelled = append(cancelled, c.Call)
+	}
+	require.Equal(t, calls, cancelled)
+	require.Len(t, actionsOf[shed.Finish](acts), 1)
+}
+
+// Guards against a further replacement at a server that has failed the stage while an older call was
+// silent.
+func TestSilentCallAvoidsFailedReplacements(t *testing.T) {
+	f, calls, now := silentChain(t, 3)
+	for i, id := range []shed.ServerID{"s3", "s2"} {
+		e := callEnd(calls[2-i], shed.EndBroken, 0)
+		e.Server = id
+		require.Empty(t, withoutNotes(f.Handle(now, e)))
+	}
+	next := actionsOf[shed.StartCall](f.Handle(now, silenceEvent(shed.StartCall{Call: calls[0], Server: "s1"}, DefaultIdleTimeout)))
+	require.Len(t, next, 1)
+	require.Equal(t, shed.ServerID("s4"), next[0].Server)
+}
