daemon: a result without a deadline waits for its silent home

What callers would see: a Result request whose connection has no deadline got outcome_unknown (connection_broken) after 3 s if its ticket's home was silent for so long, although the home still ran the request and had the only answer. Found by reading.

Cause: queryHome left silent attempts uncounted only if the context had a deadline, since nothing else would have ended the loop.

What changed: without a deadline, silent attempts are not counted until the longest deadline of any pipeline has passed; no request that runs now can run longer, and a ticket doesn't name its pipeline. Then the answer is unknown with deadline_passed, and the caller may ask again, as the home keeps the answer. A home that sends heartbeats is waited for without limit, as before, and broken connections count as before. What gets worse: a home that is dead behind an open connection is known as such after the longest deadline, not after 3 s.

After: go test -race ./internal/daemon passes.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -19,6 +19,8 @@
 type script struct {
 	arrived chan struct{}
 	acts    [][]shed.Action
+	// home is the home of each ticket; zero is this process.
+	home shed.Home
 }
 
 func (s *script) Handle(_ time.Time, ev shed.Event) []shed.Action {
@@ -34,7 +36,12 @@
 func (s *script) Issue(time.Time, shed.WorkspaceID, shed.PipelineID, [16]byte) (shed.Ticket, *shed.Finish) {
 	return shed.Ticket{}, nil
 }
-func (s *script) Locate(shed.RequestID) shed.Home { return shed.Home{Self: true} }
+func (s *script) Locate(shed.RequestID) shed.Home {
+	if s.home == (shed.Home{}) {
+		return shed.Home{Self: true}
+	}
+	return s.home
+}
 func (s *script) Lookup(time.Time, shed.RequestID, shed.WorkspaceID) (shed.Finish, bool) {
 	return shed.Finish{}, false
 }
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -13,8 +13,8 @@
 
 // homeAttempts bounds how often a request is sent to its home. Retrying is safe:
 // the home runs a ticket once and gives retries the same answer. Attempts that end
-// because the home is silent don't count if the deadline bounds them: the home may
-// be paused while it runs the request, and it has the only answer.
+// because the home is silent don't count before the deadline: the home may be paused
+// while it runs the request, and it has the only answer.
 const homeAttempts = 3
 
 // homeGrace is how long the home's answer is awaited past the deadline. The home
@@ -111,14 +111,18 @@
 }
 
 // queryHome sends the call to a ticket's home and retries if the connection
-// breaks. Without an answer it is unknown whether the request ran: an earlier
-// retry may have started it through another daemon.
+// breaks or is silent. If ctx has no deadline, a silent home is asked again for as
+// long as the request can still run. Without an answer it is unknown whether the
+// request ran: an earlier retry may have started it through another daemon.
 func (d *Daemon) queryHome(ctx context.Context, msg peers.RequestCall, update func(shed.Update)) shed.Answer {
 	ctx, span := d.cfg.Tracer.Start(ctx, "ticket_home")
 	defer span.End()
 	msg.Trace = map[string]string{}
 	propagator.Inject(ctx, propagation.MapCarrier(msg.Trace))
-	_, bounded := ctx.Deadline()
+	until, bounded := ctx.Deadline()
+	if !bounded {
+		until = time.Now().Add(d.longestDeadline() + homeGrace)
+	}
 	for attempts := 0; attempts < homeAttempts; {
 		answer, home, _, err := d.cfg.Peers.Request(ctx, msg, update)
 		switch {
@@ -129,13 +133,30 @@
 		case ctx.Err() != nil:
 			return unknownOutcome(msg.Request.ID, shed.ReasonDeadline)
 		}
-		if !bounded || !errors.Is(err, peers.ErrHeartbeatTimeout) {
+		switch {
+		case !errors.Is(err, peers.ErrHeartbeatTimeout):
 			attempts++
+		case !time.Now().Before(until):
+			return unknownOutcome(msg.Request.ID, shed.ReasonDeadline)
 		}
 	}
 	return unknownOutcome(msg.Request.ID, shed.ReasonBroken)
 }
 
+// longestDeadline is the longest deadline of any pipeline, since a ticket doesn't
+// say which one it is for.
+func (d *Daemon) longestDeadline() time.Duration {
+	rules := d.rules.Load()
+	if rules == nil {
+		return 0
+	}
+	var longest time.Duration
+	for _, p := range rules.Pipelines {
+		longest = max(longest, p.Deadline)
+	}
+	return longest
+}
+
 func homeGoneAnswer(id shed.RequestID) shed.Answer { return unknownOutcome(id, shed.ReasonHomeGone) }
 
 func unknownOutcome(id shed.RequestID, r shed.Reason) shed.Answer {
