daemon: test that a silent call outlives its replacement

The path in which the replacement fails and the silent server goes on had tests in flow only. This one goes through a daemon with a real flow: a stream stops after its first text, and the replacement is refused, errs, breaks, is not sent in time or ends without a last frame at a server, or is refused, broken or not reachable at a peer (real connections). The retry budget is spent then. The caller must get the whole text once, without a reset.

--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"jasmineshed/internal/admit"
 	"jasmineshed/internal/cost"
 	"jasmineshed/internal/flow"
+	"jasmineshed/internal/peers"
 	"jasmineshed/internal/retry"
 
 	"github.com/stretchr/testify/require"
@@ -195,3 +197,114 @@
 		})
 	}
 }
+
+// refusingPeer refuses all forwarded calls.
+type refusingPeer struct{ *Daemon }
+
+func (refusingPeer) Stage(_ context.Context, in peers.StageCall, _ func(shed.Frame) error) shed.CallEnded {
+	return shed.CallEnded{Call: in.Request.Call, End: shed.EndNotStarted, Reason: shed.ReasonServersBusy}
+}
+
+// brokenPeer accepts forwarded calls and then ends them as broken.
+type brokenPeer struct{ *Daemon }
+
+func (brokenPeer) Stage(_ context.Context, in peers.StageCall, _ func(shed.Frame) error) shed.CallEnded {
+	return shed.CallEnded{Call: in.Request.Call, End: shed.EndBroken, Reason: shed.ReasonBroken}
+}
+
+// startPeer runs a peer on loopback until the test ends.
+func startPeer(t *testing.T, h peers.Handler) shed.VM {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = peers.NewServer(peers.ServerConfig{Listener: lis, Handler: h}).Serve(ctx)
+		return nil
+	})
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+	return shed.VM(lis.Addr().String())
+}
+
+// closingPeer accepts connections and closes them at once, as a peer does that is killed.
+func closingPeer(t *testing.T) shed.VM {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // The listener was closed at the end of the test.
+			}
+			_ = c.Close()
+		}
+	})
+	t.Cleanup(func() {
+		require.NoError(t, lis.Close())
+		require.NoError(t, g.Wait())
+	})
+	return shed.VM(lis.Addr().String())
+}
+
+// goneVM is an address on which nobody listens.
+func goneVM(t *testing.T) shed.VM {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, lis.Close())
+	return shed.VM(lis.Addr().String())
+}
+
+// Guards against a silent stream that is lost, reset or delivered twice when its replacement fails:
+// the server that was silent goes on, and the caller must get the whole of its text.
+func TestSilentCallOutlivesItsReplacement(t *testing.T) {
+	peer := func(vm shed.VM) shed.Placement { return shed.Placement{Kind: shed.PlacePeer, Peer: vm} }
+	cases := map[string]struct {
+		server fakeServer
+		place  func(t *testing.T) shed.Placement
+	}{
+		"server refuses":                     {server: endsAs(shed.EndOverloaded)},
+		"server errs":                        {server: endsAs(shed.EndError)},
+		"connection to the server breaks":    {server: endsAs(shed.EndBroken)},
+		"not sent in time":                   {server: endsAs(shed.EndNotStarted)},
+		"server ends without a last frame":   {server: endsAs(shed.EndComplete)},
+		"peer refuses":                       {place: func(t *testing.T) shed.Placement { return peer(startPeer(t, refusingPeer{})) }},
+		"peer's connection to server breaks": {place: func(t *testing.T) shed.Placement { return peer(startPeer(t, brokenPeer{})) }},
+		"peer closes the connection":         {place: func(t *testing.T) shed.Placement { return peer(closingPeer(t)) }},
+		"peer is gone":                       {place: func(t *testing.T) shed.Placement { return peer(goneVM(t)) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			goOn := make(chan struct{})
+			second := at("s2")
+			if c.place != nil {
+				second = c.place(t)
+			}
+			d, f, _ := newSilenceDaemon(t, map[shed.ServerID]fakeServer{
+				"s1": silentAfter("a", goOn, "b"), "s2": c.server,
+			}, placements{at("s1"), second})
+			d.cfg.Peers = peers.NewClient(peers.ClientConfig{})
+			var answer shed.Answer
+			var text string
+			var resets int
+			var g errgroup.Group
+			g.Go(func() error {
+				answer, text, resets = serveText(d)
+				return nil
+			})
+			waitForAttempt(t, d, f.ended, 2)
+			close(goOn)
+			require.NoError(t, g.Wait())
+			require.Equal(t, shed.OutcomeComplete, answer.Outcome, answer.Reason)
+			require.Equal(t, "ab", answer.Payload.Text)
+			require.Equal(t, "ab", text)
+			require.Zero(t, resets)
+			require.NoError(t, d.work.Wait())
+			require.Empty(t, d.calls)
+			require.NoError(t, d.cfg.Peers.Close())
+		})
+	}
+}
