flow: a replacement avoids servers that are known to be silent

What callers would see: while all servers of a pool are silent, each request sent a second call to another silent server. That spends the retry budget and places, and helps nobody. Found by reading.

Cause: a replacement avoided only the server of its own call; what other requests had learned was not used.

What changed: flow records of which servers a call is silent (not of silent links). A report is valid for 0.7 s and void as soon as the server sends anything for any call. A replacement avoids these servers; later sends of the stage don't. The relay's rule (two silent servers and nothing from the pool: no second attempt) was not copied: with little traffic, two dead servers would then keep requests from a third one that no request has tried.

Limits: the first report of each server can still be answered by a replacement at one that isn't reported yet; daemons don't tell each other; at most 8 servers are avoided.

Before: TestSilentPoolGetsNoReplacements fails (10 replacements for 10 requests at two silent servers; 1 now), and so does TestSoundServerOfSilentPoolGetsReplacements/third_server.

--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -27,6 +27,7 @@
 }
 
 func (f *Flow) handleProgress(p shed.CallProgress) {
+	delete(f.silentServers, p.Server)
 	if r := f.requests[p.Call.Request]; r != nil {
 		f.decideProgress(r, p.Call)
 	}
@@ -59,6 +60,10 @@
 }
 
 func (f *Flow) handleCallEnded(now time.Time, e shed.CallEnded) {
+	switch e.End {
+	case shed.EndComplete, shed.EndError, shed.EndOverloaded:
+		delete(f.silentServers, e.Server)
+	}
 	if r := f.requests[e.Call.Request]; r != nil && (r.trail.RecordReplacedEnd(now, e) || f.decideEnd(now, r, e)) {
 		return
 	}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -71,6 +71,9 @@
 	requests map[shed.RequestID]*request
 	// byWakeTime orders the requests by the time at which they need attention.
 	byWakeTime wakeHeap
+	// silentServers are the servers with a silent call, and until when the report of it is valid.
+	// Whatever a server sends for any call removes it.
+	silentServers map[shed.ServerID]time.Time
 	// stopping is why new requests are refused; empty while they are accepted.
 	stopping shed.Reason
 	// out collects the actions of the step; started reports whether a start is among them.
@@ -114,7 +117,11 @@
 	if cfg.Backoff == 0 {
 		cfg.Backoff = DefaultBackoff
 	}
-	return &Flow{cfg: cfg, requests: map[shed.RequestID]*request{}}
+	return &Flow{
+		cfg:           cfg,
+		requests:      map[shed.RequestID]*request{},
+		silentServers: map[shed.ServerID]time.Time{},
+	}
 }
 
 // SetRules applies new rules. A request keeps the pipeline that it was accepted with; where
@@ -217,6 +224,7 @@
 		r := heap.Pop(&f.byWakeTime).(*request)
 		f.handleWake(now, r)
 	}
+	f.expireSilence(now)
 	f.startWaiting(now)
 }
 
--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 	if r := f.requests[e.Call.Request]; r != nil {
 		if i := r.keptIndex(e.Call); i >= 0 {
 			r.kept[i].silence = e
+			f.recordSilence(now, e)
 			return
 		}
 	}
@@ -33,6 +35,7 @@
 		f.emit(shed.Note{Reason: shed.ReasonSilent, Request: r.arrived.Request, Server: e.Server, Zone: e.Zone})
 	}
 	r.silence, r.silentUntil = e, now.Add(silenceValid)
+	f.recordSilence(now, e)
 	r.trail.RecordProgress(shed.CallProgress{Call: e.Call, Server: e.Server, Zone: e.Zone})
 	if !f.mayReplace(now, r) {
 		return
@@ -67,8 +70,8 @@
 // call is itself an unaccepted replacement, the older ones are kept, too: any of them may go on.
 // MaxAttempts bounds the calls in flight, as it counts them.
 func (f *Flow) replace(now time.Time, r *request) bool {
-	avoid := r.avoid
-	r.avoid = f.avoidSilent(r)
+	avoid, next := r.avoid, f.avoidSilent(r)
+	r.avoid = f.appendSilentServers(next, now, r)
 	p := f.cfg.Placer.Place(now, f.placeRequest(now, r))
 	found := p.Kind == shed.PlaceLocal || p.Kind == shed.PlacePeer
 	// The budget comes last, because a token that is taken is not given back.
@@ -92,6 +95,8 @@
 	case shed.PlacePeer:
 		f.forward(now, r, p.Peer)
 	}
+	// The other silent servers may have gone on when the stage is sent again.
+	r.avoid = next
 	return true
 }
 
@@ -126,6 +131,41 @@
 // its own server may replace it.
 const silentServerFactor = 2
 
+// recordSilence records that the server of a call is silent. A silent link says nothing of it.
+func (f *Flow) recordSilence(now time.Time, e shed.CallSilent) {
+	if e.Server != "" && !e.Link {
+		f.silentServers[e.Server] = now.Add(silenceValid)
+	}
+}
+
+func (f *Flow) expireSilence(now time.Time) {
+	for id, until := range f.silentServers {
+		if now.After(until) {
+			delete(f.silentServers, id)
+		}
+	}
+}
+
+// appendSilentServers adds the other silent servers of the stage's pool: a replacement there would
+// wait as long as the call that it replaces. While the whole pool is silent, there is none then.
+// The request's own server is left to avoidSilent.
+func (f *Flow) appendSilentServers(avoid []shed.ServerID, now time.Time, r *request) []shed.ServerID {
+	if f.rules == nil {
+		return avoid
+	}
+	out := slices.Clip(avoid)
+	for _, id := range slices.Sorted(maps.Keys(f.silentServers)) {
+		s := f.rules.Servers[id]
+		if s == nil || s.Pool != r.currentStage().Pool || now.After(f.silentServers[id]) {
+			continue
+		}
+		if id != r.silence.Server && !slices.Contains(out, id) && len(out) < maxAvoid {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // keptCall is a silent call beside its replacement, with what is needed to make it the current one
 // again.
 type keptCall struct {
--- a/internal/flow/silence_test.go
+++ b/internal/flow/silence_test.go
@@ -514,3 +514,87 @@
 	require.Len(t, next, 1)
 	require.Equal(t, shed.ServerID("s4"), next[0].Server)
 }
+
+// startOnEach starts requests in turn on the servers, n on each, and returns their calls.
+func startOnEach(t *testing.T, place *func(shed.PlaceRequest) shed.Placement, f *Flow, n int, ids ...shed.ServerID) []shed.StartCall {
+	var calls []shed.StartCall
+	for i := range n * len(ids) {
+		*place = placeOn(ids[i%len(ids)])
+		acts := f.Handle(start, newRequest(shed.RequestID(fmt.Sprintf("r%02d", i)), "draft"))
+		calls = append(calls, actionsOf[shed.StartCall](acts)...)
+	}
+	require.Len(t, calls, n*len(ids))
+	return calls
+}
+
+// replacements reports all calls as silent and returns where the replacements start.
+func replacements(f *Flow, now time.Time, calls []shed.StartCall) []shed.ServerID {
+	var on []shed.ServerID
+	for _, c := range calls {
+		for _, a := range actionsOf[shed.StartCall](f.Handle(now, silenceEvent(c, DefaultIdleTimeout))) {
+			on = append(on, a.Server)
+		}
+	}
+	return on
+}
+
+// Guards against a pool whose servers are all silent and in which each request sends a second call
+// to another silent server: it uses up the retry budget and helps nobody.
+func TestSilentPoolGetsNoReplacements(t *testing.T) {
+	var place func(shed.PlaceRequest) shed.Placement
+	f := newFlow(func(req shed.PlaceRequest) shed.Placement { return place(req) })
+	f.cfg.Budget.Set(noRefill)
+	calls := startOnEach(t, &place, f, 5, "s1", "s2")
+	place = firstNotAvoided("s1", "s2")
+	now := start.Add(DefaultIdleTimeout)
+	before := f.cfg.Budget.Remaining(now)
+	// The silence of s2 isn't known yet at the first report.
+	require.Equal(t, []shed.ServerID{"s2"}, replacements(f, now, calls))
+	now = now.Add(shed.SilenceEvery)
+	require.Empty(t, replacements(f, now, calls[1:]))
+	require.Equal(t, before-1, f.cfg.Budget.Remaining(now))
+}
+
+// Guards against silence that outlasts its cause: a server that sends anything again, or of which
+// nothing has been reported for a while, gets replacements again, and so does one of the pool that
+// isn't silent.
+func TestSoundServerOfSilentPoolGetsReplacements(t *testing.T) {
+	cases := map[string]struct {
+		others []shed.ServerID
+		event  func(calls []shed.StartCall) shed.Event
+		wait   time.Duration
+		want   shed.ServerID
+	}{
+		"third server": {[]shed.ServerID{"s1", "s2", "s3"}, nil, 0, "s3"},
+		"progress": {[]shed.ServerID{"s1", "s2"}, func(calls []shed.StartCall) shed.Event {
+			return shed.CallProgress{Call: calls[1].Call, Tokens: 3, Server: "s2", Zone: "a"}
+		}, 0, "s2"},
+		"result": {[]shed.ServerID{"s1", "s2"}, func(calls []shed.StartCall) shed.Event {
+			e := callEnd(calls[1].Call, shed.EndComplete, 0)
+			e.Server = "s2"
+			return e
+		}, 0, "s2"},
+		"no further report": {[]shed.ServerID{"s1", "s2"}, nil, silenceValid + time.Millisecond, "s2"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var place func(shed.PlaceRequest) shed.Placement
+			f := newFlow(func(req shed.PlaceRequest) shed.Placement { return place(req) })
+			calls := startOnEach(t, &place, f, 2, "s1", "s2")
+			// No report is answered by a replacement while all servers are full.
+			place = func(shed.PlaceRequest) shed.Placement {
+				return shed.Placement{Kind: shed.PlaceWait, Reason: shed.ReasonServersBusy}
+			}
+			now := start.Add(DefaultIdleTimeout)
+			require.Empty(t, replacements(f, now, calls))
+			if c.event != nil {
+				// A completed call starts its next stage, which must not wait in the queue here.
+				place = placeOn("s2")
+				f.Handle(now, c.event(calls))
+			}
+			place = firstNotAvoided(c.others...)
+			now = now.Add(c.wait)
+			require.Equal(t, []shed.ServerID{c.want}, replacements(f, now, calls[2:3]))
+		})
+	}
+}
