--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -1,6 +1,6 @@
 // Package flow drives the requests that this daemon accepted through their stages: one call
-// in flight per stage, or two while the first is silent and the second is not yet accepted,
-// retries only where they can't duplicate work, and exactly one final answer for each request.
+// in flight per stage, or several while all but the last are silent and the last is not yet
+// accepted, retries only where they can't duplicate work, and exactly one final answer for each request.
 package flow
 
 import (
@@ -71,6 +71,9 @@
 	requests map[shed.RequestID]*request
 	// byWakeTime orders the requests by the time at which they need attention.
 	byWakeTime wakeHeap
+	// silentServers are the servers with a silent call, and until when the report of it is valid.
+	// Whatever a server sends for any call removes it.
+	silentServers map[shed.ServerID]time.Time
 	// stopping is why new requests are refused; empty while they are accepted.
 	stopping shed.Reason
 	// out collects the actions of the step; started reports whether a start is among them.
@@ -114,7 +117,11 @@
 	if cfg.Backoff == 0 {
 		cfg.Backoff = DefaultBackoff
 	}
-	return &Flow{cfg: cfg, requests: map[shed.RequestID]*request{}}
+	return &Flow{
+		cfg:           cfg,
+		requests:      map[shed.RequestID]*request{},
+		silentServers: map[shed.ServerID]time.Time{},
+	}
 }
 
 // SetRules applies new rules. A request keeps the pipeline that it was accepted with; where
@@ -217,6 +224,7 @@
 		r := heap.Pop(&f.byWakeTime).(*request)
 		f.handleWake(now, r)
 	}
+	f.expireSilence(now)
 	f.startWaiting(now)
 }
 
@@ -235,8 +243,8 @@
 // cancelled, since its result would be dropped.
 func (f *Flow) finish(now time.Time, r *request, end trail.End) {
 	if r.state == stateRunning {
-		if r.hasKept() {
-			f.emit(shed.CancelCall{Call: r.kept.call, Reason: end.Reason})
+		for _, k := range r.kept {
+			f.emit(shed.CancelCall{Call: k.call, Reason: end.Reason})
 		}
 		f.emit(shed.CancelCall{Call: r.call, Reason: end.Reason})
 	}
