relay: tidy what is known of silent servers

No change of behaviour. silentServers and quietServers become one function. heardPool drops what is older than vmSilence at each tick, which isPoolSilent reads as it reads a missing entry, so that pools that are gone don't stay. The time to make inputs again is predicted only when a second attempt would begin; a stream that has not been silent long enough is checked again in place of being given up as too late, with the same verdict then.

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reach"
 )
 
 const (
@@ -138,6 +140,7 @@
 	for f := range r.paths.flights {
 		r.recordHeard(f)
 	}
+	maps.DeleteFunc(r.paths.heardPool, func(_ shed.PoolID, at time.Time) bool { return now.Sub(at) >= vmSilence })
 	clear(r.paths.silent)
 	clear(r.paths.quiet)
 	allSilent := r.paths.table.Silence(now) >= vmSilence
@@ -161,7 +164,7 @@
 			continue
 		}
 		if heardAgo >= f.patience {
-			r.paths.silent[f.addr()] = true
+			r.paths.silent[f.addr()] = f.server.Pool
 		}
 		if allSilent || silence >= 2*f.patience {
 			r.paths.table.Suspect(now, f.addr(), allSilent)
@@ -169,11 +172,11 @@
 	}
 }
 
-// silentServers returns the servers of a pool that have sent nothing for the patience of a request there.
-// The caller holds mu.
-func (r *Relay) silentServers(pool shed.PoolID) []shed.ServerID {
+// poolServersAt returns the servers of a pool at some addresses, paths.silent or paths.quiet. The caller
+// holds mu.
+func (r *Relay) poolServersAt(addrs map[reach.Addr]shed.PoolID, pool shed.PoolID) []shed.ServerID {
 	var out []shed.ServerID
-	for addr := range r.paths.silent {
+	for addr := range addrs {
 		if s := r.roster.OpenServerAt(string(addr)); s != nil && s.Pool == pool {
 			out = append(out, s.ID)
 		}
@@ -181,18 +184,6 @@
 	return out
 }
 
-// quietServers returns the servers of a pool that have requests of this VM and sent nothing for vmSilence.
-// The caller holds mu.
-func (r *Relay) quietServers(pool shed.PoolID) []shed.ServerID {
-	var out []shed.ServerID
-	for addr, p := range r.paths.quiet {
-		if s := r.roster.OpenServerAt(string(addr)); p == pool && s != nil {
-			out = append(out, s.ID)
-		}
-	}
-	return out
-}
-
 // minQuietServers is how many servers must be quiet until silence is the pool's rather than theirs.
 const minQuietServers = 2
 
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -31,12 +31,13 @@
 	table *reach.Table
 	// flights are the requests in flight over direct connections.
 	flights map[*flight]struct{}
-	// heardFrom is when each server last sent something over a direct connection; silent are those
-	// that have sent nothing to anybody's request for its patience, as of the last tick.
+	// heardFrom is when each server last sent something over a direct connection; silent are those,
+	// with their pools, that have sent nothing to anybody's request for its patience, as of the last tick.
 	heardFrom map[reach.Addr]time.Time
-	silent    map[reach.Addr]bool
-	// heardPool is when any server of a pool last sent something over a direct connection; quiet are the
-	// servers, with their pools, that have requests and sent nothing for vmSilence, as of the last tick.
+	silent    map[reach.Addr]shed.PoolID
+	// heardPool is when any server of a pool last sent something over a direct connection, if that was
+	// within vmSilence; quiet are the servers, with their pools, that have requests and sent nothing for
+	// vmSilence, as of the last tick.
 	heardPool map[shed.PoolID]time.Time
 	quiet     map[reach.Addr]shed.PoolID
 	// addrs are the addresses of the listed servers, sorted, as of the roster's version addrsVersion.
@@ -50,7 +51,7 @@
 func newPaths() paths {
 	return paths{
 		table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers(),
-		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]bool{},
+		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]shed.PoolID{},
 		heardPool: map[shed.PoolID]time.Time{}, quiet: map[reach.Addr]shed.PoolID{},
 	}
 }
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -182,6 +182,11 @@
 	}
 	wait := p.relay.describeWait(a)
 	verdict, next := wait.Decide()
+	if verdict == hedge.Begin {
+		// Predicted only now, since most checks find a healthy server.
+		wait.Answer += p.relay.inputsTime(a.job)
+		verdict, next = wait.Decide()
+	}
 	switch verdict {
 	case hedge.Stay:
 		return next
@@ -238,7 +243,8 @@
 	return true
 }
 
-// describeWait describes how an attempt waits for its server.
+// describeWait describes how an attempt waits for its server, without the time for inputs that have to be
+// made again.
 func (r *Relay) describeWait(a *attempt) hedge.Wait {
 	now, lastSign := time.Now(), a.lastSign.Load()
 	j, heardAt := a.job, a.began.Add(lastSign)
@@ -253,12 +259,25 @@
 	}
 	w.ServerSilence = now.Sub(shed.Later(r.paths.heardFrom[a.exchange.addr()], heardAt))
 	w.PoolSilent = r.isPoolSilent(now, j.pool.ID)
-	if plan := newPlan(j); len(plan.steps) > 0 && !r.areInputsKept(now, j) {
-		w.Answer += r.chain(now, plan).MinTime()
-	}
 	return w
 }
 
+// inputsTime returns the predicted time until another server can have the results that a request needs: 0
+// unless they have to be made again.
+func (r *Relay) inputsTime(j *job) time.Duration {
+	plan := newPlan(j)
+	if len(plan.steps) == 0 {
+		return 0
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.areInputsKept(now, j) {
+		return 0
+	}
+	return r.chain(now, plan).MinTime()
+}
+
 // secureSecond takes the retry budget for a second attempt if there is a server for it. The caller holds mu.
 func (p *pursuit) secureSecond(a *attempt) noRetry {
 	r, j := p.relay, a.job
@@ -292,7 +311,7 @@
 func (r *Relay) findSecond(now time.Time, j *job, first shed.ServerID, failed []shed.ServerID) (picker.Request, picker.Choice) {
 	want := r.wantFor(j)
 	want.Access = r.serverAccess(now, j.pool, nil, 0)
-	servers, silent := r.candidates(now, j), append(r.quietServers(j.pool.ID), first)
+	servers, silent := r.candidates(now, j), append(r.poolServersAt(r.paths.quiet, j.pool.ID), first)
 	want.Avoid = slices.Concat(want.Avoid, failed, silent)
 	choice := r.picker.Pick(now, want, servers)
 	if choice.Server == nil {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -299,7 +299,7 @@
 	}
 	want := r.wantFor(j)
 	want.Isolate, want.Access = isolate, r.serverAccess(now, j.pool, denied, maxWait)
-	want.Avoid = slices.Concat(want.Avoid, r.silentServers(j.pool.ID))
+	want.Avoid = slices.Concat(want.Avoid, r.poolServersAt(r.paths.silent, j.pool.ID))
 	servers := r.candidates(now, j)
 	choice := r.picker.Pick(now, want, servers)
 	if choice.Server == nil && len(want.Avoid) > 0 && !choice.NoTurn {
