--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reach"
 )
 
 const (
@@ -26,6 +28,8 @@
 	*exchange
 	cancel  context.CancelCauseFunc
 	begunAt time.Time
+	// connected: there is a connection, so a byte may have been sent.
+	connected atomic.Bool
 	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
 	// has sent nothing.
 	heardAfter atomic.Int64
@@ -97,6 +101,7 @@
 	}
 	delete(r.paths.flights, f)
 	r.recordHeard(f)
+	f.restorePath()
 }
 
 // recordHeard records when a flight last heard from its server. The caller holds mu.
@@ -110,17 +115,40 @@
 	r.paths.heardPool[f.server.Pool] = shed.Later(r.paths.heardPool[f.server.Pool], at)
 }
 
-// checkSilence throws doubt on the paths of requests without an answer, and cancels those whose path
-// is lost. The caller holds mu.
+// losePath acts on the loss of the path of a request without an answer. The caller holds Relay.mu.
+func (f *flight) losePath() {
+	switch {
+	case f.once:
+	case f.attempt != nil && f.connected.Load():
+		f.attempt.losePath(f)
+	default:
+		f.cancel(errPathLost)
+	}
+}
+
+// restorePath records that the path of a request isn't lost, or that the request has ended. The caller
+// holds Relay.mu.
+func (f *flight) restorePath() {
+	if f.attempt != nil && f.attempt.lost == f {
+		f.attempt.lost = nil
+	}
+}
+
+// checkSilence throws doubt on the paths of requests without an answer, and acts on the loss of those
+// paths. The caller holds mu.
 func (r *Relay) checkSilence(now time.Time) {
 	for f := range r.paths.flights {
 		r.recordHeard(f)
 	}
+	maps.DeleteFunc(r.paths.heardPool, func(_ shed.PoolID, at time.Time) bool { return now.Sub(at) >= vmSilence })
 	clear(r.paths.silent)
 	clear(r.paths.quiet)
 	allSilent := r.paths.table.Silence(now) >= vmSilence
 	for f := range r.paths.flights {
-		silence := f.silence(now)
+		silence, lost := f.silence(now), r.paths.table.IsLost(f.addr())
+		if !lost || silence < f.patience {
+			f.restorePath()
+		}
 		if silence < min(vmSilence, f.patience) {
 			continue
 		}
@@ -131,14 +159,12 @@
 		if silence < f.patience {
 			continue
 		}
-		if r.paths.table.IsLost(f.addr()) {
-			if !f.once {
-				f.cancel(errPathLost)
-			}
+		if lost {
+			f.losePath()
 			continue
 		}
 		if heardAgo >= f.patience {
-			r.paths.silent[f.addr()] = true
+			r.paths.silent[f.addr()] = f.server.Pool
 		}
 		if allSilent || silence >= 2*f.patience {
 			r.paths.table.Suspect(now, f.addr(), allSilent)
@@ -146,11 +172,11 @@
 	}
 }
 
-// silentServers returns the servers of a pool that have sent nothing for the patience of a request there.
-// The caller holds mu.
-func (r *Relay) silentServers(pool shed.PoolID) []shed.ServerID {
+// poolServersAt returns the servers of a pool at some addresses, paths.silent or paths.quiet. The caller
+// holds mu.
+func (r *Relay) poolServersAt(addrs map[reach.Addr]shed.PoolID, pool shed.PoolID) []shed.ServerID {
 	var out []shed.ServerID
-	for addr := range r.paths.silent {
+	for addr := range addrs {
 		if s := r.roster.OpenServerAt(string(addr)); s != nil && s.Pool == pool {
 			out = append(out, s.ID)
 		}
@@ -158,18 +184,6 @@
 	return out
 }
 
-// quietServers returns the servers of a pool that have requests of this VM and sent nothing for vmSilence.
-// The caller holds mu.
-func (r *Relay) quietServers(pool shed.PoolID) []shed.ServerID {
-	var out []shed.ServerID
-	for addr, p := range r.paths.quiet {
-		if s := r.roster.OpenServerAt(string(addr)); p == pool && s != nil {
-			out = append(out, s.ID)
-		}
-	}
-	return out
-}
-
 // minQuietServers is how many servers must be quiet until silence is the pool's rather than theirs.
 const minQuietServers = 2
 
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -31,12 +31,13 @@
 	table *reach.Table
 	// flights are the requests in flight over direct connections.
 	flights map[*flight]struct{}
-	// heardFrom is when each server last sent something over a direct connection; silent are those
-	// that have sent nothing to anybody's request for its patience, as of the last tick.
+	// heardFrom is when each server last sent something over a direct connection; silent are those,
+	// with their pools, that have sent nothing to anybody's request for its patience, as of the last tick.
 	heardFrom map[reach.Addr]time.Time
-	silent    map[reach.Addr]bool
-	// heardPool is when any server of a pool last sent something over a direct connection; quiet are the
-	// servers, with their pools, that have requests and sent nothing for vmSilence, as of the last tick.
+	silent    map[reach.Addr]shed.PoolID
+	// heardPool is when any server of a pool last sent something over a direct connection, if that was
+	// within vmSilence; quiet are the servers, with their pools, that have requests and sent nothing for
+	// vmSilence, as of the last tick.
 	heardPool map[shed.PoolID]time.Time
 	quiet     map[reach.Addr]shed.PoolID
 	// addrs are the addresses of the listed servers, sorted, as of the roster's version addrsVersion.
@@ -50,7 +51,7 @@
 func newPaths() paths {
 	return paths{
 		table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers(),
-		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]bool{},
+		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]shed.PoolID{},
 		heardPool: map[shed.PoolID]time.Time{}, quiet: map[reach.Addr]shed.PoolID{},
 	}
 }
@@ -128,11 +129,12 @@
 func (r *Relay) transmitDirectly(e *exchange, req *http.Request) (*http.Response, bool, error) {
 	e.carrier = ""
 	var fresh atomic.Bool
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		fresh.Store(!info.Reused)
+		f.connected.Store(true)
 	}})
-	ctx, cancel := context.WithCancelCause(ctx)
-	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
 	r.beginFlight(f)
 	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, e.sendBy)
 	if err != nil {
@@ -191,9 +193,8 @@
 // rejectUnreachable refuses a request if neither this VM nor a peer that can carry it reaches any
 // server.
 func (r *Relay) rejectUnreachable(ctx context.Context, j *job) *refusal {
-	now := time.Now()
 	r.mu.Lock()
-	hopeless := r.paths.table.Hopeless(now) || r.paths.isolated && len(r.carrierCandidates(now)) == 0
+	hopeless := r.isHopeless(time.Now())
 	r.mu.Unlock()
 	if !hopeless {
 		return nil
@@ -201,6 +202,12 @@
 	return r.refuseUnreachable(ctx, j, unreachableRetry)
 }
 
+// isHopeless reports whether neither this VM nor a peer that can carry requests reaches any server. The
+// caller holds mu.
+func (r *Relay) isHopeless(now time.Time) bool {
+	return r.paths.table.Hopeless(now) || r.paths.isolated && len(r.carrierCandidates(now)) == 0
+}
+
 // comparePaths records how far this VM and a peer got with the same server.
 func (r *Relay) comparePaths(addr reach.Addr, direct, carried reach.Level) {
 	r.mu.Lock()
