permit: a permit whose answer is lost is returned

Callers saw 503 with servers_limited at a server that ran nothing: a VM that asks for a permit gives up 150 ms after its patience, and if the owner's answer came later or was lost, nobody could return the permit, since only the owner knew its id. It was held until its lease ended, up to the request's deadline. A start of a server begins with one permit, so one of these closes the server for that time.

The VM that asks now chooses the id (random, with a bit that ids of owners lack) and returns the permit by it when its call fails. The return may overtake its request; it is then remembered for 5 s and at most 1024 for each server. A second return has no effect. Earlier versions: an owner ignores the new field and the return of an id that it doesn't know; a VM without an id gets one from the owner. Waiting requests are ordered by arrival, not by id, as ids are no longer in that order.

Not covered: a return that is itself lost; the lease ends that.

--- a/internal/peers/permit.go
+++ b/internal/peers/permit.go
@@ -21,6 +21,9 @@
 	// Patience is the longest wait for a permit, Lease how long it is valid.
 	Patience time.Duration `cbor:"4,keyasint,omitempty"`
 	Lease    time.Duration `cbor:"5,keyasint"`
+	// ID is the permit's id; 0 if the owner is to assign one. Daemons of earlier versions choose none, and
+	// as owners assign one all the same.
+	ID uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // isValid reports whether the values of the call are in range.
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -28,13 +28,30 @@
 	idleRetention = time.Minute
 	// returnDelay is the assumed wait if a permit is denied.
 	returnDelay = 100 * time.Millisecond
+	// returnedRetention is how long a return is remembered whose request has not arrived: it is longer
+	// than the time limit of a message between VMs.
+	returnedRetention = 5 * time.Second
+	// maxReturned bounds these returns for each server. A permit whose return was not remembered is held
+	// until its lease ends.
+	maxReturned = 1024
 )
 
 // ID identifies a permit, or a request that waits for one, at its owner.
 type ID uint64
 
+// chosenID is set in the ids that requesters choose, so that none is one that an owner assigned.
+const chosenID ID = 1 << 63
+
+// ChosenID returns the id that a requester chooses by a random number.
+func ChosenID(random uint64) ID { return ID(random) | chosenID }
+
+func (id ID) isChosen() bool { return id&chosenID != 0 }
+
 // Request asks for a permit.
 type Request struct {
+	// ID is chosen by the requester, which can return the permit though it has no answer. It is 0 if the
+	// owner is to assign one: requesters of earlier versions choose none.
+	ID    ID
 	Start shed.ServerStart
 	// Slots is the number of requests that the server runs at once; 0 if not known.
 	Slots int
@@ -55,7 +72,8 @@
 // Ledger holds the permits that one VM has granted. It is not safe for concurrent use.
 type Ledger struct {
 	servers map[shed.ServerStart]*server
-	lastID  ID
+	// arrivals counts the requests; it is also the id of one that chose none.
+	arrivals uint64
 }
 
 // server is the owner's view of one start of a server.
@@ -66,14 +84,19 @@
 	// raiseAfter is when the limit may rise again after a rejection.
 	raiseAfter time.Time
 	// held are the permits, with the ends of their leases.
-	held   map[ID]time.Time
-	queue  []waiter
-	usedAt time.Time
+	held  map[ID]time.Time
+	queue []waiter
+	// returned are the ids that were returned while neither held nor queued, with the times until which
+	// they are remembered: the return may arrive before its request.
+	returned map[ID]time.Time
+	usedAt   time.Time
 }
 
 // waiter is a request in the queue.
 type waiter struct {
-	id       ID
+	id ID
+	// arrival is the number of the request: among equal ranks the first one is granted a permit first.
+	arrival  uint64
 	rank     int
 	until    time.Time
 	leaseFor time.Duration
@@ -84,39 +107,61 @@
 
 // Take grants a permit, queues the request, or denies it if it has no patience.
 func (l *Ledger) Take(now time.Time, a Request) Decision {
-	s := l.servers[a.Start]
-	if s == nil {
-		s = &server{limit: 1, held: map[ID]time.Time{}}
-		l.servers[a.Start] = s
-	}
+	s := l.server(a.Start)
 	s.slots, s.usedAt = a.Slots, now
 	s.expire(now)
-	l.lastID++
+	l.arrivals++
+	id := a.ID
+	if !id.isChosen() {
+		id = ID(l.arrivals)
+	}
+	_, returned := s.returned[id]
 	switch {
+	case returned:
+		return Decision{Wait: returnDelay}
 	case len(s.held) < s.limit && len(s.queue) == 0:
-		s.held[l.lastID] = now.Add(a.Lease)
-		return Decision{ID: l.lastID, Granted: true}
+		s.held[id] = now.Add(a.Lease)
+		return Decision{ID: id, Granted: true}
 	case a.Patience <= 0:
 		return Decision{Wait: returnDelay}
 	}
-	w := waiter{id: l.lastID, rank: a.Rank, until: now.Add(a.Patience), leaseFor: a.Lease}
-	at, _ := slices.BinarySearchFunc(s.queue, w, func(x, y waiter) int { return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.id, y.id)) })
+	w := waiter{id: id, arrival: l.arrivals, rank: a.Rank, until: now.Add(a.Patience), leaseFor: a.Lease}
+	at, _ := slices.BinarySearchFunc(s.queue, w, func(x, y waiter) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.arrival, y.arrival))
+	})
 	s.queue = slices.Insert(s.queue, at, w)
-	return Decision{ID: l.lastID, Queued: true}
+	return Decision{ID: id, Queued: true}
 }
 
-// Return gives a permit back, or leaves the queue, and returns the requests that are granted permits
-// instead. rejected is set if the server turned the request away for want of room.
-func (l *Ledger) Return(now time.Time, start shed.ServerStart, id ID, rejected bool) []ID {
+// server returns the state of a server, which is created if there is none.
+func (l *Ledger) server(start shed.ServerStart) *server {
 	s := l.servers[start]
 	if s == nil {
+		s = &server{limit: 1, held: map[ID]time.Time{}, returned: map[ID]time.Time{}}
+		l.servers[start] = s
+	}
+	return s
+}
+
+// Return gives a permit back, or leaves the queue, and returns the requests that are granted permits
+// instead. A second return of the same id has no effect, and a request that arrives after its return
+// gets no permit. rejected is set if the server turned the request away for want of room.
+func (l *Ledger) Return(now time.Time, start shed.ServerStart, id ID, rejected bool) []ID {
+	if l.servers[start] == nil && !id.isChosen() {
 		return nil
 	}
+	s := l.server(start)
 	s.usedAt = now
-	s.queue = slices.DeleteFunc(s.queue, func(w waiter) bool { return w.id == id })
-	if _, ok := s.held[id]; ok {
+	isWaiter := func(w waiter) bool { return w.id == id }
+	_, held := s.held[id]
+	switch {
+	case held:
 		s.learn(now, rejected)
 		delete(s.held, id)
+	case slices.ContainsFunc(s.queue, isWaiter):
+		s.queue = slices.DeleteFunc(s.queue, isWaiter)
+	case id.isChosen() && len(s.returned) < maxReturned:
+		s.returned[id] = now.Add(returnedRetention)
 	}
 	return s.grant(now)
 }
@@ -149,8 +194,9 @@
 	return out
 }
 
-// expire drops permits whose lease is over and requests that have waited too long.
+// expire drops permits whose lease is over, requests that have waited too long and old returns.
 func (s *server) expire(now time.Time) {
+	maps.DeleteFunc(s.returned, func(_ ID, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.held, func(_ ID, until time.Time) bool { return now.After(until) })
 	s.queue = slices.DeleteFunc(s.queue, func(w waiter) bool { return now.After(w.until) })
 }
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -57,6 +57,42 @@
 	require.Equal(t, []permit.ID{waiting.ID}, l.Tick(start.Add(lease+time.Millisecond)))
 }
 
+// Guards against a permit that is held until its lease ends although its requester gave up: the return
+// arrives before the request, twice, or while the request waits.
+func TestReturnWithoutAnAnswer(t *testing.T) {
+	l := permit.NewLedger()
+	ask := func(random uint64, patience time.Duration) permit.Decision {
+		a := request(0, patience)
+		a.ID = permit.ChosenID(random)
+		return l.Take(start, a)
+	}
+	l.Return(start, one, permit.ChosenID(1), false)
+	require.False(t, ask(1, lease).Granted, "returned before it arrived")
+	held := ask(2, 0)
+	require.Equal(t, permit.Decision{ID: permit.ChosenID(2), Granted: true}, held)
+	require.True(t, ask(3, lease).Queued)
+	require.True(t, ask(4, lease).Queued)
+	require.Empty(t, l.Return(start, one, permit.ChosenID(3), false))
+	require.Equal(t, []permit.ID{permit.ChosenID(4)}, l.Return(start, one, held.ID, true))
+	require.Empty(t, l.Return(start, one, held.ID, true), "a second return")
+	require.False(t, ask(5, 0).Granted, "the limit is 1")
+}
+
+// Guards against requests with ids of their own that overtake those that wait, and against the ids of
+// requesters that choose none.
+func TestFirstComeFirstServed(t *testing.T) {
+	l := permit.NewLedger()
+	held := l.Take(start, request(0, 0))
+	require.Equal(t, permit.ID(1), held.ID)
+	var ids []permit.ID
+	for _, random := range []uint64{9, 3, 6} {
+		a := request(0, lease)
+		a.ID = permit.ChosenID(random)
+		ids = append(ids, l.Take(start, a).ID)
+	}
+	require.Equal(t, ids[:2], l.Return(start, one, held.ID, false))
+}
+
 // Random orders of requests, returns, rejections and lost messages. Guards against more permits than a
 // server has slots and one spare, and against requests that are granted two.
 func TestAnyOrder(t *testing.T) {
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 	now := time.Now()
 	call := peers.PermitCall{
 		Start: s.Start(), Slots: s.Slots, Rank: max(j.rank, 0), Patience: patience, Lease: max(j.deadline.Sub(now), minLease),
+		ID: uint64(permit.ChosenID(rand.Uint64())),
 	}
 	r.mu.Lock()
 	owner, ok := r.owner(now, "turns "+string(s.ID))
@@ -62,6 +64,10 @@
 	case err == nil && reply.Granted:
 		return heldPermit{owner: owner, start: call.Start, id: permit.ID(reply.ID)}, true
 	case err != nil || reply.Moved:
+		if err != nil {
+			// It may have been granted: its answer is late or lost.
+			client.Send(owner, shed.PermitReturned{Start: call.Start, ID: call.ID})
+		}
 		r.passOverOwner(ctx, owner, err, "peer that grants permits gives no answer")
 	}
 	r.mu.Lock()
@@ -94,7 +100,9 @@
 		return peers.PermitReply{Moved: true}
 	}
 	r.mu.Lock()
-	got := r.permits.Take(time.Now(), permit.Request(call))
+	got := r.permits.Take(time.Now(), permit.Request{
+		ID: permit.ID(call.ID), Start: call.Start, Slots: call.Slots, Rank: call.Rank, Patience: call.Patience, Lease: call.Lease,
+	})
 	if !got.Queued {
 		r.mu.Unlock()
 		return peers.PermitReply{Granted: got.Granted, ID: uint64(got.ID), Wait: got.Wait}
