--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,6 +15,11 @@
 // minLease is the shortest lease of a permit.
 const minLease = 100 * time.Millisecond
 
+// cancelTime is the assumed time in which a server ends a request after its VM gave it up: a server
+// notices the closed connection at its next step or write. The permit is held until then, and leased for
+// as long beyond the request's deadline, at which most requests are given up.
+const cancelTime = 250 * time.Millisecond
+
 // heldPermit is a permit of a request; the zero value is none.
 type heldPermit struct {
 	owner shed.VM
@@ -40,7 +46,8 @@
 func (r *Relay) takePermit(ctx context.Context, j *job, s *roster.Server, patience time.Duration) (heldPermit, bool) {
 	now := time.Now()
 	call := peers.PermitCall{
-		Start: s.Start(), Slots: s.Slots, Rank: max(j.rank, 0), Patience: patience, Lease: max(j.deadline.Sub(now), minLease),
+		Start: s.Start(), Slots: s.Slots, Rank: max(j.rank, 0), Patience: patience, Lease: max(j.deadline.Sub(now), minLease) + cancelTime,
+		ID: uint64(permit.ChosenID(rand.Uint64())),
 	}
 	r.mu.Lock()
 	owner, ok := r.owner(now, "turns "+string(s.ID))
@@ -62,6 +69,10 @@
 	case err == nil && reply.Granted:
 		return heldPermit{owner: owner, start: call.Start, id: permit.ID(reply.ID)}, true
 	case err != nil || reply.Moved:
+		if err != nil {
+			// It may have been granted: its answer is late or lost.
+			client.Send(owner, shed.PermitReturned{Start: call.Start, ID: call.ID})
+		}
 		r.passOverOwner(ctx, owner, err, "peer that grants permits gives no answer")
 	}
 	r.mu.Lock()
@@ -88,13 +99,29 @@
 	r.client.Send(p.owner, m)
 }
 
+// returnPermitAfter gives the request's permit back after d, or when this VM ends.
+func (r *Relay) returnPermitAfter(j *job, d time.Duration) {
+	held := &job{permit: j.permit}
+	j.permit = heldPermit{}
+	if held.permit.owner == "" {
+		return
+	}
+	r.work.Go(func() error {
+		sleep(r.base, d)
+		r.returnPermit(held, false)
+		return nil
+	})
+}
+
 // Permit implements peers.RelayHandler.
 func (r *Relay) Permit(ctx context.Context, call peers.PermitCall) peers.PermitReply {
 	if r.stopping.Load() {
 		return peers.PermitReply{Moved: true}
 	}
 	r.mu.Lock()
-	got := r.permits.Take(time.Now(), permit.Request(call))
+	got := r.permits.Take(time.Now(), permit.Request{
+		ID: permit.ID(call.ID), Start: call.Start, Slots: call.Slots, Rank: call.Rank, Patience: call.Patience, Lease: call.Lease,
+	})
 	if !got.Queued {
 		r.mu.Unlock()
 		return peers.PermitReply{Granted: got.Granted, ID: uint64(got.ID), Wait: got.Wait}
