relay: a connection that is closed at once is a crash only if a peer's is, too

A VM whose path is lost behind a firewall that resets its connections, and accepts new ones only to close them, counted the servers of its requests as crashed: serverEnded asked a peer only if the connection was refused or timed out. Sound requests, and parts that they share, became suspects in the whole fleet.

Evidence: TestLostPathIsNoCrash fails before (crashes counted for requests in flight at a VM that lost its path) and passes now. The soak's proxies lose paths in this way.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -23,8 +24,11 @@
 const trialCandidates = 4
 
 // closeProbeTimeout is how soon a connection to an ended server is closed, if it is accepted at
-// all.
-const closeProbeTimeout = 30 * time.Millisecond
+// all; carriedCloseTimeout is the same for a connection that a peer carries.
+const (
+	closeProbeTimeout   = 30 * time.Millisecond
+	carriedCloseTimeout = 100 * time.Millisecond
+)
 
 // rejectSuspect refuses a request known to crash servers before any work is done for it.
 func (r *Relay) rejectSuspect(j *job) *refusal {
@@ -218,18 +222,21 @@
 		return false
 	}
 	_, err = c.Read(make([]byte, 1))
-	return errors.Is(err, io.EOF)
+	return errors.Is(err, io.EOF) && r.peersAreRefused(s)
 }
 
-// peersAreRefused reports whether a peer can't connect to a server either that refused this VM: a
-// VM that lost its path is refused by servers that live.
+// peersAreRefused reports whether a peer can't connect to a server either that refused this VM, or closed its
+// connection at once: a VM that lost its path is refused by servers that live.
 func (r *Relay) peersAreRefused(s shed.ServerEntry) bool {
 	ctx, cancel := context.WithTimeout(r.base, carryTimeout)
 	defer cancel()
 	c, err := r.dialCarried(ctx, "tcp", s.Addr)
 	if err == nil {
+		if isClosedAtOnce(c) {
+			return true
+		}
 		r.comparePaths(reach.Addr(s.Addr), reach.Closed, reach.Connected)
-		return c.Close() != nil
+		return false
 	}
 	if errors.Is(err, errNoCarrier) {
 		return !r.isPathLost(reach.Addr(s.Addr))
@@ -237,6 +244,16 @@
 	return errors.Is(err, peers.ErrCarryUnreachable)
 }
 
+// isClosedAtOnce reports whether the server's side closes a connection that a peer carries, and closes it.
+func isClosedAtOnce(c net.Conn) bool {
+	// Carried connections have no deadlines.
+	limit := time.AfterFunc(carriedCloseTimeout, func() { _ = c.Close() })
+	_, err := c.Read(make([]byte, 1))
+	inTime := limit.Stop()
+	_ = c.Close()
+	return inTime && closedByServer(err)
+}
+
 // notifyCrashes sends due crash updates to peers. The caller holds mu.
 func (r *Relay) notifyCrashes(now time.Time) {
 	for _, t := range r.poison.DueReports(now, r.alivePeers()) {
