relay: a VM without a path to one server still carries connections to others

A VM that lost its own path to a server declined to carry a connection there as it does while it stops. The VM that asked then didn't ask it for any server for a second; if it is the only one left with paths, every caller is refused meanwhile.

It now says that it has no path to this server (CarryPathLost), which keeps it from being asked for that server only.

--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -39,6 +39,8 @@
 	CarryUnreachable
 	// CarryServerClosed means that the server accepts no new work, or none from this daemon.
 	CarryServerClosed
+	// CarryPathLost means that it lost its own path to the server, which says nothing of the server.
+	CarryPathLost
 )
 
 var (
@@ -46,6 +48,8 @@
 	ErrCarryDeclined = errors.New("peer carries no connection")
 	// ErrCarryUnreachable is returned if a peer could not connect to the server.
 	ErrCarryUnreachable = errors.New("peer can't connect to the server")
+	// ErrCarryPathLost is returned if a peer lost its own path to the server. It may carry connections to others.
+	ErrCarryPathLost = errors.New("peer has no path to the server")
 )
 
 // CarryClosedError is returned if a peer knows that the server accepts no work from it. Rest is how
@@ -71,6 +75,8 @@
 		return ErrCarryUnreachable
 	case CarryServerClosed:
 		return CarryClosedError{Rest: s.Rest}
+	case CarryPathLost:
+		return ErrCarryPathLost
 	}
 	return ErrCarryDeclined
 }
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -178,14 +178,8 @@
 	conn, err := client.Carry(ctx, vm, call, r.endCarried)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var closed peers.CarryClosedError
-	switch {
-	case err == nil:
-	case errors.Is(err, peers.ErrCarryUnreachable), errors.As(err, &closed):
-		r.paths.carriers.unreachedUntil[peerServer{vm, reach.Addr(call.Addr)}] = time.Now().Add(unreachedTime)
-		return nil, err
-	default:
-		r.paths.carriers.backoffUntil[vm] = time.Now().Add(carrierBackoff)
+	if err != nil {
+		r.paths.carriers.recordFailure(time.Now(), peerServer{vm, reach.Addr(call.Addr)}, err)
 		return nil, err
 	}
 	if r.paths.carriers.open[vm] == nil {
@@ -195,6 +189,17 @@
 	return conn, nil
 }
 
+// recordFailure records that a peer opened no connection to a server. What it says of this server alone doesn't
+// keep it from carrying connections to others.
+func (c *carriers) recordFailure(now time.Time, asked peerServer, err error) {
+	var closed peers.CarryClosedError
+	if errors.Is(err, peers.ErrCarryUnreachable) || errors.Is(err, peers.ErrCarryPathLost) || errors.As(err, &closed) {
+		c.unreachedUntil[asked] = now.Add(unreachedTime)
+		return
+	}
+	c.backoffUntil[asked.vm] = now.Add(carrierBackoff)
+}
+
 func (r *Relay) endCarried(conn *peers.CarriedConn) {
 	vm := conn.Carrier()
 	r.mu.Lock()
@@ -288,8 +293,10 @@
 	now := time.Now()
 	server, rest := r.roster.OpenServerAt(call.Addr), r.access.RestLeft(now, call.Start)
 	switch {
-	case r.stopping.Load(), c.total() >= maxCarried, r.paths.table.IsLost(reach.Addr(call.Addr)):
+	case r.stopping.Load(), c.total() >= maxCarried, r.paths.table.Isolated():
 		return peers.CarryStatus{Refusal: peers.CarryDeclined}
+	case r.paths.table.IsLost(reach.Addr(call.Addr)):
+		return peers.CarryStatus{Refusal: peers.CarryPathLost}
 	case server == nil || server.Start() != call.Start || rest > 0:
 		return peers.CarryStatus{Refusal: peers.CarryServerClosed, Rest: rest}
 	}
