reach: requests aren't hopeless while a peer reaches servers

A VM refuses all requests for 2 s once three servers were reached neither by it nor by a peer, and none has sent it anything for 1 s. What a VM without a path receives through a peer did not count as a sign, and a peer that was asked may have lost its paths too.

An answer through a peer now counts as a sign, for this verdict only: what is lost is judged as before. TestAPeerThatReachesServersIsHope (one peer in four reaches servers) fails before after 1 s.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -71,6 +71,8 @@
 	// answeredAt is when a server last answered over a new direct connection, heardAt when one sent
 	// something over any.
 	answeredAt, heardAt time.Time
+	// carriedAt is when a server last answered through a peer.
+	carriedAt time.Time
 	// connectedAt is when a server last accepted a connection without an answer, unansweredSince when
 	// one was first found to give none, unless one has sent something since.
 	connectedAt, unansweredSince time.Time
@@ -228,6 +230,9 @@
 	}
 }
 
+// AnsweredCarried records an answer over a connection that a peer carries.
+func (t *Table) AnsweredCarried(now time.Time) { t.carriedAt, t.hopelessUntil = now, time.Time{} }
+
 // Silence returns how long no server has sent this VM anything.
 func (t *Table) Silence(now time.Time) time.Duration { return now.Sub(t.heardAt) }
 
@@ -235,16 +240,18 @@
 // Compared.
 func (t *Table) Unreached(now time.Time, a Addr, listed int) {
 	t.server(a).unreachedAt = now
-	if !t.unansweredSince.After(t.lastSign()) {
+	// The peers that this VM asked may have lost their paths too: while another one reaches servers, there is hope.
+	sign := shed.Later(t.lastSign(), t.carriedAt)
+	if !t.unansweredSince.After(sign) {
 		t.unansweredSince = now
 	}
-	connected := t.connectedAt.After(t.lastSign())
-	if now.Sub(t.lastSign()) < hopelessSilence || connected && now.Sub(t.unansweredSince) < connectedSilence {
+	connected := t.connectedAt.After(sign)
+	if now.Sub(sign) < hopelessSilence || connected && now.Sub(t.unansweredSince) < connectedSilence {
 		return
 	}
 	unreached := 0
 	for _, s := range t.servers {
-		if s.unreachedAt.After(t.lastSign()) {
+		if s.unreachedAt.After(sign) {
 			unreached++
 		}
 	}
@@ -264,6 +271,9 @@
 	case carried > direct:
 		s.lostAt, s.lostLevel, s.failedAt, s.downUntil = now, direct, time.Time{}, time.Time{}
 		t.lostAt, t.hopelessUntil = now, time.Time{}
+		if carried == Answered {
+			t.AnsweredCarried(now)
+		}
 		// A request that could not connect is compared outside a probe.
 		s.sampled = s.sampled && s.probing
 		t.judge(listed)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -127,6 +127,34 @@
 	require.True(t, table.Hopeless(start.Add(1500*time.Millisecond)))
 }
 
+// Guards against requests that are refused as hopeless though a peer reaches servers, because most of the peers with
+// which this VM compares its paths lost theirs too: one in four reaches servers here.
+func TestAPeerThatReachesServersIsHope(t *testing.T) {
+	table, servers := reach.New(), addrs(14)
+	table.Heard(start)
+	compared := 0
+	compare := func(now time.Time, a reach.Addr) {
+		carried := reach.Closed
+		if compared++; compared%4 == 0 {
+			carried = reach.Answered
+		}
+		table.Compared(now, a, reach.Closed, carried, len(servers))
+	}
+	for at := tick; at <= 5*time.Second; at += tick {
+		now := start.Add(at)
+		if a := servers[int(at/tick)%len(servers)]; table.Path(now, a, false) == reach.Direct {
+			compare(now, a)
+		}
+		for _, p := range table.DueProbes(now, servers) {
+			if p.Compare {
+				compare(now, p.Addr)
+			}
+			table.EndProbe(p.Addr)
+		}
+		require.False(t, table.Hopeless(now), at)
+	}
+}
+
 // Guards against requests that are refused for good though no probe is ever answered: after a moment
 // one is tried.
 func TestHopelessEnds(t *testing.T) {
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -120,6 +120,9 @@
 	resp, sent, err := r.carriedSender.Do(req.WithContext(ctx), e.once, e.sendBy)
 	if err == nil {
 		r.stats.carriedRequests.Inc(1)
+		r.mu.Lock()
+		r.paths.table.AnsweredCarried(time.Now())
+		r.mu.Unlock()
 	}
 	return resp, sent, err
 }
