Revert "relay: leave a lost path only once a retry is secured"

Callers of a VM that lost its path to servers for good waited for their deadlines.

Paths are mostly lost for longer, and then the sooner a caller knows, the better it is served by a carrying peer. A wait bounded by half of the time left was weighed and not tried. An attempt over a path that a peer's answer shows to be lost counts as dead, as before.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -125,12 +125,6 @@
 	return now.Sub(t.endedAt[s]) < explanationWindow
 }
 
-// IsQuarantined reports whether a request is refused now, or may run as a trial at most.
-func (t *Table) IsQuarantined(now time.Time, f shed.Fingerprint) bool {
-	s := t.suspects[f]
-	return s != nil && s.crashCount() >= suspectThreshold && t.quarantineTime(now, s) > 0
-}
-
 // Decide returns whether and how a request may run now. turn is this VM's position in the order
 // of VMs that may try it after its quarantine, 0 for the first.
 func (t *Table) Decide(now time.Time, f shed.Fingerprint, turn func() int) Verdict {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,15 +29,9 @@
 	lastEvent string
 	// lastSign is when the server last sent something of its answer.
 	lastSign elapsed
-	silence  checkTimer
-	// lost is the request in flight if its path is lost. Guarded by Relay.mu.
-	lost *flight
-	path checkTimer
+	silence  silenceTimer
 	// secondDenied is why the last second attempt in its place was denied. Guarded by pursuit.mu.
 	secondDenied noRetry
-	// retryDenied is why the last retry that would have replaced it on a lost path was denied. Guarded by
-	// pursuit.mu.
-	retryDenied noRetry
 	// overtakenBy is the attempt that serves the caller instead. Guarded by pursuit.mu.
 	overtakenBy hedge.Runner
 	// begun: the picker has been notified that the first event arrived.
@@ -65,7 +59,6 @@
 	a.pursuit.mu.Unlock()
 	v := a.run(ctx)
 	a.silence.stop()
-	a.path.stop()
 	v.lost = a.pursuit.end(a) && !v.done
 	if a.mayStillRun(ctx, v) {
 		r.returnPermitAfter(j, cancelTime)
@@ -127,16 +120,6 @@
 	a.execute(choice)
 }
 
-// losePath has the attempt checked until it has left its lost path, or the path is back. The caller holds
-// Relay.mu.
-func (a *attempt) losePath(f *flight) {
-	if a.lost == f {
-		return
-	}
-	a.lost = f
-	a.path.start(0, func() time.Duration { return a.pursuit.leaveLostPaths(a) })
-}
-
 // abandon ends a second attempt that was not sent.
 func (a *attempt) abandon(reason shed.Reason) {
 	a.cancel()
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -28,8 +28,6 @@
 	*exchange
 	cancel  context.CancelCauseFunc
 	begunAt time.Time
-	// connected: there is a connection, so a byte may have been sent.
-	connected atomic.Bool
 	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
 	// has sent nothing.
 	heardAfter atomic.Int64
@@ -101,7 +99,6 @@
 	}
 	delete(r.paths.flights, f)
 	r.recordHeard(f)
-	f.restorePath()
 }
 
 // recordHeard records when a flight last heard from its server. The caller holds mu.
@@ -115,27 +112,8 @@
 	r.paths.heardPool[f.server.Pool] = shed.Later(r.paths.heardPool[f.server.Pool], at)
 }
 
-// losePath acts on the loss of the path of a request without an answer. The caller holds Relay.mu.
-func (f *flight) losePath() {
-	switch {
-	case f.once:
-	case f.attempt != nil && f.connected.Load():
-		f.attempt.losePath(f)
-	default:
-		f.cancel(errPathLost)
-	}
-}
-
-// restorePath records that the path of a request isn't lost, or that the request has ended. The caller
-// holds Relay.mu.
-func (f *flight) restorePath() {
-	if f.attempt != nil && f.attempt.lost == f {
-		f.attempt.lost = nil
-	}
-}
-
-// checkSilence throws doubt on the paths of requests without an answer, and acts on the loss of those
-// paths. The caller holds mu.
+// checkSilence throws doubt on the paths of requests without an answer, and cancels those whose path
+// is lost. The caller holds mu.
 func (r *Relay) checkSilence(now time.Time) {
 	for f := range r.paths.flights {
 		r.recordHeard(f)
@@ -145,10 +123,7 @@
 	clear(r.paths.quiet)
 	allSilent := r.paths.table.Silence(now) >= vmSilence
 	for f := range r.paths.flights {
-		silence, lost := f.silence(now), r.paths.table.IsLost(f.addr())
-		if !lost || silence < f.patience {
-			f.restorePath()
-		}
+		silence := f.silence(now)
 		if silence < min(vmSilence, f.patience) {
 			continue
 		}
@@ -159,8 +134,10 @@
 		if silence < f.patience {
 			continue
 		}
-		if lost {
-			f.losePath()
+		if r.paths.table.IsLost(f.addr()) {
+			if !f.once {
+				f.cancel(errPathLost)
+			}
 			continue
 		}
 		if heardAgo >= f.patience {
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -132,12 +132,11 @@
 func (r *Relay) transmitDirectly(e *exchange, req *http.Request) (*http.Response, bool, error) {
 	e.carrier = ""
 	var fresh atomic.Bool
-	ctx, cancel := context.WithCancelCause(req.Context())
-	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		fresh.Store(!info.Reused)
-		f.connected.Store(true)
 	}})
+	ctx, cancel := context.WithCancelCause(ctx)
+	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
 	r.beginFlight(f)
 	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, e.sendBy)
 	if err != nil {
@@ -196,8 +195,9 @@
 // rejectUnreachable refuses a request if neither this VM nor a peer that can carry it reaches any
 // server.
 func (r *Relay) rejectUnreachable(ctx context.Context, j *job) *refusal {
+	now := time.Now()
 	r.mu.Lock()
-	hopeless := r.isHopeless(time.Now())
+	hopeless := r.paths.table.Hopeless(now) || r.paths.isolated && len(r.carrierCandidates(now)) == 0
 	r.mu.Unlock()
 	if !hopeless {
 		return nil
@@ -205,12 +205,6 @@
 	return r.refuseUnreachable(ctx, j, unreachableRetry)
 }
 
-// isHopeless reports whether neither this VM nor a peer that can carry requests reaches any server. The
-// caller holds mu.
-func (r *Relay) isHopeless(now time.Time) bool {
-	return r.paths.table.Hopeless(now) || r.paths.isolated && len(r.carrierCandidates(now)) == 0
-}
-
 // comparePaths records how far this VM and a peer got with the same server.
 func (r *Relay) comparePaths(addr reach.Addr, direct, carried reach.Level) {
 	r.mu.Lock()
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -41,8 +41,6 @@
 	notBefore time.Time
 	// inputsGone: a server said that inputs of the request are gone.
 	inputsGone bool
-	// retrySecured: the retry that follows the pursuit was taken from the budget.
-	retrySecured bool
 }
 
 // pursue sends the request to the chosen server, and to further ones while that is silent, until the caller
@@ -145,7 +143,6 @@
 	if p.inputsGone {
 		p.relay.releaseInputs(j)
 	}
-	j.retrySecured = p.retrySecured
 	j.sends, j.mayHaveRun, j.avoid = sends, mayHaveRun, append(j.avoid, p.avoid...)
 	return v
 }
@@ -175,7 +172,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case !p.race.IsInFlight(a.runner), p.retrySecured:
+	case !p.race.IsInFlight(a.runner):
 		return 0
 	case p.race.Contested(), time.Now().Before(p.notBefore):
 		return hedge.RecheckInterval
@@ -324,72 +321,6 @@
 	return want, choice
 }
 
-// leaveLostPaths ends the attempts if the paths of all in flight are lost and a retry is secured. It returns
-// when to check again; 0 for never.
-func (p *pursuit) leaveLostPaths(a *attempt) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !p.race.IsInFlight(a.runner) || a.lost == nil || p.retrySecured {
-		return 0
-	}
-	for _, other := range p.inFlight {
-		if other.lost == nil {
-			return hedge.RecheckInterval
-		}
-	}
-	denied := p.secureRetry(time.Now(), a.job)
-	a.logLostPath(denied)
-	if denied != retryPossible {
-		return hedge.RecheckInterval
-	}
-	p.retrySecured = true
-	for _, other := range p.inFlight {
-		other.lost.cancel(errPathLost)
-	}
-	return 0
-}
-
-// secureRetry takes the retry budget for a retry if it can be sent to a server. The caller holds mu and
-// Relay.mu.
-func (p *pursuit) secureRetry(now time.Time, j *job) noRetry {
-	r := p.relay
-	switch {
-	case p.earlierSends+p.begun >= j.route.MaxSends:
-		return noSendsLeft
-	case len(j.avoid)+len(p.avoid)+len(p.inFlight) > maxServersTried:
-		return noServersLeft
-	case r.isHopeless(now):
-		return noOtherServer
-	case slices.ContainsFunc(j.suspectFingerprints(), func(f shed.Fingerprint) bool { return r.poison.IsQuarantined(now, f) }):
-		return maybeCrashes
-	}
-	budget := r.retryBudget(j.pool.ID)
-	if !budget.Take(now) {
-		return noBudget
-	}
-	// The same server will do, over another path.
-	want := r.wantFor(j)
-	want.Avoid, want.Access = nil, r.serverAccess(now, j.pool, nil, 0)
-	if r.picker.Pick(now, want, r.candidates(now, j)).Server == nil {
-		budget.Return(now)
-		return noOtherServer
-	}
-	return retryPossible
-}
-
-// logLostPath logs the decision on leaving a lost path. A denial is logged once for an attempt.
-func (a *attempt) logLostPath(denied noRetry) {
-	if denied != retryPossible && denied == a.retryDenied {
-		return
-	}
-	a.retryDenied = denied
-	a.relay.log.WithFields(logrus.Fields{"request": a.job.request.ID, "server": a.job.server, "denied": denied}).
-		Info("attempt on a lost path")
-}
-
 // placeSecond places a second attempt; Server is nil if there is no server for it any more.
 func (r *Relay) placeSecond(j *job, first shed.ServerID) picker.Choice {
 	r.mu.Lock()
@@ -418,20 +349,17 @@
 	}).Info("second attempt")
 }
 
-// checkTimer checks an attempt from time to time.
-type checkTimer struct {
+// silenceTimer checks the silence of an attempt's server from time to time.
+type silenceTimer struct {
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-// start begins to call check after a delay, unless the timer was stopped. check returns when it is to be called again; 0 for never.
-func (t *checkTimer) start(delay time.Duration, check func() time.Duration) {
+// start begins to call check after a delay. check returns when it is to be called again; 0 for never.
+func (t *silenceTimer) start(delay time.Duration, check func() time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stopped {
-		return
-	}
 	t.timer = time.AfterFunc(delay, func() {
 		next := check()
 		t.mu.Lock()
@@ -443,7 +371,7 @@
 }
 
 // stop ends the calls.
-func (t *checkTimer) stop() {
+func (t *silenceTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -73,8 +73,6 @@
 	blamed shed.Fingerprint
 	// noRetry is why the last failed attempt was the last one.
 	noRetry noRetry
-	// retrySecured: the next retry has been taken from the budget.
-	retrySecured bool
 	// trial: the request may crash its server, and is sent once as a probe.
 	trial bool
 
@@ -205,11 +203,7 @@
 // findNoRetry returns why the request can't be sent to another server after v. If it can, the retry is
 // taken from the budget.
 func (r *Relay) findNoRetry(j *job, v outcome) noRetry {
-	secured := j.retrySecured
-	j.retrySecured = false
 	switch {
-	case secured:
-		return retryPossible
 	case v.sent && j.sends >= j.route.MaxSends:
 		return noSendsLeft
 	case v.mayHaveRun && !j.route.Repeatable && !j.route.Resumable:
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -25,9 +25,6 @@
 	patience time.Duration
 	// carrier is the peer that carried the request; empty if it was sent directly.
 	carrier shed.VM
-	// attempt is the attempt that the request is part of; nil for calls that are made again without a
-	// retry budget.
-	attempt *attempt
 }
 
 // addr returns the address of the exchange's server.
