relay: a broken connection is no crash while one of three peers keeps its own

Up to three peers are asked, within the 0.5 s of one before; the first connection that stays open refutes the crash.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -225,23 +225,36 @@
 	return errors.Is(err, io.EOF) && r.peersAreRefused(s)
 }
 
-// peersAreRefused reports whether a peer can't connect to a server either that refused this VM, or closed its
-// connection at once: a VM that lost its path is refused by servers that live.
+// peersAreRefused reports whether peers are refused too by a server that refused this VM or closed its
+// connection at once. A VM that lost its path is refused by servers that live, and so are peers that lost
+// theirs: one that keeps a connection is proof enough.
 func (r *Relay) peersAreRefused(s shed.ServerEntry) bool {
 	ctx, cancel := context.WithTimeout(r.base, carryTimeout)
 	defer cancel()
-	c, err := r.dialCarried(ctx, "tcp", s.Addr)
-	if err == nil {
-		if isClosedAtOnce(c) {
-			return true
+	var asked []shed.VM
+	var closed peers.CarryClosedError
+	refused, known := false, false
+	for len(asked) < maxCarriers && ctx.Err() == nil {
+		vm, call, ok := r.nextCarrier(s.Addr, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, vm)
+		c, err := r.carryBy(ctx, vm, call)
+		switch {
+		case errors.As(err, &closed):
+			known = true
+		case errors.Is(err, peers.ErrCarryUnreachable), err == nil && isClosedAtOnce(c):
+			refused, known = true, true
+		case err == nil:
+			r.comparePaths(reach.Addr(s.Addr), reach.Closed, reach.Connected)
+			return false
 		}
-		r.comparePaths(reach.Addr(s.Addr), reach.Closed, reach.Connected)
-		return false
 	}
-	if errors.Is(err, errNoCarrier) {
+	if !known {
 		return !r.isPathLost(reach.Addr(s.Addr))
 	}
-	return errors.Is(err, peers.ErrCarryUnreachable)
+	return refused
 }
 
 // isClosedAtOnce reports whether the server's side closes a connection that a peer carries, and closes it.
