--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -151,19 +151,31 @@
 		return nil
 	}
 	s := l.server(start)
+	if !s.release(now, id, rejected) && id.isChosen() && len(s.returned) < maxReturned {
+		s.returned[id] = now.Add(returnedRetention)
+	}
+	return s.grant(now)
+}
+
+// Leave is Return for a request whose wait has ended at its owner: its id isn't remembered, since the
+// request has arrived.
+func (l *Ledger) Leave(now time.Time, start shed.ServerStart, id ID) []ID {
+	s := l.server(start)
+	s.release(now, id, false)
+	return s.grant(now)
+}
+
+// release gives a permit back, or removes a request from the queue; found is false if there is neither.
+func (s *server) release(now time.Time, id ID, rejected bool) (found bool) {
 	s.usedAt = now
-	isWaiter := func(w waiter) bool { return w.id == id }
-	_, held := s.held[id]
-	switch {
-	case held:
+	if _, held := s.held[id]; held {
 		s.learn(now, rejected)
 		delete(s.held, id)
-	case slices.ContainsFunc(s.queue, isWaiter):
-		s.queue = slices.DeleteFunc(s.queue, isWaiter)
-	case id.isChosen() && len(s.returned) < maxReturned:
-		s.returned[id] = now.Add(returnedRetention)
+		return true
 	}
-	return s.grant(now)
+	waiting := len(s.queue)
+	s.queue = slices.DeleteFunc(s.queue, func(w waiter) bool { return w.id == id })
+	return len(s.queue) < waiting
 }
 
 // learn adapts the limit to the outcome of a request.
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -78,6 +78,26 @@
 	require.False(t, ask(5, 0).Granted, "the limit is 1")
 }
 
+// Guards against returns that are forgotten because many requests waited in vain.
+func TestRequestsThatWaitInVain(t *testing.T) {
+	l := permit.NewLedger()
+	now := start
+	l.Take(now, request(0, 0))
+	for i := range 2000 {
+		a := request(0, time.Microsecond)
+		a.ID = permit.ChosenID(uint64(i))
+		require.True(t, l.Take(now, a).Queued)
+		now = now.Add(2 * time.Microsecond)
+		l.Tick(now)
+		l.Leave(now, one, a.ID)
+	}
+	l.Return(now, one, permit.ChosenID(5000), false)
+	late := request(0, lease)
+	late.ID = permit.ChosenID(5000)
+	got := l.Take(now, late)
+	require.False(t, got.Granted || got.Queued)
+}
+
 // Guards against requests with ids of their own that overtake those that wait, and against the ids of
 // requesters that choose none.
 func TestFirstComeFirstServed(t *testing.T) {
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -141,7 +141,7 @@
 	defer r.mu.Unlock()
 	delete(r.permitWaiters, got.ID)
 	// A permit that was granted just now is given back, too.
-	r.receivePermit(time.Now(), shed.PermitReturned{Start: call.Start, ID: uint64(got.ID)})
+	r.notifyPermits(r.permits.Leave(time.Now(), call.Start, got.ID))
 	return peers.PermitReply{}
 }
 
