--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -124,18 +124,31 @@
 	return d, f, b
 }
 
-// serveText serves a request and returns its answer, the caller's text, and how often that was reset.
-func serveText(d *Daemon) (answer shed.Answer, text string, resets int) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	req := shed.Request{Workspace: "w", Token: "secret", Pipeline: "p"}
-	answer = d.Serve(ctx, req, func(u shed.Update) {
-		if u.Reset {
-			text, resets = "", resets+1
-		}
-		text += u.Text
+// beginStream serves a request. The function that it returns waits for its end, requires that the caller
+// has the text whole, and returns how often it was reset.
+func beginStream(t *testing.T, d *Daemon) func(want string) (resets int) {
+	var answer shed.Answer
+	var text string
+	var resets int
+	var g errgroup.Group
+	g.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		answer = d.Serve(ctx, shed.Request{Workspace: "w", Token: "secret", Pipeline: "p"}, func(u shed.Update) {
+			if u.Reset {
+				text, resets = "", resets+1
+			}
+			text += u.Text
+		})
+		return nil
 	})
-	return answer, text, resets
+	return func(want string) int {
+		require.NoError(t, g.Wait())
+		require.Equal(t, shed.OutcomeComplete, answer.Outcome, answer.Reason)
+		require.Equal(t, want, answer.Payload.Text)
+		require.Equal(t, want, text)
+		return resets
+	}
 }
 
 // waitForAttempt waits until calls has the attempt and the step that sent or ended it is performed.
@@ -177,21 +190,10 @@
 				"s2": silentAfter("", goOn[1], "cd"),
 				"s3": silentAfter("", goOn[2], "ef"),
 			}, placements{at("s1"), at("s2"), at("s3")})
-			var answer shed.Answer
-			var text string
-			var resets int
-			var g errgroup.Group
-			g.Go(func() error {
-				answer, text, resets = serveText(d)
-				return nil
-			})
+			await := beginStream(t, d)
 			waitForAttempt(t, d, b.started, 3)
 			close(goOn[c.goesOn])
-			require.NoError(t, g.Wait())
-			require.Equal(t, shed.OutcomeComplete, answer.Outcome, answer.Reason)
-			require.Equal(t, c.text, answer.Payload.Text)
-			require.Equal(t, c.text, text)
-			require.Equal(t, c.resets, resets)
+			require.Equal(t, c.resets, await(c.text))
 			require.NoError(t, d.work.Wait())
 			require.Empty(t, d.calls)
 		})
@@ -287,21 +289,10 @@
 				"s1": silentAfter("a", goOn, "b"), "s2": c.server,
 			}, placements{at("s1"), second})
 			d.cfg.Peers = peers.NewClient(peers.ClientConfig{})
-			var answer shed.Answer
-			var text string
-			var resets int
-			var g errgroup.Group
-			g.Go(func() error {
-				answer, text, resets = serveText(d)
-				return nil
-			})
+			await := beginStream(t, d)
 			waitForAttempt(t, d, f.ended, 2)
 			close(goOn)
-			require.NoError(t, g.Wait())
-			require.Equal(t, shed.OutcomeComplete, answer.Outcome, answer.Reason)
-			require.Equal(t, "ab", answer.Payload.Text)
-			require.Equal(t, "ab", text)
-			require.Zero(t, resets)
+			require.Zero(t, await("ab"))
 			require.NoError(t, d.work.Wait())
 			require.Empty(t, d.calls)
 			require.NoError(t, d.cfg.Peers.Close())
