relay: a permit that is returned later needs no second job

returnPermitAfter made a job only to carry the permit. What sends a permit back takes the permit now, and both callers detach it from their request. Behaviour is the same; the tests of permits in platform pass with the race detector.

--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -84,11 +84,20 @@
 // returnPermit gives the request's permit back, if it has one. rejected is set if the server turned
 // the request away for want of room.
 func (r *Relay) returnPermit(j *job, rejected bool) {
+	if p := j.detachPermit(); p.owner != "" {
+		r.sendBack(p, rejected)
+	}
+}
+
+// detachPermit removes the request's permit, if it has one.
+func (j *job) detachPermit() heldPermit {
 	p := j.permit
 	j.permit = heldPermit{}
-	if p.owner == "" {
-		return
-	}
+	return p
+}
+
+// sendBack gives a permit back to its owner.
+func (r *Relay) sendBack(p heldPermit, rejected bool) {
 	m := shed.PermitReturned{Start: p.start, ID: uint64(p.id), Rejected: rejected}
 	if p.owner == r.mesh.self.VM {
 		r.ReturnPermit(m)
@@ -101,14 +110,13 @@
 
 // returnPermitAfter gives the request's permit back after d, or when this VM ends.
 func (r *Relay) returnPermitAfter(j *job, d time.Duration) {
-	held := &job{permit: j.permit}
-	j.permit = heldPermit{}
-	if held.permit.owner == "" {
+	p := j.detachPermit()
+	if p.owner == "" {
 		return
 	}
 	r.work.Go(func() error {
 		sleep(r.base, d)
-		r.returnPermit(held, false)
+		r.sendBack(p, false)
 		return nil
 	})
 }
