--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -100,14 +100,9 @@
 // compare orders idle servers by who gets a call first. Servers often fall silent together, so those that
 // answered since the last silence began go before others; lastSilence is zero if no server is silent.
 func (s server) compare(o server, lastSilence time.Time) int {
-	if s.producer.unreached != o.producer.unreached {
-		// Probes go first: a probed piece stays pending for the other servers.
-		if s.producer.unreached {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		// Probes go first: a probed piece stays pending for the other servers.
+		compareBools(o.producer.unreached, s.producer.unreached),
 		compareBools(s.producer.silent, o.producer.silent),
 		compareBools(s.mayBeSilent(lastSilence), o.mayBeSilent(lastSilence)),
 		cmp.Compare(s.producer.slowness, o.producer.slowness),
--- a/internal/flow/silence.go
+++ b/internal/flow/silence.go
@@ -139,11 +139,7 @@
 }
 
 func (f *Flow) expireSilence(now time.Time) {
-	for id, until := range f.silentServers {
-		if now.After(until) {
-			delete(f.silentServers, id)
-		}
-	}
+	maps.DeleteFunc(f.silentServers, func(_ shed.ServerID, until time.Time) bool { return now.After(until) })
 }
 
 // appendSilentServers adds the other silent servers of the stage's pool: a replacement there would
