--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/answer"
 
 	"go.opentelemetry.io/otel/trace"
 )
@@ -153,3 +155,56 @@
 		}
 	}
 }
+
+// newAssembly starts the result of a call, continuing the one that it resumes.
+// If text will be produced again, the caller gets a reset.
+func (r *run) newAssembly(id, resumes shed.Call, from shed.Tokens) *answer.Assembly {
+	fresh := answer.New(answer.Config{Call: id})
+	// The text of a silent call is void only once its replacement becomes the current call.
+	if r.current != nil || r.last == nil || r.last.assembly == nil || r.last.id.Stage != id.Stage {
+		return fresh
+	}
+	if from > 0 && r.last.id == resumes {
+		if parts, err := r.last.assembly.Resume(id, from); err == nil {
+			return parts
+		}
+	}
+	r.resetText(r.last)
+	return fresh
+}
+
+// resetText tells the caller that the text of the call is void, if there is any.
+func (r *run) resetText(c *call) {
+	if c.assembly.Text() != "" {
+		r.push(shed.Update{Stage: c.stage, Reset: true})
+	}
+}
+
+// promote makes the first replacement of the silent call c, which is cancelled or has failed, the
+// current call. The caller holds Daemon.mu.
+func (r *run) promote(c *call) {
+	r.current = nil
+	if len(r.replacements) > 0 {
+		r.current = r.replacements[0]
+		r.replacements = slices.Delete(r.replacements, 0, 1)
+		r.resetText(c)
+	}
+}
+
+// completeReplacement makes c the current call if it is a replacement of the silent one. The caller
+// holds Daemon.mu.
+func (r *run) completeReplacement(c *call) {
+	if !slices.Contains(r.replacements, c) {
+		return
+	}
+	silent := r.current
+	silent.replace()
+	r.dropReplacement(c)
+	r.current = c
+	r.resetText(silent)
+}
+
+// dropReplacement removes c from the replacements, if it is among them. The caller holds Daemon.mu.
+func (r *run) dropReplacement(c *call) {
+	r.replacements = slices.DeleteFunc(r.replacements, func(x *call) bool { return x == c })
+}
