relay: a VM takes as many new connections as its processor and link can serve

Callers saw: while most new connections went to one VM, it read nearly all of them and served few.

Cause: nothing in a VM knew what its processor and link can do. Limits are numbers of connections, far above that, so whatever came was read, and its work made all of it late.

Change: while the processor or the link delays work (internal/strain), the VM takes no new connections until what it has is through, then fewer than before, and more again step by step (internal/intake). Meanwhile the callers' listener is closed, so the system refuses connections before anything is read and callers try another VM at once. Only while two thirds of the active peers aren't strained, which load reports tell; after a second it says that it isn't ready. Open connections are left alone.

Tried and dropped: a least rate of four a second with the listener open until one came. With a delay of 0.2 s the first connection comes late, and all that come meanwhile are reset with their requests on the link, which stayed full for 8 s (1,013 such). Reopening at once when the delay falls below its target: the same in part. So it waits until the delay is a fifth of it.

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/sync/errgroup"
 
+	shed "jasmineshed"
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/telem"
 )
@@ -34,7 +35,11 @@
 	CallTimeout time.Duration
 	// DrainTimeout bounds how long Serve waits for requests in flight when it stops.
 	DrainTimeout time.Duration
-	Log          logrus.FieldLogger
+	// Intake decides when connections are accepted; nil accepts all. While it pauses, the listener is closed, and
+	// Reopen opens it again at its address.
+	Intake shed.Intake
+	Reopen func() (net.Listener, error)
+	Log    logrus.FieldLogger
 }
 
 // Server serves one HTTP listener. It can serve only once.
@@ -59,7 +64,11 @@
 // listener adds the connection limit and TLS. The limit is innermost, so that a connection
 // counts from its TLS handshake on.
 func (s *Server) listener() net.Listener {
-	var l net.Listener = newLimitListener(s.cfg.Listener, s.cfg.Limits.Connections)
+	l := s.cfg.Listener
+	if s.cfg.Intake != nil {
+		l = newIntakeListener(s.cfg)
+	}
+	l = newLimitListener(l, s.cfg.Limits.Connections)
 	if s.cfg.TLS == nil {
 		return l
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -40,7 +40,7 @@
 		Sequence: r.mesh.sequence, HeldBytes: r.batcher.HeldBytes(), Servers: shares, Waits: forecasts,
 		// Messages are encoded later, in another goroutine.
 		ExpectedPieces: maps.Clone(r.expected), ExpectedBytes: maps.Clone(r.expectedBytes), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
-		Isolated: r.paths.isolated, Lost: r.lostServers(),
+		Strained: r.isStrained(now), Isolated: r.paths.isolated, Lost: r.lostServers(),
 		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
 	}
 	if len(turn.ForecastTo) > 0 {
@@ -105,6 +105,7 @@
 	r.mesh.lastSequence[from] = m.Sequence
 	r.mesh.lastLoad[from.VM] = shed.Later(r.mesh.lastLoad[from.VM], reportedAt)
 	r.receivePaths(now, from.VM, m.Isolated, m.Lost)
+	r.receiveStrain(from.VM, m.Strained)
 	r.picker.SetPeerShares(from.VM, m.Servers)
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
 	r.setPeerExpected(from.VM, m.ExpectedPieces, m.ExpectedBytes)
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -88,6 +88,8 @@
 	expectedSum      map[shed.PoolID]int
 	expectedBytes    map[shed.VM]map[shed.PoolID]int64
 	expectedBytesSum map[shed.PoolID]int64
+	// strained are the peers whose processor or link makes their work late.
+	strained map[shed.VM]bool
 	// pieceCalls are the piece calls in flight at each peer, by call number.
 	pieceCalls    map[shed.VM]map[uint64]peerCall
 	lastPieceCall uint64
@@ -111,6 +113,7 @@
 		pulse:        pulse.New(),
 		expected:     map[shed.VM]map[shed.PoolID]int{}, expectedSum: map[shed.PoolID]int{},
 		expectedBytes: map[shed.VM]map[shed.PoolID]int64{}, expectedBytesSum: map[shed.PoolID]int64{},
+		strained: map[shed.VM]bool{},
 	}
 	r.mesh.follower, r.mesh.fanout = follow.New(r.mesh.self.VM), fanout.New(r.mesh.self.VM)
 	r.joinMesh()
@@ -169,6 +172,7 @@
 				r.mesh.pulse.Forget(a.Peer)
 				r.asker.Forget(a.Peer)
 				delete(r.paths.carriers.isolated, a.Peer)
+				delete(r.mesh.strained, a.Peer)
 				delete(r.paths.carriers.backoffUntil, a.Peer)
 				r.handleFollowEvent(time.Now(), follow.PeerDied{VM: a.Peer})
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/httpd"
+	"jasmineshed/internal/intake"
 	"jasmineshed/internal/limit"
 	"jasmineshed/internal/member"
 	"jasmineshed/internal/oper"
@@ -60,6 +61,8 @@
 	Tracing *telem.Tracing
 	// Listeners are opened by Listen.
 	Listeners Listeners
+	// ListenCallers opens the callers' listener at an address again, after it was closed for a pause; nil means TCP.
+	ListenCallers func(ctx context.Context, addr string) (net.Listener, error)
 	// Dial opens connections to backend servers; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialPeer opens connections to peers; nil means TCP.
@@ -124,6 +127,7 @@
 	asker        *resv.Asker
 	paths        paths
 	meter        *strain.Meter
+	valve        *intake.Valve
 	retryBudgets map[shed.PoolID]*retry.Budget
 	group        *member.Group
 	mesh         mesh
@@ -153,6 +157,11 @@
 	if cfg.Dial == nil {
 		cfg.Dial = newServerDialer(cfg.Prefs).DialContext
 	}
+	if cfg.ListenCallers == nil {
+		cfg.ListenCallers = func(ctx context.Context, addr string) (net.Listener, error) {
+			return httpd.Listen(ctx, addr, cfg.Prefs.Limits.WriteTimeout)
+		}
+	}
 	base, halt := context.WithCancel(context.Background())
 	r := &Relay{
 		cfg:           cfg,
@@ -171,6 +180,7 @@
 		access:        access.New(),
 		paths:         newPaths(),
 		meter:         strain.New(),
+		valve:         intake.New(),
 		permits:       permit.NewLedger(),
 		picker:        picker.New(picker.Config{Zone: shed.ZoneID(cfg.Prefs.Node.Zone)}),
 		speeds:        speed.New(),
@@ -190,7 +200,7 @@
 	r.carriedSender = engine.NewSender(engine.Config{Dial: r.dialCarried, ConnectTimeout: carryTimeout})
 	r.front = httpd.New(httpd.Config{
 		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
-		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Log: r.log,
+		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Intake: callerIntake{r}, Reopen: r.reopenCallers, Log: r.log,
 	})
 	r.batcher = batch.New(r.serverEntries)
 	r.startMesh()
@@ -328,7 +338,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Usable()
+	return r.roster.Usable() && !r.valve.Saturated(time.Now())
 }
 
 // tickEvery is the tick period of the pure packages.
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -31,9 +31,11 @@
 	carriedRequests tally.Counter
 	carriedForPeers tally.Counter
 	isolated        tally.Gauge
-	// processorDelay and linkDelay are how late the VM's own resources make its work.
+	// processorDelay and linkDelay are how late the VM's own resources make its work, intakeLimit is how many new
+	// connections it takes per second, 0 for all.
 	processorDelay tally.Gauge
 	linkDelay      tally.Gauge
+	intakeLimit    tally.Gauge
 	pathProbes     tally.Counter
 	storeCalls     tally.Counter
 	storeFailures  tally.Counter
@@ -69,6 +71,7 @@
 		isolated:             s.Gauge("isolated"),
 		processorDelay:       s.Gauge("processor_delay_seconds"),
 		linkDelay:            s.Gauge("link_delay_seconds"),
+		intakeLimit:          s.Gauge("new_connections_limit"),
 		pathProbes:           s.Counter("path_probes"),
 		storeCalls:           s.Counter("store_calls"),
 		storeFailures:        s.Counter("store_failures"),
@@ -162,8 +165,9 @@
 	scope.Gauge("result_stay_seconds").Update(stay.Seconds())
 }
 
-// recordStrain records how late the VM's own resources make its work.
-func (s stats) recordStrain(l strain.Load) {
+// recordStrain records how late the VM's own resources make its work, and its limit of new connections.
+func (s stats) recordStrain(l strain.Load, limit float64) {
 	s.processorDelay.Update(l.Processor.Seconds())
 	s.linkDelay.Update(l.Link.Seconds())
+	s.intakeLimit.Update(limit)
 }
--- a/internal/relay/strain.go
+++ b/internal/relay/strain.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"runtime"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	shed "jasmineshed"
+	"jasmineshed/internal/intake"
 	"jasmineshed/internal/strain"
 )
 
-// runProbes measures how long work waits for this VM's processor.
+// runProbes measures how long work waits for this VM's processor, and adapts what the VM takes in.
 func (r *Relay) runProbes(ctx context.Context) error {
 	t := time.NewTicker(strain.ProbeInterval)
 	defer t.Stop()
@@ -32,7 +36,60 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.meter.Probed(now.Sub(began))
-	r.stats.recordStrain(r.meter.Load(now))
+	r.adjustIntake(now)
+}
+
+// adjustIntake adapts what this VM takes in. The caller holds mu.
+func (r *Relay) adjustIntake(now time.Time) {
+	load := r.meter.Load(now)
+	was := r.valve.Limited()
+	r.valve.Adjust(now, intake.State{Load: load, Alternatives: r.haveAlternatives(now)})
+	r.stats.recordStrain(load, r.valve.Limit())
+	if limited := r.valve.Limited(); limited != was {
+		r.stats.stateChanges.Inc(1)
+		r.log.WithFields(logrus.Fields{
+			"limited": limited, "processor_ms": load.Processor.Milliseconds(), "link_ms": load.Link.Milliseconds(),
+			"limit": r.valve.Limit(), "open": r.open.Load(),
+		}).Info("limit of new connections")
+	}
+}
+
+// haveAlternatives reports whether two thirds of the active peers can take the callers that this VM turns away. The
+// caller holds mu.
+func (r *Relay) haveAlternatives(now time.Time) bool {
+	able, n := 0, 0
+	for _, vm := range r.activeVMs(now) {
+		if vm == r.mesh.self.VM {
+			continue
+		}
+		n++
+		if !r.mesh.strained[vm] {
+			able++
+		}
+	}
+	return 3*able > 2*n
+}
+
+// callerIntake is the shed.Intake of the callers' listener.
+type callerIntake struct{ relay *Relay }
+
+// Pause implements shed.Intake.
+func (c callerIntake) Pause() time.Duration {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	return c.relay.valve.Pause(time.Now())
+}
+
+// Taken implements shed.Intake.
+func (c callerIntake) Taken() {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	c.relay.valve.Taken(time.Now())
+}
+
+// reopenCallers opens the callers' listener again after a pause.
+func (r *Relay) reopenCallers() (net.Listener, error) {
+	return r.cfg.ListenCallers(r.base, r.cfg.Listeners.Callers.Addr().String())
 }
 
 // recordConnect records how long it took to connect to a server, or until that was given up.
@@ -54,3 +111,17 @@
 	defer r.mu.Unlock()
 	r.meter.Exchanged(time.Now(), string(vm), took)
 }
+
+// isStrained reports whether this VM can't take callers that others turn away. The caller holds mu.
+func (r *Relay) isStrained(now time.Time) bool {
+	return r.valve.Limited() || r.meter.Load(now).Strained()
+}
+
+// receiveStrain records whether a peer is strained. The caller holds mu.
+func (r *Relay) receiveStrain(vm shed.VM, strained bool) {
+	if strained {
+		r.mesh.strained[vm] = true
+	} else {
+		delete(r.mesh.strained, vm)
+	}
+}
--- a/message.go
+++ b/message.go
@@ -161,6 +161,8 @@
 	Leaving []ServerStart `cbor:"15,keyasint,omitempty"`
 	// Isolated is set if the sender has no path to any backend server.
 	Isolated bool `cbor:"16,keyasint,omitempty"`
+	// Strained is set if the sender's processor or link makes its work late.
+	Strained bool `cbor:"21,keyasint,omitempty"`
 	// Lost are servers to which the sender lost its path though it reaches others; not all if there
 	// are many.
 	Lost []ServerID `cbor:"17,keyasint,omitempty"`
