relay: a VM's own delay is no trouble of servers and peers

Callers saw: from 1.4 s of the rush on, requests ended as not_sent, servers_unreachable and pieces_not_made, while servers and peers were idle: 1,768 attempts failed as not_sent, 3,273 times a peer that gathers pieces gave no answer, 48 peers were suspected.

Cause: time limits for what others do at once (connect, probe, turn, permit, free, survey, carry, heartbeat, ack: 150 to 1,000 ms) run by the clock of a VM whose goroutines and packets are late by as much. What was late here counted as trouble there, was tried again elsewhere, and made the VM later.

Change: these limits grow by three times the delay that strain measures, one second at most; so do the silences after which servers and peers are doubted. Only where the VM waits: what a request may take is unchanged.

TestLateVMBlamesNobody: both peers found silent without an allowance, none with it. A dead peer is still found, at most a second later, and only by a VM that is late itself.

--- a/internal/member/clock.go
+++ b/internal/member/clock.go
@@ -72,3 +72,6 @@
 	}
 	return lease && answered >= min(peers, minConfirmations)
 }
+
+// SetAllowance sets how much longer others may take to answer because this VM itself is late.
+func (g *Group) SetAllowance(d time.Duration) { g.allowance = d }
--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -105,7 +105,9 @@
 // Group is the view of the processes. It is not safe for concurrent use.
 type Group struct {
 	cfg Config
-	rng *rand.Rand
+	// allowance is how much longer others may take to answer because this VM itself is late.
+	allowance time.Duration
+	rng       *rand.Rand
 
 	// self is what this process announces about itself.
 	self    shed.Member
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -156,11 +156,11 @@
 	for _, p := range probes {
 		age := now.Sub(p.sentAt)
 		switch {
-		case age < g.cfg.AckTimeout:
+		case age < g.cfg.AckTimeout+g.allowance:
 		case !p.relayed && p.requester == "":
 			p.relayed = true
 			out = g.requestRelayProbes(out, p)
-		case age < 2*g.cfg.AckTimeout:
+		case age < 2*(g.cfg.AckTimeout+g.allowance):
 		default:
 			out = g.handleTimeout(now, out, p)
 			continue
@@ -231,7 +231,7 @@
 			if _, listed := g.listed[vm]; !listed && now.Sub(r.deadAt) > g.cfg.DeadRetention {
 				expired = append(expired, vm)
 			}
-		case !r.suspectAt.IsZero() && now.Sub(r.suspectAt) >= g.cfg.SuspectTimeout:
+		case !r.suspectAt.IsZero() && now.Sub(r.suspectAt) >= g.cfg.SuspectTimeout+g.allowance:
 			g.markDead(now, r)
 			g.queueUpdate(r.Member)
 			out = append(out, shed.Note{Reason: ReasonPeerDead, Peer: vm, Zone: r.Zone})
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -13,6 +13,7 @@
 	shed "jasmineshed"
 	"jasmineshed/internal/frame"
 	"jasmineshed/internal/httpd"
+	"jasmineshed/internal/strain"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
@@ -58,6 +59,8 @@
 	// OnAnswered is called with the time that a peer took to acknowledge a control message; may be nil. It must not
 	// block.
 	OnAnswered func(from shed.VM, took time.Duration)
+	// Extend extends a time limit for peers by how late this VM itself is; nil leaves it.
+	Extend func(limit time.Duration) time.Duration
 	// OnPeerLost is called for a peer whose connection timed out or can't be established; may be nil.
 	// It must not block.
 	OnPeerLost func(to shed.VM)
@@ -105,6 +108,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
+	if cfg.Extend == nil {
+		cfg.Extend = func(limit time.Duration) time.Duration { return limit }
+	}
 	c := &Client{
 		cfg:         cfg,
 		generations: make(map[shed.VM]uint64),
@@ -123,7 +129,7 @@
 }
 
 func dialTCP(ctx context.Context, to shed.VM) (net.Conn, error) {
-	return httpd.Dialer(dialTimeout, sendTimeout).DialContext(ctx, "tcp", string(to))
+	return httpd.Dialer(dialTimeout+strain.MaxAllowance, sendTimeout).DialContext(ctx, "tcp", string(to))
 }
 
 func (c *Client) connKey(to shed.VM) connKey {
@@ -149,7 +155,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, l connKey) (drpcpool.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Extend(dialTimeout))
 	defer cancel()
 	raw, err := c.cfg.Dial(ctx, l.to)
 	if err != nil {
@@ -207,7 +213,7 @@
 // sendControl performs the call of one control message.
 func (c *Client) sendControl(to shed.VM, e encoded) {
 	l := c.connKey(to)
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Extend(controlTimeout))
 	defer cancel()
 	began := time.Now()
 	err := c.pool.Get(ctx, l, c.dial).Invoke(ctx, rpcControl, wire, &e, &ack{})
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -52,7 +52,7 @@
 	s := &stream{
 		Stream: rpcStream, client: c, key: l, parent: ctx, cancel: cancel, release: done, activeAt: time.Now(),
 	}
-	s.idleTimer = time.AfterFunc(heartbeatTimeout, s.onTimeout)
+	s.idleTimer = time.AfterFunc(c.cfg.Extend(heartbeatTimeout), s.onTimeout)
 	return s, nil
 }
 
@@ -107,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.activeAt = time.Now()
-	s.idleTimer.Reset(heartbeatTimeout)
+	s.idleTimer.Reset(s.client.cfg.Extend(heartbeatTimeout))
 }
 
 func (s *stream) hasTimedOut() bool { return s.timedOut.Load() }
--- a/internal/pulse/pulse.go
+++ b/internal/pulse/pulse.go
@@ -42,8 +42,9 @@
 func (m *Monitor) Forget(vm shed.VM) { delete(m.heardAt, vm) }
 
 // FindSilent returns the silent peers, sorted. It is called at each tick; waitingSince is since
-// when a call has been in flight at each peer.
-func (m *Monitor) FindSilent(now time.Time, waitingSince map[shed.VM]time.Time) []shed.VM {
+// when a call has been in flight at each peer, allowance how much longer a peer may be silent because this VM
+// itself is late.
+func (m *Monitor) FindSilent(now time.Time, waitingSince map[shed.VM]time.Time, allowance time.Duration) []shed.VM {
 	if !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > maxTickGap {
 		m.resumedAt = now
 	}
@@ -51,7 +52,7 @@
 	var out []shed.VM
 	for _, vm := range slices.Sorted(maps.Keys(waitingSince)) {
 		since := shed.Later(shed.Later(waitingSince[vm], m.heardAt[vm]), m.resumedAt)
-		if now.Sub(since) >= maxSilence {
+		if now.Sub(since) >= maxSilence+allowance {
 			out = append(out, vm)
 		}
 	}
--- a/internal/pulse/pulse_test.go
+++ b/internal/pulse/pulse_test.go
@@ -34,7 +34,7 @@
 		if !ticks(at) {
 			continue
 		}
-		for _, vm := range m.FindSilent(start.Add(at), waiting) {
+		for _, vm := range m.FindSilent(start.Add(at), waiting, 0) {
 			if _, ok := found[vm]; !ok {
 				found[vm] = at
 			}
@@ -72,7 +72,21 @@
 	m := pulse.New()
 	m.Heard(start, "a")
 	now := start.Add(time.Minute)
-	require.Empty(t, m.FindSilent(now, map[shed.VM]time.Time{"a": now.Add(-tick)}))
+	require.Empty(t, m.FindSilent(now, map[shed.VM]time.Time{"a": now.Add(-tick)}, 0))
 	m.Forget("a")
-	require.Empty(t, m.FindSilent(now.Add(tick), nil))
+	require.Empty(t, m.FindSilent(now.Add(tick), nil, 0))
+}
+
+// Guards against a VM that takes its own delay for the silence of all its peers.
+func TestLateVMBlamesNobody(t *testing.T) {
+	const silent = 800 * time.Millisecond
+	for allowance, want := range map[time.Duration]int{0: 2, 200 * time.Millisecond: 2, 400 * time.Millisecond: 0} {
+		m := pulse.New()
+		waiting := map[shed.VM]time.Time{"a": start, "b": start}
+		var found []shed.VM
+		for at := tick; at <= silent; at += tick {
+			found = m.FindSilent(start.Add(at), waiting, allowance)
+		}
+		require.Len(t, found, want, allowance)
+	}
 }
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -76,6 +76,8 @@
 // dialCarried opens a connection to a server that a peer carries. The error is errNoCarrier if no
 // peer could be asked, and peers.ErrCarryUnreachable if one of those that were could not connect.
 func (r *Relay) dialCarried(ctx context.Context, _, addr string) (net.Conn, error) {
+	ctx, cancel := r.withTimeout(ctx, carryTimeout)
+	defer cancel()
 	var conn net.Conn
 	var closed peers.CarryClosedError
 	failure := errNoCarrier
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -235,7 +235,7 @@
 // sendFree frees results. If the call fails, the server drops them by itself a few seconds
 // later, and until then rejects pieces that it has no capacity for.
 func (r *Relay) sendFree(server shed.ServerEntry, refs []shed.ResultRef) {
-	ctx, cancel := context.WithTimeout(r.base, freeTimeout)
+	ctx, cancel := r.withTimeout(r.base, freeTimeout)
 	defer cancel()
 	req, err := r.cfg.Dialect.NewFreeRequest(server.Addr, refs)
 	if err == nil {
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -121,13 +121,15 @@
 	maps.DeleteFunc(r.paths.heardPool, func(_ shed.PoolID, at time.Time) bool { return now.Sub(at) >= vmSilence })
 	clear(r.paths.silent)
 	clear(r.paths.quiet)
-	allSilent := r.paths.table.Silence(now) >= vmSilence
+	// What this VM's own delay may hold up says nothing of the servers.
+	allowance := r.allowance()
+	allSilent := r.paths.table.Silence(now)-allowance >= vmSilence
 	for f := range r.paths.flights {
-		silence := f.silence(now)
+		silence := f.silence(now) - allowance
 		if silence < min(vmSilence, f.patience) {
 			continue
 		}
-		heardAgo := now.Sub(r.paths.heardFrom[f.addr()])
+		heardAgo := now.Sub(r.paths.heardFrom[f.addr()]) - allowance
 		if silence >= vmSilence && heardAgo >= vmSilence {
 			r.paths.quiet[f.addr()] = f.server.Pool
 		}
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -121,7 +121,7 @@
 
 // joinMesh starts with an empty membership view under the current incarnation.
 func (r *Relay) joinMesh() {
-	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer, OnHeard: r.peerHeard, OnAnswered: r.recordAnswer})
+	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer, OnHeard: r.peerHeard, OnAnswered: r.recordAnswer, Extend: r.extend})
 	r.group = member.New(member.Config{
 		Self: r.mesh.self, Zone: meshZone, Seeds: seedVMs(r.prefs.Load()),
 		Seed:          xxhash.Sum64String(string(r.mesh.self.VM)) ^ uint64(r.mesh.self.Incarnation),
@@ -142,6 +142,7 @@
 	if r.stopping.Load() {
 		return
 	}
+	r.group.SetAllowance(r.allowance())
 	r.performMesh(r.group.Handle(now, shed.Tick{Wall: now, Mono: now.Sub(start)}))
 	if r.group.Overruled() {
 		r.mesh.self.Incarnation = shed.Incarnation(now.Add(incarnationBump).UnixNano())
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -150,7 +150,7 @@
 func (r *Relay) askOrigin(
 	ctx context.Context, client *peers.Client, vms []shed.VM, key shed.StreamKey,
 ) (shed.StreamOrigin, bool) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	ctx, cancel := r.withTimeout(ctx, originTimeout)
 	defer cancel()
 	replies := make(chan peers.OriginReply, len(vms))
 	for _, vm := range vms {
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -167,8 +167,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case sent && f.silence(now) >= f.patience:
-		r.paths.table.Suspect(now, f.addr(), r.paths.table.Silence(now) >= vmSilence)
+	case sent && f.silence(now)-r.allowance() >= f.patience:
+		r.paths.table.Suspect(now, f.addr(), r.paths.table.Silence(now)-r.allowance() >= vmSilence)
 	case errors.Is(err, context.Canceled), sent && !closedByServer(err):
 	default:
 		r.paths.table.Failed(now, f.addr())
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -61,7 +61,7 @@
 	if owner == r.mesh.self.VM {
 		reply = r.Permit(ctx, call)
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, patience+turnTimeout)
+		callCtx, cancel := r.withTimeout(ctx, patience+turnTimeout)
 		reply, err = client.Permit(callCtx, owner, call)
 		cancel()
 	}
--- a/internal/relay/pieces.go
+++ b/internal/relay/pieces.go
@@ -111,7 +111,7 @@
 			}
 		}
 	}
-	for _, vm := range r.mesh.pulse.FindSilent(now, waiting) {
+	for _, vm := range r.mesh.pulse.FindSilent(now, waiting, r.allowance()) {
 		r.setBackoff(vm, now.Add(peerBackoff))
 		r.cancelPieceCalls(vm)
 	}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -229,7 +228,7 @@
 // connection at once. A VM that lost its path is refused by servers that live, and so are peers that lost
 // theirs: one that keeps a connection is proof enough.
 func (r *Relay) peersAreRefused(s shed.ServerEntry) bool {
-	ctx, cancel := context.WithTimeout(r.base, carryTimeout)
+	ctx, cancel := r.withTimeout(r.base, carryTimeout)
 	defer cancel()
 	var closed peers.CarryClosedError
 	refused, known, connected := false, false, false
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
@@ -108,7 +107,7 @@
 
 // probe makes a request that no server runs. carrierFound is false if no peer carries it.
 func (r *Relay) probe(sender *engine.Sender, server shed.ServerEntry) (level reach.Level, carrierFound bool) {
-	ctx, cancel := context.WithTimeout(r.base, probeTimeout)
+	ctx, cancel := r.withTimeout(r.base, probeTimeout)
 	defer cancel()
 	req, err := r.cfg.Dialect.NewProbeRequest(server.Addr)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,9 @@
 	// open counts requests being answered.
 	open atomic.Int64
 
+	// allowanceNanos is the allowance for others as of the last probe of the processor, in nanoseconds.
+	allowanceNanos atomic.Int64
+
 	// applyMu serializes applying data of the store. It is locked before mu.
 	applyMu sync.Mutex
 
@@ -196,8 +199,8 @@
 		activeFrees:   map[string]int{},
 	}
 	r.prefs.Store(cfg.Prefs)
-	r.sender = engine.NewSender(engine.Config{Dial: r.dialServer, ConnectTimeout: cfg.Prefs.Relay.Connect})
-	r.carriedSender = engine.NewSender(engine.Config{Dial: r.dialCarried, ConnectTimeout: carryTimeout})
+	r.sender = engine.NewSender(engine.Config{Dial: r.dialServer, ConnectTimeout: cfg.Prefs.Relay.Connect + strain.MaxAllowance})
+	r.carriedSender = engine.NewSender(engine.Config{Dial: r.dialCarried, ConnectTimeout: carryTimeout + strain.MaxAllowance})
 	r.front = httpd.New(httpd.Config{
 		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
 		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Intake: callerIntake{r}, Reopen: r.reopenCallers, Log: r.log,
@@ -212,7 +215,7 @@
 
 // newServerDialer returns the dialer of connections to backend servers.
 func newServerDialer(p *prefs.Prefs) *net.Dialer {
-	d := httpd.Dialer(p.Relay.Connect, p.Relay.Silence)
+	d := httpd.Dialer(p.Relay.Connect+strain.MaxAllowance, p.Relay.Silence)
 	if p.Relay.Source != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.Relay.Source)}
 	}
@@ -221,6 +224,8 @@
 
 // dialServer opens a connection to a backend server.
 func (r *Relay) dialServer(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := r.withTimeout(ctx, r.cfg.Prefs.Relay.Connect)
+	defer cancel()
 	began := time.Now()
 	c, err := r.cfg.Dial(ctx, network, addr)
 	r.stats.recordDial(err)
--- a/internal/relay/strain.go
+++ b/internal/relay/strain.go
@@ -36,6 +36,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.meter.Probed(now.Sub(began))
+	r.allowanceNanos.Store(int64(r.meter.Allowance(now)))
 	r.adjustIntake(now)
 }
 
@@ -112,6 +113,18 @@
 	r.meter.Exchanged(time.Now(), string(vm), took)
 }
 
+// withTimeout bounds what others do at once: by d, and by as much more as this VM's own processor and link may hold
+// it up, so that its own delay is not taken for theirs.
+func (r *Relay) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, r.extend(d))
+}
+
+// extend returns a time limit for others, extended by this VM's own delay.
+func (r *Relay) extend(d time.Duration) time.Duration { return d + r.allowance() }
+
+// allowance returns how much longer than usual this VM waits for others because it is late itself.
+func (r *Relay) allowance() time.Duration { return time.Duration(r.allowanceNanos.Load()) }
+
 // isStrained reports whether this VM can't take callers that others turn away. The caller holds mu.
 func (r *Relay) isStrained(now time.Time) bool {
 	return r.valve.Limited() || r.meter.Load(now).Strained()
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -65,7 +64,7 @@
 }
 
 func (r *Relay) sendSurvey(server shed.ServerEntry) (shed.ServerReport, error) {
-	ctx, cancel := context.WithTimeout(r.base, surveyTimeout)
+	ctx, cancel := r.withTimeout(r.base, surveyTimeout)
 	defer cancel()
 	req, err := r.cfg.Dialect.NewReportRequest(server)
 	if err != nil {
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -91,7 +91,7 @@
 }
 
 func (r *Relay) requestTurn(ctx context.Context, client *peers.Client, owner shed.VM, request turns.Request) turns.Decision {
-	callCtx, cancel := context.WithTimeout(ctx, turnTimeout)
+	callCtx, cancel := r.withTimeout(ctx, turnTimeout)
 	defer cancel()
 	got, err := client.Turn(callCtx, owner, peers.TurnCall(request))
 	if err == nil && !got.Moved {
--- a/internal/strain/strain.go
+++ b/internal/strain/strain.go
@@ -29,8 +29,8 @@
 	// allowanceFactor is how much longer than its delay a strained VM waits for others: a call waits for the
 	// processor and the link more than once.
 	allowanceFactor = 3
-	// maxAllowance bounds how much longer a strained VM waits for others.
-	maxAllowance = time.Second
+	// MaxAllowance bounds how much longer a strained VM waits for others.
+	MaxAllowance = time.Second
 )
 
 // Load is how late a VM's own resources make its work.
@@ -109,7 +109,7 @@
 // Allowance returns how much longer than usual to wait for others before their silence is a sign of trouble.
 func (m *Meter) Allowance(now time.Time) time.Duration {
 	l := m.Load(now)
-	return min(allowanceFactor*(l.Processor+l.Link), maxAllowance)
+	return min(allowanceFactor*(l.Processor+l.Link), MaxAllowance)
 }
 
 // processor is the median wait: a single long task or a pause delays one probe.
