engine: interim responses without a final one end the exchange

Callers saw: a server that sends 103 responses without end held their requests until the deadline, 504 instead of another server's answer.

Cause: net/http bounds the number of interim responses only while no hook sees them, and sendTracker has one for early answers; nothing else counts them.

Change: after 16 the exchange ends, the connection is closed, the server counts as failed, and a request that may be repeated goes to another one.

TestAnswersWithoutEnd: 1.31 s before (bound 1 s), green after. Its other cases (header fields, one header field, no head, a body under a head that is no answer) were green before. A body without end under a sealed head is still read until the deadline or 16 MB: nothing tells it from a long one.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// maxInterim is the number of interim (1xx) responses of a server that its final one may follow. net/http sets no limit
+// while a hook sees them.
+const maxInterim = 16
+
+// errTooManyInterim: a server sends interim responses and no final one.
+var errTooManyInterim = errors.New("too many interim responses")
+
 // sendTracker follows one call through net/http.
 type sendTracker struct {
 	sendBy time.Time
@@ -114,6 +121,8 @@
 
 	mu   sync.Mutex
 	conn *conn
+	// interim counts the interim responses. Only the goroutine that reads the connection uses it.
+	interim int
 	// untracked: the call got a connection that can't tell what was sent.
 	untracked bool
 }
@@ -123,6 +132,9 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: s.gotConn,
 		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if s.interim++; s.interim > maxInterim {
+				return errTooManyInterim
+			}
 			if code == http.StatusEarlyHints && s.onAccepted != nil {
 				s.onAccepted(h.Get(wire.HeaderBoot))
 			}
