--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -127,7 +127,7 @@
 		v.drain(now, rate)
 	case s.Load.Excess() > relief && !v.drainedFrom.IsZero():
 	case v.limit > 0 && now.Sub(v.pausedAt) > calmTime:
-		v.limit = 0
+		v.limit, v.drainedFrom = 0, time.Time{}
 	case v.limit > 0:
 		v.drainedFrom = time.Time{}
 		v.limit *= growth
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,7 +29,6 @@
 	// later is the work that comes in each of the next steps, in a ring.
 	later       []float64
 	at          int
-	paused      time.Duration
 	taken, gone int
 }
 
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -109,7 +109,7 @@
 	Power        float64       `ini:"power" unit:"number" min:"0" max:"1000000000" doc:"Capacity of this VM relative to the others, for example its link in Mbit/s. The VMs with at least half of the highest value coordinate batches of pieces and watch the store for all."`
 	Reload       time.Duration `ini:"reload" unit:"duration" min:"100ms" max:"1h" doc:"How often the settings file is checked for changes; SIGHUP triggers a check at once."`
 	Reservations bool          `ini:"reservations" unit:"true or false" doc:"Give refused callers of routes with steps a time from which their pieces are kept for them, and workspaces fair shares of a pool while demand exceeds its rate. Set it on all VMs."`
-	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve server_speed prefix_subset result_capacity,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes; server_speed weighs engines by the work time that they state; prefix_subset keeps each prefix of prompts on a few engines; result_capacity includes the capacity for results in forecasts."`
+	Without      []string      `ini:"without" unit:"names" check:"one_of=late_start kv_fetch urgent_reserve server_speed prefix_subset result_capacity intake_limit,empty" doc:"Optional decisions to disable, for experiments: late_start delays results that only the request itself needs until its longest path is nearly done; kv_fetch lets engines fetch shared parts of prompts from each other; urgent_reserve reserves queue capacity for more urgent routes; server_speed weighs engines by the work time that they state; prefix_subset keeps each prefix of prompts on a few engines; result_capacity includes the capacity for results in forecasts; intake_limit turns new connections away while the processor or link of the VM delays its work."`
 }
 
 // Values of Relay.Without.
@@ -120,6 +120,7 @@
 	ServerSpeed    = "server_speed"
 	PrefixSubset   = "prefix_subset"
 	ResultCapacity = "result_capacity"
+	IntakeLimit    = "intake_limit"
 )
 
 // Enabled reports whether an optional decision is made: whether Without doesn't name it.
--- a/internal/prefs/prefs_test.go
+++ b/internal/prefs/prefs_test.go
@@ -58,7 +58,7 @@
 		{"empty zone", "[node]\nzone =\n", []string{`[node] zone: "" is no name: 1 to 64 letters, digits, dots, dashes and underscores`}},
 		{"wrong scheme", "[platform]\nurl = ftp://192.0.2.1\n", []string{"[platform] url: its scheme is neither http nor https"}},
 		{"wrong word", "[log]\nlevel = loud\n", []string{`[log] level: "loud" is none of debug, info, warning, error`}},
-		{"wrong decision", "[relay]\nwithout = kv_fetch, all\n", []string{`[relay] without: "all" is none of late_start, kv_fetch, urgent_reserve, server_speed, prefix_subset, result_capacity`}},
+		{"wrong decision", "[relay]\nwithout = kv_fetch, all\n", []string{`[relay] without: "all" is none of late_start, kv_fetch, urgent_reserve, server_speed, prefix_subset, result_capacity, intake_limit`}},
 		{"no bool", "[listen]\nprofile = yes\n", []string{`[listen] profile: "yes" is neither true nor false`}},
 		{"key that faults don't have", "[faults]\nkill = 1\n", []string{"[faults] kill: unknown key"}},
 		{
--- a/internal/relay/strain.go
+++ b/internal/relay/strain.go
@@ -10,6 +10,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/intake"
+	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/strain"
 )
 
@@ -36,15 +37,18 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.meter.Probed(now.Sub(began))
-	r.allowanceNanos.Store(int64(r.meter.Allowance(now)))
-	r.adjustIntake(now)
+	load := r.meter.Load(now)
+	r.allowanceNanos.Store(int64(load.Allowance()))
+	r.adjustIntake(now, load)
 }
 
 // adjustIntake adapts what this VM takes in. The caller holds mu.
-func (r *Relay) adjustIntake(now time.Time) {
-	load := r.meter.Load(now)
+func (r *Relay) adjustIntake(now time.Time, load strain.Load) {
+	if !r.prefs.Load().Relay.Enabled(prefs.IntakeLimit) {
+		return
+	}
 	was := r.valve.Limited()
-	r.valve.Adjust(now, intake.State{Load: load, Alternatives: r.haveAlternatives(now)})
+	r.valve.Adjust(now, intake.State{Load: load, Alternatives: (was || load.Strained()) && r.haveAlternatives(now)})
 	r.stats.recordStrain(load, r.valve.Limit())
 	if limited := r.valve.Limited(); limited != was {
 		r.stats.stateChanges.Inc(1)
--- a/internal/strain/strain.go
+++ b/internal/strain/strain.go
@@ -22,10 +22,11 @@
 	minHosts = 3
 	// baseTime is how long the shortest exchange is remembered, twice at most.
 	baseTime = 30 * time.Second
-	// ProcessorTarget and LinkTarget are the delays above which a VM is strained. A request waits for the
-	// processor some ten times until it is answered, for the link a few times.
+	// ProcessorTarget is the delay of the processor above which a VM is strained. A request waits for the processor
+	// some ten times until it is answered.
 	ProcessorTarget = 15 * time.Millisecond
-	LinkTarget      = 60 * time.Millisecond
+	// LinkTarget is the delay of the link above which a VM is strained. A request waits for the link a few times.
+	LinkTarget = 60 * time.Millisecond
 	// allowanceFactor is how much longer than its delay a strained VM waits for others: a call waits for the
 	// processor and the link more than once.
 	allowanceFactor = 3
@@ -107,8 +108,7 @@
 }
 
 // Allowance returns how much longer than usual to wait for others before their silence is a sign of trouble.
-func (m *Meter) Allowance(now time.Time) time.Duration {
-	l := m.Load(now)
+func (l Load) Allowance() time.Duration {
 	return min(allowanceFactor*(l.Processor+l.Link), MaxAllowance)
 }
 
--- a/internal/strain/strain_test.go
+++ b/internal/strain/strain_test.go
@@ -80,11 +80,11 @@
 // never come.
 func TestAllowance(t *testing.T) {
 	m := meter()
-	require.Zero(t, m.Allowance(start))
+	require.Zero(t, m.Load(start).Allowance())
 	exchange(m, 3, 102*time.Millisecond)
-	require.Equal(t, 300*time.Millisecond, m.Allowance(start))
+	require.Equal(t, 300*time.Millisecond, m.Load(start).Allowance())
 	for range 8 {
 		m.Probed(time.Minute)
 	}
-	require.Equal(t, time.Second, m.Allowance(start))
+	require.Equal(t, time.Second, m.Load(start).Allowance())
 }
