httpd: a listener that is closed during a pause ends at once

Found by reading: Accept of a paused listener went round without waiting once it was closed, since what ends the wait is the close itself: a VM that stops while it turns connections away would have used its processor for as long as the pause lasted (2 s at most at a time).

--- a/internal/httpd/intake.go
+++ b/internal/httpd/intake.go
@@ -40,6 +40,9 @@
 // Accept implements net.Listener.
 func (l *intakeListener) Accept() (net.Conn, error) {
 	for {
+		if l.isClosed() {
+			return nil, net.ErrClosed
+		}
 		if pause := l.intake.Pause(); pause > 0 {
 			l.pause(pause)
 			continue
@@ -60,6 +63,12 @@
 	}
 }
 
+func (l *intakeListener) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
 // pause closes the listener and waits.
 func (l *intakeListener) pause(d time.Duration) {
 	l.mu.Lock()
