relay: disabling intake_limit ends a limit that is in force

Found by reading the change: settings are reloaded while a VM runs, and with intake_limit named in without the limit was no longer adjusted. A VM that was limited at that moment would have kept its limit, and after a second would have stayed not ready, until it was restarted; the gauges of its own delay stood still, too. Now the decision is passed to the valve as one without alternatives, which ends a limit at once, and the gauges go on. Nothing changes while intake_limit is enabled.

The reload in the middle of a limit has no test.

--- a/internal/relay/strain.go
+++ b/internal/relay/strain.go
@@ -44,11 +44,9 @@
 
 // adjustIntake adapts what this VM takes in. The caller holds mu.
 func (r *Relay) adjustIntake(now time.Time, load strain.Load) {
-	if !r.prefs.Load().Relay.Enabled(prefs.IntakeLimit) {
-		return
-	}
 	was := r.valve.Limited()
-	r.valve.Adjust(now, intake.State{Load: load, Alternatives: (was || load.Strained()) && r.haveAlternatives(now)})
+	mayLimit := r.prefs.Load().Relay.Enabled(prefs.IntakeLimit) && (was || load.Strained())
+	r.valve.Adjust(now, intake.State{Load: load, Alternatives: mayLimit && r.haveAlternatives(now)})
 	r.stats.recordStrain(load, r.valve.Limit())
 	if limited := r.valve.Limited(); limited != was {
 		r.stats.stateChanges.Inc(1)
