review: case 5, each part of a cut grants all places of a brittle server

Case: three of nine machines are cut off from the others while replicas are brittle and asked for 1.4 times of what they run. Four VMs then grant permits at each replica.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -59,6 +59,7 @@
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	sentAt.Store(out.id, time.Now())
+	sentTo.Store(out.id, r)
 	resp, err := r.client.Do(req)
 	if err != nil {
 		out.err = err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 	"cut-stream":         cutStream,
 	"cold-rate":          coldRate,
 	"last-key":           lastKey,
+	"brittle":            brittle,
 }
 
 func main() {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -53,6 +53,33 @@
 
 	running, waiting atomic.Int32
 	stageMu          sync.Mutex
+	// unlimited: run decides whether there is room for a request.
+	unlimited bool
+	// conns are the open connections.
+	connsMu sync.Mutex
+	conns   map[net.Conn]bool
+}
+
+// closeConns closes all connections, as when the process ends.
+func (s *server) closeConns() {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *server) keepConn(c net.Conn, open bool) {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	if s.conns == nil {
+		s.conns = map[net.Conn]bool{}
+	}
+	if open {
+		s.conns[c] = true
+	} else {
+		delete(s.conns, c)
+	}
 }
 
 // serverConn is one connection of a server.
@@ -85,6 +112,8 @@
 // on the connection is expected, before that.
 func (s *server) serveConn(c *serverConn) {
 	defer func() { _ = c.Close() }()
+	s.keepConn(c.Conn, true)
+	defer s.keepConn(c.Conn, false)
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
@@ -124,7 +153,7 @@
 	if s.arrived != nil && !s.arrived(id) {
 		return false
 	}
-	if int(s.running.Load()) >= s.Slots {
+	if !s.unlimited && int(s.running.Load()) >= s.Slots {
 		return s.write(c, req, http.StatusServiceUnavailable, http.Header{"X-Not-Executed": {"1"}}, nil)
 	}
 	s.running.Add(1)
