review: stand-ins choose ports that can't collide

Evidence: the relay's log had 'address already in use' for its control address, which was its ready address, too: both were ports of the system's choice that had been free in turn. Such ports may also be taken by a connection between their choice and their use.

Product code unchanged.

--- a/review/platform/proxy.go
+++ b/review/platform/proxy.go
@@ -28,7 +28,7 @@
 
 // front starts the proxy of a relay and returns its address.
 func (m *mesh) front(r *relay) string {
-	l, err := net.Listen("tcp", r.ip+":0")
+	l, err := net.Listen("tcp", freePort(r.ip))
 	must(err)
 	m.w.closers = append(m.w.closers, l)
 	go func() {
--- a/review/platform/world.go
+++ b/review/platform/world.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -115,12 +116,27 @@
 	return c, nil
 }
 
-// freePort returns an address with a port that is free now.
+// firstPort and lastPort bound the ports that freePort returns. They lie below those that the system gives to
+// connections, which would take a port between its choice and its use.
+const firstPort, lastPort = 12000, 28000
+
+// lastFreePort is the port that freePort returned last.
+var lastFreePort = firstPort + rand.IntN(lastPort-firstPort)
+
+// freePort returns an address with a port that is free, and a different one each time.
 func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	must(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		if lastFreePort++; lastFreePort >= lastPort {
+			lastFreePort = firstPort
+		}
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(lastFreePort)))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return l.Addr().String()
+	}
+	panic(notRun{errors.New("no free port")})
 }
 
 // deployRun returns the command of the deploy file without the path of its settings.
