review: case 5 cuts off two VMs in place of three

With three of nine VMs cut off and 1.4 times the traffic 3 to 7 falls counted against a bound of 2.3, so a slower machine might not have shown it.

Cause of the small number: half of what was turned away came from the VMs that were cut off, and a fall counts only if most came from the others.

Product code unchanged.

--- a/review/platform/scene_brittle.go
+++ b/review/platform/scene_brittle.go
@@ -21,6 +21,8 @@
 	brittleLimit = 5
 	brittleDown  = 2 * time.Second
 	brittleTime  = 50 * time.Second
+	// brittleDemand is what clients ask for, in proportion to what the servers can run.
+	brittleDemand = 2.0
 )
 
 // brittleServer is a server that falls over if it has to turn away too many requests.
@@ -68,7 +70,7 @@
 		s.cutUntil = time.Now().Add(cutTime)
 		s.mu.Unlock()
 		m.setCut(true, s.cut...)
-		s.w.record("relay-7, relay-8 and relay-9 are cut off from all other relays")
+		s.w.record("relay-8 and relay-9 are cut off from all other relays")
 		time.Sleep(cutTime)
 		m.setCut(false, s.cut...)
 		s.w.record("the cut has ended")
@@ -175,7 +177,7 @@
 	scene := &brittleScene{w: w}
 	var servers []*brittleServer
 	for i, zone := range zones {
-		s := &server{serverConfig: serverConfig{ID: fmt.Sprintf("i-records-%d", i), Service: "records", Addr: "127.0.0.1:0", Zone: zone, Slots: brittleSlots}}
+		s := &server{serverConfig: serverConfig{ID: fmt.Sprintf("i-records-%d", i), Service: "records", Addr: freePort("127.0.0.1"), Zone: zone, Slots: brittleSlots}}
 		b := &brittleServer{server: s, scene: scene, slot: make(chan struct{}, brittleSlots)}
 		s.run, s.unlimited = b.handle, true
 		servers = append(servers, b)
@@ -183,7 +185,7 @@
 	}
 	m := newMesh(w)
 	w.startRelays(9, zones, m.front)
-	scene.cut = w.relays[6:]
+	scene.cut = w.relays[7:]
 	end := make(chan struct{})
 	go func() {
 		defer close(end)
@@ -199,7 +201,7 @@
 		w.record("the servers are brittle from now on")
 		time.Sleep(brittleTime)
 	}()
-	every(1.4*3*brittleSlots/brittleWork.Seconds(), 4*time.Second+brittleTime, func(n int) {
+	every(brittleDemand*3*brittleSlots/brittleWork.Seconds(), 4*time.Second+brittleTime, func(n int) {
 		path, method := "read", "GET"
 		if n%3 > 0 {
 			path, method = "publish", "POST"
