relay: log how old a VM's knowledge was when it sent a request

Each line of a request and of a call for pieces has knowledge_ms and waited_ms now, beside the carrier.

engine.Sender asks a gate right before the first byte, in place of a fixed send deadline. No decision has changed: the relay's gate holds the same deadline, and notes the time.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -20,10 +20,28 @@
 var ErrNotConnected = errors.New("connecting")
 
 var (
-	errTooLate       = errors.New("send deadline passed")
+	// ErrTooLate is returned if a request was not sent because its send deadline had passed.
+	ErrTooLate       = errors.New("send deadline passed")
 	errWritesBlocked = errors.New("writes on this connection are blocked")
 )
 
+// Gate decides right before the first byte of a request whether the request may be sent; an error refuses
+// it. It is called once for each connection that the request gets, and must not block.
+type Gate func() error
+
+// before returns a Gate that refuses requests after sendBy; nil if sendBy is zero.
+func before(sendBy time.Time) Gate {
+	if sendBy.IsZero() {
+		return nil
+	}
+	return func() error {
+		if time.Now().After(sendBy) {
+			return ErrTooLate
+		}
+		return nil
+	}
+}
+
 // conn tracks whether a byte of its current call may have been sent.
 //
 // net/http may return an error while its writing goroutine is still about to write. A byte
@@ -33,20 +51,21 @@
 type conn struct {
 	net.Conn
 
-	mu      sync.Mutex
-	sendBy  time.Time
+	mu sync.Mutex
+	// gate is asked before the first write; nil allows it.
+	gate    Gate
 	wrote   bool
 	blocked bool
-	// tooLate is set if a write was blocked because it came after sendBy.
-	tooLate bool
+	// refused is why the gate refused the first write; nil if it didn't.
+	refused error
 }
 
-// assign gives the connection to one call, whose first write is allowed until sendBy.
-func (c *conn) assign(until time.Time) {
+// assign gives the connection to one call, whose first write gate has to allow.
+func (c *conn) assign(gate Gate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendBy = until
-	c.wrote, c.tooLate = false, false
+	c.gate = gate
+	c.wrote, c.refused = false, nil
 }
 
 // blockUnlessWritten reports whether a byte may have been sent since assign. If none has, none
@@ -60,9 +79,9 @@
 	return c.wrote
 }
 
-// Write checks the call's send deadline immediately before its first bytes. This catches a
-// process that was paused after it had decided to send, while dialling or in net/http; the
-// remaining gap is one system call.
+// Write asks the call's gate immediately before its first bytes. What the call was decided on may have
+// changed while it was connecting or in net/http, or while the process was paused; the remaining gap is
+// one system call.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.checkWrite(); err != nil {
 		return 0, err
@@ -79,18 +98,21 @@
 	if c.wrote {
 		return nil
 	}
-	if !c.sendBy.IsZero() && time.Now().After(c.sendBy) {
-		c.blocked, c.tooLate = true, true
-		return errTooLate
+	if c.gate != nil {
+		if err := c.gate(); err != nil {
+			c.blocked, c.refused = true, err
+			return err
+		}
 	}
 	c.wrote = true
 	return nil
 }
 
-func (c *conn) wasTooLate() bool {
+// refusal returns why the gate refused the call; nil if it didn't.
+func (c *conn) refusal() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tooLate
+	return c.refused
 }
 
 func newDialFunc(cfg Config) func(context.Context, string, string) (net.Conn, error) {
@@ -115,7 +137,7 @@
 
 // sendTracker follows one call through net/http.
 type sendTracker struct {
-	sendBy time.Time
+	gate Gate
 	// onAccepted is called with the boot id of an early (103) response.
 	onAccepted func(boot string)
 
@@ -155,11 +177,11 @@
 		return
 	}
 	if s.conn != nil {
-		c.assign(time.Time{})
+		c.assign(nil)
 		c.blockUnlessWritten()
 		return
 	}
-	c.assign(s.sendBy)
+	c.assign(s.gate)
 	s.conn = c
 }
 
@@ -179,8 +201,11 @@
 func (s *sendTracker) sendError(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn != nil && s.conn.wasTooLate() && !errors.Is(err, errTooLate) {
-		return fmt.Errorf("%w: %w", errTooLate, err)
+	if s.conn == nil {
+		return err
+	}
+	if refused := s.conn.refusal(); refused != nil && !errors.Is(err, refused) {
+		return fmt.Errorf("%w: %w", refused, err)
 	}
 	return err
 }
--- a/internal/engine/conn_test.go
+++ b/internal/engine/conn_test.go
@@ -31,7 +31,7 @@
 func TestSecondSendingIsSealed(t *testing.T) {
 	first := &conn{Conn: discardConn{}}
 	second := &conn{Conn: discardConn{}}
-	s := &sendTracker{sendBy: time.Now().Add(time.Hour)}
+	s := &sendTracker{gate: before(time.Now().Add(time.Hour))}
 	s.gotConn(httptrace.GotConnInfo{Conn: first})
 	_, err := first.Write([]byte("POST"))
 	require.NoError(t, err)
@@ -52,12 +52,12 @@
 // connection that it closed after the blocked write.
 func TestTooLateIsTheCauseWhateverNetHTTPReturns(t *testing.T) {
 	c := &conn{Conn: discardConn{}, wrote: true}
-	s := &sendTracker{sendBy: time.Now().Add(-time.Second)}
+	s := &sendTracker{gate: before(time.Now().Add(-time.Second))}
 	s.gotConn(httptrace.GotConnInfo{Conn: c})
 	_, err := c.Write([]byte("POST"))
-	require.ErrorIs(t, err, errTooLate)
-	require.ErrorIs(t, s.sendError(net.ErrClosed), errTooLate)
+	require.ErrorIs(t, err, ErrTooLate)
+	require.ErrorIs(t, s.sendError(net.ErrClosed), ErrTooLate)
 	require.ErrorIs(t, s.sendError(net.ErrClosed), net.ErrClosed)
-	c.assign(time.Time{})
-	require.NotErrorIs(t, s.sendError(net.ErrClosed), errTooLate)
+	c.assign(nil)
+	require.NotErrorIs(t, s.sendError(net.ErrClosed), ErrTooLate)
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -56,7 +56,7 @@
 		return c.newEnd(shed.EndNotStarted, shed.ReasonBroken)
 	}
 	c.setHeaders(ctx, req.Header)
-	tracker := &sendTracker{sendBy: c.start.SendBy, onAccepted: c.reportAccepted}
+	tracker := &sendTracker{gate: before(c.start.SendBy), onAccepted: c.reportAccepted}
 	resp, sent, err := c.engine.sender.do(req, !c.start.Stage.Idempotent, tracker)
 	if err != nil {
 		return c.endFailed(ctx, err, sent)
@@ -107,7 +107,7 @@
 		cause = errDeadlinePassed
 	}
 	switch {
-	case errors.Is(err, errTooLate):
+	case errors.Is(err, ErrTooLate):
 		reason = shed.ReasonPaused
 	case errors.Is(cause, errIdleTimeout), errors.Is(cause, shed.ErrReplaced):
 		reason = shed.ReasonSilent
--- a/internal/engine/sender.go
+++ b/internal/engine/sender.go
@@ -1,9 +1,6 @@
 package engine
 
-import (
-	"net/http"
-	"time"
-)
+import "net/http"
 
 // Sender makes single HTTP exchanges with backend servers. It never sends a request twice, and
 // it reports reliably whether a byte of it may have been sent.
@@ -23,12 +20,12 @@
 	return s
 }
 
-// Do makes one exchange. Unless sendBy is zero, the first byte is never sent after it. A
+// Do makes one exchange. Unless gate is nil, nothing is sent that it refuses. A
 // request that may run only once gets a new connection: the server may close a reused one just
 // as the request is sent, and then it is unknown whether the request ran. If sent is false, no
 // byte has been sent, nor will be.
-func (s *Sender) Do(req *http.Request, once bool, sendBy time.Time) (resp *http.Response, sent bool, err error) {
-	return s.do(req, once, &sendTracker{sendBy: sendBy})
+func (s *Sender) Do(req *http.Request, once bool, gate Gate) (resp *http.Response, sent bool, err error) {
+	return s.do(req, once, &sendTracker{gate: gate})
 }
 
 func (s *Sender) do(req *http.Request, once bool, tracker *sendTracker) (*http.Response, bool, error) {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -61,6 +61,9 @@
 	OnAnswered func(from shed.VM, took time.Duration)
 	// Extend extends a time limit for peers by how late this VM itself is; nil leaves it.
 	Extend func(limit time.Duration) time.Duration
+	// OnDropped is called for a control message that was dropped because too many are in flight; may be nil. It
+	// must not block.
+	OnDropped func()
 	// OnPeerLost is called for a peer whose connection timed out or can't be established; may be nil.
 	// It must not block.
 	OnPeerLost func(to shed.VM)
@@ -201,12 +204,15 @@
 		return wire.Marshal(&e)
 	})
 	for _, vm := range to {
-		c.controls.TryGo(func() error {
+		sending := c.controls.TryGo(func() error {
 			if e, err := encode(); err == nil {
 				c.sendControl(vm, e)
 			}
 			return nil
 		})
+		if !sending && c.cfg.OnDropped != nil {
+			c.cfg.OnDropped()
+		}
 	}
 }
 
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -123,14 +123,18 @@
 // callPieces runs one piece call and passes its outcome to the batcher.
 func (r *Relay) callPieces(a batch.Send) {
 	began := time.Now()
-	end, status, err := r.sendPieces(a)
+	e := &exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.UsualLimit))}
+	end, status, err := r.sendPieces(e, a)
 	end.Call = a.Call
 	took := time.Since(began)
 	r.stats.recordPieceCall(len(a.Pieces), took)
-	entry := r.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"server": a.Server.ID, "pool": a.Server.Pool, "zone": a.Server.Zone, "pieces": len(a.Pieces), "left": a.Pending,
 		"took_ms": took.Milliseconds(), "limit_ms": a.Limit.Milliseconds(),
-	})
+	}
+	logCarrier(fields, e.carrier)
+	e.logSending(fields, began)
+	entry := r.log.WithFields(fields)
 	if end.Results == nil {
 		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "path_lost": end.PathLost, "crashed": end.Crashed, "error": errorText(err), "first": a.Pieces[0].Request}).
 			Warn("call for pieces failed")
@@ -162,7 +166,7 @@
 	entry.Info("pieces not made")
 }
 
-func (r *Relay) sendPieces(a batch.Send) (batch.CallEnded, int, error) {
+func (r *Relay) sendPieces(e *exchange, a batch.Send) (batch.CallEnded, int, error) {
 	ctx, cancel := context.WithTimeout(r.base, a.Limit)
 	defer cancel()
 	ctx, span := r.tracer.Start(ctx, "call for pieces")
@@ -174,7 +178,7 @@
 	if err != nil {
 		return batch.CallEnded{NotRun: true}, 0, err
 	}
-	resp, reply, sent, err := r.send(&exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.UsualLimit))}, req.WithContext(ctx))
+	resp, reply, sent, err := r.send(e, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
 		return batch.CallEnded{NotRun: true, Busy: true}, 0, err
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -90,6 +90,7 @@
 	}
 	if j.server != "" {
 		fields["server"] = j.server
+		fields["waited_ms"], fields["knowledge_ms"] = j.sendWait.Milliseconds(), j.knowledgeAge.Milliseconds()
 	}
 	logCarrier(fields, j.carrier)
 	if len(j.request.Pieces) > 0 {
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -121,7 +121,7 @@
 
 // joinMesh starts with an empty membership view under the current incarnation.
 func (r *Relay) joinMesh() {
-	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer, OnHeard: r.peerHeard, OnAnswered: r.recordAnswer, Extend: r.extend})
+	r.client = peers.NewClient(peers.ClientConfig{Self: r.mesh.self, Dial: r.cfg.DialPeer, OnHeard: r.peerHeard, OnAnswered: r.recordAnswer, Extend: r.extend, OnDropped: func() { r.stats.controlsDropped.Inc(1) }})
 	r.group = member.New(member.Config{
 		Self: r.mesh.self, Zone: meshZone, Seeds: seedVMs(r.prefs.Load()),
 		Seed:          xxhash.Sum64String(string(r.mesh.self.VM)) ^ uint64(r.mesh.self.Incarnation),
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -118,7 +118,7 @@
 			e.carrier = c.Carrier()
 		}
 	}})
-	resp, sent, err := r.carriedSender.Do(req.WithContext(ctx), e.once, e.sendBy)
+	resp, sent, err := r.carriedSender.Do(req.WithContext(ctx), e.once, r.gate(e))
 	if err == nil {
 		r.stats.carriedRequests.Inc(1)
 		r.mu.Lock()
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	f := &flight{exchange: e, cancel: cancel, begunAt: time.Now()}
 	r.beginFlight(f)
-	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, e.sendBy)
+	resp, sent, err := r.sender.Do(req.WithContext(ctx), e.once, r.gate(e))
 	if err != nil {
 		r.endFlight(f)
 		r.recordDirectFailure(f, sent, err)
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return reach.Closed, false
 	}
-	resp, sent, err := sender.Do(req.WithContext(ctx), true, time.Time{})
+	resp, sent, err := sender.Do(req.WithContext(ctx), true, nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -7,6 +7,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/batch"
+	"jasmineshed/internal/engine"
 	"jasmineshed/internal/reach"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,32 @@
 	patience time.Duration
 	// carrier is the peer that carried the request; empty if it was sent directly.
 	carrier shed.VM
+	// sentAt is when the first byte was sent, zero if none was. knowledgeAge is how old the state of the
+	// store was then on which the request was sent.
+	sentAt       time.Time
+	knowledgeAge time.Duration
+}
+
+// gate returns the gate of the exchange's first byte.
+func (r *Relay) gate(e *exchange) engine.Gate {
+	return func() error {
+		now := time.Now()
+		if !e.sendBy.IsZero() && now.After(e.sendBy) {
+			return engine.ErrTooLate
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		e.sentAt, e.knowledgeAge = now, r.knowledgeAge(now)
+		return nil
+	}
+}
+
+// logSending adds to a log line when the request was sent after the decision to do so, and on which knowledge.
+func (e *exchange) logSending(fields logrus.Fields, decidedAt time.Time) {
+	if e.sentAt.IsZero() {
+		return
+	}
+	fields["waited_ms"], fields["knowledge_ms"] = e.sentAt.Sub(decidedAt).Milliseconds(), e.knowledgeAge.Milliseconds()
 }
 
 // addr returns the address of the exchange's server.
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -26,6 +26,11 @@
 	// originFailures counts the peers that gave no answer when asked for the origin of a stream.
 	originFailures tally.Counter
 	storeEra       tally.Gauge
+	// departuresLate counts the departures of servers that this VM learned of when the state that it had of
+	// the store was older than lateDeparture.
+	departuresLate tally.Counter
+	// controlsDropped counts the messages to peers that were dropped because too many were in flight.
+	controlsDropped tally.Counter
 	// carriedRequests counts the requests that peers carried for this VM, carriedForPeers the
 	// connections that this VM opened for peers.
 	carriedRequests tally.Counter
@@ -66,6 +71,8 @@
 		workTimesShared:      s.Counter("work_times_shared"),
 		originFailures:       s.Counter("stream_origin_calls_failed"),
 		storeEra:             s.Gauge("store_era"),
+		departuresLate:       s.Counter("departures_learned_late"),
+		controlsDropped:      s.Counter("messages_to_peers_dropped"),
 		carriedRequests:      s.Counter("requests_carried"),
 		carriedForPeers:      s.Counter("connections_for_peers"),
 		isolated:             s.Gauge("isolated"),
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -170,7 +170,8 @@
 	if now.Sub(r.roster.LastContact()) > follow.StaleAfter {
 		watchers = r.standingWatchers(now)
 	}
-	r.logRosterChanges(r.roster.Apply(now, l))
+	knowledgeAge := r.knowledgeAge(now)
+	r.logUpdate(r.roster.Apply(now, l), knowledgeAge)
 	r.stats.storeEra.Update(float64(r.roster.Era()))
 	r.picker.RetainServers(r.roster.HasServer)
 	r.speeds.Retain(r.roster.HasServer)
@@ -212,6 +213,33 @@
 	return r.roster.HasItem(item.Key, item.Revision)
 }
 
+// knowledgeAge returns how old this VM's state of the store is at most; -1 ms if nobody has confirmed it.
+// The caller holds mu.
+func (r *Relay) knowledgeAge(now time.Time) time.Duration {
+	at := r.roster.LastContact()
+	if at.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(at)
+}
+
+// lateDeparture is how old this VM's state of the store may be when it learns that a server leaves.
+const lateDeparture = time.Second
+
+// logUpdate logs the changes by an update. knowledgeAge is how old the state of the store was before: the
+// update was acknowledged to its writer no earlier. The caller holds mu.
+func (r *Relay) logUpdate(changes []roster.Change, knowledgeAge time.Duration) {
+	late := knowledgeAge > lateDeparture
+	for _, c := range changes {
+		if late && (c.Reason == roster.ServerLeaving || c.Reason == roster.ServerGone) {
+			r.stats.departuresLate.Inc(1)
+			r.log.WithFields(logrus.Fields{"server": c.Server, "knowledge_ms": knowledgeAge.Milliseconds()}).
+				Warn("departure of a server learned late")
+		}
+	}
+	r.logRosterChanges(changes)
+}
+
 // logRosterChanges logs changes of the roster's view. The caller holds mu.
 func (r *Relay) logRosterChanges(changes []roster.Change) {
 	for _, c := range changes {
