relay, peers: ask whether a server leaves right before the first byte

What callers saw: requests reached a server that the sending or carrying VM knew to leave, and ended with it.

A VM that carries a connection asked when it opened it, and passed bytes on for as long as it lived.

Change: the gate that net/http's write passes asks the roster again. What it refuses was not sent, and goes to another server. A carried chunk says whether a request begins with it; then the carrier asks its own roster, and else says that it passed nothing on, so that the request counts as not sent. The rest of a request that has begun is never cut.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	shed "jasmineshed"
 	"jasmineshed/internal/wire"
 )
 
@@ -105,6 +106,9 @@
 		}
 	}
 	c.wrote = true
+	if r, ok := c.Conn.(shed.RequestConn); ok {
+		r.BeginRequest()
+	}
 	return nil
 }
 
--- a/internal/engine/conn_test.go
+++ b/internal/engine/conn_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http/httptrace"
@@ -61,3 +62,22 @@
 	c.assign(nil)
 	require.NotErrorIs(t, s.sendError(net.ErrClosed), ErrTooLate)
 }
+
+// Guards against a request that is sent although its server has begun to leave while the connection was set up.
+func TestGateIsAskedRightBeforeTheFirstByte(t *testing.T) {
+	closed := errors.New("server leaves")
+	open := true
+	c := &conn{Conn: discardConn{}, wrote: true}
+	s := &sendTracker{gate: func() error {
+		if open {
+			return nil
+		}
+		return closed
+	}}
+	s.gotConn(httptrace.GotConnInfo{Conn: c})
+	open = false
+	_, err := c.Write([]byte("POST"))
+	require.ErrorIs(t, err, closed)
+	require.False(t, s.mayHaveSent())
+	require.ErrorIs(t, s.sendError(net.ErrClosed), closed)
+}
--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -87,6 +87,10 @@
 	// End: the server closed the connection; Aborted: it broke instead.
 	End     bool `cbor:"2,keyasint,omitempty"`
 	Aborted bool `cbor:"3,keyasint,omitempty"`
+	// Begins: a request begins with the bytes. Refused: none of the last request's bytes was passed on, as the server
+	// accepts no work from the carrying daemon.
+	Begins  bool `cbor:"4,keyasint,omitempty"`
+	Refused bool `cbor:"5,keyasint,omitempty"`
 }
 
 // receiveCarry carries a connection until either side closes it. It connects to the server itself
@@ -109,14 +113,17 @@
 	defer stop()
 	var g errgroup.Group
 	g.Go(func() error { return carryAnswers(conn, out, &awaiting) })
-	err := carryRequests(stream, conn, &awaiting)
+	err := carryRequests(stream, conn, &awaiting, func() bool {
+		return srv.(RelayHandler).MayCarry(*call) || out.send(&carryChunk{End: true, Refused: true}) != nil
+	})
 	_ = conn.Close()
 	_ = g.Wait()
 	return nil, err
 }
 
-// carryRequests passes what the caller sends to the server, until the caller closes the stream.
-func carryRequests(stream drpc.Stream, conn net.Conn, awaiting *atomic.Bool) error {
+// carryRequests passes what the caller sends to the server, until the caller closes the stream or mayBegin refuses a
+// request.
+func carryRequests(stream drpc.Stream, conn net.Conn, awaiting *atomic.Bool, mayBegin func() bool) error {
 	for {
 		var chunk carryChunk
 		if err := stream.MsgRecv(&chunk, wire); err != nil {
@@ -125,6 +132,9 @@
 			}
 			return err
 		}
+		if chunk.Begins && !mayBegin() {
+			return nil
+		}
 		awaiting.Store(true)
 		if _, err := conn.Write(chunk.Bytes); err != nil {
 			// The caller learns of it by the end of the answers.
@@ -154,6 +164,8 @@
 	// awaiting: the server has sent nothing since the last write. The peer sends heartbeats until it
 	// does.
 	awaiting atomic.Bool
+	// begins: the next write begins a request. refused: the peer passed nothing of the last request on.
+	begins, refused atomic.Bool
 
 	// readMu guards rest, the bytes received and not yet read, and end, the error after them.
 	readMu sync.Mutex
@@ -242,6 +254,9 @@
 		c.stream.idleTimer.Stop()
 	}
 	switch {
+	case chunk.Refused:
+		c.refused.Store(true)
+		c.end = CarryClosedError{}
 	case chunk.Aborted:
 		c.end = fmt.Errorf("carried by peer %s: %w", c.Carrier(), syscall.ECONNRESET)
 	case chunk.End:
@@ -249,13 +264,20 @@
 	}
 }
 
+// BeginRequest implements shed.RequestConn.
+func (c *CarriedConn) BeginRequest() { c.begins.Store(true) }
+
+// Refused reports whether the peer passed nothing of the last request on, since it knows that the server accepts no
+// work.
+func (c *CarriedConn) Refused() bool { return c.refused.Load() }
+
 // Write implements net.Conn.
 func (c *CarriedConn) Write(b []byte) (int, error) {
 	for sent := 0; sent < len(b); {
 		n := min(partSize, len(b)-sent)
 		c.awaiting.Store(true)
 		c.stream.idleTimer.Reset(heartbeatTimeout)
-		if err := c.stream.send(&carryChunk{Bytes: b[sent : sent+n]}); err != nil {
+		if err := c.stream.send(&carryChunk{Bytes: b[sent : sent+n], Begins: c.begins.Swap(false)}); err != nil {
 			return sent, err
 		}
 		sent += n
--- a/internal/peers/carry_test.go
+++ b/internal/peers/carry_test.go
@@ -54,12 +54,16 @@
 	return lis.Addr().String()
 }
 
-func carry(t *testing.T, carrier shed.VM, addr string) net.Conn {
+func carry(t *testing.T, carrier shed.VM, addr string) *peers.CarriedConn {
+	return carryTo(t, carrier, peers.CarryCall{Addr: addr})
+}
+
+func carryTo(t *testing.T, carrier shed.VM, call peers.CarryCall) *peers.CarriedConn {
 	client := peers.NewClient(peers.ClientConfig{})
 	t.Cleanup(func() { _ = client.Close() })
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	c, err := client.Carry(ctx, carrier, peers.CarryCall{Addr: addr}, nil)
+	c, err := client.Carry(ctx, carrier, call, nil)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
@@ -156,3 +160,24 @@
 	require.False(t, errors.Is(err, peers.ErrCarryUnreachable))
 	require.NoError(t, client.Close())
 }
+
+// Guards against a request that a carrier passes on to a server which it knows to leave, and against one that it
+// breaks off in its middle.
+func TestCarrierRefusesARequestBeforeItBegins(t *testing.T) {
+	received := make(chan string, 1)
+	addr := startServer(t, func(c net.Conn) {
+		got, _ := io.ReadAll(c)
+		received <- string(got)
+	})
+	carrier, _ := newCarrier(t)
+	c := carryTo(t, carrier, peers.CarryCall{Addr: addr, Start: shed.ServerStart{Server: "closed"}})
+	_, err := c.Write([]byte("rest of a body, "))
+	require.NoError(t, err)
+	c.BeginRequest()
+	_, err = c.Write([]byte("request"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(c)
+	require.ErrorAs(t, err, &peers.CarryClosedError{})
+	require.True(t, c.Refused())
+	require.Equal(t, "rest of a body, ", <-received)
+}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -135,6 +135,8 @@
 	StreamOrigin(call OriginCall) OriginReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
 	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
+	// MayCarry reports whether a request may be passed on over a connection that Connect opened.
+	MayCarry(call CarryCall) bool
 	// Disconnected is called once a connection that Connect opened is closed.
 	Disconnected(call CarryCall)
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -83,6 +83,9 @@
 
 func (s *relayStub) StreamOrigin(peers.OriginCall) peers.OriginReply { return peers.OriginReply{} }
 
+// MayCarry refuses servers that are named "closed".
+func (s *relayStub) MayCarry(call peers.CarryCall) bool { return call.Start.Server != "closed" }
+
 func (s *relayStub) Disconnected(peers.CarryCall) {}
 
 func (s *relayStub) DiscardResults(results []shed.PieceResult) { s.discarded <- len(results) }
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -207,6 +207,13 @@
 	c.backoffUntil[asked.vm] = now.Add(carrierBackoff)
 }
 
+// recordCarryRefusal records that a peer passed a request on to no server because it knows that the server leaves.
+func (r *Relay) recordCarryRefusal(e *exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paths.carriers.recordFailure(time.Now(), peerServer{e.carrier, e.addr()}, peers.CarryClosedError{})
+}
+
 func (r *Relay) endCarried(conn *peers.CarriedConn) {
 	vm := conn.Carrier()
 	r.mu.Lock()
@@ -314,6 +321,14 @@
 	return peers.CarryStatus{}
 }
 
+// MayCarry implements peers.RelayHandler. The server may have begun to leave since the connection was opened, and the
+// peer that sends the request may not know.
+func (r *Relay) MayCarry(call peers.CarryCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.IsOpen(call.Start)
+}
+
 // Disconnected implements peers.RelayHandler.
 func (r *Relay) Disconnected(call peers.CarryCall) {
 	r.mu.Lock()
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -113,12 +113,17 @@
 
 // transmitCarried has a peer carry the request; errNoCarrier if none does.
 func (r *Relay) transmitCarried(e *exchange, req *http.Request) (*http.Response, bool, error) {
+	var conn atomic.Pointer[peers.CarriedConn]
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := engine.Unwrap(info.Conn).(*peers.CarriedConn); ok {
+		if c, ok := engine.Unwrap(info.Conn).(*peers.CarriedConn); ok && conn.CompareAndSwap(nil, c) {
 			e.carrier = c.Carrier()
 		}
 	}})
 	resp, sent, err := r.carriedSender.Do(req.WithContext(ctx), e.once, r.gate(e))
+	if c := conn.Load(); err != nil && c != nil && c.Refused() {
+		r.recordCarryRefusal(e)
+		return nil, false, errServerClosed
+	}
 	if err == nil {
 		r.stats.carriedRequests.Inc(1)
 		r.mu.Lock()
@@ -169,7 +174,7 @@
 	switch {
 	case sent && f.silence(now)-r.allowance() >= f.patience:
 		r.paths.table.Suspect(now, f.addr(), r.paths.table.Silence(now)-r.allowance() >= vmSilence)
-	case errors.Is(err, context.Canceled), sent && !closedByServer(err):
+	case errors.Is(err, context.Canceled), wasNotAdmitted(err), sent && !closedByServer(err):
 	default:
 		r.paths.table.Failed(now, f.addr())
 	}
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -32,7 +32,8 @@
 	knowledgeAge time.Duration
 }
 
-// gate returns the gate of the exchange's first byte.
+// gate returns the gate of the exchange's first byte. A server may have begun to leave while the connection to it
+// was set up.
 func (r *Relay) gate(e *exchange) engine.Gate {
 	return func() error {
 		now := time.Now()
@@ -41,6 +42,9 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		if !r.roster.IsOpen(e.server.Start()) {
+			return errServerClosed
+		}
 		e.sentAt, e.knowledgeAge = now, r.knowledgeAge(now)
 		return nil
 	}
