follow: a peer that the store never answered confirms nothing

What callers saw: nothing yet; found while tracing how a VM that has just started learns of departures (lead: who has them after all VMs were killed).

Cause: a VM that has read a replica's list, which may be seconds old, waits for one answer of the store before it serves. A peer with the same list confirmed it, though the store had answered that peer neither: its "last contact" was the zero time, and any time is later than that.

Change: such a report has no last contact, and confirms nothing.

Evidence: TestPeerThatTheStoreNeverAnsweredConfirmsNothing, red before (Confirm at the zero time).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,7 +49,7 @@
 	Digest uint64
 	// Catalog is the revision of its active configuration.
 	Catalog shed.Revision
-	// LastContact is when the store last answered the peer.
+	// LastContact is when the store last answered the peer; zero if it never did.
 	LastContact time.Time
 	// Power is the peer's capacity relative to other VMs.
 	Power float64
@@ -159,7 +159,7 @@
 		}
 		f.states[e.From] = e.State
 		f.newestCatalog = max(f.newestCatalog, e.State.Catalog)
-		if e.State.AsOf == own.AsOf && e.State.Digest == own.Digest {
+		if e.State.AsOf == own.AsOf && e.State.Digest == own.Digest && !e.State.LastContact.IsZero() {
 			return append(f.maybePull(now, own, false), Confirm{At: e.State.LastContact})
 		}
 		return f.maybePull(now, own, false)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -199,3 +199,12 @@
 	}
 	require.Equal(t, start, f.LastContact("peer"))
 }
+
+// Guards against VMs that start together and confirm each other's copy of a replica's list, which may be seconds old,
+// though the store has answered none of them.
+func TestPeerThatTheStoreNeverAnsweredConfirmsNothing(t *testing.T) {
+	f := follow.New("a")
+	own := localState(10, time.Time{})
+	require.Empty(t, f.Handle(at(0), own, reportFrom("b", 10, time.Time{})))
+	require.Equal(t, []follow.Action{follow.Confirm{At: at(0)}}, f.Handle(at(10), own, reportFrom("c", 10, at(0))))
+}
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -184,11 +184,18 @@
 	return len(r.mesh.updates) > 0
 }
 
+// maxPeerUptime is longer than any VM runs: a peer that the store never answered reports a longer time since.
+const maxPeerUptime = 10 * 365 * 24 * time.Hour
+
 // receiveStoreState compares a peer's state of the store with this VM's. The caller holds mu.
 func (r *Relay) receiveStoreState(now time.Time, from shed.VM, m shed.RelayLoad) {
 	member, _ := r.group.Lookup(from)
+	var answeredAt time.Time
+	if m.ConfirmedAgo < maxPeerUptime {
+		answeredAt = now.Add(-max(m.ConfirmedAgo, 0))
+	}
 	r.handleFollowEvent(now, follow.PeerReported{From: from, State: follow.PeerState{
-		AsOf: m.AsOf, Digest: m.Digest, Catalog: m.Catalog, LastContact: now.Add(-m.ConfirmedAgo), Power: member.Power,
+		AsOf: m.AsOf, Digest: m.Digest, Catalog: m.Catalog, LastContact: answeredAt, Power: member.Power,
 	}})
 }
 
