relay: departures don't wait for configurations

Cause, hypothesis 1: an update of the store was applied as a whole, and updates one after the other. A departure that came with or after a configuration waited until that had been read, parsed, packed, announced and pulled, and on VMs that watch the store the next answer wasn't even awaited meanwhile. When configurations come faster than a busy VM parses them, the wait grows without a bound: each version was parsed, though a later one was there already.

Ruled out for this test: lost messages (none dropped), decisions made earlier (the requests began later).

Change: - Items that take servers out of use (departures, removals that are certain, closed zones) are applied ahead of the rest of their update (roster.ApplyAhead), wherever it comes from, without waiting for another update. Revision, digest and last contact stay until the whole is applied, so peers neither confirm nor repair a part. - A VM that watches the store forwards them at once (UrgentUpdate, about 200 bytes a peer) if a configuration comes with them or is being applied. - Answers to a watch and updates of peers that wait are joined, and of several configurations only the last is parsed. The next answer is awaited while one is applied.

--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -96,6 +96,7 @@
 
 	PermitReturned *shed.PermitReturned `cbor:"18,keyasint,omitempty"`
 	StreamBegan    *shed.StreamBegan    `cbor:"19,keyasint,omitempty"`
+	UrgentUpdate   *shed.UrgentUpdate   `cbor:"20,keyasint,omitempty"`
 }
 
 // newEnvelope wraps a control message in an envelope.
@@ -136,6 +137,8 @@
 		e.PermitReturned = &m
 	case shed.StreamBegan:
 		e.StreamBegan = &m
+	case shed.UrgentUpdate:
+		e.UrgentUpdate = &m
 	default:
 		return envelope{}, fmt.Errorf("%w: no envelope for %T", ErrBadMessage, msg)
 	}
@@ -179,6 +182,8 @@
 		return *e.PermitReturned, nil
 	case e.StreamBegan != nil:
 		return *e.StreamBegan, nil
+	case e.UrgentUpdate != nil:
+		return *e.UrgentUpdate, nil
 	}
 	return nil, fmt.Errorf("%w: empty envelope", ErrBadMessage)
 }
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -30,12 +31,7 @@
 // servers would appear dead. In that case the VMs that watch in normal operation forward the
 // changes.
 func (r *Relay) forwardChanges(after shed.Revision, watchers []shed.VM) {
-	var to []shed.VM
-	for _, vm := range r.alivePeers() {
-		if watcher, ok := rank.Owner(string(vm), watchers); ok && watcher == r.mesh.self.VM {
-			to = append(to, vm)
-		}
-	}
+	to := r.notifiedPeers(watchers)
 	if len(to) == 0 {
 		return
 	}
@@ -58,6 +54,17 @@
 	})
 }
 
+// notifiedPeers returns the peers that this VM, as one of the watchers, notifies of changes. The caller holds mu.
+func (r *Relay) notifiedPeers(watchers []shed.VM) []shed.VM {
+	var to []shed.VM
+	for _, vm := range r.alivePeers() {
+		if watcher, ok := rank.Owner(string(vm), watchers); ok && watcher == r.mesh.self.VM {
+			to = append(to, vm)
+		}
+	}
+	return to
+}
+
 // change is an item that a peer lacks, and the version of it that the peer has.
 type change struct {
 	item, base shed.Item
@@ -111,13 +118,19 @@
 	return peers.ItemsReply{AsOf: asOf, Items: r.packChanges(changes)}
 }
 
-// unpackChanges decodes changes from a peer. Items already held here are left without a value.
-func (r *Relay) unpackChanges(changes []shed.ItemChange) ([]shed.Item, error) {
+// unpackChanges decodes changes from a peer that follow on the items in earlier, which are not applied yet. Items
+// already held here are left without a value.
+func (r *Relay) unpackChanges(changes []shed.ItemChange, earlier []shed.Item) ([]shed.Item, error) {
 	items := make([]shed.Item, len(changes))
 	for i, c := range changes {
 		r.mu.Lock()
 		held, known := r.roster.Item(c.Key), r.roster.HasItem(c.Key, c.Revision)
 		r.mu.Unlock()
+		for _, item := range earlier {
+			if item.Key == c.Key && len(item.Value) > 0 {
+				held = item
+			}
+		}
 		if c.Packed && known {
 			items[i] = shed.Item{Key: c.Key, Revision: c.Revision}
 			continue
@@ -153,37 +166,60 @@
 	}
 	r.mesh.updates = append(r.mesh.updates, storeUpdate{from: from, StoreUpdate: m})
 	if len(r.mesh.updates) > 1 {
+		// What it takes out of use doesn't wait for those before.
+		r.work.Go(func() error {
+			r.applyAhead(storeReading{from: roster.FromPeer, items: plainItems(m.Items)})
+			return nil
+		})
 		return
 	}
 	r.work.Go(func() error {
-		for r.applyNextUpdate() {
+		for r.applyUpdates() {
 		}
 		return nil
 	})
 }
 
-// applyNextUpdate applies the first queued update; it returns false once the queue is empty.
-func (r *Relay) applyNextUpdate() bool {
+// applyUpdates applies the queued updates as one; it returns false once the queue is empty.
+func (r *Relay) applyUpdates() bool {
 	r.mu.Lock()
-	m, known := r.mesh.updates[0], r.roster.AsOf()
+	queued, known := slices.Clone(r.mesh.updates), r.roster.AsOf()
 	r.mu.Unlock()
-	missed := m.After > known || m.AsOf.Era() != known.Era()
-	if !missed && m.AsOf > known {
-		items, err := r.unpackChanges(m.Items)
-		missed = err != nil
-		if !missed {
-			r.applyReading(storeReading{from: roster.FromPeer, items: items, after: m.After, asOf: m.AsOf})
-		}
+	rd, missed := r.mergeUpdates(known, queued)
+	if rd.asOf > known {
+		r.applyReading(rd)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if missed {
+	for _, m := range missed {
 		r.handleFollowEvent(time.Now(), follow.UpdateMissed{From: m.from, AsOf: m.AsOf})
 	}
-	r.mesh.updates = r.mesh.updates[1:]
+	r.mesh.updates = r.mesh.updates[len(queued):]
 	return len(r.mesh.updates) > 0
 }
 
+// mergeUpdates joins the updates that follow on the revision known and on each other, and returns those that can't
+// be applied.
+func (r *Relay) mergeUpdates(known shed.Revision, updates []storeUpdate) (rd storeReading, missed []storeUpdate) {
+	rd = storeReading{from: roster.FromPeer, after: known, asOf: known}
+	for _, m := range updates {
+		if m.After > rd.asOf || m.AsOf.Era() != known.Era() {
+			missed = append(missed, m)
+			continue
+		}
+		if m.AsOf <= rd.asOf {
+			continue
+		}
+		items, err := r.unpackChanges(m.Items, rd.items)
+		if err != nil {
+			missed = append(missed, m)
+			continue
+		}
+		rd.items, rd.asOf = append(rd.items, items...), m.AsOf
+	}
+	return rd, missed
+}
+
 // maxPeerUptime is longer than any VM runs: a peer that the store never answered reports a longer time since.
 const maxPeerUptime = 10 * 365 * 24 * time.Hour
 
@@ -252,7 +288,7 @@
 			call.After, p.After = 0, 0
 			continue
 		}
-		items, err := r.unpackChanges(reply.Items)
+		items, err := r.unpackChanges(reply.Items, nil)
 		if errors.Is(err, delta.ErrUnpack) && call.Known > 0 {
 			// The item held here has changed meanwhile or isn't the base that the peer assumed.
 			// Full values need no base.
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -13,6 +13,7 @@
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/pulse"
+	"jasmineshed/internal/roster"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -210,6 +211,11 @@
 		r.receiveLoad(now, from, m)
 	case shed.StoreUpdate:
 		r.receiveUpdate(now, from.VM, m)
+	case shed.UrgentUpdate:
+		r.work.Go(func() error {
+			r.applyAhead(storeReading{from: roster.FromPeer, items: m.Items})
+			return nil
+		})
 	case shed.LimitUpdate:
 		r.logLimits(r.limits.Receive(now, m.Limits), string(from.VM))
 	case shed.PermitReturned:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,6 +151,8 @@
 	historyCompacted bool
 	// lastChange is when the store last answered with changes. Used by followStore only.
 	lastChange time.Time
+	// readings are the answers to a watch of the store that are not applied yet.
+	readings readings
 	// splitCounter counts requests, to distribute them over the split of a route.
 	splitCounter uint64
 }
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -38,7 +38,7 @@
 func (r *Relay) followStore(ctx context.Context) error {
 	for ctx.Err() == nil {
 		call := r.nextCall(time.Now())
-		if call == follow.NoCall {
+		if call == follow.NoCall || call != follow.Watch && r.isApplyingReadings() {
 			sleep(ctx, idlePoll)
 			continue
 		}
@@ -81,7 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return follow.NextCall(now, follow.StoreView{
-		AsOf: r.roster.AsOf(), LastContact: r.roster.LastContact(), LastChange: r.lastChange,
+		AsOf: r.readUpTo(), LastContact: r.roster.LastContact(), LastChange: r.lastChange,
 		Watcher: slices.Contains(r.watchers(now), r.mesh.self.VM), Compacted: r.historyCompacted,
 	})
 }
@@ -102,7 +102,7 @@
 // readStore makes one call to the store and applies its answer.
 func (r *Relay) readStore(ctx context.Context, call follow.StoreCall) error {
 	r.mu.Lock()
-	rd := storeReading{from: roster.FromStore, after: r.roster.AsOf()}
+	rd := storeReading{from: roster.FromStore, after: r.readUpTo()}
 	r.mu.Unlock()
 	r.stats.storeCalls.Inc(1)
 	var err error
@@ -136,6 +136,10 @@
 		r.log.WithFields(revisionFields("after", rd.after)).WithFields(revisionFields("as_of", rd.asOf)).
 			WithFields(logrus.Fields{"items": len(rd.items), "whole": rd.complete}).Info("store read at the start")
 	}
+	if call == follow.Watch {
+		r.queueReading(rd)
+		return nil
+	}
 	r.applyReading(rd)
 	return nil
 }
@@ -152,13 +156,16 @@
 // applyReading applies an answer of the store or a peer, and forwards changes from the store.
 // Readings are applied one at a time: the same configuration often arrives from two sources,
 // and the second is then already known.
+//
+// What takes servers out of use is applied before all that takes long, and doesn't wait for another reading.
 func (r *Relay) applyReading(rd storeReading) {
+	r.applyAhead(rd)
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	r.setApplying(true)
 	defer r.setApplying(false)
 	l := roster.Update{Source: rd.from, AsOf: rd.asOf, Complete: rd.complete}
-	for _, item := range rd.items {
+	for _, item := range rd.withoutSuperseded() {
 		if r.cfg.Store.IsRecordKey(item.Key) {
 			l.Items = append(l.Items, r.parseItem(item))
 		}
@@ -166,10 +173,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	watchers := r.watchers(now)
-	if now.Sub(r.roster.LastContact()) > follow.StaleAfter {
-		watchers = r.standingWatchers(now)
-	}
+	watchers := r.forwarders(now)
 	knowledgeAge := r.knowledgeAge(now)
 	r.logUpdate(r.roster.Apply(now, l), knowledgeAge)
 	r.stats.storeEra.Update(float64(r.roster.Era()))
@@ -184,6 +188,14 @@
 	}
 }
 
+// forwarders returns the VMs that forward changes of the store to the others. The caller holds mu.
+func (r *Relay) forwarders(now time.Time) []shed.VM {
+	if now.Sub(r.roster.LastContact()) > follow.StaleAfter {
+		return r.standingWatchers(now)
+	}
+	return r.watchers(now)
+}
+
 func (r *Relay) setApplying(taking bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -27,7 +27,7 @@
 	if s == nil || s.Start() != start {
 		return nil
 	}
-	r.rebuild()
+	r.reopen()
 	if s.Leaving {
 		return nil
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -179,8 +179,14 @@
 
 // rebuild derives the digest, the closed zones and the open servers from the items.
 func (r *Roster) rebuild() {
-	r.version++
 	r.digest = r.computeDigest()
+	r.reopen()
+}
+
+// reopen derives the closed zones and the open servers from the items. The digest stays that of the
+// items as of the roster's revision.
+func (r *Roster) reopen() {
+	r.version++
 	clear(r.closed)
 	for _, e := range r.items {
 		if f, ok := e.Record.(shed.ZoneClosed); ok {
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -288,8 +288,11 @@
 			out = r.dropItem(now, out, key)
 		}
 	}
-	if released || len(out) > 0 {
+	switch {
+	case len(out) > 0:
 		r.rebuild()
+	case released:
+		r.reopen()
 	}
 	return out
 }
--- a/leaving.go
+++ b/leaving.go
@@ -7,3 +7,11 @@
 }
 
 func (LeavingUpdate) message() {}
+
+// UrgentUpdate forwards those items of a change of the platform's store that take servers out of use, ahead of the
+// rest of the change.
+type UrgentUpdate struct {
+	Items []Item `cbor:"1,keyasint"`
+}
+
+func (UrgentUpdate) message() {}
--- a/relay.go
+++ b/relay.go
@@ -231,6 +231,8 @@
 	ParseRecord(item Item) (Record, error)
 	// IsRecordKey reports whether an item with this key can hold a record.
 	IsRecordKey(key string) bool
+	// IsCatalogKey reports whether the item with this key holds the configuration.
+	IsCatalogKey(key string) bool
 }
 
 // PromptPart is a part of a prompt that requests may share.
