roster: a VM's own delay or start is no outage of the store

What callers saw: a server whose entry is removed without a report that it leaves went on getting requests, from VMs that were busy or had started a moment before.

Cause: after a gap of 2.4 s in contact with the store, servers whose entries are gone are used for 2.2 s more, since entries lapse while the store is down. The gap was taken from the VM's last contact, which is old also when the VM is behind with configurations (no peer has the same state), and was assumed at each start. And a server that a VM dropped after that time was told to nobody: its revision is one that peers have, so only a comparison of digests at equal revisions finds it, and these are never equal while configurations change.

Change: the gap is one in which the store answered nobody, as peers report it; a start has none unless a call has failed. What is dropped after the grace time is forwarded.

--- a/internal/relay/ahead.go
+++ b/internal/relay/ahead.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// forwardRemovals tells peers of servers that were removed once their grace period was over: the peers have the
+// revision already that removed them. The caller holds mu.
+func (r *Relay) forwardRemovals(now time.Time, changes []roster.Change) {
+	var items []shed.Item
+	for _, c := range changes {
+		if c.Reason == roster.ServerGone {
+			items = append(items, shed.Item{Key: c.Key, Revision: c.Revision, Deleted: true})
+		}
+	}
+	if len(items) > 0 {
+		r.forwardUrgent(items, r.forwarders(now))
+	}
+}
+
 // withoutSuperseded returns the reading's items without large ones that a later item of the same key replaces:
 // parsing a configuration takes long.
 func (rd storeReading) withoutSuperseded() []shed.Item {
@@ -88,6 +102,9 @@
 // queueReading has an answer to a watch of the store applied, and joins it with others that wait: the next answer
 // may say that a server leaves, and isn't awaited while a configuration is parsed.
 func (r *Relay) queueReading(rd storeReading) {
+	r.mu.Lock()
+	r.roster.StoreAnswered(time.Now())
+	r.mu.Unlock()
 	r.applyAhead(rd)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -229,6 +229,7 @@
 	var answeredAt time.Time
 	if m.ConfirmedAgo < maxPeerUptime {
 		answeredAt = now.Add(-max(m.ConfirmedAgo, 0))
+		r.roster.StoreAnswered(answeredAt)
 	}
 	r.handleFollowEvent(now, follow.PeerReported{From: from, State: follow.PeerState{
 		AsOf: m.AsOf, Digest: m.Digest, Catalog: m.Catalog, LastContact: answeredAt, Power: member.Power,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -368,7 +368,9 @@
 func (r *Relay) tick(now, start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.logRosterChanges(r.roster.Tick(now))
+	dropped := r.roster.Tick(now)
+	r.logRosterChanges(dropped)
+	r.forwardRemovals(now, dropped)
 	r.performBatch(r.batcher.Handle(now, batch.Tick{}))
 	r.notifyPermits(r.permits.Tick(now))
 	r.tickReservations(now)
--- a/internal/roster/ahead.go
+++ b/internal/roster/ahead.go
@@ -52,6 +52,6 @@
 // inSteadyContact reports whether the store has answered without a gap for as long as an entry that lapsed in one
 // is kept.
 func (r *Roster) inSteadyContact(now time.Time) bool {
-	return !r.storeLost && !r.lastContact.IsZero() && now.Sub(r.lastContact) <= r.cfg.maxContactGap() &&
+	return !r.lastContact.IsZero() && now.Sub(r.lastAnswer) <= r.cfg.maxContactGap() &&
 		!now.Before(r.contactSince.Add(r.cfg.LapseGrace))
 }
--- a/internal/roster/ahead_test.go
+++ b/internal/roster/ahead_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/roster"
 )
 
 func leaving(e *shed.ServerEntry) { e.Leaving = true }
@@ -40,7 +41,25 @@
 func TestLapsedServerIsNotRemovedAhead(t *testing.T) {
 	r, now := healthyRoster(catalog("1", 1), server("x", 2, nil))
 	now = now.Add(time.Minute)
+	r.StoreAnswered(now)
 	applied, _ := r.ApplyAhead(now, store(11, gone("x", 11)))
 	require.Empty(t, applied)
 	require.Equal(t, []shed.ServerID{"x"}, open(r))
 }
+
+// Guards against a VM that is late itself and goes on using a removed server, as after an outage of the store, though
+// the store has answered its peers all the while, and against one that does so because it has just started.
+func TestOwnDelayIsNoOutageOfTheStore(t *testing.T) {
+	r, now := healthyRoster(catalog("1", 1), server("x", 2, nil))
+	for range 10 {
+		now = now.Add(time.Second)
+		r.StoreAnswered(now)
+	}
+	r.Apply(now, store(11, gone("x", 11)))
+	require.Empty(t, open(r))
+
+	r = roster.New(roster.Config{})
+	r.Apply(start, store(10, catalog("1", 1), server("x", 2, nil)))
+	r.Apply(start.Add(time.Second), store(11, gone("x", 11)))
+	require.Empty(t, open(r))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,9 +121,12 @@
 	// version counts the changes of the items.
 	version uint64
 
-	// lastContact is when the store last answered; contactSince is since when it has answered
-	// without a gap.
-	lastContact, contactSince time.Time
+	// lastContact is as of when this state is known to be complete: when the store last answered this daemon, or a
+	// peer with the same state.
+	lastContact time.Time
+	// lastAnswer is when the store last answered any daemon, as far as this one knows; contactSince is since when it
+	// has answered without a gap. A daemon that is late itself has an old lastContact, which is no gap.
+	lastAnswer, contactSince time.Time
 	// firstContact is when the store first answered. What was listed before is not known.
 	firstContact time.Time
 	// pastVersions holds, for each pool, the software versions of servers that were removed, with the
--- a/internal/roster/share.go
+++ b/internal/roster/share.go
@@ -89,11 +89,25 @@
 // Confirm records that the store answered a peer at that time, and that this daemon's state
 // equals the peer's.
 func (r *Roster) Confirm(at time.Time) {
+	r.StoreAnswered(at)
 	if at.After(r.lastContact) {
 		r.setLastContact(at)
 	}
 }
 
+// StoreAnswered records that the store answered a daemon at that time. If it had answered none for so long that
+// entries may have lapsed, those that vanished get a grace period from then on. A daemon that has just started knows
+// of no such time unless the store has failed to answer it.
+func (r *Roster) StoreAnswered(at time.Time) {
+	if !at.After(r.lastAnswer) {
+		return
+	}
+	if gap := at.Sub(r.lastAnswer); r.lastAnswer.IsZero() && r.storeLost || !r.lastAnswer.IsZero() && gap > r.cfg.maxContactGap() {
+		r.contactSince = at
+	}
+	r.lastAnswer = at
+}
+
 func (r *Roster) setLastContact(at time.Time) {
 	if r.lastContact.IsZero() {
 		r.firstContact = at
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -69,12 +69,9 @@
 	return out
 }
 
-// recordStoreAnswer records an answer of the store. After a gap in contact, entries that
-// vanished during the gap get a grace period from now on.
+// recordStoreAnswer records an answer of the store to this daemon.
 func (r *Roster) recordStoreAnswer(now time.Time, out []Change) []Change {
-	if r.lastContact.IsZero() || now.Sub(r.lastContact) > r.cfg.maxContactGap() {
-		r.contactSince = now
-	}
+	r.StoreAnswered(now)
 	r.setLastContact(now)
 	if r.storeLost {
 		r.storeLost = false
