peers: departures have room of their own among messages in flight

Cause: a VM has 256 messages to peers in flight and drops further ones without a trace. Each may take a second and more to a peer that gives no answer, so load reports and origins of streams use them up when several peers are slow, and a departure is dropped with the rest; it is learned then by the next report of another peer, a wait of 150 ms and a pull.

Change: updates of the store and departures have 1,024 of their own.

Evidence: TestUrgentMessagesHaveRoomOfTheirOwn, red before (dropped).

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -40,6 +40,8 @@
 	// maxConcurrentControls bounds the control messages in flight. Further ones are dropped,
 	// which every receiver tolerates.
 	maxConcurrentControls = 256
+	// maxConcurrentUrgent bounds those of them that can't wait for a later message, which have room of their own.
+	maxConcurrentUrgent = 1024
 )
 
 // ErrHeartbeatTimeout is returned when no heartbeat was received on a connection in time.
@@ -82,6 +84,8 @@
 	cfg      ClientConfig
 	pool     *drpcpool.Pool[connKey, drpcpool.Conn]
 	controls errgroup.Group
+	// urgent are the control messages in flight that change which servers get work.
+	urgent errgroup.Group
 
 	// bytesReceived counts the bytes received on connections that this client opened.
 	bytesReceived atomic.Int64
@@ -122,12 +126,14 @@
 		}),
 	}
 	c.controls.SetLimit(maxConcurrentControls)
+	c.urgent.SetLimit(maxConcurrentUrgent)
 	return c
 }
 
 // Close waits for control messages in flight and closes the idle connections.
 func (c *Client) Close() error {
 	_ = c.controls.Wait()
+	_ = c.urgent.Wait()
 	return c.pool.Close()
 }
 
@@ -203,8 +209,12 @@
 		}
 		return wire.Marshal(&e)
 	})
+	group := &c.controls
+	if isUrgent(msg) {
+		group = &c.urgent
+	}
 	for _, vm := range to {
-		sending := c.controls.TryGo(func() error {
+		sending := group.TryGo(func() error {
 			if e, err := encode(); err == nil {
 				c.sendControl(vm, e)
 			}
@@ -216,6 +226,15 @@
 	}
 }
 
+// isUrgent reports whether a message changes which servers get work.
+func isUrgent(msg shed.Message) bool {
+	switch msg.(type) {
+	case shed.StoreUpdate, shed.UrgentUpdate, shed.LeavingUpdate:
+		return true
+	}
+	return false
+}
+
 // sendControl performs the call of one control message.
 func (c *Client) sendControl(to shed.VM, e encoded) {
 	l := c.connKey(to)
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/fault"
@@ -46,3 +48,25 @@
 	}
 	_ = g.Wait()
 }
+
+// Guards against a departure that is dropped because reports to slow peers use up the messages that may be in flight.
+func TestUrgentMessagesHaveRoomOfTheirOwn(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	received := make(chan shed.Message, 1)
+	to := serve(t, echo{controls: received})
+	var dropped atomic.Int64
+	c := newClient(t, ClientConfig{OnDropped: func() { dropped.Add(1) }})
+	for range 2 * maxConcurrentControls {
+		c.Send(shed.VM(silent.Addr().String()), shed.RelayLoad{})
+	}
+	require.GreaterOrEqual(t, dropped.Load(), int64(maxConcurrentControls))
+	c.Send(to, shed.LeavingUpdate{Starts: []shed.ServerStart{{Server: "x"}}})
+	select {
+	case msg := <-received:
+		require.IsType(t, shed.LeavingUpdate{}, msg)
+	case <-time.After(time.Second):
+		require.Fail(t, "dropped")
+	}
+}
