relay: the cache of the server that wrote a stream tells its version

Cause: where a stream began is in the memory of four VMs, which die together. With several versions lately, or for 26 s after the start (route of 12 s), an unknown origin is refused: stream_version_unknown.

Ways weighed: docs/design/versions.md. Servers outlive the VMs: a model server keeps a prompt's parts in its cache, and with the last part, which is the request's own or its session's, the tokens that it wrote after it. A server that holds that part with at least as many tokens more as the caller has events has written the stream; one that has only read the prompt is no evidence. If such servers agree on one version, that is the origin; else the request is refused as before.

Cost: nothing while VMs remember. Else each server's list is read by one VM for all, once a second at most, and a resumed stream costs a call to each VM that reads a server of the pool, 0.4 s at most.

--- a/dialect.go
+++ b/dialect.go
@@ -31,6 +31,10 @@
 	// ParseReport parses the answer.
 	NewReportRequest(server ServerEntry) (*http.Request, error)
 	ParseReport(body []byte) (ServerReport, error)
+	// NewCacheRequest returns a call that a server answers with the parts of prompts in its cache, and
+	// ParseCache parses the answer.
+	NewCacheRequest(server ServerEntry) (*http.Request, error)
+	ParseCache(body []byte) ([]PromptPart, error)
 	// NewFreeRequest returns a call that releases results.
 	NewFreeRequest(addr string, refs []ResultRef) (*http.Request, error)
 	// Producer returns the address of the server that produced and holds the result.
@@ -48,6 +52,9 @@
 // ErrBadReport is returned by a Dialect for a report that can't be parsed or lacks the free capacity.
 var ErrBadReport = errors.New("bad report of a server")
 
+// ErrBadCache is returned by a Dialect for a list of cached parts that can't be parsed.
+var ErrBadCache = errors.New("bad list of cached parts of a server")
+
 // ErrBadRequestHead is returned by a Dialect for a request with an invalid head, such as one
 // without exactly one id.
 var ErrBadRequestHead = errors.New("bad request head")
--- /dev/null
+++ b/internal/peers/held.go
@@ -0,0 +1,45 @@
+package peers
+
+import (
+	"context"
+
+	shed "jasmineshed"
+
+	"storj.io/drpc"
+)
+
+const rpcHeld = "/peers/Held"
+
+// HeldCall asks for the software versions of those servers of a pool that wrote a stream. A daemon answers for the
+// servers whose caches it reads for all.
+type HeldCall struct {
+	Pool shed.PoolID `cbor:"1,keyasint"`
+	// Part is the last part of the stream's prompt, Written how many tokens were written after it at least.
+	Part    shed.PromptPart `cbor:"2,keyasint"`
+	Written shed.Tokens     `cbor:"3,keyasint"`
+	Servers []shed.ServerID `cbor:"4,keyasint"`
+}
+
+// HeldReply is the answer to a HeldCall.
+type HeldReply struct {
+	Versions []shed.SoftwareVersion `cbor:"1,keyasint,omitempty"`
+}
+
+func receiveHeld(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
+	call, stream := in1.(*HeldCall), in2.(drpc.Stream)
+	out := &sender{stream: stream}
+	reply := srv.(RelayHandler).Held(stream.Context(), *call)
+	return nil, out.send(&reply)
+}
+
+// Held asks a peer which versions of servers wrote a stream.
+func (c *Client) Held(ctx context.Context, to shed.VM, call HeldCall) (HeldReply, error) {
+	s, err := c.startCall(ctx, to, rpcHeld, &call)
+	if err != nil {
+		return HeldReply{}, err
+	}
+	defer s.close()
+	var reply HeldReply
+	err = s.recv(&reply)
+	return reply, err
+}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -133,6 +133,8 @@
 	Reserve(call ReserveCall) ReserveReply
 	// StreamOrigin returns the origin of a stream, if this daemon knows it.
 	StreamOrigin(call OriginCall) OriginReply
+	// Held returns the versions of the servers in the call that wrote a stream.
+	Held(ctx context.Context, call HeldCall) HeldReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
 	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
 	// MayCarry reports whether a request may be passed on over a connection that Connect opened.
@@ -145,7 +147,7 @@
 type relayDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (relayDescription) NumMethods() int { return 8 }
+func (relayDescription) NumMethods() int { return 9 }
 
 // Method implements drpc.Description.
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -167,6 +169,8 @@
 		return rpcOrigin, wire, receiveOrigin, (func(RelayHandler, *OriginCall, drpc.Stream) error)(nil), true
 	case 7:
 		return rpcReserve, wire, receiveReserve, (func(RelayHandler, *ReserveCall, drpc.Stream) error)(nil), true
+	case 8:
+		return rpcHeld, wire, receiveHeld, (func(RelayHandler, *HeldCall, drpc.Stream) error)(nil), true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -83,6 +83,8 @@
 
 func (s *relayStub) StreamOrigin(peers.OriginCall) peers.OriginReply { return peers.OriginReply{} }
 
+func (s *relayStub) Held(context.Context, peers.HeldCall) peers.HeldReply { return peers.HeldReply{} }
+
 // MayCarry refuses servers that are named "closed".
 func (s *relayStub) MayCarry(call peers.CarryCall) bool { return call.Start.Server != "closed" }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,6 +115,8 @@
 	accept         *accept.Gate
 	poison         *poison.Table
 	origins        *origin.Table
+	// cacheLists are the lists of servers' cached parts that this VM read.
+	cacheLists map[shed.ServerStart]*cacheList
 	// usual is how long answers of routes take.
 	usual  *hedge.Usual
 	limits *limit.Table
@@ -179,6 +181,7 @@
 		roster:        roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
 		accept:        accept.New(),
 		origins:       origin.New(),
+		cacheLists:    map[shed.ServerStart]*cacheList{},
 		usual:         hedge.NewUsual(),
 		limits:        limit.New(),
 		turnBook:      turns.NewLedger(),
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -25,7 +25,9 @@
 	workTimesShared tally.Counter
 	// originFailures counts the peers that gave no answer when asked for the origin of a stream.
 	originFailures tally.Counter
-	storeEra       tally.Gauge
+	// cacheLists counts the lists of cached parts that this VM read from servers.
+	cacheLists tally.Counter
+	storeEra   tally.Gauge
 	// departuresLate counts the departures of servers that this VM learned of when the state that it had of
 	// the store was older than lateDeparture.
 	departuresLate tally.Counter
@@ -70,6 +72,7 @@
 		rests:                s.Counter("server_rests"),
 		workTimesShared:      s.Counter("work_times_shared"),
 		originFailures:       s.Counter("stream_origin_calls_failed"),
+		cacheLists:           s.Counter("cache_lists_read"),
 		storeEra:             s.Gauge("store_era"),
 		departuresLate:       s.Counter("departures_learned_late"),
 		controlsDropped:      s.Counter("messages_to_peers_dropped"),
