relay: a resumed stream is admitted by the time that its caller has left

Cause: admission compares the time to the first event with the route's target. The caller of a resumed stream had its first event long ago, so 55 were refused as pieces_would_be_late that had time for the rest.

Change: half of the time that the caller has left, if that is longer.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -87,11 +87,21 @@
 		wait = defaultTimeout
 	}
 	j.deadline = j.began.Add(wait)
-	j.target = j.began.Add(min(j.route.Target, wait))
+	j.target = j.began.Add(targetOf(j.route.Target, wait, j.resumes()))
 	r.retryBudget(j.pool.ID).Succeeded(j.began)
 	return nil
 }
 
+// targetOf returns the time within which a request should be answered whose caller waits for wait. A caller that
+// resumes a stream had its first event long ago: for it the rest counts, which has to come before it gives up.
+func targetOf(target, wait time.Duration, resumes bool) time.Duration {
+	target = min(target, wait)
+	if resumes {
+		return max(target, wait/2)
+	}
+	return target
+}
+
 // permanentRefusal refuses a request for good because of the configuration. Callers don't retry
 // after that, so a VM that knows of a newer configuration than its own refuses temporarily: the
 // newer one may have the route or key. So does a VM whose configuration nobody has confirmed.
