relay: with the last key revoked nobody is served

Cause: an empty list of keys stood for a configuration that needs none. Change: the configuration says whether callers need a key.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -65,7 +65,7 @@
 		return r.permanentRefusal(http.StatusNotFound, reasonNoRoute)
 	}
 	j.rank = j.route.Rank
-	if len(c.APIKeys) > 0 {
+	if c.NeedsKey {
 		ws, ok := c.APIKeys[j.request.Key]
 		if !ok && !j.route.Public {
 			return r.permanentRefusal(http.StatusUnauthorized, reasonBadKey)
--- a/relay.go
+++ b/relay.go
@@ -28,7 +28,9 @@
 	Number  uint64
 	Routes  []Route
 	Pools   map[PoolID]*RelayPool
-	// APIKeys maps API keys to workspaces; empty if callers need no key.
+	// NeedsKey: callers need a key, except on public routes.
+	NeedsKey bool
+	// APIKeys maps API keys to workspaces.
 	APIKeys map[string]WorkspaceID
 	Ranks   map[WorkspaceID]int
 	Limits  RelayLimits
