relay: an answer that its server's end cuts off is not complete

Cause: the kernel closes the connections of a killed process as those of one that has sent everything. Whether the server has ended was asked for suspects and for resumed streams without events only. It was also taken to live if the probing connection was reset, not closed: the listener of a killed process takes connections for a moment.

Change: every answer that ends with its connection asks it. A resumable stream goes on elsewhere, others end as broken off. It costs a connection for each such answer, and 30 ms at its end.

TestAnswerThatItsServersEndCutsOff, red before (4 of 4).

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -221,7 +221,7 @@
 		return false
 	}
 	_, err = c.Read(make([]byte, 1))
-	return errors.Is(err, io.EOF) && r.peersAreRefused(s)
+	return closedByServer(err) && r.peersAreRefused(s)
 }
 
 // peersAreRefused reports whether peers are refused too by a server that refused this VM or closed its
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -166,6 +166,10 @@
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
+	if a.mayBeCutOff() {
+		a.err, a.serverFailed = io.ErrUnexpectedEOF, true
+		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
+	}
 	a.pursuit.mu.Lock()
 	defer a.pursuit.mu.Unlock()
 	if a.out.started {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,7 +39,7 @@
 
 // completeStream ends the caller's answer if the stream that ended is complete.
 func (a *attempt) completeStream(resp *http.Response) bool {
-	if !a.begun && !a.isEmptyRest(resp) {
+	if !a.begun && !a.isEmptyRest() || a.begun && a.mayBeCutOff() {
 		return false
 	}
 	a.pursuit.mu.Lock()
@@ -98,11 +98,17 @@
 // isEmptyRest reports whether an answer that ended without an event is complete: the caller has all
 // events of the stream that it resumes. If the answer ended with its connection, the server may have
 // ended instead.
-func (a *attempt) isEmptyRest(resp *http.Response) bool {
+func (a *attempt) isEmptyRest() bool {
 	if a.job.request.LastEventID == "" && a.lastEvent == "" {
 		return false
 	}
-	return !endsWithConnection(resp) || !a.relay.serverEnded(a.exchange.server)
+	return !a.mayBeCutOff()
+}
+
+// mayBeCutOff reports whether an answer that ended with its connection may have been cut off, since its server has
+// ended. The kernel closes the connections of a killed process as those of one that has sent everything.
+func (a *attempt) mayBeCutOff() bool {
+	return a.endsWithConnection && a.relay.serverEnded(a.exchange.server)
 }
 
 // endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its
