--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -10,17 +10,15 @@
 
 const rpcHeld = "/peers/Held"
 
-// HeldCall asks for the software versions of those servers of a pool that wrote a stream. A daemon answers for the
-// servers whose caches it reads for all.
+// HeldCall asks which of some servers wrote a stream. Servers are those whose caches the called daemon reads for all.
 type HeldCall struct {
-	Pool shed.PoolID `cbor:"1,keyasint"`
+	Servers []shed.ServerID `cbor:"1,keyasint"`
 	// Part is the last part of the stream's prompt, Written how many tokens were written after it at least.
 	Part    shed.PromptPart `cbor:"2,keyasint"`
 	Written shed.Tokens     `cbor:"3,keyasint"`
-	Servers []shed.ServerID `cbor:"4,keyasint"`
 }
 
-// HeldReply is the answer to a HeldCall.
+// HeldReply is the answer to a HeldCall: the software version of each of the servers that wrote the stream.
 type HeldReply struct {
 	Versions []shed.SoftwareVersion `cbor:"1,keyasint,omitempty"`
 }
@@ -32,7 +30,7 @@
 	return nil, out.send(&reply)
 }
 
-// Held asks a peer which versions of servers wrote a stream.
+// Held asks a peer which servers wrote a stream.
 func (c *Client) Held(ctx context.Context, to shed.VM, call HeldCall) (HeldReply, error) {
 	s, err := c.startCall(ctx, to, rpcHeld, &call)
 	if err != nil {
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -133,7 +133,7 @@
 	Reserve(call ReserveCall) ReserveReply
 	// StreamOrigin returns the origin of a stream, if this daemon knows it.
 	StreamOrigin(call OriginCall) OriginReply
-	// Held returns the versions of the servers in the call that wrote a stream.
+	// Held returns the versions of those servers in the call that wrote a stream.
 	Held(ctx context.Context, call HeldCall) HeldReply
 	// Connect opens the connection to a server that a peer asked this daemon to carry.
 	Connect(ctx context.Context, call CarryCall) (net.Conn, CarryStatus)
--- a/internal/relay/holder.go
+++ b/internal/relay/holder.go
@@ -80,7 +80,7 @@
 		vm, _ := rank.Owner("cache of "+string(s.ID), vms)
 		call, ok := calls[vm]
 		if !ok {
-			call = peers.HeldCall{Pool: pool, Part: wanted.Part, Written: wanted.Written}
+			call = peers.HeldCall{Part: wanted.Part, Written: wanted.Written}
 		}
 		call.Servers = append(call.Servers, s.ID)
 		calls[vm] = call
--- a/internal/roster/share.go
+++ b/internal/roster/share.go
@@ -102,7 +102,11 @@
 	if !at.After(r.lastAnswer) {
 		return
 	}
-	if gap := at.Sub(r.lastAnswer); r.lastAnswer.IsZero() && r.storeLost || !r.lastAnswer.IsZero() && gap > r.cfg.maxContactGap() {
+	hadGap := at.Sub(r.lastAnswer) > r.cfg.maxContactGap()
+	if r.lastAnswer.IsZero() {
+		hadGap = r.storeLost
+	}
+	if hadGap {
 		r.contactSince = at
 	}
 	r.lastAnswer = at
