relay: a resumed stream may begin in three quarters of its caller's time

A quarter is left for the rest.

Not tried: the whole time that is left, since a stream that begins as its caller gives up is of no use to it.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -92,12 +92,15 @@
 	return nil
 }
 
+// restShare is the part of a caller's time that is left for the events of a resumed stream.
+const restShare = 0.25
+
 // targetOf returns the time within which a request should be answered whose caller waits for wait. A caller that
 // resumes a stream had its first event long ago: for it the rest counts, which has to come before it gives up.
 func targetOf(target, wait time.Duration, resumes bool) time.Duration {
 	target = min(target, wait)
 	if resumes {
-		return max(target, wait/2)
+		return max(target, time.Duration((1-restShare)*float64(wait)))
 	}
 	return target
 }
