--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -194,31 +194,9 @@
 		return batch.CallEnded{PathLost: errors.Is(err, errPathLost), Crashed: r.isCrash(err, a.Server)}, resp.StatusCode, err
 	}
 	results, err := r.cfg.Dialect.ParseResults(body, len(a.Pieces))
-	if r.repeatsResults(results) {
-		return batch.CallEnded{}, resp.StatusCode, errRepeatedAnswer
-	}
 	return batch.CallEnded{Results: results}, resp.StatusCode, err
 }
 
-// errRepeatedAnswer: a server repeated its answer to an earlier call.
-var errRepeatedAnswer = errors.New("answer to an earlier call for pieces")
-
-// repeatsResults reports whether an answer repeats an earlier one. Its connection is one answer behind then, and is
-// closed, as all that are idle.
-func (r *Relay) repeatsResults(results []shed.PieceResult) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.received.Repeats(time.Now(), results) {
-		return false
-	}
-	r.work.Go(func() error {
-		r.sender.Close()
-		r.carriedSender.Close()
-		return nil
-	})
-	return true
-}
-
 // errNoTurn: the server limits its request rate and has no turn for this call yet.
 var errNoTurn = errors.New("no turn granted at a rate-limited server")
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -153,8 +153,6 @@
 	historyCompacted bool
 	// lastChange is when the store last answered with changes. Used by followStore only.
 	lastChange time.Time
-	// received are the results that servers returned to this VM as coordinator.
-	received batch.Received
 	// readings are the answers to a watch of the store that are not applied yet.
 	readings readings
 	// splitCounter counts requests, to distribute them over the split of a route.
