relay: one query of a server's state serves surveys and cached parts

Read again: readCache repeated sendSurvey but for the call and its parser. Both build their request and have Relay.query send it and read the answer. Errors of a list that isn't answered name a report now.

--- a/internal/relay/holder.go
+++ b/internal/relay/holder.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -174,17 +171,9 @@
 		return nil, err
 	}
 	r.stats.cacheLists.Inc(1)
-	resp, _, _, err := r.send(&exchange{server: server, patience: plainPatience}, req.WithContext(ctx))
+	body, err := r.query(ctx, server, req, maxCacheList)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", shed.ErrBadCache, resp.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheList))
-	if err != nil {
-		return nil, fmt.Errorf("cached parts of %s: %w", server.ID, err)
-	}
 	return r.cfg.Dialect.ParseCache(body)
 }
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -70,19 +71,28 @@
 	if err != nil {
 		return shed.ServerReport{}, err
 	}
-	resp, _, _, err := r.send(&exchange{server: server, patience: plainPatience}, req.WithContext(ctx))
+	body, err := r.query(ctx, server, req, maxReport)
 	if err != nil {
 		return shed.ServerReport{}, err
 	}
+	return r.cfg.Dialect.ParseReport(body)
+}
+
+// query asks a server for its state and returns the answer, of which it reads up to limit bytes.
+func (r *Relay) query(ctx context.Context, server shed.ServerEntry, req *http.Request, limit int64) ([]byte, error) {
+	resp, _, _, err := r.send(&exchange{server: server, patience: plainPatience}, req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return shed.ServerReport{}, fmt.Errorf("%w: status %d", errNoReport, resp.StatusCode)
+		return nil, fmt.Errorf("%w: status %d", errNoReport, resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
-		return shed.ServerReport{}, fmt.Errorf("report of %s: %w", server.ID, err)
+		return nil, fmt.Errorf("report of %s: %w", server.ID, err)
 	}
-	return r.cfg.Dialect.ParseReport(body)
+	return body, nil
 }
 
 // wakeBatcher lets the batcher act after a time: its ticks are too far apart for calls that wait for
