peers: one call serves all that have one reply

Read again: Held was the fourth copy of the same ten lines, after Turn, StreamOrigin and Reserve. Client.call starts the call and reads the reply. Permit, Pieces and Items read several messages and stay.

--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -32,12 +32,7 @@
 
 // Held asks a peer which servers wrote a stream.
 func (c *Client) Held(ctx context.Context, to shed.VM, call HeldCall) (HeldReply, error) {
-	s, err := c.startCall(ctx, to, rpcHeld, &call)
-	if err != nil {
-		return HeldReply{}, err
-	}
-	defer s.close()
 	var reply HeldReply
-	err = s.recv(&reply)
+	err := c.call(ctx, to, rpcHeld, &call, &reply)
 	return reply, err
 }
--- a/internal/peers/origin.go
+++ b/internal/peers/origin.go
@@ -30,12 +30,7 @@
 
 // StreamOrigin asks a peer for the origin of a stream.
 func (c *Client) StreamOrigin(ctx context.Context, to shed.VM, call OriginCall) (OriginReply, error) {
-	s, err := c.startCall(ctx, to, rpcOrigin, &call)
-	if err != nil {
-		return OriginReply{}, err
-	}
-	defer s.close()
 	var reply OriginReply
-	err = s.recv(&reply)
+	err := c.call(ctx, to, rpcOrigin, &call, &reply)
 	return reply, err
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -209,13 +209,8 @@
 
 // Turn requests a turn at a server from a peer.
 func (c *Client) Turn(ctx context.Context, to shed.VM, call TurnCall) (TurnReply, error) {
-	s, err := c.startCall(ctx, to, rpcTurn, &call)
-	if err != nil {
-		return TurnReply{}, err
-	}
-	defer s.close()
 	var reply TurnReply
-	err = s.recv(&reply)
+	err := c.call(ctx, to, rpcTurn, &call, &reply)
 	return reply, err
 }
 
--- a/internal/peers/reserve.go
+++ b/internal/peers/reserve.go
@@ -61,12 +61,7 @@
 
 // Reserve asks a peer that coordinates a pool for a reservation.
 func (c *Client) Reserve(ctx context.Context, to shed.VM, call ReserveCall) (ReserveReply, error) {
-	s, err := c.startCall(ctx, to, rpcReserve, &call)
-	if err != nil {
-		return ReserveReply{}, err
-	}
-	defer s.close()
 	var reply ReserveReply
-	err = s.recv(&reply)
+	err := c.call(ctx, to, rpcReserve, &call, &reply)
 	return reply, err
 }
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -69,6 +69,16 @@
 	return s, nil
 }
 
+// call makes a call to a peer that has one reply, and reads it into reply.
+func (c *Client) call(ctx context.Context, to shed.VM, rpc string, call, reply drpc.Message) error {
+	s, err := c.startCall(ctx, to, rpc, call)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	return s.recv(reply)
+}
+
 // onTimeout ends the stream, unless silence is to be reported. Cancelling its context closes the
 // connection, so that it is not reused.
 func (s *stream) onTimeout() {
