relay: an answer's server is asked once whether it has ended

Read again: since an answer that ends with its connection is delivered only if its server lives (mayBeCutOff), assessUnframed asked the same server a second time for suspects, and its branch for a server that has ended could no longer be reached: such an answer isn't done, and is assessed as a crash with its error. The function goes; a delivered answer is assessed like any other. It also clears the parts of a prompt now if it was no stream, as answers with a length do.

Tests of crashes, hidden crashes, parts and suspects in ./platform: green with the race detector.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -100,8 +100,6 @@
 func (r *Relay) assessAttempt(a *attempt, v outcome) {
 	a.job.trial = a.job.trial && !v.sent
 	switch {
-	case v.done && a.endsWithConnection:
-		r.assessUnframed(a)
 	case v.done || a.status != 0 && v.reason == shed.ReasonServerError:
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -120,26 +118,6 @@
 	}
 }
 
-// assessUnframed records how a request ran whose complete answer ended with its connection. A server that
-// crashed between two events ends its connections, too, so such an end clears a suspect only if its
-// server is alive.
-func (r *Relay) assessUnframed(a *attempt) {
-	r.mu.Lock()
-	suspect := r.poison.IsSuspect(a.job.fingerprint)
-	r.mu.Unlock()
-	if !suspect {
-		return
-	}
-	ended := r.serverEnded(a.choice.Server.ServerEntry)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if ended {
-		r.recordCrash(a.job.request.ID, a.job.requestRef(), a.choice.Server.ServerEntry)
-		return
-	}
-	r.reportSuspects(r.poison.Ran(time.Now(), a.job.fingerprint))
-}
-
 // requestRef identifies the request when servers crash while running it.
 func (j *job) requestRef() shed.RequestRef {
 	return shed.RequestRef{Request: j.fingerprint, Workspace: j.workspace, Rank: max(j.rank, 0)}
