relay: entries of the store are parsed once

Read again: a change that a VM watched was parsed up to three times, for what goes ahead, for that again once the reading's turn came, and for the whole, and an entry that can't be parsed was logged as often. At a start the whole list was parsed twice, though nothing can go ahead then.

Readings hold entries, parsed as they come in, but for configurations; applyAll parses these, and a watched change goes ahead once. The answer of the store is recorded where the rest of it is.

Tests of departures, configurations, starts, restores and the store in ./platform: green (92 s).

--- a/internal/relay/ahead.go
+++ b/internal/relay/ahead.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -11,30 +12,36 @@
 // applyAhead applies those items of a reading at once that take servers out of use, and forwards them if the rest
 // of the reading will take long.
 func (r *Relay) applyAhead(rd storeReading) {
-	update := roster.Update{Source: rd.from}
-	hasCatalog := false
-	for _, item := range rd.items {
-		switch {
-		case r.cfg.Store.IsCatalogKey(item.Key):
-			hasCatalog = true
-		case r.cfg.Store.IsRecordKey(item.Key):
-			update.Items = append(update.Items, r.parseItem(item))
-		}
-	}
-	if len(update.Items) == 0 {
-		return
-	}
+	hasCatalog := slices.ContainsFunc(rd.entries, func(e roster.Entry) bool { return r.cfg.Store.IsCatalogKey(e.Key) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	if rd.from == roster.FromStore {
+		r.roster.StoreAnswered(now)
+	}
 	age := r.knowledgeAge(now)
-	applied, changes := r.roster.ApplyAhead(now, update)
+	applied, changes := r.roster.ApplyAhead(now, roster.Update{Source: rd.from, Items: rd.entries})
 	r.logUpdate(changes, age)
 	if len(applied) > 0 && rd.from == roster.FromStore && (hasCatalog || r.mesh.applying) {
 		r.forwardUrgent(applied, r.forwarders(now))
 	}
 }
 
+// entriesOf returns the items that can hold records, parsed. Configurations are left to applyAll: parsing them takes
+// long.
+func (r *Relay) entriesOf(items []shed.Item) []roster.Entry {
+	var out []roster.Entry
+	for _, item := range items {
+		switch {
+		case r.cfg.Store.IsCatalogKey(item.Key):
+			out = append(out, roster.Entry{Item: item})
+		case r.cfg.Store.IsRecordKey(item.Key):
+			out = append(out, r.parseItem(item))
+		}
+	}
+	return out
+}
+
 // forwardUrgent sends items to the peers that this VM notifies of changes. The caller holds mu.
 func (r *Relay) forwardUrgent(items []shed.Item, watchers []shed.VM) {
 	if to := r.notifiedPeers(watchers); len(to) > 0 {
@@ -56,19 +63,19 @@
 	}
 }
 
-// withoutSuperseded returns the reading's items without large ones that a later item of the same key replaces:
+// withoutSuperseded returns the reading's entries without large ones that a later entry of the same key replaces:
 // parsing a configuration takes long.
-func (rd storeReading) withoutSuperseded() []shed.Item {
+func (rd storeReading) withoutSuperseded() []roster.Entry {
 	last := map[string]int{}
-	for i, item := range rd.items {
-		if delta.IsLarge(item) {
-			last[item.Key] = i
+	for i, e := range rd.entries {
+		if delta.IsLarge(e.Item) {
+			last[e.Key] = i
 		}
 	}
-	kept := make([]shed.Item, 0, len(rd.items))
-	for i, item := range rd.items {
-		if i >= last[item.Key] {
-			kept = append(kept, item)
+	kept := make([]roster.Entry, 0, len(rd.entries))
+	for i, e := range rd.entries {
+		if i >= last[e.Key] {
+			kept = append(kept, e)
 		}
 	}
 	return kept
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -168,7 +168,7 @@
 	if len(r.mesh.updates) > 1 {
 		// What it takes out of use doesn't wait for those before.
 		r.work.Go(func() error {
-			r.applyAhead(storeReading{from: roster.FromPeer, items: plainItems(m.Items)})
+			r.applyAhead(storeReading{from: roster.FromPeer, entries: r.entriesOf(plainItems(m.Items))})
 			return nil
 		})
 		return
@@ -185,9 +185,9 @@
 	r.mu.Lock()
 	queued, known := slices.Clone(r.mesh.updates), r.roster.AsOf()
 	r.mu.Unlock()
-	rd, missed := r.mergeUpdates(known, queued)
-	if rd.asOf > known {
-		r.applyReading(rd)
+	items, asOf, missed := r.mergeUpdates(known, queued)
+	if asOf > known {
+		r.applyReading(storeReading{from: roster.FromPeer, entries: r.entriesOf(items), after: known, asOf: asOf})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -198,26 +198,28 @@
 	return len(r.mesh.updates) > 0
 }
 
-// mergeUpdates joins the updates that follow on the revision known and on each other, and returns those that can't
-// be applied.
-func (r *Relay) mergeUpdates(known shed.Revision, updates []storeUpdate) (rd storeReading, missed []storeUpdate) {
-	rd = storeReading{from: roster.FromPeer, after: known, asOf: known}
+// mergeUpdates joins the items of the updates that follow on the revision known and on each other, and returns the
+// revision that they are as of, and the updates that can't be applied.
+func (r *Relay) mergeUpdates(
+	known shed.Revision, updates []storeUpdate,
+) (items []shed.Item, asOf shed.Revision, missed []storeUpdate) {
+	asOf = known
 	for _, m := range updates {
-		if m.After > rd.asOf || m.AsOf.Era() != known.Era() {
+		if m.After > asOf || m.AsOf.Era() != known.Era() {
 			missed = append(missed, m)
 			continue
 		}
-		if m.AsOf <= rd.asOf {
+		if m.AsOf <= asOf {
 			continue
 		}
-		items, err := r.unpackChanges(m.Items, rd.items)
+		next, err := r.unpackChanges(m.Items, items)
 		if err != nil {
 			missed = append(missed, m)
 			continue
 		}
-		rd.items, rd.asOf = append(rd.items, items...), m.AsOf
+		items, asOf = append(items, next...), m.AsOf
 	}
-	return rd, missed
+	return items, asOf, missed
 }
 
 // maxPeerUptime is longer than any VM runs: a peer that the store never answered reports a longer time since.
@@ -269,7 +271,7 @@
 		log.WithError(err).Info("items of the store not read from a peer")
 	} else {
 		log.Info("items of the store read from a peer")
-		r.applyReading(storeReading{from: roster.FromPeer, items: items, after: p.After, asOf: asOf, complete: p.After == 0})
+		r.applyReading(storeReading{from: roster.FromPeer, entries: r.entriesOf(items), after: p.After, asOf: asOf, complete: p.After == 0})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/mesh.go
+++ b/internal/relay/mesh.go
@@ -213,7 +213,7 @@
 		r.receiveUpdate(now, from.VM, m)
 	case shed.UrgentUpdate:
 		r.work.Go(func() error {
-			r.applyAhead(storeReading{from: roster.FromPeer, items: m.Items})
+			r.applyAhead(storeReading{from: roster.FromPeer, entries: r.entriesOf(m.Items)})
 			return nil
 		})
 	case shed.LimitUpdate:
--- a/internal/relay/readings.go
+++ b/internal/relay/readings.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	shed "jasmineshed"
 )
@@ -34,9 +33,6 @@
 // queueReading has an answer to a watch of the store applied, and joins it with others that wait: the next answer
 // may say that a server leaves, and isn't awaited while a configuration is parsed.
 func (r *Relay) queueReading(rd storeReading) {
-	r.mu.Lock()
-	r.roster.StoreAnswered(time.Now())
-	r.mu.Unlock()
 	r.applyAhead(rd)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,7 +40,7 @@
 	if q.pending == nil {
 		q.pending = &rd
 	} else {
-		q.pending.items, q.pending.asOf = slices.Concat(q.pending.items, rd.items), rd.asOf
+		q.pending.entries, q.pending.asOf = slices.Concat(q.pending.entries, rd.entries), rd.asOf
 	}
 	q.asOf = rd.asOf
 	if q.applying {
@@ -67,6 +63,6 @@
 	if rd == nil {
 		return false
 	}
-	r.applyReading(*rd)
+	r.applyAll(*rd)
 	return true
 }
--- a/internal/relay/sync.go
+++ b/internal/relay/sync.go
@@ -105,18 +105,19 @@
 	rd := storeReading{from: roster.FromStore, after: r.readUpTo()}
 	r.mu.Unlock()
 	r.stats.storeCalls.Inc(1)
+	var items []shed.Item
 	var err error
 	switch call {
 	case follow.ListReplica:
 		rd.from, rd.complete = roster.FromReplica, true
-		rd.items, rd.asOf, err = r.cfg.Store.ListReplica(ctx)
+		items, rd.asOf, err = r.cfg.Store.ListReplica(ctx)
 	case follow.List:
 		rd.complete = true
-		rd.items, rd.asOf, err = r.cfg.Store.List(ctx)
+		items, rd.asOf, err = r.cfg.Store.List(ctx)
 	case follow.ReadChanges:
-		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, 0)
+		items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, 0)
 	default:
-		rd.items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, r.prefs.Load().Relay.Watch)
+		items, rd.asOf, err = r.cfg.Store.Watch(ctx, rd.after, r.prefs.Load().Relay.Watch)
 	}
 	if errors.Is(err, shed.ErrCompacted) {
 		r.historyCompacted = true
@@ -129,13 +130,14 @@
 	if call == follow.List {
 		r.historyCompacted = false
 	}
-	if len(rd.items) > 0 {
+	if len(items) > 0 {
 		r.lastChange = time.Now()
 	}
 	if call == follow.ListReplica || call == follow.ReadChanges {
 		r.log.WithFields(revisionFields("after", rd.after)).WithFields(revisionFields("as_of", rd.asOf)).
-			WithFields(logrus.Fields{"items": len(rd.items), "whole": rd.complete}).Info("store read at the start")
+			WithFields(logrus.Fields{"items": len(items), "whole": rd.complete}).Info("store read at the start")
 	}
+	rd.entries = r.entriesOf(items)
 	if call == follow.Watch {
 		r.queueReading(rd)
 		return nil
@@ -147,27 +149,32 @@
 // storeReading is an answer of the store or a peer: the changes after a revision, or all items
 // if complete.
 type storeReading struct {
-	from        roster.Source
-	items       []shed.Item
+	from roster.Source
+	// entries are parsed, but for configurations.
+	entries     []roster.Entry
 	after, asOf shed.Revision
 	complete    bool
 }
 
-// applyReading applies an answer of the store or a peer, and forwards changes from the store.
-// Readings are applied one at a time: the same configuration often arrives from two sources,
-// and the second is then already known.
-//
-// What takes servers out of use is applied before all that takes long, and doesn't wait for another reading.
+// applyReading applies an answer of the store or a peer. What takes servers out of use is applied before all
+// that takes long, and doesn't wait for another reading.
 func (r *Relay) applyReading(rd storeReading) {
 	r.applyAhead(rd)
+	r.applyAll(rd)
+}
+
+// applyAll applies all of an answer of the store or a peer, and forwards changes from the store.
+// Readings are applied one at a time: the same configuration often arrives from two sources,
+// and the second is then already known.
+func (r *Relay) applyAll(rd storeReading) {
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	r.setApplying(true)
 	defer r.setApplying(false)
-	l := roster.Update{Source: rd.from, AsOf: rd.asOf, Complete: rd.complete}
-	for _, item := range rd.withoutSuperseded() {
-		if r.cfg.Store.IsRecordKey(item.Key) {
-			l.Items = append(l.Items, r.parseItem(item))
+	l := roster.Update{Source: rd.from, AsOf: rd.asOf, Complete: rd.complete, Items: rd.withoutSuperseded()}
+	for i, e := range l.Items {
+		if r.cfg.Store.IsCatalogKey(e.Key) {
+			l.Items[i] = r.parseItem(e.Item)
 		}
 	}
 	r.mu.Lock()
