relay: how a request was sent is kept and logged in one place

Read again: the wait and the age of the knowledge were kept twice, in the exchange and in the job, and put into log lines by two pieces of code; a request that was sent to no server was logged with 0 for both, and one that a second attempt served with those of the first. A value of the exchange holds them; a request that wasn't sent has none.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -86,8 +86,8 @@
 	r.picker.RecordEnd(time.Now(), choice, end)
 	r.mu.Unlock()
 	j.carrier = a.exchange.carrier
-	if !a.exchange.sentAt.IsZero() {
-		j.sendWait, j.knowledgeAge = a.exchange.sentAt.Sub(a.began), a.exchange.knowledgeAge
+	if a.exchange.sending.sent {
+		j.sending = a.exchange.sending
 	}
 	if !v.done {
 		r.stats.recordAttemptFailure(v.reason)
@@ -156,7 +156,7 @@
 		"cold": server.Cold(a.began), "error": errorText(a.err), "fingerprint": a.job.fingerprint, "path_failed": pathFailed,
 	}
 	logCarrier(fields, a.exchange.carrier)
-	a.exchange.logSending(fields, a.began)
+	a.exchange.sending.log(fields)
 	msg := "attempt failed"
 	if v.reason == reasonNotNeeded {
 		msg = "second attempt not needed"
--- a/internal/relay/coordinate.go
+++ b/internal/relay/coordinate.go
@@ -123,7 +123,7 @@
 // callPieces runs one piece call and passes its outcome to the batcher.
 func (r *Relay) callPieces(a batch.Send) {
 	began := time.Now()
-	e := &exchange{server: a.Server, patience: time.Duration(piecesPatience * float64(a.UsualLimit))}
+	e := &exchange{server: a.Server, decidedAt: began, patience: time.Duration(piecesPatience * float64(a.UsualLimit))}
 	end, status, err := r.sendPieces(e, a)
 	end.Call = a.Call
 	took := time.Since(began)
@@ -133,7 +133,7 @@
 		"took_ms": took.Milliseconds(), "limit_ms": a.Limit.Milliseconds(),
 	}
 	logCarrier(fields, e.carrier)
-	e.logSending(fields, began)
+	e.sending.log(fields)
 	entry := r.log.WithFields(fields)
 	if end.Results == nil {
 		entry.WithFields(logrus.Fields{"status": status, "not_run": end.NotRun, "path_lost": end.PathLost, "crashed": end.Crashed, "error": errorText(err), "first": a.Pieces[0].Request}).
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -90,8 +90,8 @@
 	}
 	if j.server != "" {
 		fields["server"] = j.server
-		fields["waited_ms"], fields["knowledge_ms"] = j.sendWait.Milliseconds(), j.knowledgeAge.Milliseconds()
 	}
+	j.sending.log(fields)
 	logCarrier(fields, j.carrier)
 	if len(j.request.Pieces) > 0 {
 		fields["pieces"], fields["prepared_ms"], fields["zone"] = j.request.Pieces, j.prepareTime.Milliseconds(), j.zone
--- a/internal/relay/pursuit.go
+++ b/internal/relay/pursuit.go
@@ -153,7 +153,8 @@
 		return
 	}
 	j.origin, j.events, j.firstByte = from.origin, from.events, from.firstByte
-	j.server, j.serverVersion, j.slowness, j.carrier = from.server, from.serverVersion, from.slowness, from.carrier
+	j.server, j.serverVersion, j.slowness = from.server, from.serverVersion, from.slowness
+	j.carrier, j.sending = from.carrier, from.sending
 	j.answerTime, j.zone = from.answerTime, from.zone
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -92,7 +92,8 @@
 	}
 	once := !j.route.Repeatable && !j.route.Resumable
 	a.exchange = exchange{
-		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, sendBy: a.began.Add(maxDecisionAge), patience: plainPatience,
+		server: a.choice.Server.ServerEntry, id: j.request.ID, once: once, decidedAt: a.began, sendBy: a.began.Add(maxDecisionAge),
+		patience: plainPatience,
 	}
 	if j.route.Streaming {
 		a.exchange.patience = streamPatience
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -82,9 +82,8 @@
 	// slowness is how long work took on that server when it was chosen, relative to the usual time.
 	slowness float64
 	carrier  shed.VM
-	// sendWait is the time between the last choice of a server and the first byte sent there, and
-	// knowledgeAge how old the state of the store was then.
-	sendWait, knowledgeAge time.Duration
+	// sending is that of the last attempt that was sent.
+	sending sending
 	// permit is the permit that the request holds for a brittle server, if any.
 	permit      heldPermit
 	firstByte   time.Duration
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -26,10 +26,24 @@
 	patience time.Duration
 	// carrier is the peer that carried the request; empty if it was sent directly.
 	carrier shed.VM
-	// sentAt is when the first byte was sent, zero if none was. knowledgeAge is how old the state of the
-	// store was then on which the request was sent.
-	sentAt       time.Time
-	knowledgeAge time.Duration
+	// decidedAt is when the server was chosen.
+	decidedAt time.Time
+	sending   sending
+}
+
+// sending tells how a request's first byte was sent; the zero value if it wasn't.
+type sending struct {
+	sent bool
+	// wait is the time since the server was chosen, knowledgeAge how old the state of the store was on which the
+	// request was sent.
+	wait, knowledgeAge time.Duration
+}
+
+// log adds it to a log line.
+func (s sending) log(fields logrus.Fields) {
+	if s.sent {
+		fields["waited_ms"], fields["knowledge_ms"] = s.wait.Milliseconds(), s.knowledgeAge.Milliseconds()
+	}
 }
 
 // gate returns the gate of the exchange's first byte. A server may have begun to leave while the connection to it
@@ -45,19 +59,11 @@
 		if !r.roster.IsOpen(e.server.Start()) {
 			return errServerClosed
 		}
-		e.sentAt, e.knowledgeAge = now, r.knowledgeAge(now)
+		e.sending = sending{sent: true, wait: now.Sub(e.decidedAt), knowledgeAge: r.knowledgeAge(now)}
 		return nil
 	}
 }
 
-// logSending adds to a log line when the request was sent after the decision to do so, and on which knowledge.
-func (e *exchange) logSending(fields logrus.Fields, decidedAt time.Time) {
-	if e.sentAt.IsZero() {
-		return
-	}
-	fields["waited_ms"], fields["knowledge_ms"] = e.sentAt.Sub(decidedAt).Milliseconds(), e.knowledgeAge.Milliseconds()
-}
-
 // addr returns the address of the exchange's server.
 func (e *exchange) addr() reach.Addr { return reach.Addr(e.server.Addr) }
 
