--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -141,6 +141,7 @@
 		shed.SlotRelease{Servers: []shed.ServerID{"s"}},
 		shed.LoadDigest{Reports: map[shed.ServerID]shed.LoadReport{"s": {Running: 1}}},
 		shed.TicketMove{Tickets: []shed.MovedTicket{{ID: "t"}}},
+		shed.UrgentUpdate{Items: []shed.Item{{Key: "k", Value: []byte("v"), Revision: 5}, {Key: "l", Revision: 6, Deleted: true}}},
 	} {
 		e, err := newEnvelope(shed.Peer{VM: "a", Incarnation: 1}, msg)
 		require.NoError(t, err)
