platform: a configuration with an empty list of tenants lets nobody in

An empty collection was read as a permission.

Ruled out: the way from the store to the VMs (split values, copies of peers, restored stores) carries the item's bytes, which each VM parses by itself, so all of them read it alike.

--- a/relay.go
+++ b/relay.go
@@ -28,7 +28,7 @@
 	Number  uint64
 	Routes  []Route
 	Pools   map[PoolID]*RelayPool
-	// NeedsKey: callers need a key, except on public routes.
+	// NeedsKey: callers need a key, except on public routes, also if APIKeys is empty.
 	NeedsKey bool
 	// APIKeys maps API keys to workspaces.
 	APIKeys map[string]WorkspaceID
