relay: a configuration that has lost its tenants lets nobody in

What callers saw: a version without the field tenants, after versions with it, let everybody in. Such a value is left by an operator's tool that omits empty lists, or by a truncated list of fields; both mean to close, not to open.

Cause: each configuration was judged by itself, so one that says nothing of keys was read as one that needs none, whatever was in force before.

Change: once a configuration needed keys, a VM requires them for good, and says so in its load reports, so that a VM that starts later knows as well. The log has configuration_without_keys. Routes that are public stay open. Older daemons ignore the new field (22).

Weighed: rejecting the value (the last good one stays in force), which would keep the keys of before valid although the operator may have withdrawn them, and would leave routes of that version unserved. Memory of this VM alone: VMs that start later would let everybody in, and all would after a rolling restart.

Not covered: the loss of all VMs at once.

--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -41,7 +41,7 @@
 		// Messages are encoded later, in another goroutine.
 		ExpectedPieces: maps.Clone(r.expected), ExpectedBytes: maps.Clone(r.expectedBytes), AsOf: r.roster.AsOf(), Digest: r.roster.Digest(), ConfirmedAgo: now.Sub(r.roster.LastContact()),
 		Strained: r.isStrained(now), Isolated: r.paths.isolated, Lost: r.lostServers(),
-		Catalog: r.roster.CatalogRevision(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
+		Catalog: r.roster.CatalogRevision(), NeedsKey: r.roster.NeedsKey(), Limits: r.limits.All(now), Leaving: r.roster.UnlistedDepartures(),
 	}
 	if len(turn.ForecastTo) > 0 {
 		r.client.SendAll(turn.ForecastTo, load)
@@ -106,6 +106,9 @@
 	r.mesh.lastLoad[from.VM] = shed.Later(r.mesh.lastLoad[from.VM], reportedAt)
 	r.receivePaths(now, from.VM, m.Isolated, m.Lost)
 	r.receiveStrain(from.VM, m.Strained)
+	if m.NeedsKey {
+		r.roster.RequireKeys()
+	}
 	r.picker.SetPeerShares(from.VM, m.Servers)
 	r.receiveHeldBytes(now, from.VM, m.HeldBytes)
 	r.setPeerExpected(from.VM, m.ExpectedPieces, m.ExpectedBytes)
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -56,7 +56,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.roster.Catalog()
-	if !r.roster.Usable() {
+	if !r.isUsable(j.began) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: shed.ReasonNoConfig, retryAfter: accept.MinRetryAfter}
 	}
 	j.version = c.Version
@@ -65,7 +65,7 @@
 		return r.permanentRefusal(http.StatusNotFound, reasonNoRoute)
 	}
 	j.rank = j.route.Rank
-	if c.NeedsKey {
+	if r.roster.NeedsKey() {
 		ws, ok := c.APIKeys[j.request.Key]
 		if !ok && !j.route.Public {
 			return r.permanentRefusal(http.StatusUnauthorized, reasonBadKey)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -348,7 +348,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Usable() && !r.valve.Saturated(time.Now())
+	now := time.Now()
+	return r.isUsable(now) && !r.valve.Saturated(now)
+}
+
+// isUsable reports whether requests can be judged by the configuration in force. One that needs no keys may be
+// truncated, which peers that know an earlier one report. The caller holds mu.
+func (r *Relay) isUsable(now time.Time) bool {
+	if !r.roster.Usable() {
+		return false
+	}
+	return r.roster.NeedsKey() || len(r.mesh.lastLoad) > 0 || now.Sub(r.mesh.startedAt) > joinDuration
 }
 
 // tickEvery is the tick period of the pure packages.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,6 +79,7 @@
 	StoreRestored     shed.Reason = "store_restored_from_a_copy"
 	ServerWithheld    shed.Reason = "server_withheld"
 	CatalogOlder      shed.Reason = "older_configuration_ignored"
+	CatalogKeyless    shed.Reason = "configuration_without_keys"
 	CatalogUnreadable shed.Reason = "configuration_unreadable"
 	ItemUnreadable    shed.Reason = "item_unreadable"
 )
@@ -105,6 +106,8 @@
 
 	catalog    *shed.Catalog
 	catalogRev shed.Revision
+	// keysNeeded is set once a configuration needed keys, here or at a peer. It is never cleared.
+	keysNeeded bool
 	servers    map[shed.ServerID]*Server
 	closed     map[shed.ZoneID]bool
 	// departures are the servers that said in an answer that they leave, with the time at which
@@ -222,6 +225,13 @@
 // answer, an old configuration is better than none.
 func (r *Roster) Usable() bool { return r.catalog != nil && (r.IsConfirmed() || r.storeLost) }
 
+// NeedsKey reports whether callers need a key, except on public routes. A configuration that says nothing of keys after
+// one that did may be truncated, so it opens nothing.
+func (r *Roster) NeedsKey() bool { return r.keysNeeded }
+
+// RequireKeys records that a configuration needed keys at a peer.
+func (r *Roster) RequireKeys() { r.keysNeeded = true }
+
 // CatalogRevision is the revision of the active configuration; 0 before the first.
 func (r *Roster) CatalogRevision() shed.Revision { return r.catalogRev }
 
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -110,6 +110,10 @@
 		}
 		r.catalog, r.catalogRev = f, e.Revision
 		out = append(out, Change{Reason: CatalogInForce, Key: e.Key, Revision: e.Revision, Version: f.Version})
+		if r.keysNeeded && !f.NeedsKey {
+			out = append(out, Change{Reason: CatalogKeyless, Key: e.Key, Revision: e.Revision, Version: f.Version})
+		}
+		r.keysNeeded = r.keysNeeded || f.NeedsKey
 	case shed.ZoneClosed:
 		out = append(out, Change{Reason: ZoneClosed, Key: e.Key, Revision: e.Revision, Zone: f.Zone})
 	case shed.ServerEntry:
--- a/message.go
+++ b/message.go
@@ -146,6 +146,8 @@
 	ConfirmedAgo time.Duration `cbor:"8,keyasint,omitempty"`
 	// Catalog is the revision of the configuration in force at the sender.
 	Catalog Revision `cbor:"11,keyasint,omitempty"`
+	// NeedsKey is set once a configuration needed keys, at the sender or at a peer of it.
+	NeedsKey bool `cbor:"22,keyasint,omitempty"`
 	// HeldBytes is the size in bytes of the results that each server holds for the sender,
 	// which coordinates batches of pieces.
 	HeldBytes map[ServerID]int64 `cbor:"6,keyasint,omitempty"`
