relay: services whose weights are all 0 get nothing

What callers saw: with weight 0 for each service of a route, all its requests ran at the first of them.

Cause: a total of 0 was taken for "no weights given". An absent weight is 0 too.

Change: no service is chosen, and the request is refused at once with 503.

TestServicesWithoutWeightGetNothing on: 200 in place of 503; green now.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -116,14 +116,14 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// choosePool picks a pool by the weights of the route's split, round-robin.
+// choosePool picks a pool by the weights of the route's split, round-robin; none if all of them are 0.
 func (r *Relay) choosePool(route *shed.Route) shed.PoolID {
 	total := 0
 	for _, s := range route.Split {
 		total += s.Weight
 	}
 	if total == 0 {
-		return route.Split[0].Pool
+		return ""
 	}
 	r.splitCounter++
 	// A stride that is coprime to the usual total of 100 interleaves the pools.
