relay: asking whether a server has ended has a time limit

Cause: serverEnded connects to the server with the daemon's own context, so the attempt waited for as long as the connection function did; goroutines stood in serverEnded and isCrash.

Change: the connection has the limit that requests to servers have.

Ruled out: the carried connection itself; its read had returned. Whether the daemon's own dialer has a limit that hides this in production was not looked into; the fault is shown with the path of the tests only.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -189,7 +190,9 @@
 	if known {
 		return true
 	}
-	c, err := r.cfg.Dial(r.base, "tcp", s.Addr)
+	ctx, cancel := context.WithTimeout(r.base, r.prefs.Load().Relay.Connect)
+	defer cancel()
+	c, err := r.cfg.Dial(ctx, "tcp", s.Addr)
 	if err != nil {
 		return (errors.Is(err, syscall.ECONNREFUSED) || timedOut(err)) && r.peersAreRefused(s)
 	}
