relay: an answer that stops after its head is not complete

What callers saw: a server that sent the head of an answer without a length or chunks and closed the connection, but went on living, made a 200 with "Content-Length: 0" for its caller: an empty body, framed as whole.

Cause: the end of the connection is the end of such an answer, and only the end of the server itself was taken for a sign that it was cut off.

Change: such an answer with no byte of a body is broken off. A server that has an empty body to send says so by a length. Answers to HEAD are exempt. Idempotent requests go on at another server, others get 502. Streams were safe: one without an event is not complete unless it resumes one.

A cut inside the head was refused before, by net/http.

Not covered: a body without a length or chunks that is cut after its first byte by a server that lives on. Nothing in the answer tells it from a whole one.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -167,7 +167,7 @@
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
-	if a.mayBeCutOff() {
+	if a.isHeadOnly(body) || a.mayBeCutOff() {
 		a.err, a.serverFailed = io.ErrUnexpectedEOF, true
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,6 +111,12 @@
 	return a.endsWithConnection && a.relay.serverEnded(a.exchange.server)
 }
 
+// isHeadOnly reports whether nothing followed the head of an answer that ends with its connection. A server that has
+// an empty body to send says so by its length; one that stopped after the head doesn't.
+func (a *attempt) isHeadOnly(body []byte) bool {
+	return a.endsWithConnection && len(body) == 0 && a.job.request.Method != http.MethodHead
+}
+
 // endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its
 // server can't be told from its own.
 func endsWithConnection(resp *http.Response) bool {
