relay: the question whether a server has ended uses the common time limit

serverEnded uses Relay.withTimeout, as peersAreRefused does: this VM's own delay is then not taken for the server's end.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -190,7 +189,7 @@
 	if known {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(r.base, r.prefs.Load().Relay.Connect)
+	ctx, cancel := r.withTimeout(r.base, r.prefs.Load().Relay.Connect)
 	defer cancel()
 	c, err := r.cfg.Dial(ctx, "tcp", s.Addr)
 	if err != nil {
