--- a/internal/fault/process.go
+++ b/internal/fault/process.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"time"
 
@@ -82,3 +83,61 @@
 	}
 	return string(out[max(0, len(out)-maxTail):])
 }
+
+// PeakMemory returns the largest amount of memory that the process has had resident, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	file := fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid)
+	status, err := os.ReadFile(file)
+	if err != nil {
+		return 0, fmt.Errorf("peak memory of a process: %w", err)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kib int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kib); n == 1 {
+			return kib << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("peak memory of a process: none in %s", file)
+}
+
+// Descriptors returns how many file descriptors the process has open.
+func (p *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("descriptors of a process: %w", err)
+	}
+	return len(entries), nil
+}
+
+// MostDescriptors watches the process for a time, and returns the largest number of descriptors that it had open.
+func (p *Process) MostDescriptors(watch time.Duration) (int, error) {
+	most := 0
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		n, err := p.Descriptors()
+		if err != nil {
+			return 0, err
+		}
+		most = max(most, n)
+	}
+	return most, nil
+}
+
+// Limits are the limits of a process on its resources.
+type Limits struct {
+	// Memory is the memory that its runtime is told to keep to, in bytes. Descriptors is how many files it may have
+	// open. 0 changes nothing.
+	Memory      int64
+	Descriptors int
+}
+
+// StartLimited is Start with limits.
+func StartLimited(l Limits, log, program string, args ...string) (*Process, error) {
+	var script string
+	if l.Memory > 0 {
+		script += fmt.Sprintf("export GOMEMLIMIT=%d; ", l.Memory)
+	}
+	if l.Descriptors > 0 {
+		script += fmt.Sprintf("ulimit -n %d; ", l.Descriptors)
+	}
+	return Start(log, "/bin/sh", append([]string{"-c", script + `exec "$0" "$@"`, program}, args...)...)
+}
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -18,6 +18,7 @@
 
 	shed "jasmineshed"
 	sample "jasmineshed/examples"
+	"jasmineshed/internal/fault"
 	"jasmineshed/internal/rules"
 	"jasmineshed/internal/single"
 	"jasmineshed/internal/stand"
@@ -43,6 +44,10 @@
 	peerProxy func(i int, addr string) string
 	// engineArgs holds extra arguments for the engines' stand-ins.
 	engineArgs []string
+	// limits are those of the daemons' processes.
+	limits fault.Limits
+	// alone: no other test of this package runs beside this one.
+	alone bool
 }
 
 // fleet is a complete fleet of processes.
@@ -75,10 +80,12 @@
 
 var fleetSlots = make(chan struct{}, maxFleets)
 
-// startFleet starts a fleet that ends with the test. It makes the test parallel.
+// startFleet starts a fleet that ends with the test. It makes the test parallel unless it runs alone.
 func startFleet(t *testing.T, cfg fleetConfig) *fleet {
 	t.Helper()
-	t.Parallel()
+	if !cfg.alone {
+		t.Parallel()
+	}
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
 	f := &fleet{t: t, cfg: cfg, dir: t.TempDir(), servers: map[shed.ServerID]string{}}
@@ -102,7 +109,11 @@
 	f.t.Helper()
 	f.startCount++
 	log := filepath.Join(f.dir, fmt.Sprintf("%02d-%s.log", f.startCount, name))
-	return start(f.t, log, kind, args...)
+	var limits fault.Limits
+	if kind == "jasmineshed" {
+		limits = f.cfg.limits
+	}
+	return start(f.t, limits, log, kind, args...)
 }
 
 // awaitStarted waits for the line in which a stand-in prints its address.
--- a/internal/procs/process_test.go
+++ b/internal/procs/process_test.go
@@ -28,10 +28,10 @@
 	name string
 }
 
-// start starts a program, whose output goes to the file log.
-func start(t *testing.T, log, name string, args ...string) *process {
+// start starts a program within limits, whose output goes to the file log.
+func start(t *testing.T, limits fault.Limits, log, name string, args ...string) *process {
 	t.Helper()
-	p, err := fault.Start(log, program(name), args...)
+	p, err := fault.StartLimited(limits, log, program(name), args...)
 	require.NoError(t, err)
 	t.Cleanup(p.Kill)
 	return &process{Process: p, t: t, name: filepath.Base(log)}
