relay: connections of callers are bounded by the VM's memory and descriptors

What callers saw: 512 connections that send part of a header take all 256 descriptors of a VM, which then reaches neither servers nor the store.

Cause: limits.connections is 10,000, more than any VM has descriptors, and beyond it new connections wait for others that may never say anything.

Callers get less than half of the descriptors, since each request needs one to a server as well. If there is no room for a connection, the one is closed that has waited longest for its caller, at least half a second for a header; one whose request waits for this system never is. A VM without room says that it is strained. Older settings files start as before: both options have defaults.

Ruled out: a smaller default of limits.connections. It would have to suit the smallest VM, and connections that wait for their callers would still keep all others out.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -48,13 +48,17 @@
 	if err != nil {
 		return nil, err
 	}
+	account, err := newAccount(p)
+	if err != nil {
+		return nil, err
+	}
 	listeners, err := relay.Listen(ctx, p)
 	if err != nil {
 		return nil, err
 	}
 	cfg := relay.Config{
 		Prefs: p, Dialect: adapt.Dialect{}, Log: log, Lines: lines,
-		Metrics: telem.NewMetrics(log), Tracing: tracing, Listeners: listeners,
+		Metrics: telem.NewMetrics(log), Tracing: tracing, Listeners: listeners, Account: account,
 		Store: adapt.NewStore(adapt.StoreConfig{
 			URL: p.Platform.URL, IdleTimeout: p.Platform.ReadTimeout,
 			Dial: httpd.Dialer(p.Relay.Connect, p.Relay.Silence).DialContext,
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -13,10 +13,12 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/telem"
 )
 
@@ -39,7 +41,12 @@
 	// Reopen opens it again at its address.
 	Intake shed.Intake
 	Reopen func() (net.Listener, error)
-	Log    logrus.FieldLogger
+	// Account accounts for the connections and decides which is closed when there are too many; nil bounds their number
+	// by Limits alone.
+	Account *quota.Account
+	// Scope receives the metrics of the account; nil for none.
+	Scope tally.Scope
+	Log   logrus.FieldLogger
 }
 
 // Server serves one HTTP listener. It can serve only once.
@@ -50,7 +57,7 @@
 
 // New builds the server; nothing runs before Serve.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, http: &http.Server{
+	s := &Server{cfg: cfg, http: &http.Server{
 		Handler:           cfg.Handler,
 		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
 		ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
@@ -59,6 +66,10 @@
 		WriteTimeout:      cfg.CallTimeout,
 		ErrorLog:          log.New(telem.LogWriter{Log: cfg.Log}, "", 0),
 	}}
+	if cfg.Account != nil {
+		account(s.http)
+	}
+	return s
 }
 
 // listener adds the connection limit and TLS. The limit is innermost, so that a connection
@@ -68,7 +79,11 @@
 	if s.cfg.Intake != nil {
 		l = newIntakeListener(s.cfg)
 	}
-	l = newLimitListener(l, s.cfg.Limits.Connections)
+	if s.cfg.Account != nil {
+		l = newAccountListener(l, s.cfg.Account)
+	} else {
+		l = newLimitListener(l, s.cfg.Limits.Connections)
+	}
 	if s.cfg.TLS == nil {
 		return l
 	}
@@ -105,6 +120,12 @@
 			return nil
 		}
 	})
+	if s.cfg.Account != nil {
+		g.Go(func() error {
+			s.reportUsage(served)
+			return nil
+		})
+	}
 	return g.Wait()
 }
 
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -50,7 +50,9 @@
 type Limits struct {
 	HeaderBytes    int           `ini:"header_bytes" unit:"bytes" min:"1024" max:"1048576" doc:"Maximum size of a call's header."`
 	BodyBytes      int64         `ini:"body_bytes" unit:"bytes" min:"1024" max:"1073741824" doc:"Maximum size of a call's body."`
-	Connections    int           `ini:"connections" unit:"count" min:"1" max:"1000000" doc:"Maximum number of open connections on one listener; further ones wait to be accepted."`
+	Connections    int           `ini:"connections" unit:"count" min:"1" max:"1000000" doc:"Maximum number of open connections on one listener; further ones wait to be accepted. Callers have fewer if memory or descriptors don't suffice: a connection that waits for its caller, who makes no progress, is then closed for a new one."`
+	MemoryMB       int64         `ini:"memory_mb" unit:"MB" min:"0" max:"100000000" doc:"Memory of this process. Bodies and unread answers of callers take at most a quarter of it, connections a sixth; requests beyond that are refused as not run, and callers who make no progress first. 0 means the memory of the machine or of its control group, or GOMEMLIMIT if that is set."`
+	Descriptors    int           `ini:"descriptors" unit:"count" min:"0" max:"10000000" doc:"File descriptors that this process may open; callers' connections take less than half of them. 0 means the limit of the process."`
 	Streams        int           `ini:"streams" unit:"count" min:"1" max:"1000000" doc:"Maximum number of callers' requests in flight; further ones are refused as not run."`
 	HeaderTimeout  time.Duration `ini:"header_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Timeout of reading a call's header."`
 	BodyTimeout    time.Duration `ini:"body_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Timeout of reading a call's body; below write_timeout, so that a caller that is too slow still receives the error."`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,7 @@
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/poison"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/resv"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
@@ -59,6 +60,8 @@
 	Lines   *telem.AsyncWriter
 	Metrics *telem.Metrics
 	Tracing *telem.Tracing
+	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Prefs.
+	Account *quota.Account
 	// Listeners are opened by Listen.
 	Listeners Listeners
 	// ListenCallers opens the callers' listener at an address again, after it was closed for a pause; nil means TCP.
@@ -169,6 +172,9 @@
 			return httpd.Listen(ctx, addr, cfg.Prefs.Limits.WriteTimeout)
 		}
 	}
+	if cfg.Account == nil {
+		cfg.Account = quota.New(quota.Machine{}.Budget(cfg.Prefs.Limits.Connections))
+	}
 	base, halt := context.WithCancel(context.Background())
 	r := &Relay{
 		cfg:           cfg,
@@ -208,7 +214,8 @@
 	r.carriedSender = engine.NewSender(engine.Config{Dial: r.dialCarried, ConnectTimeout: carryTimeout + strain.MaxAllowance})
 	r.front = httpd.New(httpd.Config{
 		Name: "callers", Listener: cfg.Listeners.Callers, Handler: http.HandlerFunc(r.serve),
-		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Intake: callerIntake{r}, Reopen: r.reopenCallers, Log: r.log,
+		Limits: cfg.Prefs.Limits, DrainTimeout: stopSlack, Intake: callerIntake{r}, Reopen: r.reopenCallers,
+		Account: cfg.Account, Scope: cfg.Metrics.Scope, Log: r.log,
 	})
 	r.batcher = batch.New(r.serverEntries)
 	r.startMesh()
--- a/internal/relay/strain.go
+++ b/internal/relay/strain.go
@@ -129,7 +129,7 @@
 
 // isStrained reports whether this VM can't take callers that others turn away. The caller holds mu.
 func (r *Relay) isStrained(now time.Time) bool {
-	return r.valve.Limited() || r.meter.Load(now).Strained()
+	return r.valve.Limited() || r.meter.Load(now).Strained() || r.cfg.Account.Usage().Full
 }
 
 // receiveStrain records whether a peer is strained. The caller holds mu.
