httpd: headers with many fields take room in the account

What callers saw: 600 connections, each with a header of 15 KB in 2,500 short fields and a byte of a body, bring a relay to 330 MB; a small VM has 144. Found while the account was made, not reported.

Cause: a header may have 16 KB, but a field of six bytes takes some 190 in the parsed header, and as many again in the copy that is forwarded. net/http builds the header as it is read, so callers who stop before its end hold it, too.

Change: bytes read beyond the first KB of a header take 32 times their number in the account, and a request's fields beyond 64 half a KB each. Without room the connection is closed unread, or the request refused as not run. Headers of ordinary requests take nothing that is not in their connection's share.

Tried: ending the read of a header by its deadline. net/http then takes the rest of a line for a field and answers 400, after which callers don't try again (4,600 to 5,900 of 50,000 uploads); the connection is closed instead. Also, with 256 bytes a field and the request kept through the half second in which net/http waits for the caller to read a refusal, the peak was 168 and 171 MB.

--- a/internal/httpd/account.go
+++ b/internal/httpd/account.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -73,6 +74,19 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *accountConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if room := c.entry.ReadHead(time.Now(), n); room != nil {
+			// net/http answers a header that breaks off with 400, after which callers don't try again.
+			_ = c.Conn.Close()
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: room}
+		}
+	}
+	return n, err
+}
+
 // Close closes the connection and its entry.
 func (c *accountConn) Close() error {
 	err := c.Conn.Close()
@@ -109,12 +123,37 @@
 	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// One that was given up is noticed by what reads from it.
-		_ = Entry(r.Context()).BeginRequest(time.Now(), 0)
+		entry, fields := Entry(r.Context()), countFields(r.Header)
+		defer func() {
+			// net/http keeps the request of a connection that it closes for a while, so that its caller gets the answer.
+			if fields > quota.FieldAllowance {
+				r.Header = nil
+			}
+			entry.EndRequest()
+		}()
+		if err := entry.BeginRequest(time.Now(), fields); err != nil {
+			refuse(w)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
+// refuse answers a request for whose header there is no room.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.FormatFloat((2*quota.StallTime).Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func entryOf(c net.Conn) *quota.Conn {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
