relay: bodies of callers are bounded together

What callers saw: in a trial of the users such clients ended a process. A caller who announces 16 KB and sends a byte also holds its connection for good.

Cause: a body was read whole by io.ReadAll, which grows by copying, and nothing counted what all bodies take together. No deadline bounded the reading.

Change: bodies are received in blocks of 16 KB, whose room the account gives as bytes arrive. If there is none, the caller who makes no progress (a block in a second) and holds most is given up, else of large bodies the one that began last; else the request is refused. Bodies above 64 KB get half of the room at most, so ordinary requests and answers never wait for them. A body that can't fit is refused when it is announced. The reading ends at the request's deadline with 408. All these requests have not run; the answers say so, and after them the connection is closed. Blocks of refused bodies are used again at once, those of complete bodies once all connections to servers have closed theirs.

Ruled out: GOMEMLIMIT alone. The tests set it on, too: what is held is no garbage. Room by announcement: a line would take 4 MiB. Always refusing the newcomer: stalled callers would keep all the room until their deadlines.

Descriptors of TestHostileConnectionsAtRelay 122 of 256, and an ordinary request is answered beside each crowd and after it. A single body of 4 MiB is served whole, in chunks and sent slowly, as before.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -1,14 +1,16 @@
 package relay
 
 import (
-	"io"
+	"errors"
 	"net/http"
 	"time"
 
 	shed "jasmineshed"
 	"jasmineshed/internal/accept"
+	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/poison"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/retry"
 	"jasmineshed/internal/roster"
 )
@@ -16,8 +18,8 @@
 // receiveRequest reads and admits a request. The body is read completely before anything is
 // forwarded: what is forwarded is then always the whole request, and can be resent to a second
 // server.
-func (r *Relay) receiveRequest(req *http.Request) (*job, *refusal) {
-	j := &job{began: time.Now(), answerTime: picker.DefaultOverrun}
+func (r *Relay) receiveRequest(w http.ResponseWriter, req *http.Request) (*job, *refusal) {
+	j := &job{began: time.Now(), answerTime: picker.DefaultOverrun, caller: httpd.Entry(req.Context())}
 	request, err := r.cfg.Dialect.ParseRequest(req)
 	if err != nil {
 		r.log.WithError(err).Info("invalid request head")
@@ -27,21 +29,42 @@
 	if refused := r.admit(j); refused != nil {
 		return j, refused
 	}
-	limit := r.bodyLimit()
-	if req.ContentLength > limit {
-		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
-	}
-	j.body, err = io.ReadAll(io.LimitReader(req.Body, limit+1))
-	if err != nil {
-		return j, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
-	}
-	if int64(len(j.body)) > limit {
-		return j, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	if refused := r.receiveBody(w, req, j); refused != nil {
+		return j, refused
 	}
-	j.fingerprint = poison.Fingerprint(j.workspace, &j.request, j.body)
+	j.fingerprint = poison.Fingerprint(j.workspace, &j.request, j.body.Blocks()...)
 	return j, nil
 }
 
+// receiveBody reads the request's body, for as long as the request can still be served. A refused caller may go on
+// sending, so its connection can't be used again.
+func (r *Relay) receiveBody(w http.ResponseWriter, req *http.Request, j *job) *refusal {
+	if req.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// Writers without deadlines, as in tests, are not bounded.
+	_ = control.SetReadDeadline(j.deadline)
+	var err error
+	j.body, err = j.caller.ReceiveBody(req.Body, quota.Spec{Announced: req.ContentLength, Limit: r.bodyLimit()})
+	if err == nil {
+		// net/http goes on reading to notice that the caller has left, and would mistake a passed deadline for that.
+		_ = control.SetReadDeadline(time.Time{})
+		return nil
+	}
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, quota.ErrTooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooBig}
+	case errors.Is(err, quota.ErrNoRoom), errors.Is(err, quota.ErrGivenUp):
+		retryAfter := quota.StallTime + time.Duration(j.request.Fraction()*float64(quota.StallTime))
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRoom, retryAfter: retryAfter}
+	case timedOut(err):
+		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
+}
+
 func (r *Relay) bodyLimit() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -85,8 +84,8 @@
 		a.err = err
 		return outcome{reason: reasonBadHead}
 	}
-	if len(j.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(j.body)), int64(len(j.body))
+	if j.body.Size() > 0 {
+		req.Body, req.ContentLength = j.body.Reader(), j.body.Size()
 	} else if j.request.Method != http.MethodGet && j.request.Method != http.MethodHead {
 		req.Body = http.NoBody
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -10,6 +10,7 @@
 	"jasmineshed/internal/access"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/roster"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -32,8 +33,11 @@
 	workspace shed.WorkspaceID
 	rank      int
 	version   string
-	body      []byte
-	began     time.Time
+	// body is nil if it is empty.
+	body  *quota.Body
+	began time.Time
+	// caller accounts for the body.
+	caller *quota.Conn
 	// target is the soft time limit of the answer, deadline the hard one.
 	target, deadline time.Time
 
@@ -99,6 +103,8 @@
 	reasonStaleConfig   shed.Reason = "configuration_behind"
 	reasonBodyTooBig    shed.Reason = "body_too_big"
 	reasonBodyBroken    shed.Reason = "body_broken_off"
+	reasonBodyLate      shed.Reason = "body_late"
+	reasonNoRoom        shed.Reason = "no_room"
 	reasonPiecesLate    shed.Reason = "pieces_would_be_late"
 	reasonPiecesNotMade shed.Reason = "pieces_not_made"
 	reasonInputsGone    shed.Reason = "inputs_gone"
@@ -129,7 +135,8 @@
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j, refused := r.receiveRequest(req)
+	j, refused := r.receiveRequest(w, req)
+	defer func() { j.body.Release() }()
 	if refused == nil {
 		span.SetAttributes(attribute.String("request", string(j.request.ID)))
 		refused = r.run(ctx, w, j)
