relay: answers that callers don't read are bounded together

What callers saw: 60 callers who send a small request, whose answer has 8 MiB, and never read bring a relay to 676 MB; a small VM has 144.

Cause: an answer that is no stream is buffered whole, up to 16 MiB, by io.ReadAll, and stays until its caller has read it or the kernel gives the connection up; nothing counted them together.

Change: an answer takes its stated length from the account before it is read, one without a length its blocks of 64 KB. If there is no room, callers who haven't read 64 KB in a second are given up, then large bodies that still arrive; else the answer waits, unread at its server's connection, until its request's deadline. It is not asked for again at another server, where it would find no room either.

Ruled out: passing answers on as callers read them: a slow caller would hold a server's slot, and an incomplete answer couldn't be replaced by that of another server.

TestHostileUnreadAnswersAtRelay, peak memory, bound 144 MB: 676 before, now 73.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,6 +12,7 @@
 	shed "jasmineshed"
 	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/picker"
+	"jasmineshed/internal/quota"
 )
 
 const (
@@ -51,17 +52,23 @@
 type serverAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *quota.Body
 }
 
 // forward sends the answer to the caller.
 func (o *output) forward(answer *serverAnswer) error {
 	copyHeader(o.w.Header(), answer.header)
-	o.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	o.w.Header().Set("Content-Length", strconv.FormatInt(answer.body.Size(), 10))
 	o.started = true
 	o.w.WriteHeader(answer.status)
-	_, err := o.w.Write(answer.body)
-	return err
+	return answer.body.Send(o.w)
+}
+
+// release gives back the room of an answer that was kept.
+func (o *output) release() {
+	if o.failure != nil {
+		o.failure.body.Release()
+	}
 }
 
 func (a *attempt) run(ctx context.Context) outcome {
@@ -161,11 +168,21 @@
 
 // forwardBody forwards an answer that is no stream, once it is complete.
 func (a *attempt) forwardBody(ctx context.Context, resp *http.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
+	body, err := a.receiveAnswer(ctx, resp)
+	if errors.Is(err, quota.ErrNoRoom) || errors.Is(err, quota.ErrGivenUp) {
+		a.err = err
+		return outcome{sent: true, mayHaveRun: true, reason: reasonNoRoom}
+	}
+	if err != nil {
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
+	kept := false
+	defer func() {
+		if !kept {
+			body.Release()
+		}
+	}()
 	if a.isHeadOnly(body) || a.mayBeCutOff() {
 		a.err, a.serverFailed = io.ErrUnexpectedEOF, true
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
@@ -179,7 +196,8 @@
 	answer := &serverAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	if a.isBetterReplaced(resp.StatusCode) {
 		// Kept for the caller until another server has done better.
-		a.out.failure = answer
+		a.out.release()
+		a.out.failure, kept = answer, true
 		a.serverFailed = true
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonServerError}
 	}
@@ -193,6 +211,15 @@
 	return outcome{done: true, sent: true, mayHaveRun: true}
 }
 
+// receiveAnswer reads an answer that is no stream.
+func (a *attempt) receiveAnswer(ctx context.Context, resp *http.Response) (*quota.Body, error) {
+	announced := resp.ContentLength
+	if a.job.request.Method == http.MethodHead {
+		announced = 0
+	}
+	return a.job.caller.ReceiveAnswer(ctx, resp.Body, quota.Spec{Announced: announced, Limit: maxAnswer})
+}
+
 // loseInputs frees the inputs of an attempt whose server says that they are gone, unless another attempt may
 // still fetch them.
 func (a *attempt) loseInputs() {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -8,6 +8,7 @@
 
 	shed "jasmineshed"
 	"jasmineshed/internal/access"
+	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/prefs"
 	"jasmineshed/internal/quota"
@@ -36,7 +37,7 @@
 	// body is nil if it is empty.
 	body  *quota.Body
 	began time.Time
-	// caller accounts for the body.
+	// caller accounts for the body and the answers.
 	caller *quota.Conn
 	// target is the soft time limit of the answer, deadline the hard one.
 	target, deadline time.Time
@@ -132,6 +133,7 @@
 	defer r.open.Add(-1)
 	ctx, span := r.tracer.Start(req.Context(), "relay")
 	defer span.End()
+	w = httpd.NewTimedWriter(w, r.cfg.Prefs.Limits.WriteTimeout)
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -150,6 +152,7 @@
 	defer cancel()
 	defer r.releaseInputs(j)
 	out := &output{w: w, control: http.NewResponseController(w)}
+	defer out.release()
 	if refused := r.findOrigin(ctx, j); refused != nil {
 		return refused
 	}
@@ -199,6 +202,8 @@
 	noOtherServer noRetry = "no_other_server"
 	// maybeCrashes means that the request may crash its server, so it isn't sent to a second one.
 	maybeCrashes noRetry = "may_crash"
+	// noRoomForAnswer means that the answer was lost because there is no room for it, as for another one.
+	noRoomForAnswer noRetry = "no_room"
 	// noBudget means that the retry budget of the pool is spent.
 	noBudget noRetry = "retry_budget"
 )
@@ -219,6 +224,8 @@
 		return runsOnce
 	case len(j.avoid) > maxServersTried:
 		return noServersLeft
+	case v.reason == reasonNoRoom:
+		return noRoomForAnswer
 	case !v.sent:
 		return retryPossible
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/quota"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -113,8 +114,8 @@
 
 // isHeadOnly reports whether nothing followed the head of an answer that ends with its connection. A server that has
 // an empty body to send says so by its length; one that stopped after the head doesn't.
-func (a *attempt) isHeadOnly(body []byte) bool {
-	return a.endsWithConnection && len(body) == 0 && a.job.request.Method != http.MethodHead
+func (a *attempt) isHeadOnly(body *quota.Body) bool {
+	return a.endsWithConnection && body.Size() == 0 && a.job.request.Method != http.MethodHead
 }
 
 // endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its
