httpd: callers who make no progress don't delay a stop

What callers saw: one caller who stops a byte short of his body makes each stop of a VM take all of its drain time, while others are turned away from it.

Cause: a stop waits for all open requests, and net/http counts one whose body isn't complete.

Change: while a listener shuts down, callers who have made no progress for a second are given up. Requests that wait for this system, and callers who send or read on, are waited for as before.

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -132,7 +132,7 @@
 // Shutdown stops accepting connections and waits for the requests in flight until ctx ends, then
 // aborts them. Serve returns.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err == nil {
+	if err := s.shutdown(ctx); err == nil {
 		return nil
 	}
 	s.cfg.Log.WithField("listener", s.cfg.Name).Warn("requests in flight aborted at the end of the drain")
@@ -142,6 +142,34 @@
 	return nil
 }
 
+// stallCheck is how often a server that stops looks for callers that make no progress.
+const stallCheck = 100 * time.Millisecond
+
+// shutdown shuts the server down. Callers that make no progress don't delay it.
+func (s *Server) shutdown(ctx context.Context) error {
+	if s.cfg.Account == nil {
+		return s.http.Shutdown(ctx)
+	}
+	done := make(chan struct{})
+	var g errgroup.Group
+	g.Go(func() error {
+		t := time.NewTicker(stallCheck)
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				return nil
+			case now := <-t.C:
+				s.cfg.Account.GiveUpStalled(now)
+			}
+		}
+	})
+	err := s.http.Shutdown(ctx)
+	close(done)
+	_ = g.Wait()
+	return err
+}
+
 // drain lets requests in flight finish, up to the limit. Their contexts are not derived from
 // Serve's, so its end aborts none of them.
 func (s *Server) drain() error {
