serve: bodies and connections of callers are bounded together

What callers saw: 200 connections with 1 MiB but a byte bring a serve daemon to 333 MB, without a valid token to 318 MB, in chunks of 64 KiB to 394 MB; chunks of a byte 214 MB; complete bodies again and again 543 MB. 512 connections take all 256 descriptors. A small VM has 144 MB.

Cause: as at a relay: one body is bounded, and its time, and the number in flight, but not their product. The body is decoded before the token is checked.

Change: the listener and the bodies of callers use the account of the relay.

Ruled out: checking the token first. It bounds nothing, since a crowd may have a token; callers without one are given up like others who make no progress.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -25,7 +25,13 @@
 			if err != nil {
 				return err
 			}
-			n, err := node.New(context.WithoutCancel(c.Context()), node.Config{Prefs: p, LogTo: d.Err, OrderToken: os.Getenv(orderTokenVariable)})
+			account, err := newAccount(p)
+			if err != nil {
+				return err
+			}
+			n, err := node.New(context.WithoutCancel(c.Context()), node.Config{
+				Prefs: p, LogTo: d.Err, OrderToken: os.Getenv(orderTokenVariable), Account: account,
+			})
 			if err != nil {
 				return err
 			}
--- a/internal/front/codec.go
+++ b/internal/front/codec.go
@@ -11,12 +11,17 @@
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
+
+	"jasmineshed/internal/quota"
 )
 
 const jsonType = "application/json"
 
-// errorBodyTooLarge names the only decoding error that gets another status than 400.
-const errorBodyTooLarge = "body_too_large"
+// Names of the decoding errors that get another status than 400.
+const (
+	errorBodyTooLarge = "body_too_large"
+	errorNoRoom       = "no_room"
+)
 
 // decoder accepts exactly one JSON object.
 type decoder struct{ r *http.Request }
@@ -32,17 +37,27 @@
 			return goa.UnsupportedMediaTypeError(t)
 		}
 	}
-	body, err := io.ReadAll(d.r.Body)
+	body, err := readBody(d.r.Body)
 	if err != nil {
 		return newReadError(err)
 	}
 	return unmarshal(body, v)
 }
 
+func readBody(body io.ReadCloser) ([]byte, error) {
+	if timed, ok := body.(*timedBody); ok {
+		return timed.receive()
+	}
+	return io.ReadAll(body)
+}
+
 func newReadError(err error) error {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		return goa.PermanentError(errorBodyTooLarge, "body is larger than %d bytes", large.Limit)
+	case errors.Is(err, quota.ErrNoRoom), errors.Is(err, quota.ErrGivenUp):
+		return goa.PermanentError(errorNoRoom, "no room for the body: %s", err)
 	}
 	return fmt.Errorf("reading the body: %w", err)
 }
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -27,7 +27,7 @@
 func (f errorResponse) MarshalJSON() ([]byte, error) { return json.Marshal(f.body) }
 
 // formatError converts goa's request errors to the same body as all other refusals.
-func formatError(_ context.Context, err error) goahttp.Statuser {
+func formatError(ctx context.Context, err error) goahttp.Statuser {
 	var answer *pipelines.Answer
 	if errors.As(err, &answer) {
 		return newErrorResponse(answer, http.StatusInternalServerError)
@@ -39,6 +39,9 @@
 	switch bad.Name {
 	case errorBodyTooLarge:
 		return newErrorResponse(newRejection(statusTooLarge, bad.Message), http.StatusRequestEntityTooLarge)
+	case errorNoRoom:
+		fin := shed.Finish{Outcome: shed.OutcomeNotRun, Reason: reasonNoRoom, RetryAfter: roomRetryAfter}
+		return newErrorResponse(newAnswerHead(ctx, &fin), http.StatusServiceUnavailable)
 	case goa.UnsupportedMediaType:
 		return newErrorResponse(newRejection(statusBadRequest, bad.Message), http.StatusUnsupportedMediaType)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"jasmineshed/internal/gen/pipelines"
 	"jasmineshed/internal/httpd"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/quota"
 )
 
 // Config configures a Front.
@@ -32,6 +33,8 @@
 	TLS     *tls.Config
 	Serving shed.Serving
 	Limits  prefs.Limits
+	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Limits.
+	Account *quota.Account
 	// DrainTimeout bounds how long Serve waits for requests in flight when it stops.
 	DrainTimeout time.Duration
 	Log          logrus.FieldLogger
@@ -53,6 +56,9 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
+	if cfg.Account == nil {
+		cfg.Account = quota.New(quota.Machine{}.Budget(cfg.Limits.Connections))
+	}
 	if cfg.Tracer == nil {
 		cfg.Tracer = noop.NewTracerProvider()
 	}
@@ -65,6 +71,8 @@
 		Handler:      f.handler,
 		Limits:       cfg.Limits,
 		DrainTimeout: cfg.DrainTimeout,
+		Account:      cfg.Account,
+		Scope:        cfg.Scope,
 		Log:          cfg.Log,
 	})
 	return f
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -35,7 +35,7 @@
 // ServeHTTP passes the call on or refuses it.
 func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	tw := &timedWriter{ResponseWriter: w, timeout: g.cfg.Limits.WriteTimeout}
+	tw := newTimedWriter(w, g.cfg.Limits.WriteTimeout)
 	// A balancer keeps its connections to a VM that it was told to leave, and notices the change
 	// only when they are closed.
 	if !g.cfg.Serving.Ready() {
@@ -43,7 +43,11 @@
 	}
 	// The body is bounded on every path: net/http reads the rest of an unread body before it
 	// writes the response, and would wait for it indefinitely.
-	r.Body = newTimedBody(tw, r.Body, &g.cfg.Limits)
+	body := newTimedBody(tw, r, &g.cfg.Limits)
+	if body != nil {
+		r.Body = body
+		defer body.release()
+	}
 	if isProbe(r) {
 		g.next.ServeHTTP(tw, r)
 		return
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -1,6 +1,9 @@
 package front
 
-import shed "jasmineshed"
+import (
+	shed "jasmineshed"
+	"jasmineshed/internal/quota"
+)
 
 // reasonTooManyInFlight refuses a call beyond this listener's limit of calls in flight.
 const reasonTooManyInFlight shed.Reason = "too_many_requests_in_flight"
@@ -8,6 +11,12 @@
 // reasonBadRequest refuses an invalid call.
 const reasonBadRequest shed.Reason = "bad_request"
 
+// reasonNoRoom refuses a call for whose body there is no room; roomRetryAfter is when there may be some again.
+const (
+	reasonNoRoom   shed.Reason = "no_room"
+	roomRetryAfter             = 2 * quota.StallTime
+)
+
 // reasonMessages explain each reason to a person, and what to do.
 var reasonMessages = map[shed.Reason]string{
 	shed.ReasonUnknownPipeline:  "There is no pipeline of this name.",
@@ -25,6 +34,7 @@
 	shed.ReasonTicketExpired:    "The ticket is too old; get a new one if the request was not run.",
 	shed.ReasonTicketsFull:      "No more tickets can be kept now.",
 	shed.ReasonHomeGone:         "The VM that issued the ticket is gone; the request may or may not have run.",
+	reasonNoRoom:                "There is no room here for a body of this size now; try again, or another VM.",
 	reasonTooManyInFlight:       "Too many requests are in flight here.",
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/plat"
 	"jasmineshed/internal/prefs"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/rules"
 	"jasmineshed/internal/telem"
 	"jasmineshed/internal/ticket"
@@ -42,6 +43,8 @@
 	Policy string
 	// OrderToken is sent with each order to an engine.
 	OrderToken string
+	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Prefs.
+	Account *quota.Account
 	// TuneCore, if not nil, changes the core's configuration before it is used; for
 	// experiments and tests.
 	TuneCore func(*core.Config)
@@ -210,7 +213,7 @@
 	p := n.cfg.Prefs
 	caller := front.Config{
 		Listener: n.cfg.Callers, Serving: n.daemon, Limits: p.Limits, DrainTimeout: p.Stop.Drain,
-		Log: n.log, Scope: n.metrics.Scope, Tracer: n.tracing,
+		Account: n.cfg.Account, Log: n.log, Scope: n.metrics.Scope, Tracer: n.tracing,
 	}
 	if n.callerCerts != nil {
 		caller.TLS = n.callerCerts.CallerServer()
