bodies and answers have a bound on machines with much memory, too

What was seen: a demo with six daemons in one process on a machine of 24 GB; 300 callers without a valid token send 1 MiB but a byte to one of them, which brought the process to 508 to 680 MB on (the users' figures) and is bounded only by a quarter of the machine's memory since the account.

Change: held_mb of [limits], 256 by default, bounds bodies and unread answers where the memory allows more. The daemons of a demo share one account, since they share a process.

--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -8,6 +8,7 @@
 
 	sample "jasmineshed/examples"
 	"jasmineshed/internal/demo"
+	"jasmineshed/internal/prefs"
 )
 
 func newDemoCommand(d *Deps) *cobra.Command {
@@ -25,6 +26,11 @@
 				to = d.Err
 			}
 			cfg.LogTo = to
+			account, err := newAccount(prefs.Defaults())
+			if err != nil {
+				return err
+			}
+			cfg.Account = account
 			return demo.Run(c.Context(), cfg)
 		},
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,8 @@
 	shed "jasmineshed"
 	sample "jasmineshed/examples"
 	"jasmineshed/internal/fleet"
+	"jasmineshed/internal/node"
+	"jasmineshed/internal/quota"
 	"jasmineshed/internal/stand"
 	"jasmineshed/pkg/client"
 )
@@ -26,6 +28,8 @@
 	Example string
 	// LogTo receives the daemons' logs; nil discards them.
 	LogTo io.Writer
+	// Account accounts for what callers make the process hold, all its daemons together; nil gives each its own.
+	Account *quota.Account
 	// KeepRunning keeps the fleet running after the requests until ctx ends.
 	KeepRunning bool
 }
@@ -45,7 +49,9 @@
 	if err != nil {
 		return err
 	}
-	f, err := fleet.Start(ctx, fleet.Config{Rules: text, LogTo: cfg.LogTo})
+	f, err := fleet.Start(ctx, fleet.Config{
+		Rules: text, LogTo: cfg.LogTo, TuneNode: func(n *node.Config) { n.Account = cfg.Account },
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,7 +33,7 @@
 	TLS     *tls.Config
 	Serving shed.Serving
 	Limits  prefs.Limits
-	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Limits.
+	// Account accounts for what callers make the process hold; nil means one that is bounded by Limits alone.
 	Account *quota.Account
 	// DrainTimeout bounds how long Serve waits for requests in flight when it stops.
 	DrainTimeout time.Duration
@@ -57,7 +57,7 @@
 		cfg.Scope = tally.NoopScope
 	}
 	if cfg.Account == nil {
-		cfg.Account = quota.New(quota.Machine{}.Budget(cfg.Limits.Connections))
+		cfg.Account = quota.New(cfg.Limits.Held())
 	}
 	if cfg.Tracer == nil {
 		cfg.Tracer = noop.NewTracerProvider()
--- a/internal/httpd/account.go
+++ b/internal/httpd/account.go
@@ -68,8 +68,8 @@
 // hooks end what the connection waits for. Their errors mean that it is closed already.
 func (c *accountConn) hooks() quota.Hooks {
 	return quota.Hooks{
-		StopReading: func() { _ = c.Conn.SetReadDeadline(longAgo) },
-		StopWriting: func() { _ = c.Conn.SetWriteDeadline(longAgo) },
+		StopReading: func() { _ = c.SetReadDeadline(longAgo) },
+		StopWriting: func() { _ = c.SetWriteDeadline(longAgo) },
 		Close:       func() { _ = c.Conn.Close() },
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,7 @@
 	Policy string
 	// OrderToken is sent with each order to an engine.
 	OrderToken string
-	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Prefs.
+	// Account accounts for what callers make the process hold; nil means one that is bounded by Prefs alone.
 	Account *quota.Account
 	// TuneCore, if not nil, changes the core's configuration before it is used; for
 	// experiments and tests.
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"jasmineshed/internal/quota"
 )
 
 // Prefs are the settings of one daemon.
@@ -52,6 +54,7 @@
 	BodyBytes      int64         `ini:"body_bytes" unit:"bytes" min:"1024" max:"1073741824" doc:"Maximum size of a call's body."`
 	Connections    int           `ini:"connections" unit:"count" min:"1" max:"1000000" doc:"Maximum number of open connections on one listener; further ones wait to be accepted. Callers have fewer if memory or descriptors don't suffice: a connection that waits for its caller, who makes no progress, is then closed for a new one."`
 	MemoryMB       int64         `ini:"memory_mb" unit:"MB" min:"0" max:"100000000" doc:"Memory of this process. Bodies and unread answers of callers take at most a quarter of it, connections a sixth; requests beyond that are refused as not run, and callers who make no progress first. 0 means the memory of the machine or of its control group, or GOMEMLIMIT if that is set."`
+	HeldMB         int64         `ini:"held_mb" unit:"MB" min:"1" max:"100000000" doc:"Maximum size of all bodies and unread answers of callers together, where memory_mb allows more."`
 	Descriptors    int           `ini:"descriptors" unit:"count" min:"0" max:"10000000" doc:"File descriptors that this process may open; callers' connections take less than half of them. 0 means the limit of the process."`
 	Streams        int           `ini:"streams" unit:"count" min:"1" max:"1000000" doc:"Maximum number of callers' requests in flight; further ones are refused as not run."`
 	HeaderTimeout  time.Duration `ini:"header_timeout" unit:"duration" min:"10ms" max:"10m" doc:"Timeout of reading a call's header."`
@@ -64,6 +67,14 @@
 	TicketLifetime time.Duration `ini:"ticket_lifetime" unit:"duration" min:"1s" max:"24h" doc:"How long a ticket and the answer to its request are kept."`
 }
 
+// Megabyte is the unit of settings in MB, in bytes.
+const Megabyte = 1_000_000
+
+// Held returns the most that callers may hold, whatever the machine has.
+func (l *Limits) Held() quota.Config {
+	return quota.Config{Bytes: l.HeldMB * Megabyte, Connections: l.Connections}
+}
+
 // TLS names the files with keys and certificates.
 type TLS struct {
 	CallerCert string        `ini:"caller_cert" unit:"file" check:"file,empty" doc:"Certificate chain of the callers' listener, PEM."`
@@ -147,6 +158,7 @@
 			HeaderBytes:    16 << 10,
 			BodyBytes:      1 << 20,
 			Connections:    10000,
+			HeldMB:         256,
 			Streams:        8000,
 			HeaderTimeout:  5 * time.Second,
 			BodyTimeout:    5 * time.Second,
--- a/internal/quota/body.go
+++ b/internal/quota/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"os"
 	"sync"
 	"time"
@@ -222,7 +223,7 @@
 
 // detached returns an entry of an account of its own, without limits.
 func detached() *Conn {
-	return &Conn{account: New(Config{Bytes: unlimited}), hooks: Hooks{StopReading: func() {}, StopWriting: func() {}, Close: func() {}}}
+	return &Conn{account: New(Config{Bytes: math.MaxInt64}), hooks: Hooks{StopReading: func() {}, StopWriting: func() {}, Close: func() {}}}
 }
 
 // newBody returns a body of size bytes.
--- a/internal/quota/head.go
+++ b/internal/quota/head.go
@@ -2,10 +2,12 @@
 
 import "time"
 
+// FieldAllowance is how many fields of a header the share of its connection covers.
+const FieldAllowance = 64
+
 const (
-	// headAllowance is how much of a header the share of its connection covers, in bytes as sent, FieldAllowance the same
-	// in fields.
-	headAllowance, FieldAllowance = 1 << 10, 64
+	// headAllowance is how much of a header the share of its connection covers, in bytes as sent.
+	headAllowance = 1 << 10
 	// headFactor is how many bytes the parsed header takes for each one that is sent, if its fields are as short as
 	// possible. fieldBytes is how many a field takes in the request and in the copy that is forwarded.
 	headFactor, fieldBytes = 32, 512
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -33,14 +33,11 @@
 	return int64(memoryShare * float64(m.Memory))
 }
 
-// unlimited is the number of bytes if nothing bounds the memory.
-const unlimited = 1 << 40
-
-// Budget returns what callers may hold, with at most so many connections.
-func (m Machine) Budget(connections int) Config {
-	cfg := Config{Bytes: unlimited, Connections: connections}
+// Budget returns what callers may hold: no more than most, and no more than the machine allows.
+func (m Machine) Budget(most Config) Config {
+	cfg := most
 	if limit := m.RuntimeLimit(); limit > 0 {
-		cfg.Bytes = int64(bytesShare * float64(limit))
+		cfg.Bytes = min(cfg.Bytes, int64(bytesShare*float64(limit)))
 		cfg.Connections = min(cfg.Connections, int(connectionShare*float64(limit)/connectionBytes))
 	}
 	if m.Descriptors > 0 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -324,21 +324,21 @@
 // Guards against limits that a single request of the largest size meets on the smallest VM, and against limits beyond
 // those of the machine.
 func TestBudget(t *testing.T) {
+	const connections = 10000
 	for _, tc := range []struct {
-		machine     Machine
-		connections int
-		want        Config
+		machine    Machine
+		most, want Config
 	}{
-		{Machine{Memory: 144e6, Descriptors: 3075}, 10000, Config{Bytes: 36_720_000, Connections: 747}},
-		{Machine{Memory: 284e6, Descriptors: 4100}, 10000, Config{Bytes: 72_420_000, Connections: 1473}},
-		{Machine{Memory: 536e6, Descriptors: 8192}, 10000, Config{Bytes: 136_680_000, Connections: 2780}},
-		{Machine{Memory: 536e6, Descriptors: 256}, 10000, Config{Bytes: 136_680_000, Connections: 96}},
-		{Machine{Memory: 536e6}, 50, Config{Bytes: 136_680_000, Connections: 50}},
-		{Machine{Memory: 536e6, RuntimeMemory: 100e6}, 10000, Config{Bytes: 30_000_000, Connections: 610}},
-		{Machine{Descriptors: 20}, 10000, Config{Bytes: unlimited, Connections: 1}},
-		{Machine{}, 10000, Config{Bytes: unlimited, Connections: 10000}},
+		{Machine{Memory: 144e6, Descriptors: 3075}, Config{256e6, connections}, Config{36_720_000, 747}},
+		{Machine{Memory: 284e6, Descriptors: 4100}, Config{256e6, connections}, Config{72_420_000, 1473}},
+		{Machine{Memory: 536e6, Descriptors: 8192}, Config{256e6, connections}, Config{136_680_000, 2780}},
+		{Machine{Memory: 536e6, Descriptors: 256}, Config{256e6, connections}, Config{136_680_000, 96}},
+		{Machine{Memory: 536e6}, Config{100e6, 50}, Config{100_000_000, 50}},
+		{Machine{Memory: 536e6, RuntimeMemory: 100e6}, Config{256e6, connections}, Config{30_000_000, 610}},
+		{Machine{Descriptors: 20}, Config{256e6, connections}, Config{256_000_000, 1}},
+		{Machine{}, Config{256e6, connections}, Config{256_000_000, connections}},
 	} {
-		require.Equal(t, tc.want, tc.machine.Budget(tc.connections))
+		require.Equal(t, tc.want, tc.machine.Budget(tc.most))
 	}
 	require.Zero(t, Machine{}.RuntimeLimit())
 	require.EqualValues(t, 122_400_000, Machine{Memory: 144e6}.RuntimeLimit())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,7 +60,7 @@
 	Lines   *telem.AsyncWriter
 	Metrics *telem.Metrics
 	Tracing *telem.Tracing
-	// Account accounts for what callers make the process hold; nil bounds their connections alone, by Prefs.
+	// Account accounts for what callers make the process hold; nil means one that is bounded by Prefs alone.
 	Account *quota.Account
 	// Listeners are opened by Listen.
 	Listeners Listeners
@@ -173,7 +173,7 @@
 		}
 	}
 	if cfg.Account == nil {
-		cfg.Account = quota.New(quota.Machine{}.Budget(cfg.Prefs.Limits.Connections))
+		cfg.Account = quota.New(cfg.Prefs.Limits.Held())
 	}
 	base, halt := context.WithCancel(context.Background())
 	r := &Relay{
