httpd: the rest of a refused body is waited for no longer than body_timeout

What callers saw: callers without a valid key who announce 16 KB and send a byte keep their connections for good; with 512 of them an ordinary request isn't answered. Found while reading the code of the account, not reported.

Cause: net/http reads the rest of a body of up to 256 KB before it writes the answer of a handler that hasn't read it, without a deadline at a relay; the connection counted as one that waits for this system, which is never given up.

Change: after such a handler the connection counts as one that receives a body, and reading the rest ends after body_timeout (5 s). Ruled out: closing the connection with each refusal, which would cost ordinary callers theirs.

Also: a large body may take the room of stalled callers' answers and headers if that is what lacks; a stop gives up callers who stall in a header, too; the count of a header's bytes is atomic, since net/http reads a byte ahead while a handler begins.

--- a/internal/httpd/account.go
+++ b/internal/httpd/account.go
@@ -111,8 +111,9 @@
 	return entry
 }
 
-// account tells the entries of a server's connections what these wait for.
-func account(s *http.Server) {
+// account tells the entries of a server's connections what these wait for. After a handler that hasn't read the whole body,
+// net/http reads the rest for at most restTimeout.
+func account(s *http.Server, restTimeout time.Duration) {
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, entryKey{}, entryOf(c))
 	}
@@ -129,9 +130,12 @@
 			if fields > quota.FieldAllowance {
 				r.Header = nil
 			}
-			entry.EndRequest()
+			if entry.EndRequest(time.Now()) {
+				// Writers without deadlines, as in tests, are not bounded.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+			}
 		}()
-		if err := entry.BeginRequest(time.Now(), fields); err != nil {
+		if err := entry.BeginRequest(time.Now(), fields, r.ContentLength != 0); err != nil {
 			refuse(w)
 			return
 		}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -67,7 +67,7 @@
 		ErrorLog:          log.New(telem.LogWriter{Log: cfg.Log}, "", 0),
 	}}
 	if cfg.Account != nil {
-		account(s.http)
+		account(s.http, cfg.Limits.BodyTimeout)
 	}
 	return s
 }
--- a/internal/quota/head.go
+++ b/internal/quota/head.go
@@ -19,28 +19,42 @@
 	if c == nil || !c.readsHead.Load() {
 		return nil
 	}
-	c.headRead += int64(n)
-	return c.setHead(now, (c.headRead-headAllowance)*headFactor)
+	return c.setHead(now, (c.headRead.Add(int64(n))-headAllowance)*headFactor)
 }
 
-// BeginRequest records that a request with so many header fields waits for this system. The error is ErrNoRoom if there is
-// none for them, or ErrGivenUp.
-func (c *Conn) BeginRequest(now time.Time, fields int) error {
+// BeginRequest records that a request with so many header fields, and with a body or without, waits for this system. The
+// error is ErrNoRoom if there is none for the fields, or ErrGivenUp.
+func (c *Conn) BeginRequest(now time.Time, fields int, hasBody bool) error {
 	if c == nil {
 		return nil
 	}
-	c.headRead = 0
 	if err := c.enter(now, serving); err != nil {
 		return err
 	}
-	return c.setHead(now, int64(fields-FieldAllowance)*fieldBytes)
+	c.headRead.Store(0)
+	if err := c.setHead(now, int64(fields-FieldAllowance)*fieldBytes); err != nil {
+		return err
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.unread = hasBody
+	return nil
 }
 
-// EndRequest records that the request's handler has returned.
-func (c *Conn) EndRequest() {
-	if c != nil {
-		_ = c.setHead(time.Time{}, 0)
+// EndRequest records that the request's handler has returned. It reports whether a part of the body may not have been
+// read: net/http then reads it before it answers, and the connection waits for its caller.
+func (c *Conn) EndRequest(now time.Time) (unread bool) {
+	if c == nil {
+		return false
+	}
+	_ = c.setHead(now, 0)
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	unread, c.unread = c.unread, false
+	if unread && c.phase != leaving {
+		c.phase, c.progress = receiving, now
 	}
+	return unread
 }
 
 // setHead takes room for a header of n bytes, in place of what was taken for it.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -116,16 +116,18 @@
 // Conn is one connection of a caller, with the request on it. A nil *Conn accounts for nothing.
 type Conn struct {
 	account *Account
-	// readsHead is set while what is read is a header, headRead is how much of it was read.
+	hooks   Hooks
+	// readsHead is set while what is read is a header, headRead is how many bytes of it were read.
 	readsHead atomic.Bool
-	headRead  int64
-	hooks     Hooks
+	headRead  atomic.Int64
 
 	// The fields below are guarded by Account.mu.
 
 	phase phase
 	// began is when the request's body began to arrive, progress when the caller last made progress.
 	began, progress time.Time
+	// unread is set while a part of the request's body may not have been read.
+	unread bool
 	// body are the bytes of the request's body, blocks its memory; both are part of what the account has in use.
 	body   int64
 	blocks [][]byte
@@ -278,12 +280,12 @@
 	stop()
 }
 
-// GiveUpStalled gives up all requests whose callers have stalled.
+// GiveUpStalled gives up all connections whose callers have made no progress for StallTime.
 func (a *Account) GiveUpStalled(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := a.conns; c != nil; c = c.next {
-		if (c.phase == receiving || c.phase == sending) && c.stalledFor(now) >= 0 {
+		if c.phase != serving && c.phase != leaving && now.Sub(c.progress) >= StallTime {
 			a.giveUp(now, c)
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -133,14 +133,14 @@
 func TestStalledConnectionIsClosed(t *testing.T) {
 	a := New(Config{Bytes: mib, Connections: 3})
 	served, idle, sends := open(t, a, start), open(t, a, start), open(t, a, start)
-	require.NoError(t, served.BeginRequest(start, 10))
+	require.NoError(t, served.BeginRequest(start, 10, false))
 	require.NoError(t, sends.upload(start, blockSize))
 	_, freed := a.Open(start, Hooks{})
 	require.NotNil(t, freed)
 	next := open(t, a, start.Add(HeadStallTime))
 	require.True(t, idle.closed)
 	require.False(t, sends.closed)
-	require.NoError(t, next.BeginRequest(start.Add(HeadStallTime), 10))
+	require.NoError(t, next.BeginRequest(start.Add(HeadStallTime), 10, false))
 	open(t, a, start.Add(StallTime))
 	require.True(t, sends.closed)
 	require.False(t, served.closed)
@@ -150,6 +150,22 @@
 	require.Zero(t, a.Usage().Bytes)
 }
 
+// Guards against callers who keep a connection for good because they never send the rest of a refused body.
+func TestUnreadRestIsGivenUp(t *testing.T) {
+	a := New(Config{Bytes: mib, Connections: 2})
+	refused, received := open(t, a, start), open(t, a, start)
+	require.NoError(t, refused.BeginRequest(start, 10, true))
+	require.NoError(t, received.BeginRequest(start, 10, true))
+	require.NoError(t, received.upload(start, blockSize))
+	_, err := received.completeBody(start)
+	require.NoError(t, err)
+	require.True(t, refused.EndRequest(start))
+	require.False(t, received.EndRequest(start))
+	open(t, a, start.Add(StallTime))
+	require.True(t, refused.closed)
+	require.False(t, received.closed)
+}
+
 // Guards against headers whose many fields take room that nobody accounts for.
 func TestHeadersTakeRoom(t *testing.T) {
 	a := New(Config{Bytes: mib, Connections: 100})
@@ -158,14 +174,14 @@
 	require.Zero(t, a.Usage().Bytes)
 	require.NoError(t, c.ReadHead(start, 8<<10))
 	require.EqualValues(t, 256<<10, a.Usage().Bytes)
-	require.NoError(t, c.BeginRequest(start, FieldAllowance+10))
+	require.NoError(t, c.BeginRequest(start, FieldAllowance+10, false))
 	require.EqualValues(t, 10*fieldBytes, a.Usage().Bytes)
 	require.NoError(t, c.ReadHead(start, mib), "it isn't a header")
-	c.EndRequest()
+	require.False(t, c.EndRequest(start))
 	require.Zero(t, a.Usage().Bytes)
 	c.AwaitRequest(start)
 	require.Equal(t, ErrNoRoom, c.ReadHead(start, 40<<10))
-	require.Equal(t, ErrNoRoom, c.BeginRequest(start, 4000))
+	require.Equal(t, ErrNoRoom, c.BeginRequest(start, 4000, false))
 }
 
 // Guards against a stop that waits for callers who make no progress.
@@ -174,7 +190,7 @@
 	stalled, slow, served := open(t, a, start), open(t, a, start), open(t, a, start)
 	require.NoError(t, stalled.upload(start, blockSize))
 	require.NoError(t, slow.upload(start.Add(StallTime), blockSize))
-	require.NoError(t, served.BeginRequest(start, 10))
+	require.NoError(t, served.BeginRequest(start, 10, false))
 	a.GiveUpStalled(start.Add(StallTime))
 	require.True(t, stalled.stoppedReading)
 	require.False(t, slow.stoppedReading || served.stoppedReading || served.closed)
@@ -202,7 +218,7 @@
 				continue
 			}
 			c := rapid.SampledFrom(callers).Draw(rt, "caller")
-			switch rapid.IntRange(0, 6).Draw(rt, "does") {
+			switch rapid.IntRange(0, 7).Draw(rt, "does") {
 			case 0:
 				_ = c.upload(now, rapid.Int64Range(1, 2*mib).Draw(rt, "bytes"))
 			case 1:
@@ -220,9 +236,11 @@
 				c.releaseBody()
 			case 5:
 				_ = c.ReadHead(now, rapid.IntRange(1, 16<<10).Draw(rt, "bytes"))
-				_ = c.BeginRequest(now, rapid.IntRange(1, 1000).Draw(rt, "fields"))
+				_ = c.BeginRequest(now, rapid.IntRange(1, 1000).Draw(rt, "fields"), rapid.Bool().Draw(rt, "has a body"))
 			case 6:
 				a.GiveUpStalled(now)
+			case 7:
+				_ = c.EndRequest(now)
 			}
 			u := a.Usage()
 			require.LessOrEqual(rt, u.Bytes-a.ending, cfg.Bytes)
--- a/internal/quota/room.go
+++ b/internal/quota/room.go
@@ -9,7 +9,7 @@
 func (a *Account) largeLimit() int64 { return a.cfg.Bytes / 2 }
 
 // beginBody records that the body of the connection's request begins to arrive. It refuses one that is announced to be
-// larger than what could be made free for it. The caller does not hold mu.
+// larger than what could be made free for it.
 func (c *Conn) beginBody(now time.Time, announced int64) error {
 	a := c.account
 	a.mu.Lock()
@@ -59,7 +59,7 @@
 		return ErrGivenUp
 	}
 	for !a.fitsBody(c, n) {
-		v := a.victimFor(now, c, c.body+n > SmallBody)
+		v := a.victimFor(now, c, want{large: c.body+n > SmallBody, onlyLarge: a.fitsTotal(n)})
 		if v == nil {
 			return a.refuse()
 		}
@@ -84,9 +84,12 @@
 	}
 }
 
+// fitsTotal reports whether n more bytes fit in all, once what was given up has been given back. The caller holds mu.
+func (a *Account) fitsTotal(n int64) bool { return a.used-a.ending+n <= a.cfg.Bytes }
+
 // fitsBody reports whether n more bytes of the connection's body fit. The caller holds mu.
 func (a *Account) fitsBody(c *Conn, n int64) bool {
-	if a.used-a.ending+n > a.cfg.Bytes {
+	if !a.fitsTotal(n) {
 		return false
 	}
 	if c.body+n <= SmallBody {
@@ -99,19 +102,25 @@
 	return large <= a.largeLimit()
 }
 
-// victimFor returns the connection whose body is given up for one of c, which is large or small: one whose caller has
-// stalled, the largest first; else the large one that began last, if that was after c's or c's is small. So of bodies
-// that all arrive and don't all fit the first ones are completed. nil means that none is given up. The caller holds mu.
-func (a *Account) victimFor(now time.Time, c *Conn, large bool) *Conn {
+// want is what room is wanted for.
+type want struct {
+	// large is set if it is for a large body, onlyLarge if only the room for those lacks.
+	large, onlyLarge bool
+}
+
+// victimFor returns the connection that is given up for what c wants: one whose caller has stalled, the one that holds
+// most; else the one whose large body began last, if that was after c's or c's is small. So of bodies that all arrive and
+// don't all fit the first ones are completed. nil means that none is given up. The caller holds mu.
+func (a *Account) victimFor(now time.Time, c *Conn, w want) *Conn {
 	var stalled, youngest *Conn
 	for v := a.conns; v != nil; v = v.next {
 		switch {
-		case v == c, v.phase == serving, v.phase == leaving, v.body == 0 && v.kept == 0, large && v.body <= SmallBody:
+		case v == c, v.phase == serving, v.phase == leaving, v.body == 0 && v.kept == 0, w.onlyLarge && v.body <= SmallBody:
 		case v.stalledFor(now) >= 0:
 			if stalled == nil || v.body+v.kept > stalled.body+stalled.kept {
 				stalled = v
 			}
-		case v.phase == receiving && v.body > SmallBody && (!large || v.began.After(c.began)):
+		case v.phase == receiving && v.body > SmallBody && (!w.large || v.began.After(c.began)):
 			if youngest == nil || v.began.After(youngest.began) {
 				youngest = v
 			}
@@ -132,7 +141,7 @@
 		return nil, ErrGivenUp
 	}
 	blocks := c.blocks
-	c.phase, c.progress, c.blocks = serving, now, nil
+	c.phase, c.progress, c.blocks, c.unread = serving, now, nil, false
 	return blocks, nil
 }
 
@@ -219,8 +228,8 @@
 	case n > a.cfg.Bytes:
 		return nil, a.refuse()
 	}
-	for a.used-a.ending+n > a.cfg.Bytes {
-		v := a.victimFor(now, c, false)
+	for !a.fitsTotal(n) {
+		v := a.victimFor(now, c, want{})
 		if v == nil {
 			return a.awaitFreed(), nil
 		}
