httpd: a body that was given up isn't read to its end

When a stalled caller had been given up, the deadline that ends its reading was put off by body_timeout, and net/http waited for the missing byte.

--- a/internal/quota/head.go
+++ b/internal/quota/head.go
@@ -42,7 +42,7 @@
 }
 
 // EndRequest records that the request's handler has returned. It reports whether a part of the body may not have been
-// read: net/http then reads it before it answers, and the connection waits for its caller.
+// read: net/http then reads it before it answers, and the connection waits for its caller, unless it was given up.
 func (c *Conn) EndRequest(now time.Time) (unread bool) {
 	if c == nil {
 		return false
@@ -50,8 +50,9 @@
 	_ = c.setHead(now, 0)
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	unread, c.unread = c.unread, false
-	if unread && c.phase != leaving {
+	unread = c.unread && c.phase != leaving
+	c.unread = false
+	if unread {
 		c.phase, c.progress = receiving, now
 	}
 	return unread
