relay: a request's body is sent from memory that net/http knows

Cause: the reader of a body in blocks. net/http sends the header of a request ahead of a body whose memory it doesn't know, and it reads on a body that it has closed after a connection broke; the reader then returned an error ("file already closed", 241 of some 350 failed sends), which was taken for the request's.

Change: a complete body is joined into one piece and read by a bytes.Reader, as before the account, and never used again. Blocks of refused bodies and of answers still are.

--- a/internal/quota/block.go
+++ b/internal/quota/block.go
@@ -30,8 +30,7 @@
 	return make([]byte, n)
 }
 
-// recycle takes blocks back that nothing refers to any more. Those of a complete body may not be: a connection to a server
-// that was given up may still read them.
+// recycle takes blocks back that nothing refers to any more.
 func recycle(blocks [][]byte) {
 	for _, block := range blocks {
 		block = block[:cap(block)]
--- a/internal/quota/body.go
+++ b/internal/quota/body.go
@@ -1,30 +1,24 @@
 package quota
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math"
-	"os"
-	"sync"
 	"time"
 )
 
 // Body is a complete body or answer in blocks. A nil *Body is empty.
 type Body struct {
 	size int64
+	// blocks are not empty; only the last ones may not be full. A body has one at most.
+	blocks [][]byte
 	// conn accounts for it.
 	conn *Conn
 	// answer is set if it is an answer, which takes held bytes.
 	answer bool
 	held   int64
-
-	mu sync.Mutex
-	// blocks are not empty; only the last ones may not be full.
-	blocks [][]byte
-	// readers counts the readers that are not closed. released is set once nothing else uses the blocks.
-	readers  int
-	released bool
 }
 
 // Size returns the number of bytes.
@@ -48,77 +42,23 @@
 	if blocks := b.Blocks(); len(blocks) == 1 {
 		return blocks[0]
 	}
-	out := make([]byte, 0, b.Size())
-	for _, block := range b.Blocks() {
-		out = append(out, block...)
-	}
-	return out
-}
-
-// Reader returns a reader of the whole body. Several can be read at once. The blocks are reused once all are closed and
-// the body is released, so none can be read after it was closed.
-func (b *Body) Reader() io.ReadCloser {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.readers++
-	return &reader{body: b, blocks: b.blocks}
+	return bytes.Join(b.Blocks(), nil)
 }
 
-// reader reads blocks one after the other.
-type reader struct {
-	body *Body
-
-	// mu is held while a block is read: net/http may close a body that it still reads.
-	mu     sync.Mutex
-	blocks [][]byte
-	// at is the position in the first of the blocks.
-	at     int
-	closed bool
-}
-
-// Read implements io.Reader.
-func (r *reader) Read(p []byte) (int, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case r.closed:
-		return 0, os.ErrClosed
-	case len(r.blocks) == 0:
-		return 0, io.EOF
-	}
-	n := copy(p, r.blocks[0][r.at:])
-	if r.at += n; r.at == len(r.blocks[0]) {
-		r.blocks, r.at = r.blocks[1:], 0
-	}
-	return n, nil
-}
-
-// Close implements io.Closer.
-func (r *reader) Close() error {
-	r.mu.Lock()
-	was := r.closed
-	r.closed, r.blocks = true, nil
-	r.mu.Unlock()
-	if !was {
-		r.body.closeReader()
+// join puts a body into one block: net/http sends the header of a request ahead of a body unless it knows the body's
+// memory.
+func (b *Body) join() {
+	if len(b.blocks) < 2 {
+		return
 	}
-	return nil
+	whole := b.Bytes()
+	recycle(b.blocks)
+	b.blocks = [][]byte{whole}
 }
 
-func (b *Body) closeReader() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.readers--
-	b.recycleUnused()
-}
-
-// recycleUnused lets the blocks be reused if nothing uses them any more. The caller holds mu.
-func (b *Body) recycleUnused() {
-	if b.released && b.readers == 0 {
-		recycle(b.blocks)
-		b.blocks = nil
-	}
-}
+// Reader returns a reader of a body. Several can be read at once. net/http may go on reading one that it has closed, so
+// the memory of a complete body is left to the garbage collector.
+func (b *Body) Reader() io.Reader { return bytes.NewReader(b.Bytes()) }
 
 // Send writes an answer to its caller, who makes progress with each block.
 func (b *Body) Send(w io.Writer) error {
@@ -137,18 +77,15 @@
 
 // Release gives back the room of the body, which the caller doesn't use any more.
 func (b *Body) Release() {
-	if b == nil || b.released {
-		return
-	}
-	if b.answer {
-		b.conn.releaseAnswer(b.held)
-	} else {
+	switch {
+	case b == nil:
+	case !b.answer:
 		b.conn.releaseBody()
+	default:
+		b.conn.releaseAnswer(b.held)
+		recycle(b.blocks)
+		b.blocks, b.held, b.size = nil, 0, 0
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.released = true
-	b.recycleUnused()
 }
 
 // Spec describes what is to be received.
@@ -182,6 +119,7 @@
 	}
 	b := newBody(blocks, size)
 	b.conn = c
+	b.join()
 	return b, nil
 }
 
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -5,7 +5,7 @@
 	// count, and for what it takes before it has noticed.
 	memoryShare = 0.85
 	// bytesShare is the part of that for bodies and answers, connectionShare the part for connections.
-	bytesShare, connectionShare = 0.3, 0.2
+	bytesShare, connectionShare = 0.2, 0.2
 	// connectionBytes is what a connection takes with its goroutine, its buffers and the header of its request.
 	connectionBytes = 32 << 10
 	// spareShare is the part of the descriptors that callers leave to peers and connections that are about to close,
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -51,6 +51,8 @@
 	// used are the bytes of all headers, bodies and answers, large those of bodies larger than SmallBody. ending are the
 	// bytes of headers and answers that were given up and are given back as soon as their handlers notice.
 	used, large, ending int64
+	// garbage are the bytes of large bodies that were complete and given back since garbage was last collected for them.
+	garbage int64
 	// open is the number of connections, most the largest that it was, conns the list of them, in no order.
 	open, most int
 	conns      *Conn
--- a/internal/quota/room.go
+++ b/internal/quota/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 )
 
@@ -161,13 +162,29 @@
 
 // releaseBody gives back the body of the connection's request.
 func (c *Conn) releaseBody() {
-	a := c.account
+	if c.account.freeComplete(c) {
+		// Large bodies become garbage faster than the runtime collects it by itself.
+		runtime.GC()
+	}
+}
+
+// freeComplete gives back a complete body. It reports whether garbage should be collected.
+func (a *Account) freeComplete(c *Conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.body > 0 {
-		a.freeBody(c)
-		a.notify()
+	if c.body == 0 {
+		return false
+	}
+	if c.body > SmallBody {
+		a.garbage += c.body
+	}
+	a.freeBody(c)
+	a.notify()
+	if a.garbage <= a.largeLimit()/2 {
+		return false
 	}
+	a.garbage = 0
+	return true
 }
 
 // takeAnswer takes room for n bytes of an answer. If there is none it gives up others, and else waits until ctx ends.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -92,7 +92,7 @@
 		return outcome{reason: reasonBadHead}
 	}
 	if j.body.Size() > 0 {
-		req.Body, req.ContentLength = j.body.Reader(), j.body.Size()
+		req.Body, req.ContentLength = io.NopCloser(j.body.Reader()), j.body.Size()
 	} else if j.request.Method != http.MethodGet && j.request.Method != http.MethodHead {
 		req.Body = http.NoBody
 	}
