poison: a fingerprint takes a body in one piece, as before

The fingerprint of a request took the blocks of its body while a body could have several. What is hashed doesn't change.

--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -21,8 +21,8 @@
 // Fingerprint identifies a request by its workspace, method, host, path, query arguments and
 // body. The order of query arguments is ignored, as are the id, the deadline and other
 // headers. It includes the workspace so that no caller can get another workspace's
-// request suspected. The blocks are those of the body, in order.
-func Fingerprint(workspace shed.WorkspaceID, head *shed.RequestHead, blocks ...[]byte) shed.Fingerprint {
+// request suspected.
+func Fingerprint(workspace shed.WorkspaceID, head *shed.RequestHead, body []byte) shed.Fingerprint {
 	path, query, _ := strings.Cut(head.Target, "?")
 	h := sha256.New()
 	for _, field := range []string{string(workspace), head.Method, head.Host, path, sortedQuery(query)} {
@@ -30,9 +30,7 @@
 		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(field))))
 		h.Write([]byte(field))
 	}
-	for _, block := range blocks {
-		h.Write(block)
-	}
+	h.Write(body)
 	return shed.Fingerprint(h.Sum(nil)[:len(shed.Fingerprint{})])
 }
 
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -32,7 +32,7 @@
 	if refused := r.receiveBody(w, req, j); refused != nil {
 		return j, refused
 	}
-	j.fingerprint = poison.Fingerprint(j.workspace, &j.request, j.body.Blocks()...)
+	j.fingerprint = poison.Fingerprint(j.workspace, &j.request, j.body.Bytes())
 	return j, nil
 }
 
