--- a/review/platform-2/main.go
+++ b/review/platform-2/main.go
@@ -8,10 +8,19 @@
 
 var scenes = map[string]func(*world) error{
 	"extra":   extraScene,
-	"parting": partingScene,
+	"crash":   crashScene,
+	"need":    needScene,
+	"inplace": inplaceScene,
 }
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "replica" {
+		if err := runReplicaProcess(os.Args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		return
+	}
 	if len(os.Args) != 3 || scenes[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review2 SCENE FOLDER")
 		os.Exit(2)
--- a/review/platform-2/replica.go
+++ b/review/platform-2/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -33,7 +32,6 @@
 	// served counts the answers on the connection; last is the last of them.
 	served int
 	last   *response
-	// before is called with each request that has been read, before it is answered.
 }
 
 // response is an answer with a length.
@@ -125,8 +123,6 @@
 	return r.handle(c, req, body)
 }
 
-var errBrokenOff = errors.New("broken off")
-
 // write writes an answer; replicas echo the request's id.
 func (r *replica) write(c *conn, req *http.Request, resp *response) error {
 	var b strings.Builder
@@ -197,6 +193,18 @@
 	}
 }
 
+// begin has a replica start again under its id and at its address, with another version of its software.
+func (r *replica) begin(version string) {
+	l, err := net.Listen("tcp", r.addr)
+	if err != nil {
+		panic(err)
+	}
+	r.mu.Lock()
+	r.listener, r.version, r.born, r.running = l, version, time.Now().UnixMilli(), 0
+	r.mu.Unlock()
+	go r.serve(l)
+}
+
 // enter and leave count running requests.
 func (r *replica) enter() {
 	r.mu.Lock()
--- a/review/platform-2/stage.go
+++ b/review/platform-2/stage.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -186,7 +187,6 @@
 	prefill     time.Duration
 	pause       time.Duration
 	needsInputs bool
-	unframed    bool
 }
 
 func startModel(w *world, id, zone, version string, s *results) (*modelReplica, error) {
@@ -217,16 +217,22 @@
 			return resp
 		}
 	}
-	m.world.note("model %s runs %s inputs %s", m.id, id, req.Header.Get("X-Inputs"))
+	m.mu.Lock()
+	version := m.version
+	m.mu.Unlock()
+	m.world.note("model %s of %s runs %s after event %q, inputs %s", m.id, version, id, req.Header.Get("Last-Event-Id"), req.Header.Get("X-Inputs"))
+	first := 1
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
 	m.enter()
 	return &response{
-		unframed: m.unframed,
-		status:   http.StatusOK, header: http.Header{"X-Response-Seal": {"seal-" + m.id}, "X-Weight-Versions": {"1"}},
+		status: http.StatusOK, header: http.Header{"X-Response-Seal": {"seal-" + m.id}, "X-Weight-Versions": {"1"}},
 		stream: func(write func(string) error) error {
 			defer m.leave()
 			time.Sleep(m.prefill)
-			for n := 1; n <= m.events; n++ {
-				if err := write(fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", n, id, n, m.events)); err != nil {
+			for n := first; n <= m.events; n++ {
+				if err := write(fmt.Sprintf("id: %d\ndata: %s %d of %d by %s\n\n", n, id, n, m.events, version)); err != nil {
 					return err
 				}
 				time.Sleep(m.pause)
--- a/review/platform-2/store.go
+++ b/review/platform-2/store.go
@@ -19,6 +19,8 @@
 	items   map[string]item
 	history []item
 	changed chan struct{}
+	// down: all calls are refused with 503.
+	down bool
 }
 
 type item struct {
@@ -40,10 +42,32 @@
 	mux.HandleFunc("GET /api/kv-key", s.serveKey)
 	mux.HandleFunc("GET /api/kv-range", s.serveRange)
 	mux.HandleFunc("GET /api/kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(l, mux) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDown() {
+			reply(w, http.StatusServiceUnavailable, object{})
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+	go func() { _ = http.Serve(l, handler) }()
 	return s, nil
 }
 
+// setDown begins or ends an outage.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // put writes a value and returns the time of the acknowledgement.
 func (s *store) put(key string, value any) time.Time {
 	return s.write(item{Key: key, Value: mustJSON(value)})
