Review: whole streams of a replica that leaves are cut

Case: review/7, rule LOST, planned work only: release of one replica at a time and a new configuration; streams have neither a length nor chunks (news).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
 [ -x target/jasmineshed ] && [ -x target/review2 ] || { echo "not built"; exit 2; }
-exec target/review2 need "$folder"
+exec target/review2 leave "$folder"
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -10,6 +10,7 @@
 	"crash":   crashScene,
 	"need":    needScene,
 	"inplace": inplaceScene,
+	"leave":   leaveScene,
 	"wake":    wakeScene,
 }
 
--- a/review/second/platform/process.go
+++ b/review/second/platform/process.go
@@ -50,6 +50,9 @@
 	go func() {
 		for lines.Scan() {
 			w.note("replica %s: %s", id, lines.Text())
+			if request, ok := strings.CutPrefix(lines.Text(), "ends "); ok {
+				w.recordWritten(request)
+			}
 		}
 		_ = p.cmd.Wait()
 		close(p.ended)
@@ -70,6 +73,9 @@
 	_, _ = fmt.Fprintf(p.stdin, "shed %g %d\n", share, restS)
 }
 
+// leave has the replica take no more connections, end the streams that it has, and exit.
+func (p *replicaProcess) leave() { _, _ = fmt.Fprintln(p.stdin, "leave now") }
+
 func (p *replicaProcess) kill() {
 	_ = p.cmd.Process.Kill()
 	<-p.ended
@@ -128,6 +134,15 @@
 	in := bufio.NewScanner(os.Stdin)
 	for in.Scan() {
 		f := strings.Fields(in.Text())
+		if len(f) == 2 && f[0] == "leave" {
+			_ = r.listener.Close()
+			for r.count() > 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
+			// What was written last goes out with the end of its connection.
+			time.Sleep(50 * time.Millisecond)
+			return nil
+		}
 		if len(f) != 3 || f[0] != "shed" {
 			continue
 		}
--- a/review/second/platform/replica.go
+++ b/review/second/platform/replica.go
@@ -209,6 +209,12 @@
 	r.running++
 }
 
+func (r *replica) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
 func (r *replica) leave() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/second/platform/world.go
+++ b/review/second/platform/world.go
@@ -35,6 +35,8 @@
 	mu     sync.Mutex
 	record *os.File
 	broken []string
+	// written are the requests whose replica has written the whole answer.
+	written map[string]bool
 }
 
 // relay is one process of the system.
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: tmp, record: f, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{dir: tmp, record: f, began: time.Now(), written: map[string]bool{}, trouble: os.Getenv("TROUBLE") != "0"}
 	w.store, err = newStore()
 	return w, err
 }
@@ -80,6 +82,18 @@
 	w.broken = append(w.broken, text)
 }
 
+func (w *world) recordWritten(request string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.written[request] = true
+}
+
+func (w *world) hasWritten(request string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written[request]
+}
+
 func newID() string {
 	b := make([]byte, 8)
 	if _, err := rand.Read(b); err != nil {
