--- a/review/second/platform/scene_leave.go
+++ b/review/second/platform/scene_leave.go
@@ -64,8 +64,9 @@
 	g.Go(func() {
 		for n := 0; time.Since(began) < leaveLength-leaveEvery; n++ {
 			time.Sleep(leaveEvery - drainTime - lingerTime)
-			p := replicas[n]
+			var p *replicaProcess
 			if w.trouble {
+				p = replicas[n]
 				if add(fallReplicas+n) != nil {
 					return
 				}
