--- a/review/second/platform/scene_wake.go
+++ b/review/second/platform/scene_wake.go
@@ -11,7 +11,8 @@
 // Doses: one machine of three stands still for 3 s (node_freeze has a count of 1 for 4 s), and one of seven replicas is down
 // for 1.5 s meanwhile (srv_crash has a share of 0.17 for 4.5 s at most).
 const (
-	wakeEvery  = 9 * time.Second
+	wakeEvery  = 6200 * time.Millisecond
+	wakeRounds = 16
 	freezeTime = 3 * time.Second
 	untilKill  = 500 * time.Millisecond
 	wakeDown   = 1500 * time.Millisecond
@@ -51,16 +52,16 @@
 	stood.Store("")
 	var g sync.WaitGroup
 	g.Go(func() {
-		for n := 0; w.trouble && n < fallReplicas; n++ {
+		for n := 0; w.trouble && n < wakeRounds; n++ {
 			time.Sleep(wakeEvery - freezeTime)
 			r := w.relays[n%len(w.relays)]
 			stood.Store(r.front)
-			if failure = w.crashUnseen(r, &replicas[n]); failure != nil {
+			if failure = w.crashUnseen(r, &replicas[n%fallReplicas]); failure != nil {
 				return
 			}
 		}
 	})
-	whole, failed := w.streams(began, fallReplicas*wakeEvery+6*time.Second, 33*time.Millisecond, func(front string) bool {
+	whole, failed := w.streams(began, wakeRounds*wakeEvery+6*time.Second, 33*time.Millisecond, func(front string) bool {
 		// Streams of the other machines break off while the replica is down, as in the scene of crashes.
 		return front == stood.Load()
 	})
