--- a/review/second/platform/scene_wake.go
+++ b/review/second/platform/scene_wake.go
@@ -12,7 +12,7 @@
 // for 1.5 s meanwhile (srv_crash has a share of 0.17 for 4.5 s at most).
 const (
 	wakeEvery  = 6200 * time.Millisecond
-	wakeRounds = 16
+	wakeRounds = 14
 	freezeTime = 3 * time.Second
 	untilKill  = 500 * time.Millisecond
 	wakeDown   = 1500 * time.Millisecond
