relay: the last answers of a leaving server are whole

Cause: an answer with neither a length nor chunks ends with its connection, and mayBeCutOff took it for cut off if its server accepted no connections. A server that leaves has closed its listener by then. The roster knew that it leaves.

Ruled out: the configuration change in the case has no part in it, the test has none.

Change: package reply decides from what is known of the server: its crash, whether it serves, whether it had announced its departure, and which connections to it ended together. A departure that another server can prove or refute (a resumable stream, a repeatable request) is still proved there, and no longer recorded as a crash. TestAnswersOfAKilledServerAreIncomplete holds the other side, before and after.

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -31,6 +31,8 @@
 	// heardAfter is how long after begunAt the server last sent something, in nanoseconds; 0 if it
 	// has sent nothing.
 	heardAfter atomic.Int64
+	// ended: the server's side ended the connection. Guarded by Relay.mu.
+	ended bool
 }
 
 // heard records that the server sent something.
@@ -55,6 +57,8 @@
 	relay  *Relay
 	flight *flight
 	ctx    context.Context
+	// endsWithConnection: the answer has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // Read implements io.Reader.
@@ -63,6 +67,9 @@
 	if n > 0 {
 		b.flight.heard()
 	}
+	if closedByServer(err) && (b.endsWithConnection || !errors.Is(err, io.EOF)) {
+		b.relay.recordConnEnd(b.flight)
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = cancelCause(b.ctx, err)
 	}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -15,6 +15,7 @@
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/peers"
 	"jasmineshed/internal/reach"
+	"jasmineshed/internal/reply"
 
 	"github.com/sirupsen/logrus"
 )
@@ -31,6 +32,8 @@
 	table *reach.Table
 	// flights are the requests in flight over direct connections.
 	flights map[*flight]struct{}
+	// ends are the times at which servers' connections ended, of servers with one within endsKept.
+	ends map[shed.ServerStart][]time.Time
 	// heardFrom is when each server last sent something over a direct connection; silent are those,
 	// with their pools, that have sent nothing to anybody's request for its patience, as of the last tick.
 	heardFrom map[reach.Addr]time.Time
@@ -50,7 +53,7 @@
 
 func newPaths() paths {
 	return paths{
-		table: reach.New(), flights: map[*flight]struct{}{}, carriers: newCarriers(),
+		table: reach.New(), flights: map[*flight]struct{}{}, ends: map[shed.ServerStart][]time.Time{}, carriers: newCarriers(),
 		heardFrom: map[reach.Addr]time.Time{}, silent: map[reach.Addr]shed.PoolID{},
 		heardPool: map[shed.PoolID]time.Time{}, quiet: map[reach.Addr]shed.PoolID{},
 	}
@@ -155,7 +158,7 @@
 	if fresh.Load() {
 		r.recordDirectAnswer(e.addr())
 	}
-	resp.Body = &flightBody{ReadCloser: resp.Body, relay: r, flight: f, ctx: ctx}
+	resp.Body = &flightBody{ReadCloser: resp.Body, relay: r, flight: f, ctx: ctx, endsWithConnection: reply.EndsWithConnection(resp)}
 	return resp, sent, nil
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -13,6 +13,7 @@
 	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/picker"
 	"jasmineshed/internal/quota"
+	"jasmineshed/internal/reply"
 )
 
 const (
@@ -107,7 +108,7 @@
 	if j.mayRunTwice() && !j.trial && j.sends+1 < j.route.MaxSends {
 		a.silence.start(hedge.FirstCheck(j.route.Streaming), func() time.Duration { return a.pursuit.checkSilence(a) })
 	}
-	resp, reply, sent, err := a.relay.send(&a.exchange, req.WithContext(ctx))
+	resp, head, sent, err := a.relay.send(&a.exchange, req.WithContext(ctx))
 	if wasNotAdmitted(err) {
 		a.err = err
 		reason := shed.ReasonServerLeaving
@@ -124,8 +125,8 @@
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a.endsWithConnection = endsWithConnection(resp)
-	return a.handleAnswer(ctx, resp, reply)
+	a.endsWithConnection = reply.EndsWithConnection(resp)
+	return a.handleAnswer(ctx, resp, head)
 }
 
 // handleAnswer checks the head of an answer and forwards it.
@@ -183,8 +184,11 @@
 			body.Release()
 		}
 	}()
-	if a.isHeadOnly(body) || a.mayBeCutOff() {
-		a.err, a.serverFailed = io.ErrUnexpectedEOF, true
+	if err = io.ErrUnexpectedEOF; !a.isHeadOnly(body) {
+		err = a.checkWhole(ctx, a.canProve())
+	}
+	if err != nil {
+		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
 	a.pursuit.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,7 +10,6 @@
 	"time"
 
 	shed "jasmineshed"
-	"jasmineshed/internal/quota"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -24,8 +23,10 @@
 	for {
 		event, err := readEvent(events)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) == 0 && a.completeStream(resp) {
-				return outcome{done: true, sent: true, mayHaveRun: true}
+			if errors.Is(err, io.EOF) && len(event) == 0 {
+				if err = a.completeStream(ctx, resp); err == nil {
+					return outcome{done: true, sent: true, mayHaveRun: true}
+				}
 			}
 			a.err = err
 			a.serverFailed = ctx.Err() == nil
@@ -38,19 +39,23 @@
 	}
 }
 
-// completeStream ends the caller's answer if the stream that ended is complete.
-func (a *attempt) completeStream(resp *http.Response) bool {
-	if !a.begun && !a.isEmptyRest() || a.begun && a.mayBeCutOff() {
-		return false
+// completeStream ends the caller's answer if the stream that ended is complete. One without an event is if it resumes a
+// stream of which the caller has all events; a head alone doesn't show that.
+func (a *attempt) completeStream(ctx context.Context, resp *http.Response) error {
+	if !a.begun && !a.resumes() {
+		return io.ErrUnexpectedEOF
+	}
+	if err := a.checkWhole(ctx, !a.begun || a.canProve()); err != nil {
+		return err
 	}
 	a.pursuit.mu.Lock()
 	defer a.pursuit.mu.Unlock()
 	if !a.pursuit.deliver(a) {
-		return false
+		return errOvertaken
 	}
 	a.startAnswer(resp)
 	a.pursuit.releaseInputs(a)
-	return true
+	return nil
 }
 
 // errOvertaken is the error of an attempt with an event for a caller whom another attempt serves.
@@ -96,33 +101,8 @@
 	a.job.firstByte = time.Since(a.job.began)
 }
 
-// isEmptyRest reports whether an answer that ended without an event is complete: the caller has all
-// events of the stream that it resumes. If the answer ended with its connection, the server may have
-// ended instead.
-func (a *attempt) isEmptyRest() bool {
-	if a.job.request.LastEventID == "" && a.lastEvent == "" {
-		return false
-	}
-	return !a.mayBeCutOff()
-}
-
-// mayBeCutOff reports whether an answer that ended with its connection may have been cut off, since its server has
-// ended. The kernel closes the connections of a killed process as those of one that has sent everything.
-func (a *attempt) mayBeCutOff() bool {
-	return a.endsWithConnection && a.relay.serverEnded(a.exchange.server)
-}
-
-// isHeadOnly reports whether nothing followed the head of an answer that ends with its connection. A server that has
-// an empty body to send says so by its length; one that stopped after the head doesn't.
-func (a *attempt) isHeadOnly(body *quota.Body) bool {
-	return a.endsWithConnection && body.Size() == 0 && a.job.request.Method != http.MethodHead
-}
-
-// endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its
-// server can't be told from its own.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
+// resumes reports whether the caller had events of the stream when the attempt began.
+func (a *attempt) resumes() bool { return a.job.request.LastEventID != "" || a.lastEvent != "" }
 
 // readEvent reads through the empty line that ends an event. At the stream's end it returns
 // io.EOF with the rest of a broken event.
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -40,6 +40,17 @@
 	return ok
 }
 
+// IsLeaving reports whether this start of a server said that it leaves, in an answer or in its last entry.
+func (r *Roster) IsLeaving(start shed.ServerStart) bool {
+	if _, ok := r.departures[start]; ok {
+		return true
+	}
+	if s := r.servers[start.Server]; s != nil && s.Start() == start {
+		return s.Leaving
+	}
+	return r.gone[start].leaving
+}
+
 // UnlistedDepartures returns the servers that said that they leave while their entries say that
 // they are ready, sorted. Peers can't learn of these departures from the store.
 func (r *Roster) UnlistedDepartures() []shed.ServerStart {
