reply: an early answer that a reset cut off is not whole

Callers got a part of an answer as a complete 200 (MIXED): a server answered a long upload at once without a length, and closed the connection while the upload was still being written.

Cause: a reset is reported once. If a write gets it, the next read returns an end of file, which ends an answer without a length. And a server that closes before the bytes have arrived ends the connection in order and resets it later.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reply"
 	"jasmineshed/internal/wire"
 )
 
@@ -50,7 +51,7 @@
 // also started elsewhere. So the check blocks further writes in the same step: what has not
 // been written by then is never written.
 type conn struct {
-	net.Conn
+	*reply.Conn
 
 	mu sync.Mutex
 	// gate is asked before the first write; nil allows it.
@@ -106,7 +107,7 @@
 		}
 	}
 	c.wrote = true
-	if r, ok := c.Conn.(shed.RequestConn); ok {
+	if r, ok := c.Conn.Conn.(shed.RequestConn); ok {
 		r.BeginRequest()
 	}
 	return nil
@@ -128,7 +129,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 		}
 		// The TLS handshake writes before assign; wrote starts as true to allow that.
-		return &conn{Conn: c, wrote: true}, nil
+		return &conn{Conn: reply.NewConn(c), wrote: true}, nil
 	}
 }
 
@@ -218,7 +219,7 @@
 // reports.
 func Unwrap(c net.Conn) net.Conn {
 	if tracked := trackedConn(c); tracked != nil {
-		return tracked.Conn
+		return tracked.Conn.Conn
 	}
 	return c
 }
--- a/internal/engine/conn_test.go
+++ b/internal/engine/conn_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jasmineshed/internal/reply"
 )
 
 // discardConn accepts every byte.
@@ -19,7 +21,7 @@
 // The call is reported as not run because net/http gave up before its writing goroutine ran.
 // When that runs later, its write must fail; otherwise the call would run after all.
 func TestNothingLeavesAfterNotStarted(t *testing.T) {
-	c := &conn{Conn: discardConn{}, wrote: true}
+	c := &conn{Conn: reply.NewConn(discardConn{}), wrote: true}
 	s := &sendTracker{}
 	s.gotConn(httptrace.GotConnInfo{Conn: c})
 	require.False(t, s.mayHaveSent())
@@ -30,8 +32,8 @@
 // net/http takes a second connection for a request that it has already sent. Nothing may be
 // sent on it; otherwise a call of a plain service would run twice.
 func TestSecondSendingIsSealed(t *testing.T) {
-	first := &conn{Conn: discardConn{}}
-	second := &conn{Conn: discardConn{}}
+	first := &conn{Conn: reply.NewConn(discardConn{})}
+	second := &conn{Conn: reply.NewConn(discardConn{})}
 	s := &sendTracker{gate: before(time.Now().Add(time.Hour))}
 	s.gotConn(httptrace.GotConnInfo{Conn: first})
 	_, err := first.Write([]byte("POST"))
@@ -52,7 +54,7 @@
 // Guards against a paused call that is reported as broken: net/http returned the error of the
 // connection that it closed after the blocked write.
 func TestTooLateIsTheCauseWhateverNetHTTPReturns(t *testing.T) {
-	c := &conn{Conn: discardConn{}, wrote: true}
+	c := &conn{Conn: reply.NewConn(discardConn{}), wrote: true}
 	s := &sendTracker{gate: before(time.Now().Add(-time.Second))}
 	s.gotConn(httptrace.GotConnInfo{Conn: c})
 	_, err := c.Write([]byte("POST"))
@@ -67,7 +69,7 @@
 func TestGateIsAskedRightBeforeTheFirstByte(t *testing.T) {
 	closed := errors.New("server leaves")
 	open := true
-	c := &conn{Conn: discardConn{}, wrote: true}
+	c := &conn{Conn: reply.NewConn(discardConn{}), wrote: true}
 	s := &sendTracker{gate: func() error {
 		if open {
 			return nil
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -10,6 +10,7 @@
 	"net/url"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reply"
 	"jasmineshed/internal/wire"
 )
 
@@ -90,7 +91,7 @@
 
 // roundTrip makes one control request and reads its response.
 func (e *Engine) roundTrip(req *http.Request) (int, []byte, error) {
-	resp, err := e.control.RoundTrip(req)
+	resp, err := reply.Transport{RoundTripper: e.control}.RoundTrip(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
--- a/internal/engine/sender.go
+++ b/internal/engine/sender.go
@@ -1,6 +1,10 @@
 package engine
 
-import "net/http"
+import (
+	"net/http"
+
+	"jasmineshed/internal/reply"
+)
 
 // Sender makes single HTTP exchanges with backend servers. It never sends a request twice, and
 // it reports reliably whether a byte of it may have been sent.
@@ -33,7 +37,7 @@
 	if once {
 		t = s.unpooled
 	}
-	resp, err := t.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
+	resp, err := reply.Transport{RoundTripper: t}.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
 	if err != nil {
 		return nil, tracker.mayHaveSent(), tracker.sendError(err)
 	}
--- a/internal/fault/path.go
+++ b/internal/fault/path.go
@@ -97,6 +97,9 @@
 	closed chan struct{}
 }
 
+// NetConn returns the connection that the path passes on.
+func (c *pathConn) NetConn() net.Conn { return c.Conn }
+
 // silence drops everything in both directions from now on.
 func (c *pathConn) silence() {
 	c.silent.Store(true)
--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reply"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
@@ -93,16 +94,22 @@
 	Refused bool `cbor:"5,keyasint,omitempty"`
 }
 
+// carryLinger is how long after the server closed a carried connection bytes may arrive that the caller sent before it
+// knew.
+const carryLinger = 20 * time.Millisecond
+
 // receiveCarry carries a connection until either side closes it. It connects to the server itself
 // and never through another peer, so that no connection goes in circles.
 func receiveCarry(srv any, _ context.Context, in1, in2 any) (drpc.Message, error) { //nolint:revive // drpc.Receiver fixes the order
 	call, stream := in1.(*CarryCall), in2.(drpc.Stream)
 	out := &sender{stream: stream}
-	conn, status := srv.(RelayHandler).Connect(stream.Context(), *call)
+	server, status := srv.(RelayHandler).Connect(stream.Context(), *call)
 	if status.Refusal != CarryAccepted {
 		return nil, out.send(&status)
 	}
 	defer srv.(RelayHandler).Disconnected(*call)
+	conn := reply.NewConn(server)
+	conn.Linger = carryLinger
 	defer func() { _ = conn.Close() }()
 	if err := out.send(&status); err != nil {
 		return nil, err
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -17,6 +17,7 @@
 	"time"
 
 	shed "jasmineshed"
+	"jasmineshed/internal/reply"
 	"jasmineshed/internal/rules"
 	"jasmineshed/internal/wire"
 )
@@ -71,13 +72,13 @@
 	return &Platform{
 		cfg: cfg,
 		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            cfg.Dial,
+			Transport: reply.Transport{RoundTripper: &http.Transport{
+				DialContext:            reply.Dial(cfg.Dial),
 				MaxIdleConnsPerHost:    4,
 				IdleConnTimeout:        time.Minute,
 				MaxResponseHeaderBytes: 16 << 10,
 				DisableCompression:     true,
-			},
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- /dev/null
+++ b/internal/reply/transport.go
@@ -0,0 +1,78 @@
+package reply
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport makes exchanges with servers and returns only what is an answer. Its connections should be Conns.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.RoundTripper.RoundTrip(r.WithContext(followRequest(r.Context())))
+}
+
+// CloseIdleConnections closes idle connections.
+func (t Transport) CloseIdleConnections() {
+	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// followRequest returns ctx with hooks that tell the connection of a request when it begins and is written.
+func followRequest(ctx context.Context) context.Context {
+	var mu sync.Mutex
+	var conn *Conn
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			if conn = tracked(info.Conn); conn != nil {
+				conn.BeginRequest()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			if conn != nil {
+				conn.EndRequest(info.Err)
+			}
+		},
+	})
+}
+
+// tracked returns the Conn under a connection; nil if there is none.
+func tracked(c net.Conn) *Conn {
+	for c != nil {
+		if t, ok := c.(interface{ Tracked() *Conn }); ok {
+			return t.Tracked()
+		}
+		under, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = under.NetConn()
+	}
+	return nil
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dial returns a DialFunc whose connections are Conns; nil means TCP.
+func Dial(dial DialFunc) DialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"jasmineshed/internal/reply"
 )
 
 // Config configures a Client.
@@ -65,7 +67,7 @@
 		cfg.Transport = newTransport()
 	}
 	c := &Client{cfg: cfg, http: &http.Client{
-		Transport: cfg.Transport,
+		Transport: reply.Transport{RoundTripper: cfg.Transport},
 		// A redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -90,7 +92,7 @@
 	}
 	return &http.Transport{
 		Proxy:                 http.ProxyFromEnvironment,
-		DialContext:           dialer.DialContext,
+		DialContext:           reply.Dial(dialer.DialContext),
 		TLSHandshakeTimeout:   5 * time.Second,
 		MaxIdleConnsPerHost:   64,
 		IdleConnTimeout:       30 * time.Second,
