reply: a status or a field that is none is no answer

Callers got no answer at all for statuses 000, 020, 099 and +20: WriteHeader panics on them, also for requests that may be repeated. 101, 600 and 999 were passed on, as were answers with a blank in the name of a field, two of them with a body framed in another way than the server said.

Cause: nothing looked at the status or the names of fields; net/http is liberal in both.

Evidence: TestInvalidHeadIsNoAnswer without the change fails for 7 statuses and 4 fields of 23, directly and carried alike. Refuted there: control bytes, tabs, parentheses, empty names, lines without a colon, odd lengths, statuses of other than three characters (502 before).

After: 502 in all 46 cases.

--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,7 +14,14 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.RoundTripper.RoundTrip(r.WithContext(followRequest(r.Context())))
+	resp, err := t.RoundTripper.RoundTrip(r.WithContext(followRequest(r.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		return nil, errors.Join(err, resp.Body.Close())
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes idle connections.
