relay: a stop refuses what can't end in time, and answers what it gives up

Callers whose requests came late in a planned stop lost their connection without an answer, also for requests that may not be repeated (LOST, other operators).

Cause: for 2.5 s after SIGTERM a VM took every request, whatever it needed, and at the end of the drain time it closed the connections of all that were open.

Evidence: without the change TestStopRefusesWhatCannotEndInTime fails (requests of 6.3 s that come 1.2 s after the stop end with EOF), and so does TestStopAnswersWhatItGivesUp (9 s, open when it began).

Change: package drain compares the longest time of the route, or the wait of the caller, with the time left; others get 503 and the shortest Retry-After at once. At the end all attempts are cancelled and callers answered, within the second that was reserved for the process to exit.

Failed try: shutting the listener down again after the cancellation; its first shutdown had closed the connections already.

After: both green, with the three older tests of stops.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -110,6 +110,9 @@
 	}
 	if refused == nil {
 		r.stats.recordRequest(j, reasonServed, took)
+		r.mu.Lock()
+		r.longest.Record(j.route.ID, took)
+		r.mu.Unlock()
 		r.log.WithFields(fields).Info("served")
 		return
 	}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -111,6 +111,9 @@
 	}
 	j.deadline = j.began.Add(wait)
 	j.target = j.began.Add(targetOf(j.route.Target, wait, j.resumes()))
+	if refused := r.rejectLate(j); refused != nil {
+		return refused
+	}
 	r.retryBudget(j.pool.ID).Succeeded(j.began)
 	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"jasmineshed/internal/access"
 	"jasmineshed/internal/batch"
 	"jasmineshed/internal/delta"
+	"jasmineshed/internal/drain"
 	"jasmineshed/internal/engine"
 	"jasmineshed/internal/hedge"
 	"jasmineshed/internal/httpd"
@@ -92,6 +93,11 @@
 	// prefs are the settings in force.
 	prefs    atomic.Pointer[prefs.Prefs]
 	stopping atomic.Bool
+	// cutAt is when a graceful stop gives up the requests that are still open; nil until there is one.
+	cutAt atomic.Pointer[time.Time]
+	// requests is cancelled when a stop gives up all requests.
+	requests    context.Context
+	cutRequests context.CancelFunc
 	// forced is closed once a forced stop is requested.
 	forced    chan struct{}
 	forceOnce sync.Once
@@ -121,8 +127,10 @@
 	// cacheLists are the lists of servers' cached parts that this VM read.
 	cacheLists map[shed.ServerStart]*cacheList
 	// usual is how long answers of routes take.
-	usual  *hedge.Usual
-	limits *limit.Table
+	usual *hedge.Usual
+	// longest is how long the longest requests of routes take.
+	longest *drain.Longest
+	limits  *limit.Table
 	// turnBook holds the turns that this VM grants, access when it may send to servers again.
 	turnBook *turns.Ledger
 	access   *access.Table
@@ -176,6 +184,7 @@
 		cfg.Account = quota.New(cfg.Prefs.Limits.Held())
 	}
 	base, halt := context.WithCancel(context.Background())
+	requests, cutRequests := context.WithCancel(base)
 	r := &Relay{
 		cfg:           cfg,
 		log:           logrus.NewEntry(cfg.Log),
@@ -184,11 +193,14 @@
 		base:          base,
 		forced:        make(chan struct{}),
 		cancelBase:    halt,
+		requests:      requests,
+		cutRequests:   cutRequests,
 		roster:        roster.New(roster.Config{Heartbeat: cfg.Prefs.Relay.Heartbeat}),
 		accept:        accept.New(),
 		origins:       origin.New(),
 		cacheLists:    map[shed.ServerStart]*cacheList{},
 		usual:         hedge.NewUsual(),
+		longest:       drain.NewLongest(),
 		limits:        limit.New(),
 		turnBook:      turns.NewLedger(),
 		access:        access.New(),
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -150,6 +150,7 @@
 func (r *Relay) run(ctx context.Context, w http.ResponseWriter, j *job) *refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.requests, cancel)()
 	defer r.releaseInputs(j)
 	out := &output{w: w, control: http.NewResponseController(w)}
 	defer out.release()
