relay: the store confirms that a pool has only one version

Callers whose stream began at a server of a new version, and who took it up at a VM that was cut off, got the rest from a server of another version (ORDER, other operators).

Cause: where nobody remembers the origin of a stream, OnlyVersion decides on a roster that may be 2 s old.

Change: before the conclusion counts, a read of the store that begins after the request came has to show no server of another version. Requests share reads. The caches of servers are asked otherwise, as before, or the caller is refused.

--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -118,7 +118,8 @@
 }
 
 // lookUpOrigin returns the origin of a resumed stream. If nobody remembers it, the origin is known only
-// if no more than one version has served as long as a stream lives, or from the cache of the server that wrote it.
+// if no more than one version has served as long as a stream lives, which the store has to confirm, or from the cache of
+// the server that wrote it.
 func (r *Relay) lookUpOrigin(ctx context.Context, j *job) (shed.StreamOrigin, bool) {
 	if j.request.Resumes != "" {
 		key := j.streamKey()
@@ -143,6 +144,7 @@
 	r.log.WithFields(logrus.Fields{
 		"request": j.request.ID, "resumes": j.request.Resumes, "only_version": version, "known": ok,
 	}).Info("origin of a stream is not remembered")
+	ok = ok && r.confirmOnlyVersion(ctx, j, version)
 	if !ok {
 		version, ok = r.findWriter(ctx, j)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,6 +124,8 @@
 	accept         *accept.Gate
 	poison         *poison.Table
 	origins        *origin.Table
+	// check is the last check of the store.
+	check *storeCheck
 	// cacheLists are the lists of servers' cached parts that this VM read.
 	cacheLists map[shed.ServerStart]*cacheList
 	// usual is how long answers of routes take.
