relay: a peer that declines to connect is no sign of a server's life

Change: such a question names itself, and peers connect in spite of a rest. What a peer declines says nothing.

--- a/internal/peers/carry.go
+++ b/internal/peers/carry.go
@@ -26,6 +26,8 @@
 	Start shed.ServerStart `cbor:"2,keyasint"`
 	// Addr is the address of the server, "ip:port".
 	Addr string `cbor:"3,keyasint"`
+	// Probe: nothing will be sent, so the server's rest doesn't matter. Daemons that don't know it refuse.
+	Probe bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CarryRefusal is why a daemon carries no connection. The set is closed.
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -81,7 +81,7 @@
 	var conn net.Conn
 	var closed peers.CarryClosedError
 	failure := errNoCarrier
-	r.askCarriers(ctx, addr, func(c net.Conn, err error) (done bool) {
+	r.askCarriers(ctx, peers.CarryCall{Addr: addr}, func(c net.Conn, err error) (done bool) {
 		switch {
 		case err == nil:
 			conn, failure = c, nil
@@ -99,10 +99,10 @@
 
 // askCarriers has peers open a connection to a server, one after the other, until answered reports that the caller
 // is done, ctx has ended, or maxCarriers were asked.
-func (r *Relay) askCarriers(ctx context.Context, addr string, answered func(net.Conn, error) (done bool)) {
+func (r *Relay) askCarriers(ctx context.Context, call peers.CarryCall, answered func(net.Conn, error) (done bool)) {
 	var asked []shed.VM
 	for range maxCarriers {
-		vm, call, ok := r.nextCarrier(addr, asked)
+		vm, call, ok := r.nextCarrier(call, asked)
 		if !ok || answered(r.carryBy(ctx, vm, call)) || ctx.Err() != nil {
 			return
 		}
@@ -121,7 +121,8 @@
 
 // nextCarrier chooses the peer to carry a connection to the server at addr: the better of two that
 // are drawn by their capacity.
-func (r *Relay) nextCarrier(addr string, asked []shed.VM) (shed.VM, peers.CarryCall, bool) {
+func (r *Relay) nextCarrier(call peers.CarryCall, asked []shed.VM) (shed.VM, peers.CarryCall, bool) {
+	addr := call.Addr
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,7 +141,8 @@
 	if r.carriedLoad(other) < r.carriedLoad(vm) {
 		vm = other
 	}
-	return vm, peers.CarryCall{Start: server.Start(), Addr: addr}, true
+	call.Start = server.Start()
+	return vm, call, true
 }
 
 // carrierCandidates returns the peers that may carry connections. The caller holds mu.
@@ -311,7 +313,7 @@
 		return peers.CarryStatus{Refusal: peers.CarryDeclined}
 	case r.paths.table.IsLost(reach.Addr(call.Addr)):
 		return peers.CarryStatus{Refusal: peers.CarryPathLost}
-	case server == nil || server.Start() != call.Start || rest > 0:
+	case server == nil || server.Start() != call.Start || rest > 0 && !call.Probe:
 		return peers.CarryStatus{Refusal: peers.CarryServerClosed, Rest: rest}
 	}
 	if c.forPeers[call.Start] == nil {
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -206,18 +206,15 @@
 
 // peersAreRefused reports whether peers are refused too by a server that refused this VM or closed its
 // connection at once. A VM that lost its path is refused by servers that live, and so are peers that lost
-// theirs: one that keeps a connection is proof enough.
+// theirs: one that keeps a connection is proof enough. One that declines says nothing.
 func (r *Relay) peersAreRefused(s shed.ServerEntry) bool {
 	ctx, cancel := r.withTimeout(r.base, carryTimeout)
 	defer cancel()
-	var closed peers.CarryClosedError
-	refused, known, connected := false, false, false
-	r.askCarriers(ctx, s.Addr, func(c net.Conn, err error) (done bool) {
+	refused, connected := false, false
+	r.askCarriers(ctx, peers.CarryCall{Addr: s.Addr, Probe: true}, func(c net.Conn, err error) (done bool) {
 		switch {
-		case errors.As(err, &closed):
-			known = true
 		case errors.Is(err, peers.ErrCarryUnreachable), err == nil && isClosedAtOnce(c):
-			refused, known = true, true
+			refused = true
 		case err == nil:
 			connected = true
 		}
@@ -227,10 +224,10 @@
 	case connected:
 		r.comparePaths(reach.Addr(s.Addr), reach.Closed, reach.Connected)
 		return false
-	case !known:
-		return !r.isPathLost(reach.Addr(s.Addr))
+	case refused:
+		return true
 	}
-	return refused
+	return !r.isPathLost(reach.Addr(s.Addr))
 }
 
 // isClosedAtOnce reports whether the server's side closes a connection that a peer carries, and closes it.
