relay: the next start at an address is no sign of the earlier one's life

Cause: the relay asked whoever answers at the address, and its memory of a crash counted for 2 s only, which the VM may have slept through.

Evidence: TestAnswersOfAServerThatCameBackAreIncomplete without the change: half an answer as a 200. fault.Path can be frozen for it.

Change: the roster tells whether another start is listed under the id or at the address of a server that hadn't said that it leaves; a crash counts if it came after the request began.

After: green, with the tests of killed and leaving servers.

--- a/internal/fault/path.go
+++ b/internal/fault/path.go
@@ -35,6 +35,8 @@
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	mode atomic.Uint32
 	sent atomic.Int64
+	// Freezer suspends the process's use of the path.
+	Freezer
 
 	mu    sync.Mutex
 	conns map[*pathConn]struct{}
@@ -115,6 +117,7 @@
 // Read implements net.Conn.
 func (c *pathConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.path.Wait()
 	if c.silent.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -29,8 +29,10 @@
 	e := reply.Ending{Serves: !r.serverEnded(server)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e.Crashed = r.poison.RecentlyCrashed(time.Now(), server.Start())
 	e.Leaving = r.roster.IsLeaving(server.Start())
+	crashedAt, crashed := r.poison.CrashedAt(server.Start())
+	// This VM may have stood still, and what serves now may be the next start.
+	e.Crashed = crashed && crashedAt.After(a.began) || !e.Leaving && r.roster.IsReplaced(server)
 	e.Together, e.Open = r.paths.countEnds(server.Start(), ended)
 	return e.Verdict()
 }
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -51,6 +51,15 @@
 	return r.gone[start].leaving
 }
 
+// IsReplaced reports whether another start than that of the entry is listed under its id, or open at its address.
+func (r *Roster) IsReplaced(e shed.ServerEntry) bool {
+	if s := r.servers[e.ID]; s != nil && s.Start() != e.Start() {
+		return true
+	}
+	s := r.openAt[e.Addr]
+	return s != nil && s.Start() != e.Start()
+}
+
 // UnlistedDepartures returns the servers that said that they leave while their entries say that
 // they are ready, sorted. Peers can't learn of these departures from the store.
 func (r *Roster) UnlistedDepartures() []shed.ServerStart {
