--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -1,11 +1,13 @@
 package fault
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -156,7 +158,7 @@
 	p.group.Go(func() error { return l.forward(server, client, DropOut, &l.dropOut) })
 }
 
-// forward copies data and the end of the connection in one direction, unless the mode
+// forward copies data and the end or reset of the connection in one direction, unless the mode
 // drops this direction or did so before.
 func (l *link) forward(from, to net.Conn, blocked Mode, drop *atomic.Bool) error {
 	buf := make([]byte, 32<<10)
@@ -182,12 +184,22 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to)
+			}
 			l.close()
 			return nil
 		}
 	}
 }
 
+// resetOnClose has a connection reset in place of closed.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (l *link) close() {
 	l.once.Do(func() {
 		l.dropIn.Store(true)
@@ -232,11 +244,8 @@
 		if ip != "" && l.from != ip {
 			continue
 		}
-		for _, c := range []net.Conn{l.client, l.server} {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-		}
+		resetOnClose(l.client)
+		resetOnClose(l.server)
 		l.close()
 	}
 }
