--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	shed "jasmineshed"
@@ -15,7 +17,8 @@
 // exitTime is how long the kernel may take to close the connections of a process that was killed.
 const exitTime = 20 * time.Millisecond
 
-// errUnproven is the error of an answer that ended while its server was leaving, and that another server can prove.
+// errUnproven is the error of an answer that ended while its server was leaving. Another server is asked for it, or for
+// what may be missing of it.
 var errUnproven = errors.New("the server may have been killed while it was leaving")
 
 // judgeEnding decides whether the answer, whose end was read, is whole.
@@ -24,7 +27,7 @@
 		return reply.Whole
 	}
 	r, server, ended := a.relay, a.exchange.server, time.Now()
-	// Until a killed process is gone, its listener still accepts connections.
+	// The listener of a killed process accepts connections until the process is gone.
 	sleep(ctx, r.extend(exitTime))
 	e := reply.Ending{Serves: !r.serverEnded(server)}
 	r.mu.Lock()
@@ -37,22 +40,28 @@
 	return e.Verdict()
 }
 
-// checkWhole returns an error unless the answer, whose end was read, is whole as far as can be told. One that can be
-// proved by another attempt has to be.
-func (a *attempt) checkWhole(ctx context.Context, proof bool) error {
-	verdict := a.judgeEnding(ctx)
-	switch {
-	case verdict == reply.Whole:
-		return nil
-	case verdict == reply.Unproven && !proof:
-		return nil
-	case verdict == reply.Unproven:
+// checkBody returns an error unless an answer that is no stream is whole. A server that has an empty body to send says so
+// by its length; one that stopped after the head doesn't.
+func (a *attempt) checkBody(ctx context.Context, body *quota.Body) error {
+	if a.endsWithConnection && body.Size() == 0 && a.job.request.Method != http.MethodHead {
+		return io.ErrUnexpectedEOF
+	}
+	return a.checkWhole(ctx, a.canProve())
+}
+
+// checkWhole returns an error unless the answer, whose end was read, is whole. One that is unproven counts as whole if no
+// proof is asked for.
+func (a *attempt) checkWhole(ctx context.Context, needsProof bool) error {
+	switch verdict := a.judgeEnding(ctx); {
+	case verdict == reply.CutOff:
+		return io.ErrUnexpectedEOF
+	case verdict == reply.Unproven && needsProof:
 		return errUnproven
 	}
-	return io.ErrUnexpectedEOF
+	return nil
 }
 
-// canProve reports whether another server may be asked for the same answer, or for what may be missing of it.
+// canProve reports whether the request may be sent to another server, whose answer shows what is missing of this one.
 func (a *attempt) canProve() bool {
 	j := a.job
 	if !j.mayRunTwice() {
@@ -64,12 +73,6 @@
 	return left && a.relay.hasOtherServer(j, a.choice)
 }
 
-// isHeadOnly reports whether nothing followed the head of an answer that ends with its connection. A server that has
-// an empty body to send says so by its length; one that stopped after the head doesn't.
-func (a *attempt) isHeadOnly(body *quota.Body) bool {
-	return a.endsWithConnection && body.Size() == 0 && a.job.request.Method != http.MethodHead
-}
-
 // recordConnEnd records that the server's side ended the connection of a flight.
 func (r *Relay) recordConnEnd(f *flight) {
 	now := time.Now()
@@ -84,12 +87,9 @@
 
 // recordEnd records that a connection to a server ended.
 func (p *paths) recordEnd(now time.Time, start shed.ServerStart) {
-	for s, ends := range p.ends {
-		if now.Sub(ends[len(ends)-1]) > endsKept {
-			delete(p.ends, s)
-		}
-	}
-	p.ends[start] = append(p.ends[start], now)
+	old := func(t time.Time) bool { return now.Sub(t) > endsKept }
+	maps.DeleteFunc(p.ends, func(_ shed.ServerStart, ends []time.Time) bool { return old(ends[len(ends)-1]) })
+	p.ends[start] = append(slices.DeleteFunc(p.ends[start], old), now)
 }
 
 // countEnds returns how many connections to a server ended at about a time, and how many of those on which it has sent
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -184,10 +184,7 @@
 			body.Release()
 		}
 	}()
-	if err = io.ErrUnexpectedEOF; !a.isHeadOnly(body) {
-		err = a.checkWhole(ctx, a.canProve())
-	}
-	if err != nil {
+	if err := a.checkBody(ctx, body); err != nil {
 		a.err, a.serverFailed = err, ctx.Err() == nil
 		return outcome{sent: true, mayHaveRun: true, reason: shed.ReasonBroken}
 	}
