reply: the kernel's queue is asked on Linux only

pkg/client couldn't be built elsewhere any more: SIOCOUTQ is Linux's. GOOS=darwin go vet ./pkg/client failed and passes; other systems do without that look. No change on Linux.

--- a/internal/reply/conn.go
+++ b/internal/reply/conn.go
@@ -8,8 +8,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -125,11 +123,11 @@
 		case c.Linger > elapsed:
 			wait = c.Linger - elapsed
 		default:
-			queued, err := queued(c.Conn)
-			if err != nil || queued && wait <= 0 {
+			unread, err := queued(c.Conn)
+			if err != nil || unread && wait <= 0 {
 				return errors.Join(errUnread, err)
 			}
-			if !queued {
+			if !unread {
 				return io.EOF
 			}
 			wait = sentPoll
@@ -142,40 +140,3 @@
 		timer.Stop()
 	}
 }
-
-// queued reports whether the kernel still has bytes to send that the other side hasn't acknowledged, and returns the
-// connection's error. It knows nothing of connections other than TCP.
-func queued(c net.Conn) (bool, error) {
-	raw := rawConn(c)
-	if raw == nil {
-		return false, nil
-	}
-	var n, code int
-	var queueErr, codeErr error
-	err := raw.Control(func(fd uintptr) {
-		n, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		code, codeErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-	})
-	if code != 0 {
-		return false, syscall.Errno(code)
-	}
-	return n > 0, errors.Join(err, queueErr, codeErr)
-}
-
-// rawConn returns the kernel's connection under c; nil if there is none.
-func rawConn(c net.Conn) syscall.RawConn {
-	for {
-		if s, ok := c.(syscall.Conn); ok {
-			raw, err := s.SyscallConn()
-			if err != nil {
-				return nil
-			}
-			return raw
-		}
-		under, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		c = under.NetConn()
-	}
-}
