--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -125,6 +125,9 @@
 	return now.Sub(t.endedAt[s]) < explanationWindow
 }
 
+// HasCrashes reports whether any start of a server is known to have crashed.
+func (t *Table) HasCrashes() bool { return len(t.endedAt) > 0 }
+
 // CrashedAt returns when this start of a server crashed; ok is false if it isn't known to have.
 func (t *Table) CrashedAt(s shed.ServerStart) (at time.Time, ok bool) {
 	at, ok = t.endedAt[s]
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -46,16 +46,16 @@
 	if a.endsWithConnection && body.Size() == 0 && a.job.request.Method != http.MethodHead {
 		return io.ErrUnexpectedEOF
 	}
-	return a.checkWhole(ctx, a.canProve())
+	return a.checkWhole(ctx, false)
 }
 
-// checkWhole returns an error unless the answer, whose end was read, is whole. One that is unproven counts as whole if no
-// proof is asked for.
-func (a *attempt) checkWhole(ctx context.Context, needsProof bool) error {
+// checkWhole returns an error unless the answer, whose end was read, is whole. One that is unproven counts as whole unless
+// it is an empty rest of a stream, or another server can prove it.
+func (a *attempt) checkWhole(ctx context.Context, emptyRest bool) error {
 	switch verdict := a.judgeEnding(ctx); {
 	case verdict == reply.CutOff:
 		return io.ErrUnexpectedEOF
-	case verdict == reply.Unproven && needsProof:
+	case verdict == reply.Unproven && (emptyRest || a.canProve()):
 		return errUnproven
 	}
 	return nil
@@ -63,14 +63,9 @@
 
 // canProve reports whether the request may be sent to another server, whose answer shows what is missing of this one.
 func (a *attempt) canProve() bool {
-	j := a.job
-	if !j.mayRunTwice() {
-		return false
-	}
 	a.pursuit.mu.Lock()
-	left := a.pursuit.earlierSends+a.pursuit.begun < j.route.MaxSends
-	a.pursuit.mu.Unlock()
-	return left && a.relay.hasOtherServer(j, a.choice)
+	defer a.pursuit.mu.Unlock()
+	return a.job.mayRunTwice() && a.canGoElsewhere()
 }
 
 // recordConnEnd records that the server's side ended the connection of a flight.
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -31,7 +31,7 @@
 // is known, if there is one. All choices of a server for a request are made among them. The caller holds mu.
 func (r *Relay) candidates(now time.Time, j *job) []*roster.Server {
 	servers := r.roster.OpenServers(j.pool.ID)
-	if j.origin == nil && !j.route.Resumable {
+	if j.origin == nil && (!j.route.Resumable || !r.poison.HasCrashes()) {
 		return servers
 	}
 	var out []*roster.Server
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -243,6 +243,12 @@
 	case !a.job.route.Repeatable:
 		return false
 	}
+	return a.canGoElsewhere()
+}
+
+// canGoElsewhere reports whether the route allows a further send and there is another server for it. The caller holds
+// pursuit.mu.
+func (a *attempt) canGoElsewhere() bool {
 	return a.pursuit.earlierSends+a.pursuit.begun < a.job.route.MaxSends && a.relay.hasOtherServer(a.job, a.choice)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,7 +45,7 @@
 	if !a.begun && !a.resumes() {
 		return io.ErrUnexpectedEOF
 	}
-	if err := a.checkWhole(ctx, !a.begun || a.canProve()); err != nil {
+	if err := a.checkWhole(ctx, !a.begun); err != nil {
 		return err
 	}
 	a.pursuit.mu.Lock()
--- a/internal/reply/conn.go
+++ b/internal/reply/conn.go
@@ -30,7 +30,7 @@
 	Linger time.Duration
 
 	mu sync.Mutex
-	// changed is closed and replaced when one of the fields below changes.
+	// changed is closed and replaced when one of the fields below changes after the end of file.
 	changed chan struct{}
 	// writing: a write is in progress. unsent: a request has begun and isn't written to its end.
 	writing, unsent, closed bool
@@ -46,13 +46,15 @@
 // Tracked returns the connection itself; connections that embed it are found by this method.
 func (c *Conn) Tracked() *Conn { return c }
 
-// update changes the fields and wakes the reader.
+// update changes the fields and wakes the reader, which waits at the end of file only.
 func (c *Conn) update(change func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	change()
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if c.ended {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
 }
 
 // BeginRequest records that a request is about to be written.
--- a/internal/reply/transport.go
+++ b/internal/reply/transport.go
@@ -55,17 +55,25 @@
 
 // tracked returns the Conn under a connection; nil if there is none.
 func tracked(c net.Conn) *Conn {
+	if t, ok := under[interface{ Tracked() *Conn }](c); ok {
+		return t.Tracked()
+	}
+	return nil
+}
+
+// under returns the first of a connection and those below it that is a T.
+func under[T any](c net.Conn) (found T, ok bool) {
 	for c != nil {
-		if t, ok := c.(interface{ Tracked() *Conn }); ok {
-			return t.Tracked()
+		if found, ok = c.(T); ok {
+			return found, true
 		}
-		under, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
+		upper, isUpper := c.(interface{ NetConn() net.Conn })
+		if !isUpper {
+			break
 		}
-		c = under.NetConn()
+		c = upper.NetConn()
 	}
-	return nil
+	return found, false
 }
 
 // DialFunc opens a connection.
--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -70,7 +70,7 @@
 		r.departures[start] = now
 		return out
 	}
-	r.withheld[start] = now.Add(missedHeartbeats*r.cfg.Heartbeat + r.cfg.LapseGrace)
+	r.withheld[start] = now.Add(r.EntryLife() + r.cfg.LapseGrace)
 	return append(out, Change{Reason: ServerWithheld, Key: e.Key, Revision: e.Revision, Server: server.ID, Zone: server.Zone})
 }
 
